--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,40 @@
+import json
+
+from eelgrasslock.exceptions import RecordError
+from eelgrasslock.records import (
+    BudgetDrawn,
+    Limits,
+    ProgramCreated,
+    decode_batch,
+    encode_batch,
+)
+
+
+class TestBatch:
+    def test_round_trip(self):
+        limits = Limits(tokens=10, turns=2, age=3.0)
+        created = ProgramCreated(
+            author="a",
+            time=1.0,
+            program="p",
+            creation_key="",
+            secret_digest="",
+            parent="",
+            limits=limits,
+        )
+        drawn = BudgetDrawn(author="a", time=1.0, program="p", tokens=5)
+        assert decode_batch(encode_batch([created, drawn])) == [created, drawn]
+
+    def test_garbage_and_newer_records_leave_their_neighbours(self):
+        drawn = BudgetDrawn(author="a", time=1.0, program="p", tokens=5)
+        bodies = json.loads(encode_batch([drawn]))
+        newer = dict(bodies[0], v=99)
+        data = json.dumps([newer, bodies[0], 7]).encode()
+        first, second, third = decode_batch(data)
+        assert isinstance(first, RecordError)
+        assert second == drawn
+        assert isinstance(third, RecordError)
+
+    def test_garbage_entry_is_one_error(self):
+        (error,) = decode_batch(b"\xff\x00")
+        assert isinstance(error, RecordError)
