--- a/src/eelgrasslock/exchange.py
+++ b/src/eelgrasslock/exchange.py
@@ -110,6 +110,25 @@
     reason: str
 
 
+@frozen(kw_only=True)
+class PlainResult:
+    """A plain service's whole answer.
+
+    Attributes
+    ----------
+    status : int
+        The service's HTTP status.
+    content_type : str
+        The answer's media type.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+
+
 BeforeFinal = Callable[[CallResult], Awaitable[None]]
 
 
@@ -157,6 +176,10 @@
         takes the final event's place.
     tokens_used : int
         Tokens that endpoints have spent so far on a call that may yet fail.
+    sent : bool
+        Whether a byte of the request may have left for an endpoint.
+    plain_result : PlainResult or None
+        A plain service's answer, set before the caller sees any of it.
     """
 
     request: Request
@@ -180,6 +203,8 @@
     journaled: bool = True
     before_final: list[BeforeFinal] = field(factory=list)
     tokens_used: int = 0
+    sent: bool = False
+    plain_result: PlainResult | None = None
 
 
 Proceed = Callable[[Exchange], Awaitable[None]]
