--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,147 @@
+"""Stand-ins and daemons as processes on free ports, with sure clean-up."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import aiohttp
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_READY_SECONDS = 30.0
+_STOP_SECONDS = 30.0
+_POLL_SECONDS = 0.05
+
+
+def free_ports(count: int) -> list[int]:
+    """Return loopback ports that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+async def eventually(check, seconds: float = _READY_SECONDS) -> None:
+    """Wait until an async check is true, or fail."""
+    async with asyncio.timeout(seconds):
+        while True:
+            if await check():
+                return
+            await asyncio.sleep(_POLL_SECONDS)
+
+
+class RunningProcess:
+    """A process that a test has started, with where it listens."""
+
+    def __init__(self, process: asyncio.subprocess.Process, url: str, errors) -> None:
+        self.process = process
+        self.url = url
+        self.errors = errors
+
+    @property
+    def pid(self) -> int:
+        return self.process.pid
+
+    def signal(self, number: signal.Signals) -> None:
+        self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kill it, also while it is stopped, and wait for its end."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+
+    async def terminate(self) -> int:
+        """Ask it to stop, and return its exit status."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.terminate()
+        return await asyncio.wait_for(self.process.wait(), _STOP_SECONDS)
+
+    def error_text(self) -> str:
+        """Return what it has written to its error output."""
+        return self.errors.read_text()
+
+
+class Processes:
+    """All processes of one test; leaving the context ends them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.all: list[RunningProcess] = []
+        self.session: aiohttp.ClientSession
+
+    async def __aenter__(self) -> "Processes":
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await asyncio.gather(*(one.kill() for one in self.all))
+        await self.session.close()
+
+    async def standin(self, *arguments: str) -> RunningProcess:
+        """Start a stand-in and wait for the line with its first port."""
+        module = "eelgrasslock_standins.main"
+        process, errors = await self._start(module, *map(str, arguments))
+        running = RunningProcess(process, "", errors)
+        self.all.append(running)
+        line = await asyncio.wait_for(process.stdout.readline(), _READY_SECONDS)
+        assert line.startswith(b"ready "), errors.read_text()
+        running.url = f"http://{line.split()[1].decode()}"
+        return running
+
+    async def daemon(
+        self, settings: pathlib.Path, http_address: str, **environment: str
+    ) -> RunningProcess:
+        """Start a daemon; `wait_ready` tells when it serves."""
+        process, errors = await self._start(
+            "eelgrasslock.daemon", "--settings", str(settings), **environment
+        )
+        running = RunningProcess(process, f"http://{http_address}", errors)
+        self.all.append(running)
+        return running
+
+    async def wait_ready(self, running: RunningProcess, path: str = "/ready") -> None:
+        """Wait until a daemon answers 200 on its readiness path."""
+
+        async def ready() -> bool:
+            assert running.process.returncode is None, running.error_text()
+            return await self._answers(running.url + path)
+
+        await eventually(ready)
+
+    async def control(self, running: RunningProcess, **faults) -> None:
+        """Switch faults of a stand-in."""
+        async with self.session.post(running.url + "/control", json=faults) as answer:
+            assert answer.status == 200, await answer.text()
+
+    async def get(self, running: RunningProcess, path: str):
+        """Return the JSON that a process answers on a path."""
+        async with self.session.get(running.url + path) as answer:
+            return await answer.json()
+
+    async def _answers(self, url: str) -> bool:
+        try:
+            async with self.session.get(url) as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def _start(self, module: str, *arguments: str, **environment: str):
+        errors = self.folder / f"process-{len(self.all)}.err"
+        with errors.open("wb") as sink:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=sink,
+                env={**os.environ, "PYTHONPATH": str(_ROOT / "src"), **environment},
+            )
+        return process, errors
