--- /dev/null
+++ b/src/eelgrasslock/endpoint_failure.py
@@ -0,0 +1,66 @@
+"""How a call to an endpoint failed."""
+
+import aiohttp
+
+from eelgrasslock.exceptions import EndpointError, Ran
+from eelgrasslock.scheduling import CallEnd
+
+_CALLER_STATUSES = frozenset({400, 405, 406, 411, 413, 414, 415, 422, 431})
+_REFUSED_STATUSES = frozenset({429, 503})
+_ERROR_TEXT_CHARS = 300
+
+
+class EndpointFailure(EndpointError):
+    """A call to an endpoint failed, and how.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for the log only; never shown to a caller.
+    end : CallEnd
+        How it failed, for the scheduler.
+    ran : Ran
+        Whether the endpoint may have run the request.
+    status : int or None
+        The endpoint's HTTP status, if it gave one.
+    retry_after : float or None
+        Seconds until the endpoint asks to be tried again.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        end: CallEnd,
+        ran: Ran,
+        status: int | None = None,
+        retry_after: float | None = None,
+    ) -> None:
+        silent = end is CallEnd.SILENT
+        super().__init__(message, ran, status, retry_after, silent)
+        self.end = end
+
+    @property
+    def callers_fault(self) -> bool:
+        """Whether the request itself is at fault, so that no retry can help."""
+        return self.status in _CALLER_STATUSES
+
+
+def parse_retry_after(text: str | None) -> float | None:
+    """Return the seconds of a ``Retry-After`` header, None if there are none."""
+    try:
+        seconds = float(text or "")
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds < float("inf") else None
+
+
+async def refused(response: aiohttp.ClientResponse) -> EndpointFailure:
+    """Return an endpoint's error answer as a failure."""
+    text = (await response.text(errors="replace"))[:_ERROR_TEXT_CHARS]
+    message = f"Status {response.status}: {text}"
+    retry_after = parse_retry_after(response.headers.get("Retry-After"))
+    if response.status < 500 or response.status in _REFUSED_STATUSES:
+        return EndpointFailure(
+            message, CallEnd.REFUSED, Ran.NO, response.status, retry_after
+        )
+    return EndpointFailure(message, CallEnd.BROKEN, Ran.UNKNOWN, response.status)
--- a/src/eelgrasslock/exchange.py
+++ b/src/eelgrasslock/exchange.py
@@ -18,6 +18,7 @@
 ENDPOINT_HEADER = "Eelgrass-Endpoint"
 RAN_HEADER = "Eelgrass-Ran"
 ACTION_HEADER = "Idempotency-Key"
+ISSUED_AT_HEADER = "Eelgrass-Issued-At"
 
 
 class CallClass(enum.IntEnum):
@@ -110,25 +111,6 @@
     reason: str
 
 
-@frozen(kw_only=True)
-class PlainResult:
-    """A plain service's whole answer.
-
-    Attributes
-    ----------
-    status : int
-        The service's HTTP status.
-    content_type : str
-        The answer's media type.
-    body : bytes
-        The whole body.
-    """
-
-    status: int
-    content_type: str
-    body: bytes
-
-
 BeforeFinal = Callable[[CallResult], Awaitable[None]]
 
 
@@ -176,10 +158,13 @@
         takes the final event's place.
     tokens_used : int
         Tokens that endpoints have spent so far on a call that may yet fail.
-    sent : bool
-        Whether a byte of the request may have left for an endpoint.
-    plain_result : PlainResult or None
-        A plain service's answer, set before the caller sees any of it.
+    token_allowance : int
+        The tokens that all attempts together may use, 0 for no bound. Another
+        attempt is made only if its worst case still fits.
+    sent : bool or None
+        Whether a byte of the request may have left for an endpoint. The
+        dispatch filter sets it to False when it takes the call and to True
+        before it sends; None counts as True.
     """
 
     request: Request
@@ -203,8 +188,8 @@
     journaled: bool = True
     before_final: list[BeforeFinal] = field(factory=list)
     tokens_used: int = 0
-    sent: bool = False
-    plain_result: PlainResult | None = None
+    token_allowance: int = 0
+    sent: bool | None = None
 
 
 Proceed = Callable[[Exchange], Awaitable[None]]
--- /dev/null
+++ b/src/eelgrasslock/logs.py
@@ -0,0 +1,78 @@
+"""Log set-up: one line a message, with a fixed prefix for each part."""
+
+import json
+import re
+import sys
+from typing import TYPE_CHECKING, TextIO
+
+from loguru import logger
+
+from eelgrasslock.settings import DaemonSettings
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {extra[part]}: {message}"
+_HIDDEN = "<hidden>"
+_BEARER = re.compile(r"(?i)\b(bearer\s+)[^\s'\",}]+")
+_SHORTEST_SECRET = 4
+
+_secrets: set[str] = set()
+
+
+def hide(secret: str) -> None:
+    """Keep a text, such as a credential, out of all log lines."""
+    if len(secret) >= _SHORTEST_SECRET:
+        _secrets.add(secret)
+
+
+def redact(text: str) -> str:
+    """Return a text without credentials."""
+    for secret in _secrets:
+        text = text.replace(secret, _HIDDEN)
+    return _BEARER.sub(rf"\g<1>{_HIDDEN}", text)
+
+
+def setup(settings: DaemonSettings, output: TextIO | None = None) -> None:
+    """Send log lines to standard error, as text or as JSON.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Gives the level, the shape and the keys to hide.
+    output : file or None
+        Where lines go instead of standard error.
+    """
+    for key in (*settings.peer_keys, *settings.operator_keys):
+        hide(key)
+    sink = output or sys.stderr
+
+    def write_text(message: "Message") -> None:
+        sink.write(redact(str(message)))
+
+    def write_json(message: "Message") -> None:
+        sink.write(redact(_json_line(message)))
+
+    logger.remove()
+    logger.configure(extra={"part": "daemon", "daemon": settings.name})
+    logger.add(
+        write_json if settings.log_json else write_text,
+        format=_FORMAT,
+        level=settings.log_level,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def _json_line(message: "Message") -> str:
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "part": record["extra"].get("part", ""),
+        "daemon": record["extra"].get("daemon", ""),
+        "message": record["message"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    return json.dumps(line) + "\n"
--- a/src/eelgrasslock_standins/engine.py
+++ b/src/eelgrasslock_standins/engine.py
@@ -56,8 +56,14 @@
         app.router.add_get("/stats", self._stats)
         add_control(app, self.faults)
         app.cleanup_ctx.append(self._work)
+        app.on_response_prepare.append(self._name_epoch)
         return app
 
+    async def _name_epoch(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["X-Engine-Epoch"] = self.core.epoch
+
     async def _work(self, app: web.Application) -> AsyncIterator[None]:
         tasks = [
             asyncio.create_task(self.core.run()),
