--- /dev/null
+++ b/src/eelgrasslock/application.py
@@ -0,0 +1,306 @@
+"""The central object of a daemon, through which all its parts are reached."""
+
+import asyncio
+import random
+import secrets
+from typing import Protocol
+
+import aiohttp
+from loguru import logger
+
+from eelgrasslock.action_filter import ActionFilter
+from eelgrasslock.actions import Actions
+from eelgrasslock.budget_filter import BudgetFilter
+from eelgrasslock.clock import Clock
+from eelgrasslock.configuration import ConfigurationController
+from eelgrasslock.dispatch import Dispatcher
+from eelgrasslock.dispatch_filter import DispatchFilter
+from eelgrasslock.endpoint_watch import EndpointWatch
+from eelgrasslock.engine_client import EngineClient
+from eelgrasslock.exceptions import EelgrassError, Ran, Refusal
+from eelgrasslock.exchange import Exchange, Request, Responder, chain
+from eelgrasslock.front import Front
+from eelgrasslock.health import health_routes
+from eelgrasslock.in_flight import InFlight
+from eelgrasslock.locate_filter import LocateFilter
+from eelgrasslock.log_client import HTTPLog
+from eelgrasslock.log_tail import LogTail
+from eelgrasslock.log_writer import LogWriter
+from eelgrasslock.membership import Membership
+from eelgrasslock.metrics import Metrics
+from eelgrasslock.operator_api import OperatorAPI
+from eelgrasslock.parse_filter import ParseFilter
+from eelgrasslock.peers import PeerLinks
+from eelgrasslock.program_filter import ProgramFilter
+from eelgrasslock.programs import Programs
+from eelgrasslock.records import CONFIG_STREAM
+from eelgrasslock.refusal_body import refusal_body, refusal_headers
+from eelgrasslock.release import ReleaseController
+from eelgrasslock.scheduler import Scheduler
+from eelgrasslock.service_client import ServiceClient
+from eelgrasslock.settings import Configuration, DaemonSettings, LimitSettings
+from eelgrasslock.tracing import span
+from eelgrasslock.turn_filter import TurnFilter
+from eelgrasslock.vm_list import VMList
+
+_log = logger.bind(part="daemon")
+
+_INCARNATION_BYTES = 6
+_BALANCER_SECONDS = 1.0
+
+
+class Controller(Protocol):
+    """A part with a life of its own."""
+
+    async def start(self) -> None:
+        """Begin to work."""
+
+    async def stop(self) -> None:
+        """End all tasks; a second call does nothing."""
+
+
+class Application:
+    """One start of one daemon, from its settings to its end.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        What the process was started with.
+    clock : Clock
+        The time.
+    rng : random.Random
+        The generator for jitter and sampling.
+    session : aiohttp.ClientSession
+        For all calls to outside systems; closed by the caller.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        rng: random.Random,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.session = session
+        self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self.draining = False
+        self.retired = asyncio.Event()
+        self.in_flight = InFlight()
+        self.metrics = Metrics(settings)
+        self._make_state()
+        self._make_decisions()
+        self._make_chain()
+        self._connect_parts()
+        self._started: list[Controller] = []
+
+    def _make_state(self) -> None:
+        settings = self.settings
+        self.log = HTTPLog(settings.log_url, self.session)
+        self.writer = LogWriter(self.log, self.clock, self.rng)
+        self.tail = LogTail(self.log, self.clock, self.rng)
+        self.peers = PeerLinks(settings, self.incarnation, self.clock, self.rng)
+        self.configuration = ConfigurationController(
+            self.writer, self.tail, self.clock, self.rng, self.peers
+        )
+        self.membership = Membership(
+            settings,
+            self.incarnation,
+            self.writer,
+            self.tail,
+            self.peers,
+            self.clock,
+            self.rng,
+        )
+        self.programs = Programs(
+            settings.domain,
+            self.incarnation,
+            self.writer,
+            self.tail,
+            self.membership,
+            self.peers,
+            self.clock,
+            self.rng,
+            self.limits,
+            self.price,
+        )
+        self.actions = Actions(
+            self.incarnation,
+            self.writer,
+            self.tail,
+            self.clock,
+            settings.action_shards,
+        )
+
+    def _make_decisions(self) -> None:
+        empty = Configuration(deployment="", domains=[self.settings.domain])
+        self.scheduler = Scheduler(
+            self.clock, self.rng, empty, self.settings.domain
+        )
+        self.dispatcher = Dispatcher(self.scheduler, self.clock)
+        self.engines = EngineClient(self.session, self.clock)
+        self.services = ServiceClient(self.session, self.clock)
+        self.vm_list = VMList(self.settings.vm_list_url, self.session)
+        self.endpoint_watch = EndpointWatch(
+            self.configuration,
+            self.scheduler,
+            self.engines,
+            self.vm_list,
+            self.clock,
+            self.rng,
+        )
+        self.release = ReleaseController(self.programs, self.engines, self.clock)
+
+    def _make_chain(self) -> None:
+        self.handle_exchange = chain(
+            [
+                ParseFilter(lambda: self.configuration.current, self.clock),
+                LocateFilter(self.membership, self.tail, self.peers),
+                ProgramFilter(self.programs, self.current_configuration),
+                TurnFilter(self.programs),
+                BudgetFilter(self.programs),
+                ActionFilter(self.actions, self.current_configuration),
+            ],
+            DispatchFilter(
+                self.dispatcher,
+                self.engines,
+                self.services,
+                self.current_configuration,
+                self.clock,
+            ).handle,
+        )
+
+    def _connect_parts(self) -> None:
+        self.peers.serve_request = self.handle
+        self.peers.config_offer = self.configuration.offer
+        self.peers.config_accept = self.configuration.accept
+        self.peers.config_version = lambda: self.configuration.version
+        self.configuration.on_change(self.scheduler.configure)
+        self.membership.load_source = self.scheduler.peer_load
+        self.membership.on_peer_load(self.scheduler.observe_peer)
+        self.membership.on_peer_gone(self.scheduler.forget_peer)
+        self.membership.on_retired(self.retired.set)
+
+    # --- what the parts ask of each other -------------------------------------
+
+    def current_configuration(self) -> Configuration:
+        """Return the configuration in force.
+
+        Raises
+        ------
+        Refusal
+            While none is known.
+        """
+        if self.configuration.current is None:
+            raise Refusal(
+                "no_configuration",
+                "This daemon has not learned the deployment's configuration yet.",
+                503,
+            )
+        return self.configuration.current
+
+    def limits(self) -> LimitSettings:
+        """Return the limits in force."""
+        return self.current_configuration().limits
+
+    def price(self, model: str) -> float:
+        """Return a model's price for one token; 0 for an unknown one."""
+        settings = self.current_configuration().models.get(model)
+        return settings.token_price if settings else 0.0
+
+    def unready_reasons(self) -> list[str]:
+        """Return why new requests should go elsewhere; empty if they needn't."""
+        reasons = []
+        if self.draining:
+            reasons.append("draining")
+        if self.configuration.current is None:
+            reasons.append("no configuration")
+        return reasons
+
+    # --- requests ---------------------------------------------------------------
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Serve one request, from a caller or from a peer, to its end."""
+        exchange = Exchange(request=request, responder=responder)
+        started = self.clock.monotonic()
+        with self.in_flight.enter(), span("daemon.handle", request.trace):
+            try:
+                await self.handle_exchange(exchange)
+            except Refusal as refusal:
+                await self._refuse(exchange, refusal)
+            except EelgrassError as error:
+                _log.opt(exception=error).error("A request failed.")
+                await self._refuse(exchange, _unexpected(exchange))
+        elapsed = self.clock.monotonic() - started
+        self.metrics.timing("request", elapsed * 1_000.0)
+
+    async def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        _log.info("Refused {}: {}", refusal.code, refusal.sentence)
+        self.metrics.incr(f"refused.{refusal.code}")
+        if exchange.started:
+            raise refusal
+        exchange.started = True
+        body = refusal_body(refusal)
+        headers = refusal_headers(refusal)
+        headers["Content-Length"] = str(len(body))
+        await exchange.responder.start(refusal.status, headers)
+        await exchange.responder.write(body)
+        await exchange.responder.finish()
+
+    # --- life cycle ---------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start all parts, the front last."""
+        operators = OperatorAPI(self).routes()
+        self.front = Front(
+            self.settings.http_address,
+            self.handle,
+            [*health_routes(self), *operators],
+        )
+        parts: list[Controller] = [
+            self.writer,
+            self.tail,
+            self.configuration,
+            self.peers,
+            self.membership,
+            self.programs,
+            self.actions,
+            self.dispatcher,
+            self.endpoint_watch,
+            self.release,
+            self.front,
+        ]
+        for part in parts:
+            await part.start()
+            self._started.append(part)
+        _log.info("Started as incarnation {}.", self.incarnation)
+
+    async def drain(self) -> None:
+        """Stop taking new work and wait for what is in flight.
+
+        The programs move to other daemons at their next turn. Waits at most
+        the settings' `drain_seconds`.
+        """
+        self.draining = True
+        _log.info("Draining {} requests in flight.", self.in_flight.count)
+        try:
+            async with asyncio.timeout(self.settings.drain_seconds):
+                await self.membership.leave()
+                await self.clock.sleep(_BALANCER_SECONDS)
+                await self.in_flight.none_left()
+                await self.programs.hand_over()
+        except TimeoutError:
+            _log.warning("{} requests outlast the drain.", self.in_flight.count)
+
+    async def stop(self) -> None:
+        """Stop all parts in reverse order."""
+        while self._started:
+            await self._started.pop().stop()
+        _log.info("Stopped.")
+
+
+def _unexpected(exchange: Exchange) -> Refusal:
+    ran = Ran.UNKNOWN if exchange.tokens_used else Ran.NO
+    return Refusal("internal_error", "The request failed inside the daemon.", 500, ran)
--- /dev/null
+++ b/src/eelgrasslock/daemon.py
@@ -0,0 +1,78 @@
+"""The daemon's entry point."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+
+import aiohttp
+import capnp
+import click
+from loguru import logger
+
+from eelgrasslock import logs, tracing
+from eelgrasslock.application import Application
+from eelgrasslock.clock import SystemClock
+from eelgrasslock.exceptions import SettingsError
+from eelgrasslock.folder import load_daemon_settings
+from eelgrasslock.settings import DaemonSettings
+
+_log = logger.bind(part="daemon")
+
+_EXIT_FINDINGS = 1
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "folder",
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help="The folder of YAML files with this daemon's settings.",
+)
+@click.version_option(package_name="eelgrasslock")
+def main(folder: pathlib.Path) -> None:
+    """Run one eelgrasslock daemon until SIGTERM or SIGINT."""
+    try:
+        settings = load_daemon_settings(folder)
+    except SettingsError as group:
+        for finding in group.exceptions:
+            click.echo(str(finding), err=True)
+        sys.exit(_EXIT_FINDINGS)
+    logs.setup(settings)
+    tracing.setup(settings)
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: DaemonSettings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with capnp.kj_loop(), aiohttp.ClientSession() as session:
+        while not stop.is_set():
+            await _run_once(settings, session, stop)
+
+
+async def _run_once(
+    settings: DaemonSettings, session: aiohttp.ClientSession, stop: asyncio.Event
+) -> None:
+    """Run one incarnation, until told to stop or until peers have retired it."""
+    application = Application(settings, SystemClock(), random.Random(), session)
+    try:
+        await application.start()
+        waits = [
+            asyncio.create_task(stop.wait()),
+            asyncio.create_task(application.retired.wait()),
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        await application.drain()
+    finally:
+        await application.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/eelgrasslock/exchange.py
+++ b/src/eelgrasslock/exchange.py
@@ -33,6 +33,7 @@
 
     MODEL = "model"
     PLAIN = "plain"
+    MODELS_READ = "models_read"
     PROGRAM_CREATE = "program_create"
     PROGRAM_READ = "program_read"
     PROGRAM_END = "program_end"
