Put configurations in force by the stream's order alone

A version counts if it names the version in force at its place, has the next number and checks; so racing operators get one winner at every reader. Cause: a reader whose first held entry lies behind a gap can't tell by that rule alone whether the first successor of the version that it knows was dropped.

Ruled out: taking the first republished version as the base and judging on, as a stale copy or a hidden winner then splits the fleet. A copy now says at which offset its version was in force; a reader keeps records unjudged until a copy covers its gap, and gossip carries the same copies.

--- a/src/eelgrasslock/records.py
+++ b/src/eelgrasslock/records.py
@@ -60,7 +60,7 @@
 
 @frozen(kw_only=True)
 class ConfigVersion(Record):
-    """A whole configuration, put in place of the one it names.
+    """A configuration, put in place of the one it names.
 
     Attributes
     ----------
@@ -68,16 +68,27 @@
         The number of this version, one more than the replaced one's.
     replaces : str
         The record id of the version that it replaces, empty for the first.
+        For a republished one, the record id of the version that it repeats.
     files : dict of str to str
-        The folder's files: name to text.
+        The folder's files: name to text; only the changed ones if partial.
     republished : bool
         Whether it repeats a version before the log's retention drops it.
+    partial : bool
+        Whether the files that it does not name are those of the replaced one.
+    removed : list of str
+        For a partial one, names of files that are no more.
+    in_force_at : int
+        For a republished one, an offset of the stream at which the version
+        that it repeats is in force.
     """
 
     version: int
     replaces: str
     files: dict[str, str]
     republished: bool = False
+    partial: bool = False
+    removed: list[str] = field(factory=list)
+    in_force_at: int = -1
 
 
 # --- members ----------------------------------------------------------------
