--- /dev/null
+++ b/src/eelgrasslock/operator_edits.py
@@ -0,0 +1,113 @@
+"""Changes of a published folder that the operators' interface makes by itself.
+
+A drain and a quarantine are files of the configuration, so that they outlive
+every daemon and are the same everywhere.
+"""
+
+from typing import Any
+
+import yaml
+
+from eelgrasslock.folder import merge_files
+from eelgrasslock.merging import OVERRIDES_KEY
+from eelgrasslock.yaml_places import plain
+
+LEAVING_FILE = "99-operator-leaving.yaml"
+QUARANTINED_FILE = "99-operator-quarantined.yaml"
+OPERATOR_FILES = (LEAVING_FILE, QUARANTINED_FILE)
+
+_HEADERS = {
+    LEAVING_FILE: "# Made by `eelgrasslock drain`; undo with `drain --undo`.\n",
+    QUARANTINED_FILE: "# Made by `eelgrasslock quarantine`; undo with `release`.\n",
+}
+
+
+def set_leaving(files: dict[str, str], endpoint: str, leaving: bool) -> dict[str, str]:
+    """Return a folder in which an endpoint is drained, or is not."""
+    marked = {**_leaving(_read(files, LEAVING_FILE)), endpoint: leaving}
+    return _write_leaving(files, marked)
+
+
+def set_quarantined(
+    files: dict[str, str], digest: str, quarantined: bool
+) -> dict[str, str]:
+    """Return a folder in which a request digest is quarantined, or is not."""
+    digests = [one for one in _merged(files).get("quarantined", []) if one != digest]
+    if quarantined:
+        digests.append(digest)
+    return _write_quarantined(files, digests)
+
+
+def carry_over(in_force: dict[str, str], files: dict[str, str]) -> dict[str, str]:
+    """Return a folder with the drains and quarantines that are in force.
+
+    Parameters
+    ----------
+    in_force : dict of str to str
+        The files in force.
+    files : dict of str to str
+        An operator's folder; what it holds of these files itself wins.
+    """
+    result = dict(files)
+    if LEAVING_FILE in in_force and LEAVING_FILE not in files:
+        known = _merged(files).get("endpoints", {})
+        marked = _leaving(_read(in_force, LEAVING_FILE))
+        marked = {name: value for name, value in marked.items() if name in known}
+        result = _write_leaving(result, marked)
+    if QUARANTINED_FILE in in_force and QUARANTINED_FILE not in files:
+        base = _merged(files).get("quarantined", [])
+        added = _read(in_force, QUARANTINED_FILE).get("quarantined", [])
+        digests = [*base, *(one for one in added if one not in base)]
+        result = _write_quarantined(result, digests)
+    return result
+
+
+def _write_leaving(files: dict[str, str], marked: dict[str, bool]) -> dict[str, str]:
+    others = _without(files, LEAVING_FILE)
+    base = _leaving(_merged(others))
+    changed = {
+        name: value for name, value in marked.items() if value != base.get(name, False)
+    }
+    overrides = [f"endpoints.{name}.leaving" for name in changed if name in base]
+    endpoints = {name: {"leaving": value} for name, value in changed.items()}
+    return _write(others, LEAVING_FILE, {"endpoints": endpoints}, overrides)
+
+
+def _write_quarantined(files: dict[str, str], digests: list[str]) -> dict[str, str]:
+    others = _without(files, QUARANTINED_FILE)
+    base = _merged(others).get("quarantined")
+    if digests == (base or []):
+        return others
+    overrides = [] if base is None else ["quarantined"]
+    return _write(others, QUARANTINED_FILE, {"quarantined": digests}, overrides)
+
+
+def _write(
+    files: dict[str, str], name: str, content: dict[str, Any], overrides: list[str]
+) -> dict[str, str]:
+    if not any(content.values()) and not overrides:
+        return files
+    if overrides:
+        content = {OVERRIDES_KEY: overrides, **content}
+    text = yaml.safe_dump(content, sort_keys=False, allow_unicode=True)
+    return {**files, name: _HEADERS[name] + text}
+
+
+def _without(files: dict[str, str], name: str) -> dict[str, str]:
+    return {other: text for other, text in files.items() if other != name}
+
+
+def _merged(files: dict[str, str]) -> dict[str, Any]:
+    return plain(merge_files(files, [])) if files else {}
+
+
+def _read(files: dict[str, str], name: str) -> dict[str, Any]:
+    return _merged({name: files[name]}) if name in files else {}
+
+
+def _leaving(content: dict[str, Any]) -> dict[str, bool]:
+    return {
+        name: settings["leaving"]
+        for name, settings in content.get("endpoints", {}).items()
+        if isinstance(settings, dict) and isinstance(settings.get("leaving"), bool)
+    }
