Append to and follow the log, and fold its members

An append that was lost and never found again is not reported as refused: a late request could still take effect. Going by the client's timeout alone was ruled out for that reason.

The member table is kept as two growing sets, so that order and repeats don't matter and peers can merge their tables while the log is down.

--- /dev/null
+++ b/src/eelgrasslock/append_queue.py
@@ -0,0 +1,244 @@
+"""The records that wait for their place in one stream."""
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+from loguru import logger
+
+from eelgrasslock.backoff import Backoff
+from eelgrasslock.exceptions import (
+    AppendUnresolved,
+    LogError,
+    LogUnavailable,
+    RecordsExpired,
+)
+from eelgrasslock.log import Entry
+from eelgrasslock.records import Record, RecordError, decode_batch, encode_batch
+
+if TYPE_CHECKING:
+    from eelgrasslock.log_writer import LogWriter
+
+_ENTRY_LIMIT_RECORDS = 512
+_ENTRY_LIMIT_BYTES = 1_048_576
+_READ_LIMIT_ENTRIES = 256
+
+log = logger.bind(part="log")
+
+
+@define(eq=False)
+class PendingAppend:
+    """A record on its way into the log.
+
+    Attributes
+    ----------
+    record : Record
+        The record.
+    size : int
+        Its length in bytes when encoded alone.
+    future : asyncio.Future
+        Resolved with the entry's offset.
+    in_flight : bool
+        Whether an append that holds it has no answer yet.
+    doubtful : bool
+        Whether the answer to such an append was lost; a late request may
+        still take effect, so this is never taken back.
+    expired : bool
+        Whether its time is over, so that it is not appended again.
+    """
+
+    record: Record
+    size: int
+    future: asyncio.Future[int] = field(
+        factory=lambda: asyncio.get_running_loop().create_future()
+    )
+    in_flight: bool = False
+    doubtful: bool = False
+    expired: bool = False
+
+    @property
+    def abandoned(self) -> bool:
+        """Whether nobody waits for it any more."""
+        return self.future.done()
+
+    def resolve(self, offset: int) -> None:
+        """Tell the caller the offset."""
+        if not self.future.done():
+            self.future.set_result(offset)
+
+    def give_up(self) -> None:
+        """Tell the caller what is known when its time is over."""
+        if self.future.done():
+            return
+        if self.in_flight or self.doubtful:
+            message = "It can't be told whether the log took the record."
+            self.future.set_exception(AppendUnresolved(message))
+        else:
+            self.future.set_exception(LogUnavailable("The log took nothing in time."))
+
+
+class AppendQueue:
+    """One stream's queue, with one append in flight.
+
+    Parameters
+    ----------
+    writer : LogWriter
+        Gives log, clock, rate and counters.
+    stream : str
+        The stream.
+    """
+
+    def __init__(self, writer: "LogWriter", stream: str) -> None:
+        self.writer = writer
+        self.stream = stream
+        self.backoff = Backoff(writer.rng)
+        self._waiting: deque[PendingAppend] = deque()
+        self._batch: list[PendingAppend] = []
+        self._floor = -1
+        self._more = asyncio.Event()
+        self._empty = asyncio.Event()
+        self._empty.set()
+        self._task = asyncio.create_task(self._run())
+
+    def __len__(self) -> int:
+        return len(self._waiting) + len(self._batch)
+
+    def put(self, record: Record, size: int) -> PendingAppend:
+        """Add a record at the end."""
+        pending = PendingAppend(record, size)
+        self._waiting.append(pending)
+        self._empty.clear()
+        self._more.set()
+        return pending
+
+    async def drained(self) -> None:
+        """Wait until nothing is pending."""
+        await self._empty.wait()
+
+    async def close(self) -> None:
+        """Stop, and tell the callers of what is pending."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        for pending in [*self._batch, *self._waiting]:
+            pending.give_up()
+        self._empty.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wait_for_records()
+            await self.writer.clock.sleep(self.writer.linger)
+            await self._commit()
+
+    async def _wait_for_records(self) -> None:
+        while not self._waiting:
+            self._empty.set()
+            if self.writer.available:
+                self._more.clear()
+                await self._more.wait()
+            else:
+                await self._probe()
+
+    async def _probe(self) -> None:
+        # Without this, callers that heed `available` would never find out.
+        await self.writer.clock.sleep(self.backoff.next())
+        try:
+            await self.writer.log.read(self.stream, max(0, self._floor), 1)
+        except RecordsExpired:
+            pass
+        except LogError:
+            return
+        self._note_success()
+
+    async def _commit(self) -> None:
+        """Take one batch through to its end, whatever the log does."""
+        await self.writer.bucket.take()
+        self._raise_floor(self.writer.position_source(self.stream))
+        self._take_batch()
+        while self._batch:
+            try:
+                await self._append_batch()
+            except AppendUnresolved as error:
+                self.writer.note_failure(self.stream, error)
+                await self._resolve_batch()
+            except LogError as error:
+                self.writer.note_failure(self.stream, error)
+            self._drop_abandoned()
+            if self._batch:
+                await self.writer.clock.sleep(self.backoff.next())
+                await self.writer.bucket.take()
+                self._drop_abandoned()
+
+    def _drop_abandoned(self) -> None:
+        for one in self._batch:
+            if one.expired:
+                one.give_up()
+        self._batch = [one for one in self._batch if not one.abandoned]
+
+    def _take_batch(self) -> None:
+        size = 0
+        while self._waiting and len(self._batch) < _ENTRY_LIMIT_RECORDS:
+            pending = self._waiting[0]
+            if self._batch and size + pending.size > _ENTRY_LIMIT_BYTES:
+                return
+            self._waiting.popleft()
+            if not pending.abandoned:
+                self._batch.append(pending)
+                size += pending.size
+
+    async def _append_batch(self) -> None:
+        batch = self._batch
+        data = encode_batch([one.record for one in batch])
+        for one in batch:
+            one.in_flight = True
+        try:
+            offset = await self.writer.append_entry(self.stream, data, len(batch))
+        except LogUnavailable:
+            raise
+        except BaseException:
+            for one in batch:
+                one.doubtful = True
+            raise
+        finally:
+            for one in batch:
+                one.in_flight = False
+        for one in batch:
+            one.resolve(offset)
+        self._raise_floor(offset)
+        self._note_success()
+
+    async def _resolve_batch(self) -> None:
+        """Read until the stream's end and settle the records found there."""
+        backoff = Backoff(self.writer.rng)
+        at_end = False
+        while self._batch and not at_end:
+            try:
+                at_end = await self._read_page()
+            except RecordsExpired as error:
+                log.warning("{} has lost entries before {}.", self.stream, error.first)
+                self._floor = error.first - 1
+            except LogError:
+                await self.writer.clock.sleep(backoff.next())
+                self._drop_abandoned()
+
+    async def _read_page(self) -> bool:
+        start = self._floor + 1
+        entries = await self.writer.log.read(self.stream, start, _READ_LIMIT_ENTRIES)
+        for entry in entries:
+            self._settle(entry)
+            self._raise_floor(entry.offset)
+        return len(entries) < _READ_LIMIT_ENTRIES
+
+    def _settle(self, entry: Entry) -> None:
+        records = decode_batch(entry.data)
+        found = {one.id for one in records if not isinstance(one, RecordError)}
+        for pending in self._batch:
+            if pending.record.id in found:
+                pending.resolve(entry.offset)
+
+    def _raise_floor(self, offset: int) -> None:
+        self._floor = max(self._floor, offset)
+
+    def _note_success(self) -> None:
+        self.backoff.reset()
+        self.writer.note_success()
--- /dev/null
+++ b/src/eelgrasslock/heartbeat.py
@@ -0,0 +1,129 @@
+"""When a peer is suspect, and when it may be retired."""
+
+from attrs import define
+
+_GRACE_SECONDS = 1.5
+_GRACE_CAP_SECONDS = 60.0
+_LONE_FACTOR = 3.0
+_CALM_SECONDS = 120.0
+_MISSES_TO_RETIRE = 2
+
+
+@define
+class PeerHealth:
+    """What is known of one peer's answers.
+
+    Attributes
+    ----------
+    misses : int
+        Heartbeats in a row without an answer, each over an old connection and
+        then a fresh one.
+    missed_since : float
+        When the first of them failed.
+    heard_at : float
+        When the peer last gave a sign of life, by its own heartbeats too.
+    flaps : int
+        How often it came back after having been suspect.
+    flapped_at : float
+        When it last did.
+    replaced : bool
+        Whether another incarnation answered at its address.
+    """
+
+    misses: int = 0
+    missed_since: float = 0.0
+    heard_at: float = 0.0
+    flaps: int = 0
+    flapped_at: float = 0.0
+    replaced: bool = False
+
+
+class FailureDetector:
+    """Judges peers by their silence, without I/O.
+
+    A peer is suspect as soon as one heartbeat went unanswered over two
+    connections. It may be retired once misses have gone on for the grace
+    time, the peer's own heartbeats have stopped for that long as well, and a
+    second peer confirmed it; without a second peer the grace is longer. The
+    grace doubles each time a suspect peer comes back, until it has been calm.
+
+    Parameters
+    ----------
+    grace_seconds : float
+        The least silence before a peer may be retired.
+    """
+
+    def __init__(self, grace_seconds: float = _GRACE_SECONDS) -> None:
+        self.grace_seconds = grace_seconds
+        self.peers: dict[str, PeerHealth] = {}
+
+    def answered(self, peer: str, now: float) -> None:
+        """Note that a peer answered our heartbeat."""
+        health = self._health(peer)
+        health.heard_at = now
+        if health.misses:
+            health.flaps = 1 if self._is_calm(health, now) else health.flaps + 1
+            health.flapped_at = now
+        health.misses = 0
+
+    def heard(self, peer: str, now: float) -> None:
+        """Note that a peer sent a heartbeat of its own."""
+        self._health(peer).heard_at = now
+
+    def missed(self, peer: str, now: float) -> None:
+        """Note that neither the old nor a fresh connection gave an answer."""
+        health = self._health(peer)
+        if not health.misses:
+            health.missed_since = now
+        health.misses += 1
+
+    def replaced(self, peer: str, now: float) -> None:
+        """Note that another incarnation answers at the peer's address."""
+        self.missed(peer, now)
+        self.peers[peer].replaced = True
+
+    def forget(self, peer: str) -> None:
+        """Drop what is known of a peer."""
+        self.peers.pop(peer, None)
+
+    def is_suspect(self, peer: str) -> bool:
+        """Return whether the peer's last heartbeat went unanswered."""
+        health = self.peers.get(peer)
+        return health is not None and health.misses > 0
+
+    def suspects(self) -> set[str]:
+        """Return the peers that are suspect."""
+        return {peer for peer in self.peers if self.is_suspect(peer)}
+
+    def grace(self, peer: str, now: float) -> float:
+        """Return the silence, in seconds, before the peer may be retired."""
+        health = self._health(peer)
+        if self._is_calm(health, now):
+            return self.grace_seconds
+        return min(_GRACE_CAP_SECONDS, self.grace_seconds * 2**health.flaps)
+
+    def is_silent(self, peer: str, now: float, lone: bool = False) -> bool:
+        """Return whether the peer may be retired, once confirmed.
+
+        Parameters
+        ----------
+        peer : str
+            The peer.
+        now : float
+            On the monotonic clock.
+        lone : bool
+            Whether no second peer can be asked.
+        """
+        health = self._health(peer)
+        if health.replaced:
+            return True
+        if health.misses < _MISSES_TO_RETIRE:
+            return False
+        grace = self.grace(peer, now) * (_LONE_FACTOR if lone else 1.0)
+        return now - max(health.missed_since, health.heard_at) >= grace
+
+    def _health(self, peer: str) -> PeerHealth:
+        return self.peers.setdefault(peer, PeerHealth())
+
+    def _is_calm(self, health: PeerHealth, now: float) -> bool:
+        return not health.flaps or now - health.flapped_at > _CALM_SECONDS
--- /dev/null
+++ b/src/eelgrasslock/log_client.py
@@ -0,0 +1,116 @@
+"""The platform's log over HTTP."""
+
+import base64
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
+from eelgrasslock.log import Entry
+
+_OK = 200
+_CREATED = 201
+_GONE = 410
+_GATEWAY_FAULTS = (500, 502, 504)
+
+
+class HTTPLog:
+    """A `log.Log` that talks to the platform's service.
+
+    Parameters
+    ----------
+    url : str
+        The service's base URL.
+    session : aiohttp.ClientSession
+        Used for all calls; stays the caller's to close.
+    timeout : float
+        Seconds for one call.
+    """
+
+    def __init__(
+        self, url: str, session: aiohttp.ClientSession, timeout: float = 5.0
+    ) -> None:
+        self.url = url.rstrip("/")
+        self.session = session
+        self.timeout = aiohttp.ClientTimeout(total=timeout)
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append one entry and return its offset.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log refused, or no connection came about.
+        AppendUnresolved
+            If the request may have been sent and no answer came.
+        """
+        try:
+            async with self.session.post(
+                self._stream_url(stream), data=data, timeout=self.timeout
+            ) as response:
+                if response.status in (_OK, _CREATED):
+                    return _offset(await response.json(content_type=None))
+                _refuse_append(response.status)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise LogUnavailable(f"No connection to the log: {error}.") from error
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            message = f"The answer to an append was lost: {error!r}."
+            raise AppendUnresolved(message) from error
+        raise AssertionError("unreachable")
+
+    async def read(self, stream: str, offset: int, limit: int) -> list[Entry]:
+        """Return up to `limit` entries from `offset` on, in order.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log can't be read now.
+        RecordsExpired
+            If `offset` is older than what the log still holds.
+        """
+        parameters = {"from": str(offset), "limit": str(limit)}
+        try:
+            async with self.session.get(
+                self._stream_url(stream), params=parameters, timeout=self.timeout
+            ) as response:
+                status = response.status
+                body = await response.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise LogUnavailable(f"The log can't be read: {error!r}.") from error
+        if status == _GONE:
+            raise RecordsExpired(_first(body))
+        if status != _OK:
+            raise LogUnavailable(f"The log answered a read with {status}.")
+        return _entries(body)
+
+    def _stream_url(self, stream: str) -> str:
+        return f"{self.url}/streams/{quote(stream, safe='')}"
+
+
+def _refuse_append(status: int) -> None:
+    if status in _GATEWAY_FAULTS:
+        raise AppendUnresolved(f"The log answered an append with {status}.")
+    raise LogUnavailable(f"The log refused an append with {status}.")
+
+
+def _offset(body: Any) -> int:
+    if not isinstance(body, dict) or not isinstance(body.get("offset"), int):
+        raise ValueError("The log's answer holds no offset.")
+    return body["offset"]
+
+
+def _first(body: Any) -> int:
+    if not isinstance(body, dict) or not isinstance(body.get("first"), int):
+        raise LogUnavailable("The log's answer holds no first offset.")
+    return body["first"]
+
+
+def _entries(body: Any) -> list[Entry]:
+    try:
+        return [
+            Entry(int(one["offset"]), base64.b64decode(one["data"]), float(one["time"]))
+            for one in body["entries"]
+        ]
+    except (KeyError, TypeError, ValueError) as error:
+        raise LogUnavailable(f"The log's answer is not readable: {error!r}.") from error
--- /dev/null
+++ b/src/eelgrasslock/log_tail.py
@@ -0,0 +1,148 @@
+"""Reads streams of the log as they grow and hands their records on."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from loguru import logger
+
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import LogUnavailable
+from eelgrasslock.log import Log
+from eelgrasslock.records import Positioned
+from eelgrasslock.stream_reader import StreamReader
+
+Handler = Callable[[Positioned], None]
+
+log = logger.bind(part="log")
+
+
+class LogTail:
+    """Follows streams of the log.
+
+    Each record reaches its handlers once and in the stream's order. Garbage
+    and records of a newer version are logged and passed over.
+
+    Parameters
+    ----------
+    log : Log
+        The platform's log.
+    clock : Clock
+        The source of time.
+    rng : random.Random
+        Draws the jitter of waits.
+    poll_seconds : float
+        How often a stream is read when nobody asks.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        clock: Clock,
+        rng: random.Random,
+        poll_seconds: float = 0.2,
+    ) -> None:
+        self.log = log
+        self.clock = clock
+        self.rng = rng
+        self.poll_seconds = poll_seconds
+        self.readers: dict[str, StreamReader] = {}
+        self._started = False
+
+    async def start(self) -> None:
+        """Begin to read the streams that are followed."""
+        self._started = True
+        for reader in self.readers.values():
+            reader.start()
+
+    async def stop(self) -> None:
+        """Stop reading; waiters are told that the log is unavailable."""
+        self._started = False
+        readers = self.readers.values()
+        await asyncio.gather(*(reader.stop() for reader in readers))
+
+    def follow(
+        self,
+        stream: str,
+        handler: Handler,
+        start: int = 0,
+        poll_seconds: float | None = None,
+    ) -> None:
+        """Hand a stream's records to a handler.
+
+        Parameters
+        ----------
+        stream : str
+            The stream.
+        handler : callable
+            Called with each record; an exception from it is logged.
+        start : int
+            The offset to start at.
+        poll_seconds : float or None
+            How often this stream is read, if not as often as the others.
+
+        Raises
+        ------
+        ValueError
+            If the stream has already been read for another handler.
+        """
+        reader = self.readers.get(stream)
+        if reader is None:
+            poll = self.poll_seconds if poll_seconds is None else poll_seconds
+            reader = StreamReader(self.log, self.clock, self.rng, stream, start, poll)
+            self.readers[stream] = reader
+        reader.add(handler)
+        if self._started:
+            reader.start()
+
+    async def reached(
+        self, stream: str, offset: int, timeout: float | None = None
+    ) -> None:
+        """Wait until the handlers have seen a stream up to an offset.
+
+        Raises
+        ------
+        LogUnavailable
+            If they have not when the timeout passes.
+        """
+        reader = self.readers[stream]
+        if reader.position >= offset:
+            return
+        await self._wait(reader.when_reached(offset), stream, timeout)
+
+    async def caught_up(self, stream: str, timeout: float | None = None) -> None:
+        """Wait until a stream has been read to its end as of this call.
+
+        Raises
+        ------
+        LogUnavailable
+            If it has not when the timeout passes.
+        """
+        reader = self.readers[stream]
+        await self._wait(reader.when_caught_up(), stream, timeout)
+
+    def position(self, stream: str) -> int:
+        """Return the last offset that the handlers have seen, -1 for none."""
+        reader = self.readers.get(stream)
+        return -1 if reader is None else reader.position
+
+    def failing(self, stream: str) -> bool:
+        """Return whether the last read of a stream failed, or none was made."""
+        reader = self.readers.get(stream)
+        return reader is None or reader.failing
+
+    async def _wait(
+        self, future: asyncio.Future[None], stream: str, timeout: float | None
+    ) -> None:
+        if timeout is None:
+            await future
+            return
+        timer = asyncio.create_task(self.clock.sleep(timeout))
+        try:
+            await asyncio.wait({future, timer}, return_when=asyncio.FIRST_COMPLETED)
+            if not future.done():
+                raise LogUnavailable(f"{stream} was not read in time.")
+            await future
+        finally:
+            timer.cancel()
+            future.cancel()
--- /dev/null
+++ b/src/eelgrasslock/members.py
@@ -0,0 +1,125 @@
+"""Who belongs to the fleet, as the `members` stream tells it."""
+
+import json
+from typing import Any
+
+from eelgrasslock.exceptions import RecordError
+from eelgrasslock.records import (
+    MemberJoined,
+    MemberRetired,
+    Positioned,
+    from_jsonable,
+    to_jsonable,
+)
+
+_REMEMBERED_RETIRED = 8_192
+
+
+class MemberTable:
+    """A fold of the `members` stream.
+
+    The table is two sets that only grow: incarnations that joined, and
+    incarnations that retired. A retired one never comes back. So the order in
+    which records are applied does not matter, applying one twice does no
+    harm, and the tables of two daemons can be merged.
+
+    An incarnation that the table doesn't know counts as retired, so that the
+    oldest retirements can be forgotten, and retention may drop the records
+    of the dead. The living append their own join again in good time.
+
+    Attributes
+    ----------
+    offset : int
+        The highest offset applied, -1 for none.
+    """
+
+    def __init__(self) -> None:
+        self.offset = -1
+        self.refreshed: dict[str, int] = {}
+        self._joined: dict[str, MemberJoined] = {}
+        self._retired: dict[str, None] = {}
+        self._by_domain: dict[str, list[MemberJoined]] | None = None
+
+    def apply(self, positioned: Positioned) -> None:
+        """Apply one record; other kinds than joins and retirements do nothing."""
+        record = positioned.record
+        self.offset = max(self.offset, positioned.offset)
+        if isinstance(record, MemberJoined):
+            self._join(record)
+            self.refreshed[record.incarnation] = positioned.offset
+        elif isinstance(record, MemberRetired):
+            self._retire(record.incarnation)
+
+    def live(self, domain: str | None = None) -> list[MemberJoined]:
+        """Return the members of a domain, or of all, that are not retired."""
+        if domain is None:
+            return list(self._joined.values())
+        if self._by_domain is None:
+            self._by_domain = _group(self._joined)
+        return list(self._by_domain.get(domain, ()))
+
+    def domains(self) -> list[str]:
+        """Return the domains that have a live member, in order of name."""
+        return sorted({member.domain for member in self._joined.values()})
+
+    def is_retired(self, incarnation: str) -> bool:
+        """Return whether a retirement of this incarnation is known."""
+        return incarnation in self._retired
+
+    def find(self, incarnation: str) -> MemberJoined | None:
+        """Return a live member, or None if it is retired or unknown."""
+        return self._joined.get(incarnation)
+
+    def snapshot(self) -> bytes:
+        """Return the table for a peer that can't read the log."""
+        state = {
+            "offset": self.offset,
+            "joined": [to_jsonable(member) for member in self._joined.values()],
+            "retired": list(self._retired),
+        }
+        return json.dumps(state, separators=(",", ":")).encode()
+
+    def merge(self, snapshot: bytes) -> None:
+        """Take in a peer's table.
+
+        Raises
+        ------
+        RecordError
+            If the snapshot can't be read; the table is unchanged then.
+        """
+        offset, joined, retired = _parse_snapshot(snapshot)
+        for incarnation in retired:
+            self._retire(incarnation)
+        for member in joined:
+            self._join(member)
+        self.offset = max(self.offset, offset)
+
+    def _join(self, member: MemberJoined) -> None:
+        if member.incarnation in self._retired:
+            return
+        self._joined[member.incarnation] = member
+        self._by_domain = None
+
+    def _retire(self, incarnation: str) -> None:
+        self._retired[incarnation] = None
+        self._joined.pop(incarnation, None)
+        self.refreshed.pop(incarnation, None)
+        self._by_domain = None
+        if len(self._retired) > _REMEMBERED_RETIRED:
+            del self._retired[next(iter(self._retired))]
+
+
+def _group(joined: dict[str, MemberJoined]) -> dict[str, list[MemberJoined]]:
+    groups: dict[str, list[MemberJoined]] = {}
+    for member in joined.values():
+        groups.setdefault(member.domain, []).append(member)
+    return groups
+
+
+def _parse_snapshot(data: bytes) -> tuple[int, list[MemberJoined], list[str]]:
+    try:
+        state: dict[str, Any] = json.loads(data)
+        joined = [from_jsonable(one, MemberJoined) for one in state["joined"]]
+        return int(state["offset"]), joined, [str(one) for one in state["retired"]]
+    except (ValueError, KeyError, TypeError) as error:
+        raise RecordError("Not a member table.") from error
--- /dev/null
+++ b/src/eelgrasslock/relays.py
@@ -0,0 +1,50 @@
+"""Which peers a daemon sends heartbeats to."""
+
+from eelgrasslock.members import MemberTable
+from eelgrasslock.ownership import rank
+from eelgrasslock.records import MemberJoined
+
+_RELAYS = 2
+_INTERVAL_SECONDS = 1.0
+_BEATS_PER_SECOND = 8.0
+
+
+def watched_peers(own: MemberJoined, table: MemberTable) -> list[MemberJoined]:
+    """Return the peers that a daemon sends heartbeats to.
+
+    These are all members of its own domain. Hashing names two relays of this
+    domain for each other domain, and two members there that they talk to; so
+    nobody elects them, and each daemon that reads the table agrees.
+
+    Parameters
+    ----------
+    own : MemberJoined
+        The daemon.
+    table : MemberTable
+        The members.
+    """
+    domain = table.live(own.domain)
+    peers = [one for one in domain if one.incarnation != own.incarnation]
+    for other in table.domains():
+        if other != own.domain and _is_relay(own, other, domain):
+            peers.extend(relay_targets(own.domain, other, table))
+    return peers
+
+
+def relay_targets(origin: str, domain: str, table: MemberTable) -> list[MemberJoined]:
+    """Return the members of a domain that another domain's relays talk to."""
+    return rank(f"target|{origin}|{domain}", table.live(domain))[:_RELAYS]
+
+
+def heartbeat_interval(peers: int) -> float:
+    """Return seconds between heartbeats to one peer.
+
+    It grows with their number, so that a daemon's traffic is bounded. A dead
+    peer is noticed no later for it, since as many others try it.
+    """
+    return max(_INTERVAL_SECONDS, peers / _BEATS_PER_SECOND)
+
+
+def _is_relay(own: MemberJoined, other: str, domain: list[MemberJoined]) -> bool:
+    relays = rank(f"relay|{own.domain}|{other}", domain)[:_RELAYS]
+    return any(relay.incarnation == own.incarnation for relay in relays)
--- /dev/null
+++ b/src/eelgrasslock/stream_reader.py
@@ -0,0 +1,237 @@
+"""Reads one stream of the log as it grows."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from attrs import define
+from loguru import logger
+
+from eelgrasslock.backoff import Backoff
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import LogUnavailable, RecordsExpired
+from eelgrasslock.log import Entry, Log
+from eelgrasslock.records import Positioned, Record, RecordError, decode_batch
+
+_READ_LIMIT_ENTRIES = 256
+_REMEMBERED_IDS = 65_536
+_POLL_JITTER = 0.25
+
+log = logger.bind(part="log")
+
+
+class RecentIds:
+    """The ids of the latest records of a stream.
+
+    A duplicate comes from an append whose answer was lost and that its writer
+    made again after reading to the stream's end without finding it. So it
+    lies no further behind than what the fleet appends while one request lives
+    in the network, which the bound exceeds by far.
+
+    Parameters
+    ----------
+    limit : int
+        How many ids are kept.
+    """
+
+    def __init__(self, limit: int = _REMEMBERED_IDS) -> None:
+        self.limit = limit
+        self._hashes: dict[int, None] = {}
+
+    def add(self, record_id: str) -> bool:
+        """Remember an id, and return whether it is new."""
+        key = hash(record_id)
+        if key in self._hashes:
+            return False
+        self._hashes[key] = None
+        if len(self._hashes) > self.limit:
+            del self._hashes[next(iter(self._hashes))]
+        return True
+
+
+@define
+class _Waiter:
+    future: asyncio.Future[None]
+    offset: int | None
+    read: int
+
+
+class StreamReader:
+    """One stream's read loop.
+
+    Parameters
+    ----------
+    log : Log
+        The platform's log.
+    clock : Clock
+        The source of time.
+    rng : random.Random
+        Draws the jitter of waits.
+    stream : str
+        The stream.
+    start : int
+        The offset to start at.
+    poll_seconds : float
+        The pause between reads when nobody waits.
+
+    Attributes
+    ----------
+    position : int
+        The last offset that the handlers have seen, -1 for none.
+    failing : bool
+        Whether the last read failed; true until the first one succeeds.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        clock: Clock,
+        rng: random.Random,
+        stream: str,
+        start: int,
+        poll_seconds: float,
+    ) -> None:
+        self.log = log
+        self.clock = clock
+        self.rng = rng
+        self.stream = stream
+        self.poll_seconds = poll_seconds
+        self.position = start - 1
+        self.failing = True
+        self.backoff = Backoff(rng)
+        self.handlers: list[Callable[[Positioned], None]] = []
+        self._ids = RecentIds()
+        self._reads = 0
+        self._waiters: list[_Waiter] = []
+        self._kick = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def add(self, handler: Callable[[Positioned], None]) -> None:
+        """Hand the records to one more handler."""
+        if self._reads:
+            raise ValueError(f"{self.stream} has been read already.")
+        self.handlers.append(handler)
+
+    def start(self) -> None:
+        """Begin to read, unless that has begun."""
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop reading, and tell the waiters."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+        for waiter in self._waiters:
+            if not waiter.future.done():
+                error = LogUnavailable("The log is no longer read.")
+                waiter.future.set_exception(error)
+        self._waiters.clear()
+
+    def when_reached(self, offset: int) -> asyncio.Future[None]:
+        """Return a future for the moment when an offset has been seen."""
+        return self._add_waiter(offset)
+
+    def when_caught_up(self) -> asyncio.Future[None]:
+        """Return a future for the end of the stream as it stands now."""
+        return self._add_waiter(None)
+
+    def _add_waiter(self, offset: int | None) -> asyncio.Future[None]:
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        # A read that is under way may miss what was appended just now.
+        self._waiters.append(_Waiter(future, offset, self._reads + 1))
+        self._kick.set()
+        return future
+
+    async def _run(self) -> None:
+        while True:
+            self._kick.clear()
+            try:
+                more = await self._read()
+            except RecordsExpired as error:
+                await self._jump(error)
+            except Exception as error:
+                await self._note_failure(error)
+            else:
+                if not more:
+                    await self._pause()
+
+    async def _read(self) -> bool:
+        self._reads += 1
+        number = self._reads
+        start = self.position + 1
+        entries = await self.log.read(self.stream, start, _READ_LIMIT_ENTRIES)
+        self._note_success()
+        for entry in entries:
+            self._fold(entry)
+        more = len(entries) >= _READ_LIMIT_ENTRIES
+        self._wake(None if more else number)
+        return more
+
+    def _fold(self, entry: Entry) -> None:
+        if entry.offset <= self.position:
+            return
+        for index, record in enumerate(decode_batch(entry.data)):
+            if isinstance(record, RecordError):
+                log.warning("{}:{} skipped: {}", self.stream, entry.offset, record)
+            elif self._ids.add(record.id):
+                self._hand_on(Positioned(entry.offset, index, record))
+        self.position = entry.offset
+
+    def _hand_on(self, positioned: Positioned) -> None:
+        for handler in self.handlers:
+            try:
+                handler(positioned)
+            except Exception:
+                record: Record = positioned.record
+                log.exception("{} could not be applied.", type(record).__name__)
+
+    def _wake(self, ended_read: int | None) -> None:
+        for waiter in self._waiters:
+            if not waiter.future.done() and self._is_met(waiter, ended_read):
+                waiter.future.set_result(None)
+        self._waiters = [one for one in self._waiters if not one.future.done()]
+
+    def _is_met(self, waiter: _Waiter, ended_read: int | None) -> bool:
+        if waiter.offset is not None:
+            return self.position >= waiter.offset
+        return ended_read is not None and ended_read >= waiter.read
+
+    async def _pause(self) -> None:
+        if self._waiters:
+            await self._pause_for_waiters()
+            return
+        jitter = self.rng.uniform(1 - _POLL_JITTER, 1 + _POLL_JITTER)
+        await self._sleep_until_kicked(self.poll_seconds * jitter)
+
+    async def _pause_for_waiters(self) -> None:
+        if not self._kick.is_set():
+            await self._sleep_until_kicked(self.poll_seconds / 4)
+
+    async def _sleep_until_kicked(self, seconds: float) -> None:
+        timer = asyncio.create_task(self.clock.sleep(seconds))
+        kick = asyncio.create_task(self._kick.wait())
+        try:
+            await asyncio.wait({timer, kick}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+            kick.cancel()
+
+    async def _note_failure(self, error: Exception) -> None:
+        if self.backoff.failures == 0:
+            log.warning("{} can't be read: {}", self.stream, error)
+        self.failing = True
+        await self.clock.sleep(self.backoff.next())
+
+    def _note_success(self) -> None:
+        self.failing = False
+        self.backoff.reset()
+
+    async def _jump(self, error: RecordsExpired) -> None:
+        start = self.position + 1
+        if error.first <= start:
+            await self._note_failure(error)
+            return
+        log.warning("{} holds {} to {} no more.", self.stream, start, error.first - 1)
+        self.position = error.first - 1
--- /dev/null
+++ b/tests/fake_log.py
@@ -0,0 +1,114 @@
+"""An in-memory log with fault switches, shared by tests."""
+
+import asyncio
+
+from eelgrasslock.clock import Clock, ManualClock
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
+from eelgrasslock.log import Entry
+from eelgrasslock.records import BudgetDrawn
+
+
+class FakeLog:
+    """A `log.Log` whose faults are attributes.
+
+    `down`: both calls fail. `refuse`: appends fail. `lose_answers`: that many
+    appends take effect without an answer. `lose_requests`: that many take no
+    effect and have no answer either. `duplicate`: that many are taken twice.
+    `late`: that many are held until `release_late`. `delay`: seconds for each
+    call. `step`: offsets grow by it. `retention`: entries kept in a stream.
+    `rate`: appends in one second of the clock, the others are refused.
+    """
+
+    def __init__(self, clock: Clock | None = None, step: int = 1) -> None:
+        self.clock = clock or ManualClock()
+        self.streams: dict[str, list[Entry]] = {}
+        self.down = False
+        self.refuse = False
+        self.lose_answers = 0
+        self.lose_requests = 0
+        self.duplicate = 0
+        self.late = 0
+        self.delay = 0.0
+        self.step = step
+        self.retention: int | None = None
+        self.rate: int | None = None
+        self.appends = 0
+        self.reads = 0
+        self._late: list[tuple[str, bytes]] = []
+        self._recent: list[float] = []
+
+    async def append(self, stream: str, data: bytes) -> int:
+        await self._wait()
+        self.appends += 1
+        if self.down or self.refuse or self._over_rate():
+            raise LogUnavailable("The fake log refuses.")
+        if self._take("lose_requests"):
+            raise AppendUnresolved("The fake log lost the request.")
+        if self._take("late"):
+            self._late.append((stream, data))
+            raise AppendUnresolved("The fake log is late.")
+        offset = self.put(stream, data)
+        if self._take("duplicate"):
+            self.put(stream, data)
+        if self._take("lose_answers"):
+            raise AppendUnresolved("The fake log lost the answer.")
+        return offset
+
+    async def read(self, stream: str, offset: int, limit: int) -> list[Entry]:
+        await self._wait()
+        self.reads += 1
+        if self.down:
+            raise LogUnavailable("The fake log is down.")
+        entries = self.streams.get(stream, [])
+        if entries and self.retention is not None and offset < entries[0].offset:
+            raise RecordsExpired(entries[0].offset)
+        return [one for one in entries if one.offset >= offset][:limit]
+
+    def put(self, stream: str, data: bytes) -> int:
+        entries = self.streams.setdefault(stream, [])
+        offset = entries[-1].offset + self.step if entries else 0
+        entries.append(Entry(offset, data, self.clock.now()))
+        if self.retention is not None:
+            del entries[: -self.retention]
+        return offset
+
+    def release_late(self) -> None:
+        """Let the appends that were held take effect."""
+        for stream, data in self._late:
+            self.put(stream, data)
+        self._late.clear()
+
+    async def _wait(self) -> None:
+        if self.delay:
+            await self.clock.sleep(self.delay)
+        else:
+            await asyncio.sleep(0)
+
+    def _take(self, switch: str) -> bool:
+        left = getattr(self, switch)
+        setattr(self, switch, max(0, left - 1))
+        return left > 0
+
+    def _over_rate(self) -> bool:
+        if self.rate is None:
+            return False
+        now = self.clock.monotonic()
+        self._recent = [time for time in self._recent if time > now - 1.0]
+        self._recent.append(now)
+        return len(self._recent) > self.rate
+
+
+def drawn(number):
+    return BudgetDrawn(author="a", time=0.0, program="p", tokens=number)
+
+
+async def settle(clock, seconds=0.0, step=0.25):
+    """Let tasks run, moving the clock on in small steps."""
+    elapsed = 0.0
+    while True:
+        for _ in range(20):
+            await asyncio.sleep(0)
+        if elapsed >= seconds:
+            return
+        clock.advance(step)
+        elapsed += step
