--- /dev/null
+++ b/src/eelgrasslock/action_filter.py
@@ -0,0 +1,204 @@
+"""The filter that lets a non-idempotent request run at most once."""
+
+import hashlib
+from collections.abc import Callable
+
+from loguru import logger
+
+from eelgrasslock.action_sweep import REMEMBER_SECONDS
+from eelgrasslock.actions import BODY_LIMIT, Actions, Intent
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.exchange import (
+    ACTION_HEADER,
+    ISSUED_AT_HEADER,
+    Exchange,
+    Proceed,
+    RequestKind,
+    Responder,
+)
+from eelgrasslock.records import ActionOutcome, ActionResult
+from eelgrasslock.settings import MethodSettings, ServiceSettings
+
+_REPLAYED_HEADER = "Eelgrass-Replayed"
+_ACTION_ID_CHARS = 200
+_BAD_REQUEST = 400
+_GONE = 410
+
+log = logger.bind(part="actions")
+
+
+class ActionFilter:
+    """Guards the requests that the settings don't call idempotent.
+
+    Each needs an action id of its caller's choosing. Without one a repeat
+    can't be told from a new action, so such a request is refused unrun.
+
+    Parameters
+    ----------
+    actions : Actions
+        The guard.
+    service : callable
+        Returns a service's settings, None if there is no such service.
+    clock : Clock
+        The source of time.
+    """
+
+    name = "action"
+
+    def __init__(
+        self,
+        actions: Actions,
+        service: Callable[[str], ServiceSettings | None],
+        clock: Clock,
+    ) -> None:
+        self.actions = actions
+        self.service = service
+        self.clock = clock
+
+    async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Run the request once, or answer what became of it."""
+        if exchange.kind is not RequestKind.PLAIN or self._is_idempotent(exchange):
+            await proceed(exchange)
+            return
+        action = _action_id(exchange)
+        self._check_age(exchange, action)
+        got = await self.actions.intend(
+            exchange.service, action, request_digest(exchange), exchange.program
+        )
+        if isinstance(got, ActionOutcome):
+            await _replay(exchange, got)
+            return
+        await self._run(got, exchange, proceed)
+
+    def _is_idempotent(self, exchange: Exchange) -> bool:
+        settings = self.service(exchange.service)
+        if settings is None:
+            return False
+        return is_idempotent(settings, exchange.request.method, exchange.rest)
+
+    def _check_age(self, exchange: Exchange, action: str) -> None:
+        """Refuse an action that may be older than what is remembered."""
+        issued = exchange.request.header(ISSUED_AT_HEADER)
+        if not issued or self.actions.find(exchange.service, action) is not None:
+            return
+        try:
+            age = self.clock.now() - float(issued)
+        except ValueError as error:
+            raise Refusal(
+                "bad_issue_time",
+                f"{ISSUED_AT_HEADER} is not a number of seconds.",
+                _BAD_REQUEST,
+            ) from error
+        if age > REMEMBER_SECONDS:
+            raise Refusal(
+                "action_too_old",
+                "The action is older than what is remembered.",
+                _GONE,
+                Ran.UNKNOWN,
+            )
+
+    async def _run(self, intent: Intent, exchange: Exchange, proceed: Proceed) -> None:
+        recorder = _Recorder(exchange.responder, self.actions, intent)
+        exchange.responder = recorder
+        try:
+            await proceed(exchange)
+        except BaseException as error:
+            if not recorder.settled:
+                await self._settle_failed(intent, exchange, error)
+            raise
+        if not recorder.settled:
+            await self.actions.settle(intent, ActionResult.UNKNOWN)
+
+    async def _settle_failed(
+        self, intent: Intent, exchange: Exchange, error: BaseException
+    ) -> None:
+        result = ActionResult.UNKNOWN
+        if exchange.sent is False or (
+            isinstance(error, Refusal) and error.ran is Ran.NO
+        ):
+            result = ActionResult.NOT_RUN
+        action = intent.record.action
+        log.info("{} of {}: {}.", action, intent.record.service, result.value)
+        await self.actions.settle(intent, result)
+
+
+class _Recorder:
+    """Passes an answer on and records it before its end."""
+
+    def __init__(self, responder: Responder, actions: Actions, intent: Intent) -> None:
+        self.responder = responder
+        self.actions = actions
+        self.intent = intent
+        self.settled = False
+        self._status = 0
+        self._content_type = ""
+        self._body = bytearray()
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers."""
+        self._status = status
+        names = {name.lower(): value for name, value in headers.items()}
+        self._content_type = names.get("content-type", "")
+        await self.responder.start(status, headers)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send part of the body."""
+        room = BODY_LIMIT - len(self._body)
+        self._body += chunk[:room]
+        await self.responder.write(chunk)
+
+    async def finish(self) -> None:
+        """Record the outcome and end the body."""
+        self.settled = True
+        await self.actions.settle(
+            self.intent,
+            ActionResult.DONE,
+            self._status,
+            self._body.decode(errors="replace"),
+            self._content_type,
+        )
+        await self.responder.finish()
+
+
+def is_idempotent(settings: ServiceSettings, method: str, path: str) -> bool:
+    """Return whether the settings call an operation idempotent."""
+    return any(
+        one.idempotent and _matches(one, method, path) for one in settings.methods
+    )
+
+
+def _matches(settings: MethodSettings, method: str, path: str) -> bool:
+    if settings.method.upper() != method.upper():
+        return False
+    if settings.path.endswith("*"):
+        return path.startswith(settings.path[:-1])
+    return path == settings.path
+
+
+def request_digest(exchange: Exchange) -> str:
+    """Return the digest of an action's method, path, query and body."""
+    request = exchange.request
+    head = f"{request.method}\n{exchange.rest}\n{request.query}\n".encode()
+    return hashlib.sha256(head + request.body).hexdigest()
+
+
+def _action_id(exchange: Exchange) -> str:
+    action = exchange.request.header(ACTION_HEADER).strip()
+    if action and len(action) <= _ACTION_ID_CHARS:
+        return action
+    raise Refusal(
+        "action_id_missing",
+        f"This operation may not be repeated, so it needs {ACTION_HEADER} "
+        f"of 1 to {_ACTION_ID_CHARS} characters.",
+        _BAD_REQUEST,
+    )
+
+
+async def _replay(exchange: Exchange, outcome: ActionOutcome) -> None:
+    headers = {_REPLAYED_HEADER: "true"}
+    if outcome.content_type:
+        headers["Content-Type"] = outcome.content_type
+    await exchange.responder.start(outcome.status, headers)
+    await exchange.responder.write(outcome.body.encode())
+    await exchange.responder.finish()
--- /dev/null
+++ b/src/eelgrasslock/action_sweep.py
@@ -0,0 +1,139 @@
+"""Periodic work on actions: retention, forgetting, and services' own word."""
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import xxhash
+from attrs import evolve, frozen
+from loguru import logger
+
+from eelgrasslock.action_table import ActionEntry
+from eelgrasslock.exceptions import EelgrassError
+from eelgrasslock.records import (
+    ActionIntended,
+    ActionOutcome,
+    ActionResult,
+    actions_stream,
+    new_id,
+)
+
+if TYPE_CHECKING:
+    from eelgrasslock.actions import Actions
+
+REMEMBER_SECONDS = 604_800.0
+REPEAT_SECONDS = 1_800.0
+STATUS_GRACE_SECONDS = 60.0
+_SPREAD = 0.3
+_SWEEP_SECONDS = 15.0
+_PER_SWEEP = 200
+_STATUS_PER_SWEEP = 10
+
+log = logger.bind(part="actions")
+
+
+@frozen(kw_only=True)
+class StatusAnswer:
+    """A service's own word on an action.
+
+    Attributes
+    ----------
+    result : ActionResult
+        `UNKNOWN` if the service can't tell.
+    status : int
+        The HTTP status that the action had.
+    body, content_type : str
+        The answer that it had.
+    """
+
+    result: ActionResult
+    status: int = 200
+    body: str = ""
+    content_type: str = ""
+
+
+StatusCall = Callable[[str, str], Awaitable[StatusAnswer]]
+
+
+class ActionSweep:
+    """Keeps the table of actions right as time goes by.
+
+    Parameters
+    ----------
+    actions : Actions
+        The guard that it works for.
+    status_call : callable or None
+        Asks a service what became of an action.
+    """
+
+    def __init__(self, actions: "Actions", status_call: StatusCall | None) -> None:
+        self.actions = actions
+        self.status_call = status_call
+
+    async def run(self) -> None:
+        """Do all periodic work until cancelled."""
+        while True:
+            await self.actions.clock.sleep(_SWEEP_SECONDS)
+            self.forget()
+            if self.actions.writer.available:
+                await self.repeat()
+                await self.ask_services()
+
+    def forget(self) -> None:
+        """Drop settled actions older than the window that is remembered."""
+        floor = self.actions.clock.now() - REMEMBER_SECONDS
+        for table in self.actions.tables:
+            table.forget_before(floor)
+
+    async def repeat(self) -> None:
+        """Write actions again that the log's retention would soon drop."""
+        for shard, table in enumerate(self.actions.tables):
+            due = [entry for entry in table.entries.values() if self._is_due(entry)]
+            for entry in due[:_PER_SWEEP]:
+                await self._repeat(actions_stream(shard), entry)
+
+    async def ask_services(self) -> None:
+        """Settle unknown actions by the services' own status calls."""
+        if self.status_call is None:
+            return
+        for unresolved in self.actions.unresolved()[:_STATUS_PER_SWEEP]:
+            entry = self.actions.find(unresolved.service, unresolved.action)
+            if entry is not None:
+                await self._ask(entry, self.status_call)
+
+    def _is_due(self, entry: ActionEntry) -> bool:
+        """Tell whether to repeat an entry; the daemons differ, one goes first."""
+        name = self.actions.incarnation + entry.intent.id
+        share = xxhash.xxh32_intdigest(name.encode()) / 2**32
+        age = self.actions.clock.now() - entry.written
+        return age >= REPEAT_SECONDS * (1 - _SPREAD * share)
+
+    async def _repeat(self, stream: str, entry: ActionEntry) -> None:
+        now = self.actions.clock.now()
+        intent = evolve(
+            entry.intent, id=new_id(), repeats=entry.intent.id, repeated=now
+        )
+        entry.written = now
+        batch: list[ActionIntended | ActionOutcome] = [intent]
+        if entry.outcome is not None:
+            batch.append(evolve(entry.outcome, id=new_id()))
+        for record in batch:
+            await self.actions.writer.append(stream, record)
+
+    async def _ask(self, entry: ActionEntry, status_call: StatusCall) -> None:
+        intent = entry.intent
+        try:
+            answer = await status_call(intent.service, intent.action)
+        except EelgrassError as error:
+            log.info("{} tells nothing of {}: {}", intent.service, intent.action, error)
+            return
+        if self._believes(entry, answer):
+            self.actions.record_answer(intent, answer)
+
+    def _believes(self, entry: ActionEntry, answer: StatusAnswer) -> bool:
+        """Believe "done" always, "not run" only once nothing can be under way."""
+        if answer.result is not ActionResult.NOT_RUN:
+            return answer.result is ActionResult.DONE
+        if entry.outcome is None:
+            return False
+        age = self.actions.clock.now() - entry.outcome.time
+        return age >= STATUS_GRACE_SECONDS
--- /dev/null
+++ b/src/eelgrasslock/actions.py
@@ -0,0 +1,371 @@
+"""The guard that lets a non-idempotent request run at most once."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import xxhash
+from attrs import frozen
+from loguru import logger
+
+from eelgrasslock.action_sweep import ActionSweep, StatusAnswer, StatusCall
+from eelgrasslock.action_table import ActionEntry, ActionTable
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import LogError, LogUnavailable, Ran, Refusal
+from eelgrasslock.held import done_within
+from eelgrasslock.log_gate import LogGate, Writer, journal_unavailable
+from eelgrasslock.records import (
+    ActionIntended,
+    ActionOutcome,
+    ActionResult,
+    actions_stream,
+)
+
+BODY_LIMIT = 16_384
+_INTENT_SECONDS = 3.0
+_SETTLE_WAIT_SECONDS = 1.0
+_STOP_SECONDS = 2.0
+_STALE_SECONDS = 30.0
+_UNKNOWN_RETRY_SECONDS = 10.0
+_NOT_FOUND = 404
+_CONFLICT = 409
+_UNPROCESSABLE = 422
+
+log = logger.bind(part="actions")
+
+
+@frozen(kw_only=True)
+class Intent:
+    """The right to send one request once.
+
+    Attributes
+    ----------
+    record : ActionIntended
+        The intent, read back as the first for its action.
+    """
+
+    record: ActionIntended
+
+
+@frozen(kw_only=True)
+class UnresolvedAction:
+    """An action of which nobody knows whether it ran.
+
+    Attributes
+    ----------
+    service, action, program : str
+        What was to run, and on whose behalf.
+    author : str
+        The incarnation that was to send it.
+    time : float
+        When, in seconds since the epoch.
+    """
+
+    service: str
+    action: str
+    program: str
+    author: str
+    time: float
+
+
+class Actions:
+    """Guards non-idempotent requests.
+
+    Parameters
+    ----------
+    incarnation : str
+        The daemon's own.
+    writer, tail : LogWriter, LogTail
+        The log.
+    clock : Clock
+        The source of time.
+    shards : int
+        How many streams hold actions; the same at all daemons.
+    status_call : callable or None
+        Asks a service what became of an action.
+    is_live : callable or None
+        Tells whether an incarnation may still send what it intended.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        writer: Writer,
+        tail: Any,
+        clock: Clock,
+        shards: int,
+        status_call: StatusCall | None = None,
+        is_live: Callable[[str], bool] | None = None,
+    ) -> None:
+        self.incarnation = incarnation
+        self.writer = writer
+        self.tail = tail
+        self.clock = clock
+        self.is_live = is_live
+        self.gate = LogGate(writer, clock)
+        self.tables = [ActionTable() for _ in range(shards)]
+        self.sweep = ActionSweep(self, status_call)
+        self._unrecorded: dict[str, ActionOutcome] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Follow the streams and start the periodic work."""
+        for shard, table in enumerate(self.tables):
+            self.tail.follow(actions_stream(shard), table.apply)
+        self._sweeper = asyncio.create_task(self.sweep.run())
+
+    async def stop(self) -> None:
+        """Wait a little for outcomes on their way to the log, and stop."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._sweeper
+            self._sweeper = None
+        tasks = list(self._tasks)
+        if tasks:
+            waiting = asyncio.gather(*tasks, return_exceptions=True)
+            await done_within(self.clock, waiting, _STOP_SECONDS)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def find(self, service: str, action: str) -> ActionEntry | None:
+        """Return what is known of an action."""
+        return self._table(service, action).find(service, action)
+
+    async def arbitrate(
+        self, service: str, action: str, request_digest: str, program: str
+    ) -> ActionEntry:
+        """Return the first intent for an action, writing one if there is none.
+
+        Raises
+        ------
+        Refusal
+            If the log is down, or the action has another request.
+        """
+        record = self._intent(service, action, request_digest, program)
+        try:
+            entry = await self._first(record)
+        except LogError as error:
+            raise journal_unavailable() from error
+        _check_same_request(entry, record)
+        return entry
+
+    async def intend(
+        self, service: str, action: str, request_digest: str, program: str
+    ) -> Intent | ActionOutcome:
+        """Return the right to send a request, or its outcome known already.
+
+        Raises
+        ------
+        Refusal
+            If it must not be sent now; `ran` says what is known.
+        """
+        record = self._intent(service, action, request_digest, program)
+        try:
+            entry = await self._first(record)
+        except LogUnavailable as error:
+            raise journal_unavailable() from error
+        except LogError as error:
+            self._free(record)
+            raise journal_unavailable() from error
+        except asyncio.CancelledError:
+            self._free(record)
+            raise
+        if entry.intent.id == record.id:
+            return Intent(record=record)
+        _check_same_request(entry, record)
+        return self._known_outcome(entry)
+
+    async def settle(
+        self,
+        intent: Intent,
+        result: ActionResult,
+        status: int = 0,
+        body: str = "",
+        content_type: str = "",
+    ) -> None:
+        """Record what became of a request; a slow log is not waited for."""
+        outcome = self._outcome(intent.record, result, status, body, content_type)
+        self._unrecorded[intent.record.id] = outcome
+        task = self._watch(self._record_outcome(outcome))
+        if self.writer.available:
+            await done_within(self.clock, task, _SETTLE_WAIT_SECONDS)
+
+    def record_done(self, intent: ActionIntended, body: str) -> None:
+        """Record an outcome of the system's own making, without waiting."""
+        outcome = self._outcome(intent, ActionResult.DONE, 200, body, "")
+        self._watch(self._record_outcome(outcome))
+
+    def record_answer(self, intent: ActionIntended, answer: StatusAnswer) -> None:
+        """Record a service's own word on an action, without waiting."""
+        outcome = self._outcome(
+            intent, answer.result, answer.status, answer.body, answer.content_type
+        )
+        self._watch(self._record_outcome(outcome))
+
+    def unresolved(self) -> list[UnresolvedAction]:
+        """Return the actions whose outcome nobody knows, the oldest first."""
+        stale = self.clock.now() - _STALE_SECONDS
+        found = [
+            UnresolvedAction(
+                service=entry.intent.service,
+                action=entry.intent.action,
+                program=entry.intent.program,
+                author=entry.intent.author,
+                time=entry.intent.time,
+            )
+            for table in self.tables
+            for entry in table.entries.values()
+            if _is_unresolved(entry, stale)
+        ]
+        return sorted(found, key=lambda action: action.time)
+
+    async def resolve(
+        self, service: str, action: str, result: ActionResult, operator: str
+    ) -> None:
+        """Record what an operator found out about an action.
+
+        Raises
+        ------
+        Refusal
+            If it is unknown or settled, may still be sent, or the log is down.
+        """
+        entry = self.find(service, action)
+        if entry is None:
+            raise Refusal("unknown_action", "No such action.", _NOT_FOUND)
+        if entry.settled:
+            raise Refusal("action_settled", "The action is settled.", _CONFLICT)
+        if result is ActionResult.NOT_RUN and self._may_still_run(entry):
+            raise _unknown(entry)
+        self.gate.check()
+        outcome = self._outcome(entry.intent, result, 0, "", "", operator)
+        try:
+            await self._append(outcome, _INTENT_SECONDS)
+        except LogError as error:
+            raise journal_unavailable() from error
+        log.info("{} of {} was resolved by {}.", action, service, operator)
+
+    def _may_still_run(self, entry: ActionEntry) -> bool:
+        if entry.outcome is not None:
+            return False
+        return self.is_live is not None and self.is_live(entry.intent.author)
+
+    def _table(self, service: str, action: str) -> ActionTable:
+        return self.tables[self._shard(service, action)]
+
+    def _shard(self, service: str, action: str) -> int:
+        """Choose a stream by service and action alone, so that repeats meet."""
+        return xxhash.xxh64_intdigest(f"{service}\n{action}".encode()) % len(
+            self.tables
+        )
+
+    def _intent(
+        self, service: str, action: str, request_digest: str, program: str
+    ) -> ActionIntended:
+        return ActionIntended(
+            author=self.incarnation,
+            time=self.clock.now(),
+            service=service,
+            action=action,
+            request_digest=request_digest,
+            program=program,
+        )
+
+    async def _first(self, record: ActionIntended) -> ActionEntry:
+        entry = self.find(record.service, record.action)
+        if entry is not None:
+            return entry
+        self.gate.check()
+        await self._append(record, _INTENT_SECONDS)
+        entry = self.find(record.service, record.action)
+        if entry is None:
+            raise journal_unavailable()
+        return entry
+
+    async def _append(
+        self, record: ActionIntended | ActionOutcome, timeout: float | None
+    ) -> None:
+        """Append a record and read up to it."""
+        stream = actions_stream(self._shard(record.service, record.action))
+        offset = await self.writer.append(stream, record, timeout)
+        try:
+            await self.tail.reached(stream, offset, timeout)
+        except LogUnavailable as error:
+            raise LogError("The record was not read back.") from error
+
+    async def _record_outcome(self, outcome: ActionOutcome) -> None:
+        try:
+            await self._append(outcome, None)
+        finally:
+            self._unrecorded.pop(outcome.intent, None)
+
+    def _free(self, record: ActionIntended) -> None:
+        """Free an intent that surely was not sent and may be in the log."""
+        outcome = self._outcome(record, ActionResult.NOT_RUN, 0, "", "")
+        self._watch(self._record_outcome(outcome))
+
+    def _known_outcome(self, entry: ActionEntry) -> ActionOutcome:
+        outcome = self._unrecorded.get(entry.intent.id) or entry.outcome
+        if outcome is not None and outcome.result is ActionResult.NOT_RUN:
+            raise journal_unavailable()
+        if outcome is None or outcome.result is not ActionResult.DONE:
+            raise _unknown(entry)
+        return outcome
+
+    def _outcome(
+        self,
+        intent: ActionIntended,
+        result: ActionResult,
+        status: int,
+        body: str,
+        content_type: str,
+        author: str = "",
+    ) -> ActionOutcome:
+        return ActionOutcome(
+            author=author or self.incarnation,
+            time=self.clock.now(),
+            service=intent.service,
+            action=intent.action,
+            intent=intent.id,
+            result=result,
+            status=status,
+            body=body[:BODY_LIMIT],
+            content_type=content_type,
+        )
+
+    def _watch(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _is_unresolved(entry: ActionEntry, stale: float) -> bool:
+    if entry.settled:
+        return False
+    return entry.outcome is not None or entry.intent.time < stale
+
+
+def _check_same_request(entry: ActionEntry, record: ActionIntended) -> None:
+    same = entry.intent.request_digest == record.request_digest
+    if record.service != "programs":
+        same = same and entry.intent.program == record.program
+    if not same:
+        raise Refusal(
+            "action_conflict",
+            "This action id was used for another request.",
+            _UNPROCESSABLE,
+        )
+
+
+def _unknown(entry: ActionEntry) -> Refusal:
+    return Refusal(
+        "outcome_unknown",
+        "This action was begun and its outcome is not known.",
+        _CONFLICT,
+        Ran.UNKNOWN,
+        _UNKNOWN_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/src/eelgrasslock/creation.py
@@ -0,0 +1,268 @@
+"""Creating programs, with idempotent creation keys and sub-agents."""
+
+import hashlib
+import json
+import secrets
+
+from attrs import frozen
+
+from eelgrasslock.actions import Actions
+from eelgrasslock.budgets import first_draw
+from eelgrasslock.exceptions import Refusal
+from eelgrasslock.held import done_within
+from eelgrasslock.ledger import Amount
+from eelgrasslock.limits import EndReason, ended_refusal
+from eelgrasslock.live_programs import LivePrograms
+from eelgrasslock.log_gate import journal_unavailable
+from eelgrasslock.program import Program
+from eelgrasslock.program_ids import new_program_id, parse_program_id
+from eelgrasslock.records import (
+    ActionIntended,
+    Limits,
+    ProgramCreated,
+    ProgramEnded,
+    from_jsonable,
+    journal_stream,
+    to_jsonable,
+)
+from eelgrasslock.takeover import Takeover
+
+CREATION_SERVICE = "programs"
+_SECRET_BYTES = 32
+_CHILD_SHARE = 1 / 4
+_CREATE_SECONDS = 5.0
+_BAD_REQUEST = 400
+_CONFLICT = 409
+
+
+@frozen(kw_only=True)
+class CreatedProgram:
+    """A program that was just created, or created before with the same key.
+
+    Attributes
+    ----------
+    program : str
+        Its id.
+    secret : str
+        What its caller must show.
+    limits : Limits
+        What it may use.
+    journaled : bool
+        Whether the log holds it; if not, it is lost with this daemon and the
+        peers that hold a copy.
+    """
+
+    program: str
+    secret: str
+    limits: Limits
+    journaled: bool = True
+
+
+class Creation:
+    """Creates programs.
+
+    Parameters
+    ----------
+    domain : str
+        The daemon's own failure domain.
+    programs : LivePrograms
+        The programs.
+    takeover : Takeover
+        Holds parents.
+    actions : Actions or None
+        Arbitrates creation keys.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        programs: LivePrograms,
+        takeover: Takeover,
+        actions: Actions | None,
+    ) -> None:
+        self.domain = domain
+        self.programs = programs
+        self.takeover = takeover
+        self.actions = actions
+
+    async def create(
+        self,
+        creation_key: str,
+        secret: str,
+        limits: Limits | None,
+        parent: str,
+        bounds: Limits,
+    ) -> CreatedProgram:
+        """Create a program within the bounds of the settings."""
+        if creation_key and not secret:
+            raise Refusal(
+                "secret_missing",
+                "A creation key needs a secret of the caller's own.",
+                _BAD_REQUEST,
+            )
+        granted = await self._granted(limits, parent, bounds)
+        secret = secret or secrets.token_urlsafe(_SECRET_BYTES)
+        record = self._record(creation_key, secret, granted, parent)
+        if creation_key:
+            return await self._create_once(record, secret, limits)
+        journaled = await self._write(record)
+        return CreatedProgram(
+            program=record.program,
+            secret=secret,
+            limits=granted,
+            journaled=journaled,
+        )
+
+    async def _granted(
+        self, limits: Limits | None, parent: str, bounds: Limits
+    ) -> Limits:
+        if limits is not None:
+            _check_limits(limits, bounds)
+        if not parent:
+            return limits or bounds
+        await self.takeover.hold(parent)
+        state = await self.takeover.find(parent)
+        if state.ended:
+            raise ended_refusal(state.ended)
+        return limits or _child_limits(state)
+
+    def _record(
+        self, creation_key: str, secret: str, limits: Limits, parent: str
+    ) -> ProgramCreated:
+        draw = first_draw(Amount(limits.tokens, limits.money))
+        return ProgramCreated(
+            author=self.programs.incarnation,
+            time=self.programs.clock.now(),
+            program=new_program_id(self.domain, self.programs.incarnation),
+            creation_key=creation_key,
+            secret_digest=hashlib.sha256(secret.encode()).hexdigest(),
+            parent=parent,
+            limits=limits,
+            drawn_tokens=draw.tokens,
+            drawn_money=draw.money,
+        )
+
+    async def _write(self, record: ProgramCreated) -> bool:
+        if record.parent:
+            await self._write_child(record)
+            return True
+        live = self.programs.live(record.program)
+        self.programs.check_room(live)
+        return await self.programs.record(live, record)
+
+    async def _write_child(self, record: ProgramCreated) -> None:
+        """Create a child only by a record that was read back.
+
+        Its budget comes out of its parent's, which other records may change.
+        """
+        self.programs.gate.check()
+        live = self.programs.live(record.program)
+        task = self.programs.enqueue(live, record)
+        if not await done_within(self.programs.clock, task, _CREATE_SECONDS):
+            self._abandon(record)
+            raise journal_unavailable()
+        verdict = task.result()
+        if not verdict.counted:
+            raise Refusal(
+                "parent_budget",
+                "The parent's budget has no room for this sub-agent.",
+                _CONFLICT,
+            )
+
+    def _abandon(self, record: ProgramCreated) -> None:
+        ended = ProgramEnded(
+            author=self.programs.incarnation,
+            time=self.programs.clock.now(),
+            program=record.program,
+            reason=EndReason.CANCELLED.value,
+            returned_tokens=record.drawn_tokens,
+            returned_money=record.drawn_money,
+        )
+        self.programs.enqueue(self.programs.live(record.program), ended)
+
+    async def _create_once(
+        self, record: ProgramCreated, secret: str, asked: Limits | None
+    ) -> CreatedProgram:
+        """Create the program that the first intent with this key names."""
+        if self.actions is None:
+            raise journal_unavailable()
+        digest = _creation_digest(record, asked)
+        entry = await self.actions.arbitrate(
+            CREATION_SERVICE, record.creation_key, digest, record.program
+        )
+        if entry.outcome is not None:
+            limits = from_jsonable(json.loads(entry.outcome.body), Limits)
+        else:
+            limits = await self._complete(entry.intent, record)
+        return CreatedProgram(
+            program=entry.intent.program, secret=secret, limits=limits
+        )
+
+    async def _complete(self, intent: ActionIntended, record: ProgramCreated) -> Limits:
+        if intent.program == record.program:
+            await self._write(record)
+        else:
+            await self._write_for_other(intent, record)
+        assert self.actions is not None
+        body = json.dumps(to_jsonable(record.limits))
+        self.actions.record_done(intent, body)
+        return record.limits
+
+    async def _write_for_other(
+        self, intent: ActionIntended, record: ProgramCreated
+    ) -> None:
+        """Write the creation that another daemon may have left undone.
+
+        If it did write it, this one is void and changes nothing.
+        """
+        domain = parse_program_id(intent.program).domain
+        creation = ProgramCreated(
+            author=self.programs.incarnation,
+            time=self.programs.clock.now(),
+            program=intent.program,
+            creation_key=record.creation_key,
+            secret_digest=record.secret_digest,
+            parent=record.parent,
+            limits=record.limits,
+        )
+        append = self.programs.writer.append(journal_stream(domain), creation)
+        task = self.programs.watch(append)
+        if not await done_within(self.programs.clock, task, _CREATE_SECONDS):
+            task.cancel()
+            raise journal_unavailable()
+
+
+def _creation_digest(record: ProgramCreated, asked: Limits | None) -> str:
+    parts = [record.secret_digest, record.parent, to_jsonable(asked) if asked else None]
+    return hashlib.sha256(json.dumps(parts).encode()).hexdigest()
+
+
+def _check_limits(limits: Limits, bounds: Limits) -> None:
+    too_high = [
+        name
+        for name in ("tokens", "turns", "age", "money")
+        if _exceeds(getattr(limits, name), getattr(bounds, name), name)
+    ]
+    not_positive = min(limits.tokens, limits.turns, limits.age) <= 0
+    if too_high or not_positive or limits.money < 0:
+        names = ", ".join(too_high) or "tokens, turns and age must be above 0"
+        raise Refusal(
+            "limits_out_of_range", f"Limits out of range: {names}.", _BAD_REQUEST
+        )
+
+
+def _exceeds(value: float, bound: float, name: str) -> bool:
+    if name == "money":
+        return bound > 0 and (value == 0 or value > bound)
+    return value > bound
+
+
+def _child_limits(parent: Program) -> Limits:
+    left = parent.ledger.left
+    money = left.money * _CHILD_SHARE if parent.limits.money else 0.0
+    return Limits(
+        tokens=max(1, int(left.tokens * _CHILD_SHARE)),
+        turns=parent.limits.turns,
+        age=parent.limits.age,
+        money=money,
+    )
--- a/src/eelgrasslock/exchange.py
+++ b/src/eelgrasslock/exchange.py
@@ -18,6 +18,7 @@
 ENDPOINT_HEADER = "Eelgrass-Endpoint"
 RAN_HEADER = "Eelgrass-Ran"
 ACTION_HEADER = "Idempotency-Key"
+ISSUED_AT_HEADER = "Eelgrass-Issued-At"
 
 
 class CallClass(enum.IntEnum):
@@ -157,6 +158,13 @@
         takes the final event's place.
     tokens_used : int
         Tokens that endpoints have spent so far on a call that may yet fail.
+    token_allowance : int
+        The tokens that all attempts together may use, 0 for no bound. Another
+        attempt is made only if its worst case still fits.
+    sent : bool or None
+        Whether a byte of the request may have left for an endpoint. The
+        dispatch filter sets it to False when it takes the call and to True
+        before it sends; None counts as True.
     """
 
     request: Request
@@ -180,6 +188,8 @@
     journaled: bool = True
     before_final: list[BeforeFinal] = field(factory=list)
     tokens_used: int = 0
+    token_allowance: int = 0
+    sent: bool | None = None
 
 
 Proceed = Callable[[Exchange], Awaitable[None]]
--- /dev/null
+++ b/src/eelgrasslock/programs.py
@@ -0,0 +1,317 @@
+"""The controller of agent programs: their creation, resumption and end."""
+
+import asyncio
+import contextlib
+import hashlib
+import hmac
+import random
+from collections.abc import Callable
+from typing import Any
+
+from attrs import frozen
+from loguru import logger
+
+from eelgrasslock.actions import Actions
+from eelgrasslock.budgets import Budgets
+from eelgrasslock.clock import Clock
+from eelgrasslock.creation import CreatedProgram, Creation
+from eelgrasslock.exceptions import Refusal
+from eelgrasslock.held import HoldingPeers, PeerHoldings, Replicas
+from eelgrasslock.history import Message
+from eelgrasslock.journal import Journal
+from eelgrasslock.limits import EndReason, ended_refusal, expired
+from eelgrasslock.live_programs import LiveProgram, LivePrograms
+from eelgrasslock.log_gate import Writer
+from eelgrasslock.program import Program, TurnExplained
+from eelgrasslock.records import Limits, ProgramEnded
+from eelgrasslock.settings import LimitSettings
+from eelgrasslock.snapshots import Snapshots
+from eelgrasslock.takeover import Takeover
+
+HAND_OVER_SECONDS = 2.0
+_SWEEP_SECONDS = 5.0
+_FORBIDDEN = 403
+
+log = logger.bind(part="programs")
+
+
+@frozen(kw_only=True)
+class ResumedProgram:
+    """What a caller needs that lost its own state between turns.
+
+    Attributes
+    ----------
+    program : str
+        The program's id.
+    turn : int
+        The next turn's number.
+    digest : str
+        Digest of the history to build on.
+    history : list of dict
+        All messages so far.
+    limits : Limits
+        What the program may use.
+    spent_tokens : int
+        What it has used.
+    """
+
+    program: str
+    turn: int
+    digest: str
+    history: list[Message]
+    limits: Limits
+    spent_tokens: int
+
+
+@frozen(kw_only=True)
+class ExplainedProgram:
+    """What happened to a program, for people.
+
+    Attributes
+    ----------
+    program, holder, ended, parent : str
+        Its id, the incarnation that holds it, why it ended, its parent.
+    turn : int
+        The next turn's number.
+    spent_tokens, drawn_tokens, shared_tokens, forfeited_tokens : int
+        Its budget's use.
+    limit_tokens : int
+        Its whole budget.
+    turns : list of TurnExplained
+        Where each turn ran, and why there.
+    refusals : list of str
+        What this daemon refused lately, and why.
+    unjournaled : int
+        How many of its records wait for the log.
+    """
+
+    program: str
+    holder: str
+    ended: str
+    parent: str
+    turn: int
+    spent_tokens: int
+    drawn_tokens: int
+    shared_tokens: int
+    forfeited_tokens: int
+    limit_tokens: int
+    turns: list[TurnExplained]
+    refusals: list[str]
+    unjournaled: int
+
+
+class Programs:
+    """The programs of this daemon.
+
+    Parameters
+    ----------
+    domain, incarnation : str
+        The daemon's own.
+    writer, tail : LogWriter, LogTail
+        The log.
+    membership : Membership
+        Tells owners and peers.
+    peers : HoldingPeers
+        Links to peers.
+    clock : Clock
+        The source of time.
+    rng : random.Random
+        Spreads periodic work.
+    limits : callable
+        Returns the limits in force.
+    price : callable
+        Returns the price of a model's token.
+    actions : Actions or None
+        Arbitrates creation keys; without it they are refused.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        incarnation: str,
+        writer: Writer,
+        tail: Any,
+        membership: Any,
+        peers: HoldingPeers,
+        clock: Clock,
+        rng: random.Random,
+        limits: Callable[[], LimitSettings],
+        price: Callable[[str], float],
+        actions: Actions | None = None,
+    ) -> None:
+        self.tail = tail
+        self.clock = clock
+        self.limits = limits
+        self.price = price
+        self.holdings = PeerHoldings()
+        replicas = Replicas(domain, membership, peers, clock)
+        self.live_programs = LivePrograms(
+            domain, incarnation, writer, tail, clock, replicas
+        )
+        self.takeover = Takeover(self.live_programs, membership, self.holdings)
+        self.budgets = Budgets(self.live_programs)
+        self.creation = Creation(domain, self.live_programs, self.takeover, actions)
+        self.snapshots = Snapshots(self.live_programs, self.takeover, rng)
+        self._sweeper: asyncio.Task[None] | None = None
+
+    @property
+    def journal(self) -> Journal:
+        """The fold of the domain's journal."""
+        return self.live_programs.journal
+
+    async def start(self) -> None:
+        """Follow the journal and start the periodic work."""
+        self.tail.follow(self.live_programs.stream, self.journal.apply)
+        self._sweeper = asyncio.create_task(self._sweep_forever())
+
+    async def stop(self) -> None:
+        """Hand over what the log has not taken, and stop."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._sweeper
+            self._sweeper = None
+        await self.live_programs.hand_over(HAND_OVER_SECONDS)
+
+    async def create(
+        self,
+        creation_key: str = "",
+        secret: str = "",
+        limits: Limits | None = None,
+        parent: str = "",
+    ) -> CreatedProgram:
+        """Create a program.
+
+        Parameters
+        ----------
+        creation_key : str
+            Makes a repeated creation answer the same; needs a secret of the
+            caller's own.
+        secret : str
+            The program's secret; made here if empty.
+        limits : Limits or None
+            What it may use; None for the most the settings allow.
+        parent : str
+            The program whose sub-agent it is; this daemon must own it.
+
+        Raises
+        ------
+        Refusal
+            If it can't be created.
+        """
+        bounds = self.limits().program
+        return await self.creation.create(creation_key, secret, limits, parent, bounds)
+
+    async def authorize(self, program: str, secret: str) -> Program:
+        """Return a program's state if the secret is its own.
+
+        Raises
+        ------
+        Refusal
+            ``unknown_program`` or ``wrong_secret``.
+        """
+        state = await self.takeover.find(program)
+        digest = secret_digest(secret)
+        if not hmac.compare_digest(digest, state.secret_digest):
+            log.warning("A wrong secret for {} was refused.", program)
+            raise Refusal(
+                "wrong_secret", "This is not the program's secret.", _FORBIDDEN
+            )
+        return state
+
+    async def hold(self, program: str) -> LiveProgram:
+        """Return a program that this daemon holds, claiming it if need be."""
+        return await self.takeover.hold(program)
+
+    async def end(self, program: str, reason: str) -> None:
+        """End a program; once it has ended, nothing happens."""
+        live = await self.hold(program)
+        state = self.live_programs.state(program)
+        if state is None or state.ended:
+            return
+        unused = self.budgets.available(live)
+        record = ProgramEnded(
+            author=self.live_programs.incarnation,
+            time=self.clock.now(),
+            program=program,
+            reason=reason,
+            returned_tokens=unused.tokens,
+            returned_money=unused.money,
+        )
+        await self.live_programs.record(live, record)
+
+    async def resume(self, program: str) -> ResumedProgram:
+        """Return the history and the next turn of a program."""
+        await self.hold(program)
+        state = await self.takeover.find(program)
+        if state.ended:
+            raise ended_refusal(state.ended)
+        return ResumedProgram(
+            program=program,
+            turn=state.turn,
+            digest=state.digest,
+            history=list(state.history),
+            limits=state.limits,
+            spent_tokens=state.spent.tokens,
+        )
+
+    def explain(self, program: str) -> ExplainedProgram:
+        """Return what happened to a program.
+
+        Raises
+        ------
+        Refusal
+            ``unknown_program`` if it is not known here.
+        """
+        state = self.live_programs.state(program)
+        if state is None:
+            raise Refusal("unknown_program", "No such program.", 404)
+        live = self.live_programs.live(program)
+        return ExplainedProgram(
+            program=program,
+            holder=state.holder,
+            ended=state.ended,
+            parent=state.parent,
+            turn=state.turn,
+            spent_tokens=state.spent.tokens,
+            drawn_tokens=state.drawn.tokens,
+            shared_tokens=state.ledger.shared.tokens,
+            forfeited_tokens=state.ledger.forfeited.tokens,
+            limit_tokens=state.limits.tokens,
+            turns=list(state.turns),
+            refusals=[f"{one.code}: {one.sentence}" for one in live.refusals],
+            unjournaled=len(live.held.records),
+        )
+
+    async def end_expired(self) -> None:
+        """End the programs held here that are too old or idle for too long."""
+        now = self.clock.now()
+        for program in list(self.journal.programs.values()):
+            reason = expired(program, now)
+            if reason is not None and self.takeover.responsible(program):
+                await self._end_quietly(program.id, reason)
+
+    async def _end_quietly(self, program: str, reason: EndReason) -> None:
+        try:
+            await self.end(program, reason.value)
+        except Refusal as refusal:
+            log.info("Program {} is not ended yet: {}", program, refusal.code)
+
+    async def _sweep_forever(self) -> None:
+        while True:
+            await self.clock.sleep(_SWEEP_SECONDS)
+            await self.end_expired()
+            await self.snapshots.write_due()
+            self.holdings.drop_judged(self.live_programs.stream, self.journal)
+            self._forget_ended()
+
+    def _forget_ended(self) -> None:
+        for program in self.live_programs.known():
+            state = self.live_programs.state(program)
+            if state is None or state.ended:
+                self.live_programs.forget(program)
+
+
+def secret_digest(secret: str) -> str:
+    """Return what the journal keeps of a program's secret."""
+    return hashlib.sha256(secret.encode()).hexdigest()
--- a/src/eelgrasslock/records.py
+++ b/src/eelgrasslock/records.py
@@ -161,6 +161,9 @@
         The parent's program id for a sub-agent, or empty.
     limits : Limits
         What it may use.
+    drawn_tokens, drawn_money : int, float
+        The creator's first draw. It is part of the creation, so that nobody
+        can claim the program between the two.
     """
 
     program: str
@@ -168,6 +171,8 @@
     secret_digest: str
     parent: str
     limits: Limits
+    drawn_tokens: int = 0
+    drawn_money: float = 0.0
 
 
 @frozen(kw_only=True)
@@ -254,11 +259,15 @@
     ----------
     reason : str
         ``finished``, ``cancelled``, ``turn_limit``, ``token_limit``,
-        ``money_limit``, ``age_limit`` or ``operator``.
+        ``money_limit``, ``age_limit``, ``idle_limit`` or ``operator``.
+    returned_tokens, returned_money : int, float
+        The part of the holder's draw that surely was not used.
     """
 
     program: str
     reason: str
+    returned_tokens: int = 0
+    returned_money: float = 0.0
 
 
 @frozen(kw_only=True)
@@ -270,11 +279,15 @@
     program : str
         The program's id.
     state : dict
-        The encoded `journal.Program`.
+        The encoded `program.Program`.
+    as_of : int
+        The offset that its author had read up to. It counts only for readers
+        who know all since, and if nothing changed the program since.
     """
 
     program: str
     state: dict[str, Any]
+    as_of: int = -1
 
 
 # --- non-idempotent actions ---------------------------------------------------
@@ -295,12 +308,18 @@
         Digest of method, path and body.
     program : str
         The program on whose behalf, or empty.
+    repeats : str
+        The id of the intent that this one repeats for retention, or empty.
+    repeated : float
+        When it was repeated, in seconds since the epoch.
     """
 
     service: str
     action: str
     request_digest: str
     program: str
+    repeats: str = ""
+    repeated: float = 0.0
 
 
 class ActionResult(enum.Enum):
