--- /dev/null
+++ b/src/eelgrasslock/attempts.py
@@ -0,0 +1,195 @@
+"""What the attempts of one call have in common."""
+
+import uuid
+from collections.abc import Callable
+
+import attrs
+from attrs import frozen
+from loguru import logger
+
+from eelgrasslock.clock import Clock
+from eelgrasslock.dispatch import Dispatcher
+from eelgrasslock.endpoint_failure import EndpointFailure
+from eelgrasslock.engine_client import EngineClient
+from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.exchange import Exchange
+from eelgrasslock.metrics import Metrics
+from eelgrasslock.scheduling import Assignment, Call, CallEnd
+from eelgrasslock.service_client import ServiceClient
+from eelgrasslock.settings import Configuration, EndpointSettings
+
+_RETRY_SECONDS = 2.0
+_BUSY = 503
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+
+log = logger.bind(part="dispatch")
+
+_SENTENCES = {
+    CallEnd.REFUSED: "The endpoint refused the call.",
+    CallEnd.NOT_SENT: "The endpoint could not be reached.",
+    CallEnd.BROKEN: "The endpoint broke off the call.",
+    CallEnd.CRASHED: "An endpoint that ran this request crashed.",
+    CallEnd.SILENT: "The endpoint went silent.",
+}
+
+
+@frozen(kw_only=True)
+class DispatchParts:
+    """What the dispatch of a call needs.
+
+    Attributes
+    ----------
+    dispatcher : Dispatcher
+        Gives endpoints.
+    engines : EngineClient
+        Talks to model engines.
+    services : ServiceClient
+        Talks to plain services.
+    configuration : callable
+        Returns the configuration in force.
+    clock : Clock
+        The time.
+    metrics : Metrics or None
+        Where figures go.
+    """
+
+    dispatcher: Dispatcher
+    engines: EngineClient
+    services: ServiceClient
+    configuration: Callable[[], Configuration]
+    clock: Clock
+    metrics: Metrics | None = None
+
+    def seconds_left(self, exchange: Exchange) -> float:
+        """Return the seconds that a call may still take."""
+        if exchange.deadline is None:
+            return self.configuration().limits.call_seconds
+        return max(0.0, exchange.deadline - self.clock.monotonic())
+
+
+class Attempts:
+    """Counts the attempts of one call, and says truthfully whether it ran.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The call.
+    dispatcher : Dispatcher
+        Gives endpoints.
+    metrics : Metrics or None
+        Counts retries and failures.
+    """
+
+    def __init__(
+        self, exchange: Exchange, dispatcher: Dispatcher, metrics: Metrics | None
+    ) -> None:
+        self.exchange = exchange
+        self.dispatcher = dispatcher
+        self.metrics = metrics
+        self.id = uuid.uuid4().hex
+        self.number = 0
+        self.ran = Ran.NO
+        self.excluded: frozenset[str] = frozenset()
+
+    async def acquire(self, service: str, model: str) -> Assignment:
+        """Wait for the next attempt's endpoint.
+
+        Raises
+        ------
+        Refusal
+            If it won't be served.
+        """
+        try:
+            return await self.dispatcher.acquire(self._call(service, model))
+        except Refusal as refusal:
+            raise self.truthful(refusal) from refusal
+
+    def failed(self, assignment: Assignment, failure: EndpointFailure) -> None:
+        """Note a failed attempt."""
+        endpoint = assignment.endpoint
+        log.warning("{} failed: {}: {}", endpoint, failure.end.value, failure)
+        if self.metrics is not None:
+            self.metrics.incr(f"endpoint_failed.{failure.end.value}")
+        if failure.ran is not Ran.NO:
+            self.ran = Ran.UNKNOWN
+        self.excluded |= {endpoint}
+
+    def retry_delay(self, assignment: Assignment) -> float | None:
+        """Return seconds to wait before one more attempt, None for none."""
+        self.number += 1
+        scheduler = self.dispatcher.scheduler
+        delay = scheduler.retry_delay(assignment.call, assignment.endpoint, self.number)
+        if delay is not None and self.metrics is not None:
+            self.metrics.incr("retried")
+        return delay
+
+    def refusal(self, failure: EndpointFailure) -> Refusal:
+        """Return the final answer after the last failure."""
+        if failure.callers_fault and failure.status is not None:
+            sentence = "The endpoint calls the request itself invalid."
+            return self.truthful(
+                Refusal("invalid_request", sentence, failure.status, failure.ran)
+            )
+        status = _GATEWAY_TIMEOUT if failure.silent else _BAD_GATEWAY
+        retry_after = failure.retry_after
+        if failure.ran is Ran.NO:
+            status = _BUSY
+            retry_after = retry_after or _RETRY_SECONDS
+        if failure.end is CallEnd.CRASHED:
+            retry_after = None
+        code = f"endpoint_{failure.end.value}"
+        sentence = _SENTENCES.get(failure.end, "The endpoint failed the call.")
+        return self.truthful(Refusal(code, sentence, status, failure.ran, retry_after))
+
+    def timed_out(self) -> Refusal:
+        """Return the final answer of a call that took too long."""
+        ran = Ran.UNKNOWN if self.exchange.sent else Ran.NO
+        sentence = "The call took longer than it may."
+        refusal = Refusal("call_timeout", sentence, _GATEWAY_TIMEOUT, ran)
+        return self.truthful(refusal)
+
+    def truthful(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that does not deny what an earlier attempt did."""
+        if refusal.ran is Ran.NO and self.ran is not Ran.NO:
+            return Refusal(
+                refusal.code,
+                refusal.sentence,
+                refusal.status,
+                self.ran,
+                refusal.retry_after,
+            )
+        return refusal
+
+    def _call(self, service: str, model: str) -> Call:
+        exchange = self.exchange
+        return Call(
+            id=f"{self.id}.{self.number}",
+            program=exchange.program or f"single-{self.id}",
+            service=service,
+            model=model,
+            call_class=exchange.call_class,
+            blocks=exchange.blocks,
+            prompt_tokens=exchange.prompt_tokens,
+            max_tokens=exchange.max_tokens,
+            deadline=exchange.deadline,
+            digest=exchange.digest,
+            excluded=self.excluded,
+        )
+
+
+def endpoint_settings(
+    configuration: Configuration, assignment: Assignment
+) -> EndpointSettings:
+    """Return an assigned endpoint's settings.
+
+    Raises
+    ------
+    EndpointFailure
+        If a newer configuration no longer has it.
+    """
+    settings = configuration.endpoints.get(assignment.endpoint)
+    if settings is None:
+        message = "The configuration no longer has this endpoint."
+        raise EndpointFailure(message, CallEnd.NOT_SENT, Ran.NO)
+    return attrs.evolve(settings, url=settings.url.rstrip("/"))
--- a/src/eelgrasslock/credentials.py
+++ b/src/eelgrasslock/credentials.py
@@ -49,5 +49,5 @@
         if current is not self._source:
             self._source = current
             endpoints = current.endpoints.values() if current else ()
-            self._names = {one.url: one.credential_env for one in endpoints}
-        return self._names.get(url, "")
+            self._names = {one.url.rstrip("/"): one.credential_env for one in endpoints}
+        return self._names.get(url.rstrip("/"), "")
--- a/src/eelgrasslock/engine_client.py
+++ b/src/eelgrasslock/engine_client.py
@@ -216,6 +216,9 @@
             raise
         return True
 
+    def _order_seconds(self) -> float:
+        return min(_ORDER_SECONDS, self.limits.progress_seconds)
+
     async def _ask(
         self, method: str, url: str, path: str, body: dict[str, Any] | None
     ) -> dict[str, Any]:
@@ -233,7 +236,7 @@
     ) -> dict[str, Any]:
         """Send a short request on a fresh connection; return the JSON answer."""
         try:
-            async with asyncio.timeout(_ORDER_SECONDS):
+            async with asyncio.timeout(self._order_seconds()):
                 return await self._ask(method, url, path, body)
         except aiohttp.ClientConnectorError as error:
             raise EndpointFailure(str(error), CallEnd.NOT_SENT, Ran.NO) from error
--- /dev/null
+++ b/src/eelgrasslock/plain_methods.py
@@ -0,0 +1,20 @@
+"""What the settings say of one operation of a plain service."""
+
+from eelgrasslock.settings import MethodSettings, ServiceSettings
+
+_ANY_REST = "*"
+
+
+def find_methods(
+    settings: ServiceSettings, method: str, path: str
+) -> list[MethodSettings]:
+    """Return the entries that cover an operation; none: nothing is known."""
+    return [one for one in settings.methods if _covers(one, method, path)]
+
+
+def _covers(settings: MethodSettings, method: str, path: str) -> bool:
+    if settings.method.upper() != method.upper():
+        return False
+    if settings.path.endswith(_ANY_REST):
+        return path.startswith(settings.path.removesuffix(_ANY_REST))
+    return path == settings.path
--- a/src/eelgrasslock/relay.py
+++ b/src/eelgrasslock/relay.py
@@ -46,12 +46,21 @@
         self.tokens = 0
         self._sent_text = ""
         self._sent_others: list[dict[str, Any]] = []
-        self._reset()
+        self._message = MessageBuilder()
+        self._finish_reason = ""
+        self._usage: dict[str, Any] = {}
+        self._text_length = 0
+        self._others = 0
 
     def begin(self, endpoint: str) -> None:
         """Begin an attempt on an endpoint."""
         self.endpoint = endpoint
-        self._reset()
+        self.tokens = 0
+        self._message = MessageBuilder()
+        self._finish_reason = ""
+        self._usage = {}
+        self._text_length = 0
+        self._others = 0
 
     async def take(self, chunk: dict[str, Any]) -> None:
         """Take in one chunk of the attempt, and pass on what is new in it.
@@ -132,14 +141,6 @@
         await self.exchange.responder.write(event)
         await self.exchange.responder.finish()
 
-    def _reset(self) -> None:
-        self.tokens = 0
-        self._message = MessageBuilder()
-        self._finish_reason = ""
-        self._usage: dict[str, Any] = {}
-        self._text_length = 0
-        self._others = 0
-
     async def _begin_answer(self) -> None:
         if not self.exchange.stream or self.exchange.started:
             return
