Send a plain request once, whatever the HTTP library does

The dispatch filter's tests showed a PUT whose answer was lost arriving twice: aiohttp repeats GET, HEAD, PUT and DELETE once when a connection breaks, also on a fresh connection. Ruled out: a connector without kept connections (still repeated), a private switch of the session, and raising from a trace hook, which would leave the new connection behind. A client middleware of one request now lets it through once.

--- a/src/eelgrasslock/service_client.py
+++ b/src/eelgrasslock/service_client.py
@@ -82,8 +82,8 @@
     """Sends each request exactly once, on a connection of its own.
 
     A kept connection could turn out to be closed only once the request is
-    under way, and the HTTP library then sends some methods a second time by
-    itself. A fresh connection rules out both.
+    under way; a fresh one rules that out. The HTTP library sends a broken PUT
+    or DELETE a second time by itself, which is stopped here.
 
     Parameters
     ----------
@@ -160,6 +160,7 @@
             headers={**headers, **context_headers()},
             allow_redirects=False,
             trace_request_ctx=state,
+            middlewares=(_SendOnce(),),
         ) as response:
             body = await response.read()
             return PlainAnswer(
@@ -192,6 +193,21 @@
     }
 
 
+class _SendOnce:
+    """Stops the HTTP library from sending one request again."""
+
+    def __init__(self) -> None:
+        self._sent = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        if self._sent:
+            raise aiohttp.ClientConnectionError("The connection broke off.")
+        self._sent = True
+        return await handler(request)
+
+
 async def _note_sending(session: Any, context: SimpleNamespace, details: Any) -> None:
     state = context.trace_request_ctx
     state.sending = True
