--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -33,12 +33,17 @@
 from eelgrasslock.peers import PeerLinks
 from eelgrasslock.program_filter import ProgramFilter
 from eelgrasslock.programs import Programs
-from eelgrasslock.records import CONFIG_STREAM
 from eelgrasslock.refusal_body import refusal_body, refusal_headers
 from eelgrasslock.release import ReleaseController
 from eelgrasslock.scheduler import Scheduler
 from eelgrasslock.service_client import ServiceClient
-from eelgrasslock.settings import Configuration, DaemonSettings, LimitSettings
+from eelgrasslock.settings import (
+    Configuration,
+    DaemonSettings,
+    LimitSettings,
+    ServiceKind,
+    ServiceSettings,
+)
 from eelgrasslock.tracing import span
 from eelgrasslock.turn_filter import TurnFilter
 from eelgrasslock.vm_list import VMList
@@ -114,6 +119,13 @@
             self.clock,
             self.rng,
         )
+        self.actions = Actions(
+            self.incarnation,
+            self.writer,
+            self.tail,
+            self.clock,
+            settings.action_shards,
+        )
         self.programs = Programs(
             settings.domain,
             self.incarnation,
@@ -125,20 +137,12 @@
             self.rng,
             self.limits,
             self.price,
-        )
-        self.actions = Actions(
-            self.incarnation,
-            self.writer,
-            self.tail,
-            self.clock,
-            settings.action_shards,
+            self.actions,
         )
 
     def _make_decisions(self) -> None:
         empty = Configuration(deployment="", domains=[self.settings.domain])
-        self.scheduler = Scheduler(
-            self.clock, self.rng, empty, self.settings.domain
-        )
+        self.scheduler = Scheduler(self.clock, self.rng, empty, self.settings.domain)
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
         self.engines = EngineClient(self.session, self.clock)
         self.services = ServiceClient(self.session, self.clock)
@@ -151,7 +155,15 @@
             self.clock,
             self.rng,
         )
-        self.release = ReleaseController(self.programs, self.engines, self.clock)
+        self.release = ReleaseController(
+            self.settings.domain,
+            self.programs,
+            self.membership,
+            self.engines,
+            self.engine_urls,
+            self.clock,
+            self.rng,
+        )
 
     def _make_chain(self) -> None:
         self.handle_exchange = chain(
@@ -161,7 +173,7 @@
                 ProgramFilter(self.programs, self.current_configuration),
                 TurnFilter(self.programs),
                 BudgetFilter(self.programs),
-                ActionFilter(self.actions, self.current_configuration),
+                ActionFilter(self.actions, self.service, self.clock),
             ],
             DispatchFilter(
                 self.dispatcher,
@@ -174,6 +186,8 @@
 
     def _connect_parts(self) -> None:
         self.peers.serve_request = self.handle
+        self.peers.hold_records = self.programs.holdings.hold
+        self.peers.held_records = self.programs.holdings.held
         self.peers.config_offer = self.configuration.offer
         self.peers.config_accept = self.configuration.accept
         self.peers.config_version = lambda: self.configuration.version
@@ -205,6 +219,21 @@
         """Return the limits in force."""
         return self.current_configuration().limits
 
+    def service(self, name: str) -> ServiceSettings | None:
+        """Return a service's settings, or None for an unknown one."""
+        return self.current_configuration().services.get(name)
+
+    def engine_urls(self) -> dict[str, str]:
+        """Return the URLs of all engines by endpoint id."""
+        configuration = self.configuration.current
+        if configuration is None:
+            return {}
+        return {
+            name: endpoint.url
+            for name, endpoint in configuration.endpoints.items()
+            if configuration.services[endpoint.service].kind is ServiceKind.ENGINE
+        }
+
     def price(self, model: str) -> float:
         """Return a model's price for one token; 0 for an unknown one."""
         settings = self.current_configuration().models.get(model)
@@ -290,7 +319,6 @@
                 await self.membership.leave()
                 await self.clock.sleep(_BALANCER_SECONDS)
                 await self.in_flight.none_left()
-                await self.programs.hand_over()
         except TimeoutError:
             _log.warning("{} requests outlast the drain.", self.in_flight.count)
 
--- a/src/eelgrasslock/front.py
+++ b/src/eelgrasslock/front.py
@@ -13,6 +13,7 @@
 
 _HEADER_BYTES = 32_768
 _BODY_BYTES = 64 * 1024 * 1024
+_TRACE_HEADERS: tuple[str, ...] = ("traceparent", "tracestate")
 
 Handle = Callable[[Request, Responder], Awaitable[None]]
 
@@ -108,9 +109,7 @@
 
 def _from_http(request: web.Request, body: bytes) -> Request:
     headers = {name.lower(): value for name, value in request.headers.items()}
-    trace = {
-        name: headers[name] for name in ("traceparent", "tracestate") if name in headers
-    }
+    trace = {name: headers[name] for name in _TRACE_HEADERS if name in headers}
     return Request(
         method=request.method,
         path=request.path,
--- a/src/eelgrasslock/health.py
+++ b/src/eelgrasslock/health.py
@@ -24,6 +24,8 @@
     async def ready(request: web.Request) -> web.Response:
         reasons = readiness.unready_reasons()
         status = 503 if reasons else 200
-        return web.json_response({"ready": not reasons, "reasons": reasons}, status=status)
+        return web.json_response(
+            {"ready": not reasons, "reasons": reasons}, status=status
+        )
 
     return [web.get(HEALTH_PATH, health), web.get(READY_PATH, ready)]
--- a/src/eelgrasslock/parse_filter.py
+++ b/src/eelgrasslock/parse_filter.py
@@ -164,7 +164,9 @@
         name, _, path = rest.partition("/")
         service = configuration.services.get(unquote(name))
         if service is None or service.kind is not ServiceKind.PLAIN:
-            raise Refusal("unknown_service", f"No plain service is named {name!r}.", 404)
+            raise Refusal(
+                "unknown_service", f"No plain service is named {name!r}.", 404
+            )
         exchange.service = unquote(name)
         exchange.rest = "/" + path
 
--- a/src/eelgrasslock/program_filter.py
+++ b/src/eelgrasslock/program_filter.py
@@ -87,7 +87,7 @@
             "program": created.program,
             "secret": created.secret,
             "limits": to_jsonable(created.limits),
-            "next_turn": resumed.next_turn,
+            "next_turn": resumed.turn,
             "digest": resumed.digest,
         }
 
@@ -104,7 +104,15 @@
 
     async def _resume(self, exchange: Exchange) -> dict[str, Any]:
         await self._authorize(exchange)
-        return to_jsonable(await self.programs.resume(exchange.program))
+        resumed = await self.programs.resume(exchange.program)
+        return {
+            "program": resumed.program,
+            "next_turn": resumed.turn,
+            "digest": resumed.digest,
+            "messages": resumed.history,
+            "limits": to_jsonable(resumed.limits),
+            "spent_tokens": resumed.spent_tokens,
+        }
 
     async def _explain(self, exchange: Exchange) -> dict[str, Any]:
         await self._authorize(exchange)
@@ -121,7 +129,7 @@
         if not isinstance(asked, dict):
             raise _invalid("limits: an object is required.")
         most = self.configuration().limits.program
-        changes = {
+        changes: dict[str, Any] = {
             name: _limit(name, value, getattr(most, name, None))
             for name, value in asked.items()
         }
