Test programs through takeovers, outages and limits

The filters now run over the real writer and tail on the fake log, with a fake engine and fake peers.

Cause of the changes in the code: a draw in an outage waited two seconds because the gate let a try through each second. The writer finds out by itself when the log is back, so the gate now refuses at once. A full append queue lost a record that was promised to be kept; it is tried again now, in order.

--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions.py
@@ -103,7 +103,7 @@
         self.tail = tail
         self.clock = clock
         self.is_live = is_live
-        self.gate = LogGate(writer, clock)
+        self.gate = LogGate(writer)
         self.tables = [ActionTable() for _ in range(shards)]
         self.sweep = ActionSweep(self, status_call)
         self._unrecorded: dict[str, ActionOutcome] = {}
--- a/src/eelgrasslock/budgets.py
+++ b/src/eelgrasslock/budgets.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from eelgrasslock.accept import Verdict
-from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.exceptions import LogError, Ran, Refusal
 from eelgrasslock.held import done_within
 from eelgrasslock.ledger import ZERO, Amount
 from eelgrasslock.limits import EndReason
@@ -139,7 +139,10 @@
         task = live.drawing or self._start_draw(live, wanted)
         if not await done_within(self.programs.clock, task, _DRAW_WAIT_SECONDS):
             raise journal_unavailable()
-        verdict = task.result()
+        try:
+            verdict = task.result()
+        except LogError as error:
+            raise journal_unavailable() from error
         if not verdict.counted and verdict.reason != "budget":
             refusal = void_refusal(verdict, self.programs.state(live.id))
             refusal.ran = Ran.NO
@@ -153,7 +156,7 @@
             tokens=amount.tokens,
             money=amount.money,
         )
-        task = asyncio.create_task(self.programs.judge(record))
+        task = self.programs.watch(self.programs.judge(record))
         live.drawing = task
 
         def done(_: asyncio.Task[Verdict]) -> None:
--- a/src/eelgrasslock/live_programs.py
+++ b/src/eelgrasslock/live_programs.py
@@ -10,7 +10,7 @@
 
 from eelgrasslock.accept import Verdict, accept, void
 from eelgrasslock.clock import Clock
-from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.exceptions import LogError, Ran, Refusal
 from eelgrasslock.held import HELD_IN_TOTAL, HeldRecords, Replicas, done_within
 from eelgrasslock.journal import Journal
 from eelgrasslock.ledger import ZERO, Amount
@@ -20,6 +20,7 @@
 from eelgrasslock.records import ProgramCreated, Record, journal_stream
 
 JOURNAL_WAIT_SECONDS = 1.0
+_APPEND_RETRY_SECONDS = 1.0
 _REFUSALS_KEPT = 16
 _CONFLICT = 409
 
@@ -40,6 +41,8 @@
         Held by the one call that runs; the others wait in their order.
     claiming : asyncio.Lock
         Held while the program is taken over.
+    appending : asyncio.Lock
+        Keeps the program's records in order on their way to the log.
     waiting : int
         How many calls wait for the lock.
     held : HeldRecords
@@ -57,6 +60,7 @@
     id: str
     lock: asyncio.Lock = field(factory=asyncio.Lock)
     claiming: asyncio.Lock = field(factory=asyncio.Lock)
+    appending: asyncio.Lock = field(factory=asyncio.Lock)
     waiting: int = 0
     held: HeldRecords = field(factory=HeldRecords)
     reserved: Amount | None = None
@@ -107,7 +111,7 @@
         self.tail = tail
         self.clock = clock
         self.replicas = replicas
-        self.gate = LogGate(writer, clock)
+        self.gate = LogGate(writer)
         self.journal = Journal()
         self.stream = journal_stream(domain)
         self._live: dict[str, LiveProgram] = {}
@@ -155,7 +159,7 @@
         """Run work that outlives the call that started it."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._done)
         return task
 
     async def record(self, live: LiveProgram, record: Record) -> bool:
@@ -192,8 +196,8 @@
     async def hand_over(self, seconds: float) -> None:
         """Wait for records on their way, then leave copies and stop."""
         tasks = list(self._tasks)
-        if tasks:
-            await done_within(self.clock, asyncio.gather(*tasks), seconds)
+        waiting = asyncio.gather(*tasks, return_exceptions=True)
+        await done_within(self.clock, waiting, seconds)
         for live in self._live.values():
             live.held.drop_judged(self.journal)
             if live.held.records:
@@ -202,14 +206,31 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.warning("Work on the journal failed: {}", task.exception())
+
     async def _append(self, live: LiveProgram, record: Record) -> Verdict:
-        verdict = await self.judge(record)
+        async with live.appending:
+            offset = await self._append_for_sure(record)
+        await self.tail.reached(self.stream, offset)
+        verdict = self.journal.verdict(record.id) or void("unread")
         live.held.drop_judged(self.journal)
         if not verdict.counted:
             kind = type(record).__name__
             log.warning("{} of {} is void: {}.", kind, live.id, verdict.reason)
         return verdict
 
+    async def _append_for_sure(self, record: Record) -> int:
+        """Append a record that must not be lost or overtaken."""
+        while True:
+            try:
+                return await self.writer.append(self.stream, record)
+            except LogError as error:
+                log.warning("The writer took no record: {}", error)
+            await self.clock.sleep(_APPEND_RETRY_SECONDS)
+
 
 def void_refusal(verdict: Verdict, state: Program | None) -> Refusal:
     """Return the final answer to a call whose record is void."""
--- a/src/eelgrasslock/log_gate.py
+++ b/src/eelgrasslock/log_gate.py
@@ -2,12 +2,10 @@
 
 from typing import Protocol
 
-from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.records import Record
 
 RETRY_AFTER_SECONDS = 5.0
-_PROBE_SECONDS = 1.0
 _UNAVAILABLE = 503
 
 
@@ -40,30 +38,21 @@
 class LogGate:
     """Lets work that needs the log through, or refuses it at once.
 
-    While the writer says that the log is down, one try a second still goes
-    through, so that its return is noticed without other traffic.
+    The writer finds out by itself when the log is back.
 
     Parameters
     ----------
     writer : Writer
         Tells whether the log takes appends.
-    clock : Clock
-        The source of time.
     """
 
-    def __init__(self, writer: Writer, clock: Clock) -> None:
+    def __init__(self, writer: Writer) -> None:
         self.writer = writer
-        self.clock = clock
-        self._next_probe = 0.0
 
     def check(self) -> None:
         """Raise a `Refusal` if the log is down."""
-        if self.writer.available:
-            return
-        now = self.clock.monotonic()
-        if now < self._next_probe:
+        if not self.writer.available:
             raise journal_unavailable()
-        self._next_probe = now + _PROBE_SECONDS
 
 
 def journal_unavailable() -> Refusal:
--- a/src/eelgrasslock/takeover.py
+++ b/src/eelgrasslock/takeover.py
@@ -111,7 +111,10 @@
         if not await done_within(self.programs.clock, task, _CLAIM_SECONDS):
             task.cancel()
             raise journal_unavailable()
-        return task.result().counted
+        try:
+            return task.result().counted
+        except LogError as error:
+            raise journal_unavailable() from error
 
     async def _catch_up(self) -> None:
         self.programs.gate.check()
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,353 @@
+"""Daemons' program state over one fake log, for tests."""
+
+import asyncio
+import random
+
+import pytest
+
+from eelgrasslock.action_filter import ActionFilter
+from eelgrasslock.actions import Actions
+from eelgrasslock.budget_filter import BudgetFilter
+from eelgrasslock.clock import ManualClock
+from eelgrasslock.exceptions import PeerUnavailable, Refusal
+from eelgrasslock.exchange import CallResult, Exchange, Request, RequestKind, chain
+from eelgrasslock.log_tail import LogTail
+from eelgrasslock.log_writer import LogWriter
+from eelgrasslock.members import MemberTable
+from eelgrasslock.ownership import owner_of
+from eelgrasslock.programs import Programs
+from eelgrasslock.records import Limits, MemberJoined, MemberRetired, Positioned
+from eelgrasslock.settings import (
+    LimitSettings,
+    MethodSettings,
+    ServiceKind,
+    ServiceSettings,
+)
+from eelgrasslock.turn_filter import TurnFilter
+from eelgrasslock.usage import Usage
+from fake_log import FakeLog
+
+DOMAIN = "riga-a"
+SERVICES = {
+    "licence-app": ServiceSettings(
+        kind=ServiceKind.PLAIN,
+        methods=[MethodSettings(method="GET", path="/status/*", idempotent=True)],
+    )
+}
+
+
+class FakeResponder:
+    """Keeps what the caller receives."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.finished = False
+
+    async def start(self, status, headers):
+        self.status = status
+        self.headers = headers
+
+    async def write(self, chunk):
+        self.body += chunk
+
+    async def finish(self):
+        self.finished = True
+
+
+class FakeEngine:
+    """The chain's last step: answers model calls and counts what ran.
+
+    `fault` is an error to raise, after `fault_tokens` were used; `gate` is an
+    event that a call waits for before it ends.
+    """
+
+    def __init__(self):
+        self.runs = []
+        self.fault = None
+        self.fault_tokens = 0
+        self.gate = None
+        self.tokens = 0
+
+    async def __call__(self, exchange):
+        exchange.sent = False
+        if self.fault is not None and not self.fault_tokens:
+            raise self.fault
+        exchange.sent = True
+        self.runs.append((exchange.program, exchange.turn, exchange.request.body))
+        if self.gate is not None:
+            await self.gate.wait()
+        if self.fault is not None:
+            self.tokens += self.fault_tokens
+            exchange.tokens_used = self.fault_tokens
+            raise self.fault
+        if exchange.kind is RequestKind.PLAIN:
+            await self._answer(exchange, b"posted %d" % len(self.runs))
+            return
+        await self._complete(exchange)
+
+    async def _complete(self, exchange):
+        used = exchange.prompt_tokens + exchange.max_tokens
+        self.tokens += used
+        message = {"role": "assistant", "content": f"answer {len(self.runs)}"}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        result = CallResult(
+            message=message,
+            answer={"id": f"c{len(self.runs)}", "model": "m", "choices": [choice]},
+            usage=Usage(),
+            tokens=used,
+            endpoint="engine-1",
+            reason="The only one.",
+        )
+        for hook in exchange.before_final:
+            await hook(result)
+        await self._answer(exchange, message["content"].encode())
+
+    async def _answer(self, exchange, body):
+        await exchange.responder.start(200, {"Content-Type": "text/plain"})
+        await exchange.responder.write(body)
+        await exchange.responder.finish()
+
+
+class FakeMembership:
+    """One daemon's view of the members."""
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.table = MemberTable()
+
+    def owner(self, program):
+        return owner_of(program, self.table)
+
+    def is_self(self, member):
+        return member.incarnation == self.incarnation
+
+    def suspects(self):
+        return set()
+
+
+class FakePeers:
+    """Links between the daemons of a fleet; `cut` ones don't answer."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.cut = False
+
+    async def hold(self, member, stream, records):
+        self._peer(member).programs.holdings.hold(stream, records)
+
+    async def held(self, member, stream):
+        return self._peer(member).programs.holdings.held(stream)
+
+    def _peer(self, member):
+        peer = self.fleet.daemons[member.incarnation]
+        if self.cut or peer.peers.cut or peer.dead:
+            raise PeerUnavailable("cut")
+        return peer
+
+
+class Daemon:
+    """The program state of one daemon, with its filters before an engine."""
+
+    def __init__(self, fleet, incarnation, limits):
+        self.incarnation = incarnation
+        self.dead = False
+        clock, rng = fleet.clock, random.Random(incarnation)
+        self.log = fleet.log
+        self.writer = LogWriter(self.log, clock, rng, appends_per_second=1000.0)
+        self.tail = LogTail(self.log, clock, rng)
+        self.membership = FakeMembership(incarnation)
+        self.peers = FakePeers(fleet)
+        self.actions = Actions(incarnation, self.writer, self.tail, clock, 2)
+        self.programs = Programs(
+            DOMAIN,
+            incarnation,
+            self.writer,
+            self.tail,
+            self.membership,
+            self.peers,
+            clock,
+            rng,
+            lambda: LimitSettings(program=limits),
+            lambda model: 0.0,
+            self.actions,
+        )
+        self.engine = fleet.engine
+        filters = [
+            TurnFilter(self.programs),
+            BudgetFilter(self.programs),
+            ActionFilter(self.actions, SERVICES.get, clock),
+        ]
+        self.serve = chain(filters, self.engine)
+
+    async def start(self):
+        await self.tail.start()
+        await self.actions.start()
+        await self.programs.start()
+
+    async def kill(self):
+        """Stop without any farewell."""
+        self.dead = True
+        await self.writer.stop()
+        await self.tail.stop()
+        await asyncio.gather(*self._cancel_tasks(), return_exceptions=True)
+
+    def _cancel_tasks(self):
+        tasks = {
+            *self.programs.live_programs._tasks,
+            *self.actions._tasks,
+            self.programs._sweeper,
+            self.actions._sweeper,
+        }
+        tasks.discard(None)
+        for task in tasks:
+            task.cancel()
+        return tasks
+
+
+class Fleet:
+    """Some daemons of one domain over one log."""
+
+    def __init__(self, limits=None):
+        self.clock = ManualClock()
+        self.log = FakeLog(self.clock)
+        self.engine = FakeEngine()
+        self.limits = limits or Limits(tokens=10_000, turns=50, age=1e6)
+        self.daemons = {}
+
+    async def add(self, incarnation):
+        daemon = Daemon(self, incarnation, self.limits)
+        self.daemons[incarnation] = daemon
+        for one in self.daemons.values():
+            for other in self.daemons:
+                one.membership.table.apply(joined(other))
+        await daemon.start()
+        return daemon
+
+    def retire(self, incarnation):
+        """Let all daemons but the retired one know."""
+        record = MemberRetired(
+            author="x", time=0.0, incarnation=incarnation, reason="silent"
+        )
+        for one in self.daemons.values():
+            if one.incarnation != incarnation:
+                one.membership.table.apply(Positioned(1, 0, record))
+
+    async def stop(self):
+        for daemon in self.daemons.values():
+            await daemon.kill()
+
+    async def run(self, work, limit=120.0):
+        """Return a coroutine's result, moving the clock on meanwhile."""
+        task = asyncio.ensure_future(work)
+        await self.settle(limit, task)
+        assert task.done(), "It still waits."
+        return task.result()
+
+    async def settle(self, seconds=1.0, task=None, step=0.05):
+        """Let time pass, until a task is done if one is given."""
+        end = self.clock.time + seconds
+        while self.clock.time < end and not (task and task.done()):
+            for _ in range(15):
+                await asyncio.sleep(0)
+            self.clock.advance(step)
+
+
+def joined(incarnation):
+    record = MemberJoined(
+        author=incarnation,
+        time=0.0,
+        incarnation=incarnation,
+        name=incarnation,
+        domain=DOMAIN,
+        peer_address="",
+        http_address="",
+    )
+    return Positioned(0, 0, record)
+
+
+def model_call(program, secret, messages, turn=None, tokens=100, stream=False):
+    """Return an exchange as the parse filter leaves it."""
+    request = Request(
+        method="POST",
+        path="/v1/chat/completions",
+        headers={"eelgrass-secret": secret},
+        body=str(messages).encode(),
+    )
+    return Exchange(
+        request=request,
+        responder=FakeResponder(),
+        kind=RequestKind.MODEL,
+        body={"model": "m", "messages": messages, "stream": stream},
+        program=program,
+        turn=turn,
+        model="m",
+        stream=stream,
+        prompt_tokens=tokens // 2,
+        max_tokens=tokens - tokens // 2,
+    )
+
+
+def plain_call(
+    action, body=b"fee", method="POST", rest="/fees", program="", headers=None
+):
+    """Return an exchange for a plain service."""
+    names = dict(headers or {})
+    if action:
+        names["idempotency-key"] = action
+    request = Request(method=method, path="/licence-app" + rest, headers=names)
+    return Exchange(
+        request=Request(**{**_fields(request), "body": body}),
+        responder=FakeResponder(),
+        kind=RequestKind.PLAIN,
+        service="licence-app",
+        rest=rest,
+        program=program,
+    )
+
+
+def _fields(request):
+    return {
+        "method": request.method,
+        "path": request.path,
+        "headers": request.headers,
+    }
+
+
+def user(text):
+    return {"role": "user", "content": text}
+
+
+class Caller:
+    """An agent program's process: keeps its history and calls a daemon."""
+
+    def __init__(self, fleet, created):
+        self.fleet = fleet
+        self.program = created.program
+        self.secret = created.secret
+        self.history = []
+        self.turn = 0
+
+    def call(self, text, **changes):
+        messages = [*self.history, user(text)]
+        return model_call(self.program, self.secret, messages, self.turn, **changes)
+
+    async def ask(self, daemon, text, **changes):
+        exchange = self.call(text, **changes)
+        await self.fleet.run(daemon.serve(exchange))
+        answer = {"role": "assistant", "content": exchange.responder.body.decode()}
+        self.history = [*exchange.body["messages"], answer]
+        self.turn += 1
+        return exchange
+
+
+async def start(fleet, daemon, **changes):
+    created = await fleet.run(daemon.programs.create(**changes))
+    return Caller(fleet, created)
+
+
+async def refused(fleet, work):
+    with pytest.raises(Refusal) as caught:
+        await fleet.run(work)
+    return caught.value
--- /dev/null
+++ b/tests/test_programs.py
@@ -0,0 +1,269 @@
+import asyncio
+
+import pytest
+
+from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.records import Limits
+from fleet import Fleet, refused, start
+
+
+@pytest.fixture
+async def fleet():
+    fleet = Fleet()
+    yield fleet
+    await fleet.stop()
+
+
+@pytest.fixture
+async def daemon(fleet):
+    return await fleet.add("a1")
+
+
+@pytest.fixture
+async def other(fleet, daemon):
+    return await fleet.add("a2")
+
+
+class TestTakeover:
+    async def test_next_turn_runs_at_the_new_owner(self, fleet, daemon, other):
+        caller = await start(fleet, daemon)
+        await caller.ask(daemon, "one")
+        await daemon.kill()
+        fleet.retire("a1")
+        await caller.ask(other, "two")
+        state = other.programs.journal.program(caller.program)
+        assert (state.holder, state.history) == ("a2", caller.history)
+        assert state.ledger.forfeited.tokens > 0
+
+    async def test_program_owned_elsewhere_is_not_taken(self, fleet, daemon, other):
+        caller = await start(fleet, daemon)
+        refusal = await refused(fleet, other.serve(caller.call("one")))
+        assert (refusal.code, refusal.ran) == ("program_moving", Ran.NO)
+
+    async def test_call_of_a_paused_holder_is_superseded(self, fleet, daemon, other):
+        caller = await start(fleet, daemon)
+        fleet.engine.gate = asyncio.Event()
+        task = asyncio.create_task(daemon.serve(caller.call("one")))
+        await fleet.settle(1.0)
+        gate, fleet.engine.gate = fleet.engine.gate, None
+        fleet.retire("a1")
+        await caller.ask(other, "one")
+        gate.set()
+        refusal = await refused(fleet, task)
+        assert (refusal.code, refusal.ran) == ("superseded", Ran.YES)
+        await fleet.settle(1.0)
+        for one in (daemon, other):
+            state = one.programs.journal.program(caller.program)
+            assert state.history == caller.history
+            assert state.spent.tokens + state.drawn.tokens >= fleet.engine.tokens
+
+    async def test_two_racing_claims_make_one_holder(self, fleet, daemon, other):
+        third = await fleet.add("a3")
+        caller = await start(fleet, daemon)
+        await caller.ask(daemon, "one")
+        await daemon.kill()
+        fleet.retire("a1")
+        other.membership.owner = lambda program: other.membership.table.find("a2")
+        third.membership.owner = lambda program: third.membership.table.find("a3")
+        work = [one.serve(caller.call("two")) for one in (other, third)]
+        results = await fleet.run(asyncio.gather(*work, return_exceptions=True))
+        assert sorted(type(one) for one in results if one) == [Refusal]
+        assert len(fleet.engine.runs) == 2
+
+
+class TestLogDown:
+    async def test_turns_inside_the_draw_go_on_and_are_journaled_later(
+        self, fleet, daemon, other
+    ):
+        caller = await start(fleet, daemon)
+        await caller.ask(daemon, "one", tokens=20)
+        fleet.log.down = True
+        for text in ("two", "three"):
+            exchange = await caller.ask(daemon, text, tokens=20)
+            assert not exchange.journaled
+        assert daemon.programs.explain(caller.program).unjournaled == 2
+        fleet.log.down = False
+        await fleet.settle(60.0)
+        for one in (daemon, other):
+            state = one.programs.journal.program(caller.program)
+            assert state.history == caller.history
+        assert daemon.programs.explain(caller.program).unjournaled == 0
+
+    async def test_unjournaled_turns_survive_their_daemon(self, fleet, daemon, other):
+        caller = await start(fleet, daemon)
+        fleet.log.down = True
+        for text in ("one", "two"):
+            await caller.ask(daemon, text, tokens=20)
+        await daemon.kill()
+        fleet.retire("a1")
+        call = caller.call("three", tokens=20)
+        refusal = await refused(fleet, other.serve(call))
+        assert (refusal.code, refusal.ran) == ("journal_unavailable", Ran.NO)
+        assert refusal.retry_after
+        fleet.log.down = False
+        await fleet.settle(60.0)
+        await caller.ask(other, "three", tokens=20)
+        state = other.programs.journal.program(caller.program)
+        assert (state.turn, state.history) == (3, caller.history)
+
+    async def test_program_made_in_an_outage_survives_its_daemon(
+        self, fleet, daemon, other
+    ):
+        fleet.log.down = True
+        caller = await start(fleet, daemon)
+        await caller.ask(daemon, "one", tokens=20)
+        await daemon.kill()
+        fleet.retire("a1")
+        fleet.log.down = False
+        await caller.ask(other, "two", tokens=20)
+        state = other.programs.journal.program(caller.program)
+        assert (state.turn, state.history) == (2, caller.history)
+
+    async def test_drawing_more_is_refused_at_once(self, fleet, daemon):
+        caller = await start(fleet, daemon)
+        fleet.log.down = True
+        await caller.ask(daemon, "one", tokens=20)
+        call = caller.call("two", tokens=2_000)
+        before = fleet.clock.time
+        refusal = await refused(fleet, daemon.serve(call))
+        assert (refusal.code, refusal.ran) == ("journal_unavailable", Ran.NO)
+        assert fleet.clock.time - before < 0.2
+
+    async def test_unjournaled_turns_are_bounded(self, fleet, daemon):
+        caller = await start(fleet, daemon)
+        fleet.log.down = True
+        for turn in range(8):
+            await caller.ask(daemon, str(turn), tokens=2)
+        refusal = await refused(fleet, daemon.serve(caller.call("x", tokens=2)))
+        assert (refusal.code, refusal.ran) == ("journal_unavailable", Ran.NO)
+
+    async def test_stop_leaves_copies_with_peers(self, fleet, daemon, other):
+        caller = await start(fleet, daemon)
+        daemon.peers.cut = True
+        fleet.log.down = True
+        await caller.ask(daemon, "one", tokens=20)
+        daemon.peers.cut = False
+        await fleet.run(daemon.programs.stop())
+        held = other.programs.holdings.held("journal.riga-a")
+        assert [record.turn for record in held] == [0]
+
+    @pytest.mark.parametrize("switch", ["lose_answers", "lose_requests", "late"])
+    async def test_lost_answers_of_the_log_change_nothing(self, fleet, daemon, switch):
+        caller = await start(fleet, daemon)
+        for text in ("one", "two", "three"):
+            setattr(fleet.log, switch, 1)
+            await caller.ask(daemon, text)
+            fleet.log.release_late()
+        await fleet.settle(20.0)
+        state = daemon.programs.journal.program(caller.program)
+        assert (state.turn, state.spent.tokens) == (3, 300)
+        assert state.history == caller.history
+
+
+class TestSnapshots:
+    async def test_fresh_daemon_knows_programs_older_than_retention(
+        self, fleet, daemon
+    ):
+        caller = await start(fleet, daemon)
+        await caller.ask(daemon, "one")
+        fleet.clock.advance(2_000.0)
+        await fleet.settle(10.0)
+        fleet.log.streams["journal.riga-a"] = fleet.log.streams["journal.riga-a"][-1:]
+        fleet.log.retention = 100
+        fresh = await fleet.add("a2")
+        await fleet.settle(5.0)
+        await daemon.kill()
+        fleet.retire("a1")
+        await caller.ask(fresh, "two")
+        state = fresh.programs.journal.program(caller.program)
+        assert (state.turn, state.history) == (2, caller.history)
+
+
+class TestCreation:
+    async def test_repeated_key_answers_the_same(self, fleet, daemon):
+        other = await fleet.add("a2")
+        made = [
+            await fleet.run(one.programs.create("key", "secret"))
+            for one in (daemon, daemon, other)
+        ]
+        assert len({one.program for one in made}) == 1
+        assert len(daemon.programs.journal.programs) == 1
+
+    async def test_racing_creations_make_one_program(self, fleet, daemon):
+        other = await fleet.add("a2")
+        tasks = [one.programs.create("key", "secret") for one in (daemon, other)]
+        first, second = await fleet.run(asyncio.gather(*tasks))
+        assert first.program == second.program
+        assert len(daemon.programs.journal.programs) == 1
+
+    async def test_creation_left_undone_is_completed_by_another(self, fleet, daemon):
+        other = await fleet.add("a2")
+        daemon.programs.live_programs.stream = "nowhere"
+        daemon.tail.follow("nowhere", lambda positioned: None)
+        with pytest.raises(Refusal):
+            await fleet.run(daemon.programs.create("key", "secret"))
+        made = await fleet.run(other.programs.create("key", "secret"))
+        await fleet.settle(1.0)
+        state = other.programs.journal.program(made.program)
+        assert state.holder == "a1"
+        assert state.drawn.tokens == 0
+
+    @pytest.mark.parametrize(
+        ("secret", "limits", "code"),
+        [
+            ("other", None, "action_conflict"),
+            ("secret", Limits(tokens=5, turns=1, age=1.0), "action_conflict"),
+            ("", None, "secret_missing"),
+        ],
+    )
+    async def test_key_used_for_another_program_is_refused(
+        self, fleet, daemon, secret, limits, code
+    ):
+        await fleet.run(daemon.programs.create("key", "secret"))
+        work = daemon.programs.create("key", secret, limits)
+        assert (await refused(fleet, work)).code == code
+
+    @pytest.mark.parametrize(
+        "limits",
+        [
+            Limits(tokens=10_001, turns=1, age=1.0),
+            Limits(tokens=0, turns=1, age=1.0),
+            Limits(tokens=1, turns=1, age=2e6),
+        ],
+    )
+    async def test_limits_out_of_range(self, fleet, daemon, limits):
+        refusal = await refused(fleet, daemon.programs.create(limits=limits))
+        assert refusal.code == "limits_out_of_range"
+
+
+class TestSubAgents:
+    async def test_budget_comes_out_of_the_parents_and_the_rest_returns(
+        self, fleet, daemon
+    ):
+        parent = await start(fleet, daemon)
+        limits = Limits(tokens=4_000, turns=9, age=1e5)
+        child = await start(fleet, daemon, parent=parent.program, limits=limits)
+        ledger = daemon.programs.journal.program(parent.program).ledger
+        assert ledger.shared.tokens == 4_000
+        await child.ask(daemon, "one", tokens=300)
+        await fleet.run(daemon.programs.end(child.program, "finished"))
+        assert (ledger.shared.tokens, ledger.spent.tokens) == (0, 300)
+
+    async def test_children_never_get_more_than_the_parent_has(self, fleet, daemon):
+        parent = await start(fleet, daemon)
+        limits = Limits(tokens=4_000, turns=9, age=1e5)
+        made = [
+            daemon.programs.create(parent=parent.program, limits=limits)
+            for _ in range(4)
+        ]
+        results = await fleet.run(asyncio.gather(*made, return_exceptions=True))
+        codes = [one.code for one in results if isinstance(one, Refusal)]
+        assert codes == ["parent_budget", "parent_budget"]
+
+    async def test_children_end_with_their_parent(self, fleet, daemon):
+        parent = await start(fleet, daemon)
+        child = await start(fleet, daemon, parent=parent.program)
+        await fleet.run(daemon.programs.end(parent.program, "finished"))
+        refusal = await refused(fleet, daemon.serve(child.call("one")))
+        assert refusal.code == "program_ended"
+        assert "parent" in refusal.sentence
