--- a/src/eelgrasslock/exchange.py
+++ b/src/eelgrasslock/exchange.py
@@ -112,25 +112,6 @@
     reason: str
 
 
-@frozen(kw_only=True)
-class PlainResult:
-    """A plain service's whole answer.
-
-    Attributes
-    ----------
-    status : int
-        The service's HTTP status.
-    content_type : str
-        The answer's media type.
-    body : bytes
-        The whole body.
-    """
-
-    status: int
-    content_type: str
-    body: bytes
-
-
 BeforeFinal = Callable[[CallResult], Awaitable[None]]
 
 
@@ -185,8 +166,6 @@
         Whether a byte of the request may have left for an endpoint. The
         dispatch filter sets it to False when it takes the call and to True
         before it sends; None counts as True.
-    plain_result : PlainResult or None
-        A plain service's answer, set before the caller sees any of it.
     """
 
     request: Request
@@ -212,7 +191,6 @@
     tokens_used: int = 0
     token_allowance: int = 0
     sent: bool | None = None
-    plain_result: PlainResult | None = None
 
 
 Proceed = Callable[[Exchange], Awaitable[None]]
