Add the demo: agent programs over five daemons, one of them killed

A newcomer should see the whole path at work in about a minute. Ruled out: starting processes from Python, since the shell's trap ends them on Ctrl-C as well.

--- /dev/null
+++ b/examples/demo.sh
@@ -0,0 +1,114 @@
+#!/usr/bin/env bash
+# Starts the stand-ins and five daemons of the Riga example, runs a handful of
+# agent programs, and kills one daemon in the middle. Ends all it has started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+PYTHON="${PYTHON:-python}"
+KILL_AFTER_SECONDS="${KILL_AFTER_SECONDS:-12}"
+logs="$(mktemp -d)"
+pids=()
+daemon_urls=()
+
+forget() {
+    local kept=()
+    for pid in "${pids[@]}"; do
+        [ "$pid" != "$1" ] && kept+=("$pid")
+    done
+    pids=("${kept[@]}")
+}
+
+stop_all() {
+    trap - EXIT INT TERM
+    kill "${pids[@]}" 2>/dev/null || true
+    for _ in $(seq 50); do
+        any=""
+        for pid in "${pids[@]}"; do
+            kill -0 "$pid" 2>/dev/null && any=yes
+        done
+        [ -z "$any" ] && break
+        sleep 0.1
+    done
+    kill -9 "${pids[@]}" 2>/dev/null || true
+    wait "${pids[@]}" 2>/dev/null || true
+}
+trap stop_all EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+start() {
+    local name="$1"
+    shift
+    "$PYTHON" -m "$@" >"$logs/$name.out" 2>"$logs/$name.err" &
+    pids+=("$!")
+}
+
+standin() {
+    local name="$1"
+    shift
+    start "$name" eelgrasslock_standins.main "$@"
+}
+
+echo "demo: logs are in $logs"
+echo "demo: starting the log, the VM list, the weight store, 10 engines, 1 service"
+standin log log --port 19001
+standin vms vms --port 19002 --file examples/demo-vms.yaml
+standin weights weights --port 19003
+for number in $(seq 1 10); do
+    fencing=--checks-fencing
+    [ "$number" -ge 8 ] && fencing=
+    # shellcheck disable=SC2086
+    standin "engine-$number" engine --port "$((19100 + number))" \
+        --name "engine-$number" --batch-limit 8 --seed "$number" $fencing
+done
+standin licence-app service --name licence-app --slow 0.05 \
+    --port 19201 --port 19202 --port 19203 --port 19204 --port 19205
+
+echo "demo: starting five daemons in three failure domains"
+port=18081
+for name in riga-a-1 riga-a-2 riga-b-1 riga-b-2 riga-c-1; do
+    start "$name" eelgrasslock.daemon --settings "examples/daemons/$name"
+    daemon_urls+=(--daemon "http://127.0.0.1:$port")
+    port=$((port + 1))
+done
+victim="${pids[$((${#pids[@]} - 4))]}"
+
+echo "demo: publishing examples/riga"
+published=""
+for _ in $(seq 60); do
+    if "$PYTHON" -m eelgrasslock.cli publish examples/riga \
+        --daemon http://127.0.0.1:18081 >"$logs/publish.out" 2>&1; then
+        published=yes
+        break
+    fi
+    sleep 0.5
+done
+if [ -z "$published" ]; then
+    echo "demo: could not publish:"
+    cat "$logs/publish.out"
+    exit 1
+fi
+
+"$PYTHON" -m eelgrasslock_standins.demo "${daemon_urls[@]}" \
+    --service http://127.0.0.1:19201 &
+client="$!"
+pids+=("$client")
+
+for _ in $(seq "$KILL_AFTER_SECONDS"); do
+    sleep 1
+    kill -0 "$client" 2>/dev/null || break
+done
+echo "demo: killing the daemon riga-a-2 (pid $victim)"
+kill -9 "$victim"
+wait "$victim" 2>/dev/null || true
+forget "$victim"
+
+status=0
+wait "$client" || status="$?"
+forget "$client"
+if [ "$status" -eq 0 ]; then
+    echo "demo: all programs finished, each posting made exactly once"
+else
+    echo "demo: something went wrong; see $logs"
+fi
+exit "$status"
