Connect the daemons, watch them and retire the silent

Peers talk over pycapnp behind a gate that checks a shared key on both ends. A connection may go silent while new ones work, so each call has a deadline and one fresh connection is tried before the peer is blamed. A forwarded request whose connection was lost is disowned over a fresh one: if it has not started it never will, so that 'not run' is true when said.

A dead peer is noticed by the failure of a heartbeat, not by missing ones, so the interval may grow with the size of a domain and the traffic stays bounded. Pinging a few random peers was ruled out: the loads that decisions need would then arrive later and not cheaper.

--- a/src/eelgrasslock/append_queue.py
+++ b/src/eelgrasslock/append_queue.py
@@ -15,7 +15,7 @@
     RecordsExpired,
 )
 from eelgrasslock.log import Entry
-from eelgrasslock.records import Record, RecordError, decode_batch, encode_batch
+from eelgrasslock.records import Record, encode_batch, readable_records
 
 if TYPE_CHECKING:
     from eelgrasslock.log_writer import LogWriter
@@ -230,8 +230,7 @@
         return len(entries) < _READ_LIMIT_ENTRIES
 
     def _settle(self, entry: Entry) -> None:
-        records = decode_batch(entry.data)
-        found = {one.id for one in records if not isinstance(one, RecordError)}
+        found = {record.id for record in readable_records(entry.data)}
         for pending in self._batch:
             if pending.record.id in found:
                 pending.resolve(entry.offset)
--- /dev/null
+++ b/src/eelgrasslock/gossip.py
@@ -0,0 +1,108 @@
+"""Takes from peers what the log can't tell, or tells later."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from eelgrasslock.beat import Beat
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import PeerUnavailable, RecordError
+from eelgrasslock.log_tail import LogTail
+from eelgrasslock.members import MemberTable
+from eelgrasslock.peers import PeerLinks
+from eelgrasslock.records import MEMBERS_STREAM, MemberJoined
+
+_SEED_SECONDS = 2.0
+
+_Pull = Callable[[MemberJoined], Awaitable[None]]
+
+log = logger.bind(part="members")
+
+
+class Gossip:
+    """Pulls a newer configuration, or newer members, from a peer that has them.
+
+    Parameters
+    ----------
+    peers : PeerLinks
+        The connections.
+    table : MemberTable
+        The members.
+    tail : LogTail
+        Tells whether the log can be read.
+    clock : Clock
+        The source of time.
+    on_merged : callable
+        Called when the table has taken in a peer's.
+    """
+
+    def __init__(
+        self,
+        peers: PeerLinks,
+        table: MemberTable,
+        tail: LogTail,
+        clock: Clock,
+        on_merged: Callable[[], None],
+    ) -> None:
+        self.peers = peers
+        self.table = table
+        self.tail = tail
+        self.clock = clock
+        self.on_merged = on_merged
+        self._pulls: dict[str, asyncio.Task[None]] = {}
+
+    async def stop(self) -> None:
+        """End what is under way."""
+        pulls = list(self._pulls.values())
+        for task in pulls:
+            task.cancel()
+        await asyncio.gather(*pulls, return_exceptions=True)
+
+    def compare(self, member: MemberJoined, beat: Beat) -> None:
+        """Pull what a peer's heartbeat shows to be newer there."""
+        if beat.config_version > self.peers.config_version():
+            self._pull("config", self.peers.pull_config, member)
+        behind = beat.members_offset > self.table.offset
+        if beat.retired or (behind and self.tail.failing(MEMBERS_STREAM)):
+            self._pull("members", self._pull_members, member)
+
+    async def learn(self, addresses: Callable[[], Awaitable[list[str]]]) -> None:
+        """Ask these addresses for the members for as long as nobody tells."""
+        while True:
+            await self.clock.sleep(_SEED_SECONDS)
+            if not self.tail.failing(MEMBERS_STREAM) or self.table.live():
+                return
+            for address in await addresses():
+                if await self._learn_at(address):
+                    break
+
+    async def _learn_at(self, address: str) -> bool:
+        if address == self.peers.address:
+            return False
+        try:
+            self._merge(await self.peers.members_at(address))
+        except (PeerUnavailable, RecordError) as error:
+            log.info("No members from {}: {}", address, error)
+            return False
+        return True
+
+    def _pull(self, what: str, pull: _Pull, member: MemberJoined) -> None:
+        if what in self._pulls:
+            return
+        task = asyncio.create_task(self._finish(what, pull(member)))
+        self._pulls[what] = task
+        task.add_done_callback(lambda _: self._pulls.pop(what))
+
+    async def _finish(self, what: str, pull: Awaitable[None]) -> None:
+        try:
+            await pull
+        except (PeerUnavailable, RecordError) as error:
+            log.info("No {} from a peer: {}", what, error)
+
+    async def _pull_members(self, member: MemberJoined) -> None:
+        self._merge(await self.peers.members(member))
+
+    def _merge(self, snapshot: bytes) -> None:
+        self.table.merge(snapshot)
+        self.on_merged()
--- a/src/eelgrasslock/heartbeat.py
+++ b/src/eelgrasslock/heartbeat.py
@@ -4,7 +4,6 @@
 
 _GRACE_SECONDS = 1.5
 _GRACE_CAP_SECONDS = 60.0
-_LONE_FACTOR = 3.0
 _CALM_SECONDS = 120.0
 _MISSES_TO_RETIRE = 2
 
@@ -26,6 +25,8 @@
         How often it came back after having been suspect.
     flapped_at : float
         When it last did.
+    incarnation : str
+        The latest that joined.
     replaced : bool
         Whether another incarnation answered at its address.
     """
@@ -35,6 +36,7 @@
     heard_at: float = 0.0
     flaps: int = 0
     flapped_at: float = 0.0
+    incarnation: str = ""
     replaced: bool = False
 
 
@@ -43,8 +45,7 @@
 
     A peer is suspect as soon as one heartbeat went unanswered over two
     connections. It may be retired once misses have gone on for the grace
-    time, the peer's own heartbeats have stopped for that long as well, and a
-    second peer confirmed it; without a second peer the grace is longer. The
+    time and the peer's own heartbeats have stopped for that long as well. The
     grace doubles each time a suspect peer comes back, until it has been calm.
 
     Parameters
@@ -82,6 +83,20 @@
         self.missed(peer, now)
         self.peers[peer].replaced = True
 
+    def retired(self, peer: str, now: float) -> None:
+        """Note that a peer was retired for its silence; its return is a flap."""
+        health = self._health(peer)
+        health.flaps = 1 if self._is_calm(health, now) else health.flaps + 1
+        health.flapped_at = now
+
+    def joined(self, peer: str, incarnation: str) -> None:
+        """Note that a peer has joined; a new incarnation starts unblamed."""
+        health = self._health(peer)
+        if health.incarnation != incarnation:
+            health.incarnation = incarnation
+            health.misses = 0
+            health.replaced = False
+
     def forget(self, peer: str) -> None:
         """Drop what is known of a peer."""
         self.peers.pop(peer, None)
@@ -102,7 +117,7 @@
             return self.grace_seconds
         return min(_GRACE_CAP_SECONDS, self.grace_seconds * 2**health.flaps)
 
-    def is_silent(self, peer: str, now: float, lone: bool = False) -> bool:
+    def is_silent(self, peer: str, now: float, patience: float = 1.0) -> bool:
         """Return whether the peer may be retired, once confirmed.
 
         Parameters
@@ -111,15 +126,15 @@
             The peer.
         now : float
             On the monotonic clock.
-        lone : bool
-            Whether no second peer can be asked.
+        patience : float
+            Stretches the grace, where less is known.
         """
         health = self._health(peer)
         if health.replaced:
             return True
         if health.misses < _MISSES_TO_RETIRE:
             return False
-        grace = self.grace(peer, now) * (_LONE_FACTOR if lone else 1.0)
+        grace = self.grace(peer, now) * patience
         return now - max(health.missed_since, health.heard_at) >= grace
 
     def _health(self, peer: str) -> PeerHealth:
--- /dev/null
+++ b/src/eelgrasslock/peer.capnp
@@ -0,0 +1,59 @@
+@0xb27c1f60d5a94e83;
+# Calls between the daemons of one fleet.
+
+struct Field {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Request {
+  id @0 :Text;
+  method @1 :Text;
+  path @2 :Text;
+  query @3 :Text;
+  headers @4 :List(Field);
+  body @5 :Data;
+  forwardedBy @6 :Text;
+  trace @7 :List(Field);
+}
+
+struct Count {
+  endpoint @0 :UInt16;  # the endpoint's place in the order it was named on this connection
+  calls @1 :UInt16;
+}
+
+struct Beat {
+  incarnation @0 :Text;
+  configVersion @1 :UInt32;
+  membersOffset @2 :Int64;
+  retired @3 :Bool;      # the receiver is retired in the sender's table
+  waiting @4 :UInt32;
+  names @5 :List(Text);  # endpoints named for the first time on this connection
+  counts @6 :List(Count);  # only those that changed
+  marked @7 :Bool;       # whether the two lists below are given; else unchanged
+  digests @8 :List(Text);
+  breakers @9 :List(Text);
+}
+
+interface Gate {
+  hello @0 (nonce :Data, incarnation :Text) -> (nonce :Data, incarnation :Text, proofs :List(Data));
+  login @1 (proof :Data) -> (peer :Peer);
+}
+
+interface Sink {
+  start @0 (status :UInt16, headers :List(Field)) -> ();
+  write @1 (chunk :Data) -> ();
+  finish @2 () -> ();
+}
+
+interface Peer {
+  ping @0 () -> ();
+  heartbeat @1 (beat :Beat) -> (beat :Beat);
+  forward @2 (request :Request, sink :Sink) -> ();
+  disown @3 (id :Text) -> (started :Bool);  # after it, a request that has not started never will
+  hold @4 (stream :Text, records :Data) -> ();
+  held @5 (stream :Text) -> (records :Data);
+  config @6 () -> (data :Data);
+  members @7 () -> (data :Data);
+  reach @8 (incarnation :Text) -> (reached :Bool);
+}
--- /dev/null
+++ b/src/eelgrasslock/peer_callbacks.py
@@ -0,0 +1,49 @@
+"""What the calls of peers end in."""
+
+from collections.abc import Awaitable, Callable
+
+from eelgrasslock.beat import Beat
+from eelgrasslock.exchange import Request, Responder
+from eelgrasslock.records import Record
+
+
+class PeerCallbacks:
+    """Callbacks for the calls of peers; the application sets them.
+
+    Attributes
+    ----------
+    serve_request : callable
+        Serves a forwarded request.
+    hold_records, held_records : callable
+        Keep and give back records that the log has not taken yet.
+    config_offer : callable
+        Gives the newest accepted configuration, encoded.
+    beat_received : callable
+        Takes a peer's heartbeat and gives the answer to it.
+    members_offer : callable
+        Gives the encoded member table.
+    reach_member : callable
+        Tells whether a member answers a heartbeat from here.
+    """
+
+    def __init__(self) -> None:
+        self.serve_request: Callable[[Request, Responder], Awaitable[None]]
+        self.serve_request = _serve_nothing
+        self.hold_records: Callable[[str, list[Record]], None] = _hold_nothing
+        self.held_records: Callable[[str], list[Record]] = lambda stream: []
+        self.config_offer: Callable[[], bytes] = lambda: b""
+        self.beat_received: Callable[[Beat], Beat] = lambda beat: beat
+        self.members_offer: Callable[[], bytes] = lambda: b""
+        self.reach_member: Callable[[str], Awaitable[bool]] = _reach_nobody
+
+
+async def _serve_nothing(request: Request, responder: Responder) -> None:
+    raise ConnectionRefusedError("No requests are served yet.")
+
+
+def _hold_nothing(stream: str, records: list[Record]) -> None:
+    raise ConnectionRefusedError("No records are held yet.")
+
+
+async def _reach_nobody(incarnation: str) -> bool:
+    return False
--- /dev/null
+++ b/src/eelgrasslock/peer_servant.py
@@ -0,0 +1,158 @@
+"""The capabilities that a peer's connection is given."""
+
+from collections.abc import Awaitable
+from typing import TYPE_CHECKING, Any
+
+import capnp
+from loguru import logger
+
+from eelgrasslock.beat import BeatDecoder, BeatEncoder
+from eelgrasslock.exchange import Request
+from eelgrasslock.peer_auth import Handshake, new_nonce
+from eelgrasslock.peer_schema import fields, from_fields, schema
+from eelgrasslock.records import encode_batch, readable_records
+
+if TYPE_CHECKING:
+    from eelgrasslock.peer_server import Connection
+
+log = logger.bind(part="peers")
+
+
+class GateServer(schema.Gate.Server):
+    """Lets a peer in that proves to hold a shared key."""
+
+    def __init__(self, connection: "Connection") -> None:
+        self.connection = connection
+        self.handshake: Handshake | None = None
+
+    async def hello(
+        self, nonce: bytes, incarnation: str, _context: Any, **_: Any
+    ) -> None:
+        """Exchange nonces and prove our keys."""
+        server = self.connection.server
+        self.connection.peer = incarnation
+        own = server.own()
+        self.handshake = Handshake(incarnation, own, bytes(nonce), new_nonce())
+        results = _context.results
+        results.nonce = self.handshake.server_nonce
+        results.incarnation = own
+        results.proofs = self.handshake.server_proofs(server.keys)
+
+    async def login(self, proof: bytes, _context: Any, **_: Any) -> None:
+        """Check the peer's proof and give it its capability."""
+        if not self._is_accepted(bytes(proof)):
+            log.warning("Refused {}: it holds no key of ours.", self.connection.peer)
+            raise PermissionError("No valid key.")
+        self.handshake = None
+        _context.results.peer = PeerServant(self.connection)
+
+    def _is_accepted(self, proof: bytes) -> bool:
+        keys = self.connection.server.keys
+        if self.handshake is None:
+            return False
+        return not keys or self.handshake.accepts_client(keys, proof)
+
+
+class PeerServant(schema.Peer.Server):
+    """The calls that a peer may make once it is let in."""
+
+    def __init__(self, connection: "Connection") -> None:
+        self.connection = connection
+        self.callbacks = connection.server.callbacks
+        self.decoder = BeatDecoder()
+        self.encoder = BeatEncoder()
+
+    async def ping(self, **_: Any) -> None:
+        """Show that the connection carries answers."""
+        self.connection.used_at = self.connection.server.clock.monotonic()
+
+    async def heartbeat(self, beat: Any, _context: Any, **_: Any) -> None:
+        """Exchange heartbeats."""
+
+        async def work() -> None:
+            answer = self.callbacks.beat_received(self.decoder.read(beat))
+            self.encoder.fill(answer, _context.results.init("beat"))
+
+        await self.connection.run(work())
+
+    async def forward(self, request: Any, sink: Any, **_: Any) -> None:
+        """Serve a forwarded request."""
+        decoded = _from_message(request)
+        if not self.connection.server.forwards.start(request.id):
+            raise RuntimeError("The request was disowned.")
+        responder = SinkResponder(sink)
+        await self.connection.run(self.callbacks.serve_request(decoded, responder))
+
+    async def disown(self, id: str, _context: Any, **_: Any) -> None:
+        """Forbid a request to start, if it has not."""
+        _context.results.started = self.connection.server.forwards.disown(id)
+
+    async def hold(self, stream: str, records: bytes, **_: Any) -> None:
+        """Keep records for a peer that can't append them now."""
+
+        async def work() -> None:
+            self.callbacks.hold_records(stream, readable_records(bytes(records)))
+
+        await self.connection.run(work())
+
+    async def held(self, stream: str, _context: Any, **_: Any) -> None:
+        """Give the records that are held."""
+
+        async def work() -> None:
+            held = self.callbacks.held_records(stream)
+            _context.results.records = encode_batch(held)
+
+        await self.connection.run(work())
+
+    async def config(self, _context: Any, **_: Any) -> None:
+        """Give the newest accepted configuration."""
+        _context.results.data = self.callbacks.config_offer()
+
+    async def members(self, _context: Any, **_: Any) -> None:
+        """Give the member table."""
+        _context.results.data = self.callbacks.members_offer()
+
+    async def reach(self, incarnation: str, _context: Any, **_: Any) -> None:
+        """Tell whether a member answers from here."""
+
+        async def work() -> None:
+            _context.results.reached = await self.callbacks.reach_member(incarnation)
+
+        await self.connection.run(work())
+
+
+class SinkResponder:
+    """A `Responder` that writes to the daemon that forwarded the request."""
+
+    def __init__(self, sink: Any) -> None:
+        self.sink = sink
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers."""
+        await self._call(self.sink.start(status=status, headers=fields(headers)))
+
+    async def write(self, chunk: bytes) -> None:
+        """Send part of the body, waiting while the reader is slow."""
+        await self._call(self.sink.write(chunk=chunk))
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self._call(self.sink.finish())
+
+    async def _call(self, call: Awaitable[Any]) -> None:
+        try:
+            await call
+        except capnp.KjException as error:
+            raise ConnectionResetError("The forwarding daemon is gone.") from error
+
+
+def _from_message(message: Any) -> Request:
+    return Request(
+        method=message.method,
+        path=message.path,
+        query=message.query,
+        headers=from_fields(message.headers),
+        body=bytes(message.body),
+        forwarded_by=message.forwardedBy,
+        trace=from_fields(message.trace),
+    )
--- /dev/null
+++ b/src/eelgrasslock/peers.py
@@ -0,0 +1,329 @@
+"""Calls to the other daemons, and theirs to us."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from loguru import logger
+
+from eelgrasslock.beat import Beat
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import PeerUnavailable, Ran
+from eelgrasslock.exchange import Request, Responder
+from eelgrasslock.peer_auth import PeerRefused
+from eelgrasslock.peer_callbacks import PeerCallbacks
+from eelgrasslock.peer_link import LinkLost, PeerLink, PeerReplaced
+from eelgrasslock.peer_server import PeerServer
+from eelgrasslock.records import (
+    MemberJoined,
+    Record,
+    encode_batch,
+    new_id,
+    readable_records,
+)
+from eelgrasslock.settings import DaemonSettings
+
+_BEAT_SECONDS = 1.0
+_CALL_SECONDS = 3.0
+
+_Answer = TypeVar("_Answer")
+
+log = logger.bind(part="peers")
+
+
+class PeerLinks(PeerCallbacks):
+    """The connections between this daemon and its peers.
+
+    A connection may go silent for good while new ones work. So each call has
+    a deadline, and one fresh connection is tried before the peer is blamed.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Gives the address to listen on and the shared keys.
+    incarnation : str
+        Ours.
+    clock : Clock
+        The source of time.
+    rng : random.Random
+        Kept for the jitter of waits.
+
+    Attributes
+    ----------
+    address : str
+        Where we listen, once started.
+    config_version : callable
+        Gives the number of the newest accepted configuration.
+    config_accept : callable
+        Takes a newer configuration from a peer.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        incarnation: str,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.incarnation = incarnation
+        self.clock = clock
+        self.rng = rng
+        self.address = settings.peer_address
+        self.config_version: Callable[[], int] = lambda: 0
+        self.config_accept: Callable[[bytes], None] = lambda data: None
+        self.server = PeerServer(
+            settings.peer_keys, lambda: self.incarnation, self, clock
+        )
+        self._links: dict[str, PeerLink] = {}
+        self._connecting: dict[str, asyncio.Task[PeerLink]] = {}
+
+    async def start(self) -> None:
+        """Listen for peers; needs `capnp.kj_loop` around the event loop."""
+        self.address = await self.server.start(self.settings.peer_address)
+
+    async def stop(self) -> None:
+        """End all connections."""
+        for task in self._connecting.values():
+            task.cancel()
+        await asyncio.gather(*self._connecting.values(), return_exceptions=True)
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+        await self.server.stop()
+
+    def keep(self, incarnations: set[str]) -> None:
+        """Leave the connections to all but these, who are the living."""
+        for incarnation in self._links.keys() - incarnations:
+            self._links.pop(incarnation).leave()
+
+    async def heartbeat(self, member: MemberJoined, beat: Beat) -> Beat:
+        """Exchange heartbeats with a peer.
+
+        Raises
+        ------
+        PeerUnavailable
+            If neither the old nor a fresh connection gave an answer.
+        """
+        return await self._ask(member, lambda link: link.heartbeat(beat, _BEAT_SECONDS))
+
+    async def forward(
+        self, member: MemberJoined, request: Request, responder: Responder
+    ) -> None:
+        """Let a peer serve a request; its answer streams to the responder.
+
+        Cancelling cancels the request at the peer.
+
+        Raises
+        ------
+        PeerUnavailable
+            With ``ran`` as ``NO`` if the request surely did not start there
+            and never will, else ``UNKNOWN``.
+        """
+        link = await self._verified_link(member)
+        try:
+            await self._forward_once(link, member, request, responder)
+        except PeerUnavailable as error:
+            if error.ran is not Ran.NO:
+                raise
+            log.info("A request to {} is sent again.", member.name)
+            link = await self._fresh_link(member)
+            await self._forward_once(link, member, request, responder)
+
+    async def hold(
+        self, member: MemberJoined, stream: str, records: list[Record]
+    ) -> None:
+        """Ask a peer to keep records that the log does not take now.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the peer did not confirm.
+        """
+        data = encode_batch(records)
+
+        async def ask(peer: Any) -> None:
+            await peer.hold(stream=stream, records=data)
+
+        await self._ask(member, lambda link: link.ask(ask, _CALL_SECONDS))
+
+    async def held(self, member: MemberJoined, stream: str) -> list[Record]:
+        """Return the records of a stream that a peer keeps.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the peer did not answer.
+        """
+
+        async def ask(peer: Any) -> bytes:
+            return bytes((await peer.held(stream=stream)).records)
+
+        data = await self._ask(member, lambda link: link.ask(ask, _CALL_SECONDS))
+        return readable_records(data)
+
+    async def pull_config(self, member: MemberJoined) -> None:
+        """Take the newest configuration from a peer.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the peer did not answer.
+        """
+
+        async def ask(peer: Any) -> bytes:
+            return bytes((await peer.config()).data)
+
+        data = await self._ask(member, lambda link: link.ask(ask, _CALL_SECONDS))
+        if data:
+            self.config_accept(data)
+
+    async def members(self, member: MemberJoined) -> bytes:
+        """Return a peer's encoded member table.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the peer did not answer.
+        """
+        return await self._ask(
+            member, lambda link: link.ask(_ask_members, _CALL_SECONDS)
+        )
+
+    async def members_at(self, address: str) -> bytes:
+        """Return the encoded member table of whoever listens at an address.
+
+        Raises
+        ------
+        PeerUnavailable
+            If nobody answered.
+        """
+        try:
+            link = await self._connect(address, "")
+            try:
+                return await link.ask(_ask_members, _CALL_SECONDS)
+            finally:
+                link.close()
+        except (LinkLost, PeerRefused) as error:
+            raise PeerUnavailable(f"Nobody answers at {address}.") from error
+
+    async def reach(self, through: MemberJoined, incarnation: str) -> bool:
+        """Ask one peer whether another answers it.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the peer that was asked did not answer.
+        """
+
+        async def ask(peer: Any) -> bool:
+            return (await peer.reach(incarnation=incarnation)).reached
+
+        return await self._ask(through, lambda link: link.ask(ask, _CALL_SECONDS))
+
+    async def _ask(
+        self, member: MemberJoined, ask: Callable[[PeerLink], Awaitable[_Answer]]
+    ) -> _Answer:
+        old = self._links.get(member.incarnation)
+        if old is not None and not old.left:
+            try:
+                return await ask(old)
+            except LinkLost:
+                old.leave()
+        link = await self._fresh_link(member)
+        try:
+            return await ask(link)
+        except LinkLost as error:
+            raise PeerUnavailable(f"{member.name} gave no answer.") from error
+
+    async def _forward_once(
+        self,
+        link: PeerLink,
+        member: MemberJoined,
+        request: Request,
+        responder: Responder,
+    ) -> None:
+        id = new_id()
+        try:
+            await link.forward(id, request, responder)
+        except LinkLost as error:
+            if error.begun or await self._has_started(member, id):
+                message = f"{member.name} was lost while it served."
+                raise PeerUnavailable(message, Ran.UNKNOWN) from error
+            message = f"{member.name} was lost before it served."
+            raise PeerUnavailable(message, Ran.NO) from error
+
+    async def _has_started(self, member: MemberJoined, id: str) -> bool:
+        async def ask(peer: Any) -> bool:
+            return (await peer.disown(id=id)).started
+
+        try:
+            link = await self._fresh_link(member)
+            return await link.ask(ask, _CALL_SECONDS)
+        except (PeerUnavailable, LinkLost):
+            return True
+
+    async def _verified_link(self, member: MemberJoined) -> PeerLink:
+        link = self._links.get(member.incarnation)
+        if link is not None and not link.left:
+            try:
+                await link.verify()
+                return link
+            except LinkLost:
+                link.leave()
+        return await self._fresh_link(member)
+
+    async def _fresh_link(self, member: MemberJoined) -> PeerLink:
+        """Return a connection opened from now on, shared by those who ask."""
+        key = member.incarnation
+        task = self._connecting.get(key)
+        if task is None:
+            task = asyncio.create_task(self._replace_link(member))
+            self._connecting[key] = task
+            task.add_done_callback(lambda done: self._connected(key, done))
+        try:
+            return await asyncio.shield(task)
+        except PeerReplaced as error:
+            raise PeerGone(f"{member.name} runs anew.") from error
+        except PeerRefused as error:
+            raise PeerDenied(f"{member.name}: {error}") from error
+        except LinkLost as error:
+            raise PeerUnavailable(f"{member.name} can't be reached.") from error
+
+    def _connected(self, key: str, task: asyncio.Task[PeerLink]) -> None:
+        del self._connecting[key]
+        if not task.cancelled():
+            # Retrieved here in case that all who asked have gone.
+            task.exception()
+
+    async def _replace_link(self, member: MemberJoined) -> PeerLink:
+        link = await self._connect(member.peer_address, member.incarnation)
+        old = self._links.get(member.incarnation)
+        if old is not None:
+            old.leave()
+        self._links[member.incarnation] = link
+        return link
+
+    async def _connect(self, address: str, expected: str) -> PeerLink:
+        keys = self.settings.peer_keys
+        try:
+            return await PeerLink.connect(
+                address, expected, self.incarnation, keys, self.clock
+            )
+        except PeerRefused as error:
+            log.warning("{}: {}", address, error)
+            raise
+
+
+class PeerGone(PeerUnavailable):
+    """Another incarnation runs at the peer's address."""
+
+
+class PeerDenied(PeerUnavailable):
+    """The peer and we hold no key in common."""
+
+
+async def _ask_members(peer: Any) -> bytes:
+    return bytes((await peer.members()).data)
--- a/src/eelgrasslock/records.py
+++ b/src/eelgrasslock/records.py
@@ -425,6 +425,12 @@
     return [_decode(body) for body in bodies]
 
 
+def readable_records(data: bytes) -> list[Record]:
+    """Return the records of one log entry without those that can't be read."""
+    batch = decode_batch(data)
+    return [record for record in batch if not isinstance(record, RecordError)]
+
+
 def _decode(body: Any) -> Record | RecordError:
     if not isinstance(body, dict):
         return RecordError("The record is not an object.")
--- /dev/null
+++ b/tests/test_heartbeat.py
@@ -0,0 +1,99 @@
+import pytest
+
+from eelgrasslock.heartbeat import FailureDetector
+from eelgrasslock.relays import heartbeat_interval, watched_peers
+from fake_link import member
+from test_members import table_of
+
+ANSWERED, HEARD, MISSED, REPLACED, RETIRED = (
+    "answered",
+    "heard",
+    "missed",
+    "replaced",
+    "retired",
+)
+
+
+class TestFailureDetector:
+    @pytest.mark.parametrize(
+        ("events", "suspect", "silent"),
+        [
+            ([], False, False),
+            ([(0, ANSWERED)], False, False),
+            ([(9.5, MISSED)], True, False),
+            ([(0, ANSWERED), (9.0, MISSED), (9.9, MISSED)], True, False),
+            ([(0, ANSWERED), (8.0, MISSED), (9.0, MISSED)], True, True),
+            ([(0, ANSWERED), (1.0, MISSED)], True, False),
+            ([(8.0, MISSED), (9.0, MISSED), (9.9, ANSWERED)], False, False),
+            # A one-way cut: its own heartbeats still come in.
+            ([(1.0, MISSED), (9.0, MISSED), (9.5, HEARD)], True, False),
+            ([(9.9, REPLACED)], True, True),
+            # Flapping: the grace has doubled twice.
+            (
+                [(t, e) for t in (1, 2) for e in (MISSED, ANSWERED)]
+                + [(6, MISSED), (8, MISSED)],
+                True,
+                False,
+            ),
+            ([(0, RETIRED), (8, MISSED), (9, MISSED)], True, False),
+        ],
+    )
+    def test_judges_by_silence(self, events, suspect, silent):
+        detector = FailureDetector(grace_seconds=1.5)
+        for now, event in events:
+            getattr(detector, event)("p", now)
+        assert detector.is_suspect("p") is suspect
+        assert detector.is_silent("p", 10.0) is silent
+        assert detector.suspects() == ({"p"} if suspect else set())
+
+    def test_calm_ends_the_damping(self):
+        detector = FailureDetector(grace_seconds=1.5)
+        for now in range(10):
+            detector.missed("p", now)
+            detector.answered("p", now)
+        assert detector.grace("p", 10) == 60.0
+        assert detector.grace("p", 1000) == 1.5
+
+    def test_new_incarnation_starts_unblamed(self):
+        detector = FailureDetector()
+        detector.joined("p", "p-1")
+        detector.replaced("p", 1.0)
+        detector.joined("p", "p-1")
+        assert detector.is_suspect("p")
+        detector.joined("p", "p-2")
+        assert not detector.is_suspect("p")
+
+    def test_patience_stretches_the_grace(self):
+        detector = FailureDetector(grace_seconds=1.0)
+        detector.missed("p", 1.0)
+        detector.missed("p", 2.0)
+        assert detector.is_silent("p", 3.0)
+        assert not detector.is_silent("p", 3.0, patience=3.0)
+        assert detector.is_silent("p", 4.0, patience=3.0)
+
+
+class TestWatchedPeers:
+    @pytest.mark.parametrize(("domains", "size"), [(1, 4), (3, 5), (11, 29)])
+    def test_own_domain_and_few_links_between_domains(self, domains, size):
+        fleet = [
+            member(f"m{domain}.{n}", f"d{domain}")
+            for domain in range(domains)
+            for n in range(size)
+        ]
+        table = table_of(*fleet)
+        links = set()
+        for own in fleet:
+            peers = watched_peers(own, table)
+            near = {one.name for one in peers if one.domain == own.domain}
+            assert len(near) == size - 1
+            for one in peers:
+                if one.domain != own.domain:
+                    links.add((own.domain, one.domain, own.name, one.name))
+        pairs = {link[:2] for link in links}
+        assert len(pairs) == domains * (domains - 1)
+        assert len(links) == 4 * len(pairs)
+
+    @pytest.mark.parametrize("peers", [1, 4, 8, 9, 28, 40, 1000])
+    def test_traffic_is_bounded(self, peers):
+        assert peers / heartbeat_interval(peers) <= 8.0
+        assert heartbeat_interval(peers) >= 1.0
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,363 @@
+import asyncio
+import contextlib
+import random
+
+import capnp
+import pytest
+from loguru import logger
+
+from eelgrasslock import peer_link
+from eelgrasslock.beat import Beat
+from eelgrasslock.clock import SystemClock
+from eelgrasslock.exceptions import PeerUnavailable, Ran
+from eelgrasslock.exchange import Request
+from eelgrasslock.peers import PeerDenied, PeerGone, PeerLinks
+from eelgrasslock.scheduling import PeerLoad
+from fake_link import Relay, daemon_settings, member
+from fake_log import drawn
+
+REQUEST = Request(
+    method="POST",
+    path="/v1/chat/completions",
+    query="a=b",
+    headers={"content-type": "application/json"},
+    body=b"\x00" * 100_000,
+    trace={"traceparent": "00-1"},
+)
+
+
+class Caller:
+    """A responder that keeps what it is given, as slowly as it is told."""
+
+    def __init__(self, pause=0.0, break_after=None):
+        self.status = None
+        self.headers = {}
+        self.chunks = []
+        self.finished = False
+        self.pause = pause
+        self.break_after = break_after
+
+    async def start(self, status, headers):
+        self.status, self.headers = status, headers
+
+    async def write(self, chunk):
+        await asyncio.sleep(self.pause)
+        if len(self.chunks) == self.break_after:
+            raise BrokenPipeError("gone")
+        self.chunks.append(chunk)
+
+    async def finish(self):
+        self.finished = True
+
+
+class Service:
+    """Serves forwarded requests: some chunks, then a wait if told so."""
+
+    def __init__(self, chunks=3, hang=False, fail=False):
+        self.chunks = chunks
+        self.hang = hang
+        self.fail = fail
+        self.requests = []
+        self.written = 0
+        self.cancelled = asyncio.Event()
+        self.begun = asyncio.Event()
+
+    async def __call__(self, request, responder):
+        self.requests.append(request)
+        self.begun.set()
+        try:
+            if self.fail:
+                raise ValueError("a secret upstream text")
+            if self.hang:
+                await asyncio.sleep(100)
+            await responder.start(200, {"x-one": "1"})
+            for _ in range(self.chunks):
+                await responder.write(b"chunk")
+                self.written += 1
+            await responder.finish()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+
+
+@contextlib.asynccontextmanager
+async def pair(keys=((), ()), relayed=False):
+    """Two daemons' links, and the second as a member to the first."""
+    async with capnp.kj_loop(), contextlib.AsyncExitStack() as stack:
+        ends = []
+        for name, own_keys in zip("xy", keys, strict=True):
+            settings = daemon_settings(name, peer_keys=list(own_keys))
+            links = PeerLinks(settings, f"{name}-1", SystemClock(), random.Random(1))
+            await links.start()
+            stack.push_async_callback(links.stop)
+            ends.append(links)
+        address = ends[1].address
+        relay = None
+        if relayed:
+            relay = await Relay(address).start()
+            stack.push_async_callback(relay.stop)
+            address = relay.address
+        yield ends[0], ends[1], member("y", address=address), relay
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(peer_link, "_QUIET_SECONDS", 0.2)
+    monkeypatch.setattr(peer_link, "_PING_SECONDS", 0.5)
+
+
+def beat(**load):
+    return Beat(load=PeerLoad(incarnation="x-1", in_flight={}, **load))
+
+
+class TestKeys:
+    @pytest.mark.parametrize(
+        ("ours", "theirs", "let_in"),
+        [
+            ([], [], True),
+            (["k"], ["k"], True),
+            (["old", "new"], ["old"], True),
+            (["new", "old"], ["old"], True),
+            (["new"], ["old", "new"], True),
+            (["new", "old"], ["old", "new"], True),
+            (["k"], ["other"], False),
+            (["k"], [], False),
+            ([], ["k"], False),
+        ],
+    )
+    async def test_lets_in_who_shares_a_key(self, ours, theirs, let_in):
+        lines = []
+        sink = logger.add(lines.append, level="WARNING")
+        async with pair((ours, theirs)) as (x, _, y_member, _):
+            if let_in:
+                await x.heartbeat(y_member, beat())
+            else:
+                with pytest.raises(PeerDenied):
+                    await x.heartbeat(y_member, beat())
+        logger.remove(sink)
+        assert bool(lines) is not let_in
+        assert not any("'k'" in line for line in lines)
+
+    async def test_replayed_proof_is_refused(self):
+        async with pair((["k"], ["k"])) as (x, y, y_member, _):
+            host, port = y.address.split(":")
+            await x.heartbeat(y_member, beat())
+            link = next(iter(x._links.values()))
+            assert link.peer is not None
+            stream = await capnp.AsyncIoStream.create_connection(host, int(port))
+            client = capnp.TwoPartyClient(stream)
+            gate = client.bootstrap().cast_as(peer_link.schema.Gate)
+            with pytest.raises(capnp.KjException):
+                await gate.login(proof=b"\x00" * 32)
+            await gate.hello(nonce=b"n", incarnation="x-1")
+            with pytest.raises(capnp.KjException):
+                await gate.login(proof=b"\x00" * 32)
+            client.close()
+
+
+class TestForward:
+    async def test_streams_the_answer(self):
+        async with pair() as (x, y, y_member, _):
+            y.serve_request = service = Service()
+            caller = Caller()
+            await x.forward(y_member, REQUEST, caller)
+            assert service.requests == [REQUEST]
+            assert (caller.status, caller.headers) == (200, {"x-one": "1"})
+            assert caller.chunks == [b"chunk"] * 3
+            assert caller.finished
+
+    async def test_slow_reader_holds_the_writer_back(self):
+        async with pair() as (x, y, y_member, _):
+            y.serve_request = service = Service(chunks=1000)
+            caller = Caller(pause=0.05)
+            task = asyncio.create_task(x.forward(y_member, REQUEST, caller))
+            await asyncio.sleep(0.6)
+            assert service.written <= len(caller.chunks) + 1 < 20
+            task.cancel()
+            await asyncio.wait_for(service.cancelled.wait(), 10)
+
+    @pytest.mark.parametrize("how", ["cancelled", "link_cut", "reader_broke"])
+    async def test_caller_that_goes_away_cancels_through(self, how):
+        async with pair(relayed=True) as (x, y, y_member, relay):
+            hang = how != "reader_broke"
+            y.serve_request = service = Service(chunks=100_000, hang=hang)
+            caller = Caller(break_after=None if hang else 2)
+            task = asyncio.create_task(x.forward(y_member, REQUEST, caller))
+            await asyncio.wait_for(service.begun.wait(), 10)
+            if how == "reader_broke":
+                with pytest.raises(BrokenPipeError):
+                    await asyncio.wait_for(task, 10)
+                assert service.written <= 3
+                return
+            if how == "cancelled":
+                task.cancel()
+            else:
+                relay.cut()
+            await asyncio.wait_for(service.cancelled.wait(), 10)
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def test_silence_of_the_service_is_no_fault(self):
+        async with pair() as (x, y, y_member, _):
+            y.serve_request = service = Service()
+            serve = y.serve_request
+
+            async def slow(request, responder):
+                await asyncio.sleep(1.5)
+                await serve(request, responder)
+
+            y.serve_request = slow
+            caller = Caller()
+            await x.forward(y_member, REQUEST, caller)
+            assert caller.finished
+            assert len(service.requests) == 1
+
+    async def test_error_at_the_peer_tells_no_text(self):
+        async with pair() as (x, y, y_member, _):
+            y.serve_request = Service(fail=True)
+            with pytest.raises(PeerUnavailable) as caught:
+                await x.forward(y_member, REQUEST, Caller())
+            assert caught.value.ran is Ran.UNKNOWN
+            cause = caught.value.__cause__.__cause__
+            assert "secret" not in f"{caught.value} {cause}"
+
+    @pytest.mark.parametrize(
+        ("fault", "ran", "served"),
+        [
+            ("frozen_before", None, 1),
+            ("frozen_on_the_way", None, 1),
+            ("frozen_while_served", Ran.UNKNOWN, 1),
+            ("cut_while_served", Ran.UNKNOWN, 1),
+            ("refused", Ran.NO, 0),
+            ("deaf", Ran.NO, 0),
+            ("replaced", Ran.NO, 0),
+            ("replaced_unnoticed", Ran.UNKNOWN, 0),
+        ],
+    )
+    async def test_says_whether_the_request_ran(self, fault, ran, served, monkeypatch):
+        monkeypatch.setattr(peer_link, "_CONNECT_SECONDS", 0.5)
+        async with pair(relayed=True) as (x, y, y_member, relay):
+            y.serve_request = service = Service(hang="while" in fault)
+            await x.heartbeat(y_member, beat())
+            if fault == "frozen_before":
+                await asyncio.sleep(0.3)
+                relay.freeze()
+            elif fault == "frozen_on_the_way":
+                relay.freeze()
+            elif fault in ("refused", "deaf"):
+                relay.cut()
+                setattr(relay, "refuse" if fault == "refused" else "deaf", True)
+                await asyncio.sleep(0.3)
+            elif fault.startswith("replaced"):
+                y.incarnation = "y-2"
+                relay.cut()
+                await asyncio.sleep(0.0 if "unnoticed" in fault else 0.3)
+            caller = Caller()
+            task = asyncio.create_task(x.forward(y_member, REQUEST, caller))
+            if "while" in fault:
+                await asyncio.wait_for(service.begun.wait(), 10)
+                relay.freeze() if "frozen" in fault else relay.cut()
+            if ran is None:
+                await asyncio.wait_for(task, 20)
+                assert caller.finished
+            else:
+                with pytest.raises(PeerUnavailable) as caught:
+                    await asyncio.wait_for(task, 20)
+                assert caught.value.ran is ran
+            assert len(service.requests) == served
+
+    async def test_disowned_request_never_starts(self):
+        async with pair() as (x, y, y_member, _):
+            y.serve_request = service = Service()
+            y.server.forwards.disown("late")
+            await x.heartbeat(y_member, beat())
+            (link,) = x._links.values()
+            with pytest.raises(peer_link.LinkLost):
+                await link.forward("late", REQUEST, Caller())
+            assert not service.requests
+
+
+class TestFreshConnection:
+    async def test_is_tried_before_the_peer_is_blamed(self):
+        async with pair(relayed=True) as (x, _, y_member, relay):
+            await x.heartbeat(y_member, beat())
+            relay.freeze()
+            await x.heartbeat(y_member, beat())
+            assert relay.accepted == 2
+
+    async def test_streams_survive_a_moment_of_silence(self, monkeypatch):
+        async with pair() as (x, y, y_member, _):
+            caller = Caller()
+
+            async def serve(request, responder):
+                await responder.start(200, {})
+                await asyncio.sleep(0.5)
+                await responder.write(b"late")
+                await responder.finish()
+
+            y.serve_request = serve
+            task = asyncio.create_task(x.forward(y_member, REQUEST, caller))
+            await asyncio.sleep(0.2)
+            (link,) = x._links.values()
+            link.leave()
+            await x.heartbeat(y_member, beat())
+            await asyncio.wait_for(task, 10)
+            assert caller.chunks == [b"late"]
+            assert link.lost
+
+    async def test_other_incarnation_is_told_apart(self):
+        async with pair() as (x, y, y_member, _):
+            y.incarnation = "y-2"
+            with pytest.raises(PeerGone):
+                await x.heartbeat(y_member, beat())
+
+
+class TestCalls:
+    async def test_records_are_held_and_given_back(self):
+        async with pair() as (x, y, y_member, _):
+            kept = {}
+            y.hold_records = kept.__setitem__
+            y.held_records = lambda stream: kept.get(stream, [])
+            records = [drawn(1), drawn(2)]
+            await x.hold(y_member, "journal.a", records)
+            assert kept == {"journal.a": records}
+            assert await x.held(y_member, "journal.a") == records
+            assert await x.held(y_member, "journal.b") == []
+
+    async def test_hold_that_failed_says_so(self):
+        async with pair() as (x, _, y_member, _):
+            with pytest.raises(PeerUnavailable):
+                await x.hold(y_member, "journal.a", [drawn(1)])
+
+    async def test_config_is_pulled(self):
+        async with pair() as (x, y, y_member, _):
+            taken = []
+            y.config_offer = lambda: b"newest"
+            x.config_accept = taken.append
+            await x.pull_config(y_member)
+            assert taken == [b"newest"]
+
+    async def test_loads_travel_as_changes(self):
+        async with pair() as (x, y, y_member, _):
+            got = []
+
+            def receive(one):
+                got.append(one.load)
+                return beat(waiting=7)
+
+            y.beat_received = receive
+            loads = [
+                {f"engine-{number}": number + 1 for number in range(40)},
+                {f"engine-{number}": number + 1 for number in range(40)},
+                {"engine-1": 5},
+                {"engine-1": 5},
+            ]
+            for in_flight in loads:
+                load = PeerLoad(
+                    incarnation="x-1", in_flight=in_flight, suspect_digests=("d",)
+                )
+                answer = await x.heartbeat(y_member, Beat(load=load))
+                assert answer.load.waiting == 7
+            assert len(got[0].in_flight) == 32
+            assert got[1].in_flight == loads[1]
+            assert got[3].in_flight == loads[3]
+            assert all(load.suspect_digests == ("d",) for load in got)
