--- a/src/eelgrasslock/action_filter.py
+++ b/src/eelgrasslock/action_filter.py
@@ -22,6 +22,7 @@
 
 _REPLAYED_HEADER = "Eelgrass-Replayed"
 _ACTION_ID_CHARS = 200
+_ANY_BYTES = "surrogateescape"
 _BAD_REQUEST = 400
 _GONE = 410
 
@@ -99,7 +100,8 @@
             )
 
     async def _run(self, intent: Intent, exchange: Exchange, proceed: Proceed) -> None:
-        recorder = _Recorder(exchange.responder, self.actions, intent)
+        responder = exchange.responder
+        recorder = _Recorder(responder, self.actions, intent)
         exchange.responder = recorder
         try:
             await proceed(exchange)
@@ -107,6 +109,8 @@
             if not recorder.settled:
                 await self._settle_failed(intent, exchange, error)
             raise
+        finally:
+            exchange.responder = responder
         if not recorder.settled:
             await self.actions.settle(intent, ActionResult.UNKNOWN)
 
@@ -144,18 +148,19 @@
 
     async def write(self, chunk: bytes) -> None:
         """Send part of the body."""
-        room = BODY_LIMIT - len(self._body)
-        self._body += chunk[:room]
+        if len(self._body) <= BODY_LIMIT:
+            self._body += chunk
         await self.responder.write(chunk)
 
     async def finish(self) -> None:
         """Record the outcome and end the body."""
         self.settled = True
+        kept = len(self._body) <= BODY_LIMIT
         await self.actions.settle(
             self.intent,
             ActionResult.DONE,
-            self._status,
-            self._body.decode(errors="replace"),
+            self._status if kept else 0,
+            self._body.decode(errors=_ANY_BYTES) if kept else "",
             self._content_type,
         )
         await self.responder.finish()
@@ -200,5 +205,5 @@
     if outcome.content_type:
         headers["Content-Type"] = outcome.content_type
     await exchange.responder.start(outcome.status, headers)
-    await exchange.responder.write(outcome.body.encode())
+    await exchange.responder.write(outcome.body.encode(errors=_ANY_BYTES))
     await exchange.responder.finish()
--- a/src/eelgrasslock/action_sweep.py
+++ b/src/eelgrasslock/action_sweep.py
@@ -9,6 +9,7 @@
 
 from eelgrasslock.action_table import ActionEntry
 from eelgrasslock.exceptions import EelgrassError
+from eelgrasslock.periodic import run_periodically
 from eelgrasslock.records import (
     ActionIntended,
     ActionOutcome,
@@ -71,12 +72,15 @@
 
     async def run(self) -> None:
         """Do all periodic work until cancelled."""
-        while True:
-            await self.actions.clock.sleep(_SWEEP_SECONDS)
-            self.forget()
-            if self.actions.writer.available:
-                await self.repeat()
-                await self.ask_services()
+        clock = self.actions.clock
+        await run_periodically(clock, lambda: _SWEEP_SECONDS, self.sweep)
+
+    async def sweep(self) -> None:
+        """Do all periodic work once."""
+        self.forget()
+        if self.actions.writer.available:
+            await self.repeat()
+            await self.ask_services()
 
     def forget(self) -> None:
         """Drop settled actions older than the window that is remembered."""
--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions.py
@@ -187,7 +187,10 @@
         body: str = "",
         content_type: str = "",
     ) -> None:
-        """Record what became of a request; a slow log is not waited for."""
+        """Record what became of a request; a slow log is not waited for.
+
+        A status of 0 stands for an answer that is unknown or too long to keep.
+        """
         outcome = self._outcome(intent.record, result, status, body, content_type)
         self._unrecorded[intent.record.id] = outcome
         task = self._watch(self._record_outcome(outcome))
@@ -313,6 +316,8 @@
             raise journal_unavailable()
         if outcome is None or outcome.result is not ActionResult.DONE:
             raise _unknown(entry)
+        if not outcome.status:
+            raise _done_before()
         return outcome
 
     def _outcome(
@@ -332,7 +337,7 @@
             intent=intent.id,
             result=result,
             status=status,
-            body=body[:BODY_LIMIT],
+            body=body,
             content_type=content_type,
         )
 
@@ -361,6 +366,15 @@
         )
 
 
+def _done_before() -> Refusal:
+    return Refusal(
+        "action_done",
+        "This action has run before; its answer is not kept.",
+        _CONFLICT,
+        Ran.YES,
+    )
+
+
 def _unknown(entry: ActionEntry) -> Refusal:
     return Refusal(
         "outcome_unknown",
--- a/src/eelgrasslock/journal.py
+++ b/src/eelgrasslock/journal.py
@@ -2,7 +2,6 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Any
 
 from eelgrasslock.accept import Verdict, accept, counted, void
 from eelgrasslock.exceptions import RecordError
@@ -33,12 +32,16 @@
         Offset up to which an unknown program may have ended unnoticed.
     on_ended : list of callables
         Called with each program that ends.
+    on_moved : list of callables
+        Called with each program whose turn ran elsewhere than the one before,
+        and the endpoint that it left.
     """
 
     def __init__(self) -> None:
         self.programs: dict[str, Program] = {}
         self.floor = -1
         self.on_ended: list[Callable[[Program], None]] = []
+        self.on_moved: list[Callable[[Program, str], None]] = []
         self._tombstones: OrderedDict[str, Program] = OrderedDict()
         self._verdicts: OrderedDict[str, Verdict] = OrderedDict()
         self._strangers: OrderedDict[str, int] = OrderedDict()
@@ -85,7 +88,11 @@
         if program is None:
             self._note_stranger(name, offset)
             return void("unknown_program")
+        before = program.endpoint
         verdict = accept(program, record, offset)
+        if before and program.endpoint != before:
+            for callback in self.on_moved:
+                callback(program, before)
         if verdict.counted and program.ended:
             self._bury(program, offset)
         return verdict
@@ -160,15 +167,16 @@
             return counted()
         if record.as_of < max(self.floor, self._strangers.get(record.program, -1)):
             return void("newer_state_possible")
-        return self._adopt(record.program, record.state)
+        return self._adopt(record)
 
-    def _adopt(self, name: str, state: dict[str, Any]) -> Verdict:
+    def _adopt(self, record: ProgramSnapshot) -> Verdict:
         try:
-            program = decode_program(state)
+            program = decode_program(record.state)
         except RecordError:
             return void("unreadable")
-        if program.id != name:
+        if program.id != record.program:
             return void("unreadable")
-        self.programs[name] = program
-        self._strangers.pop(name, None)
+        program.based = max(program.based, record.time)
+        self.programs[program.id] = program
+        self._strangers.pop(program.id, None)
         return counted()
--- a/src/eelgrasslock/live_programs.py
+++ b/src/eelgrasslock/live_programs.py
@@ -123,6 +123,11 @@
             self._live[program] = LiveProgram(id=program)
         return self._live[program]
 
+    def is_running(self, program: str) -> bool:
+        """Return whether a call of a program runs here."""
+        live = self._live.get(program)
+        return live is not None and live.lock.locked()
+
     def known(self) -> list[str]:
         """Return the ids of all programs with something kept."""
         return list(self._live)
--- a/src/eelgrasslock/program.py
+++ b/src/eelgrasslock/program.py
@@ -108,6 +108,11 @@
         """What its holder has drawn and not settled."""
         return self.ledger.drawn
 
+    @property
+    def endpoint(self) -> str:
+        """The endpoint that its last turn ran on, empty before the first."""
+        return self.turns[-1].endpoint if self.turns else ""
+
     @property
     def endpoints(self) -> set[str]:
         """The endpoints that its turns ran on."""
--- a/src/eelgrasslock/programs.py
+++ b/src/eelgrasslock/programs.py
@@ -22,6 +22,7 @@
 from eelgrasslock.limits import EndReason, ended_refusal, expired
 from eelgrasslock.live_programs import LiveProgram, LivePrograms
 from eelgrasslock.log_gate import Writer
+from eelgrasslock.periodic import run_periodically
 from eelgrasslock.program import Program, TurnExplained
 from eelgrasslock.records import Limits, ProgramEnded
 from eelgrasslock.settings import LimitSettings
@@ -162,7 +163,8 @@
     async def start(self) -> None:
         """Follow the journal and start the periodic work."""
         self.tail.follow(self.live_programs.stream, self.journal.apply)
-        self._sweeper = asyncio.create_task(self._sweep_forever())
+        sweeping = run_periodically(self.clock, lambda: _SWEEP_SECONDS, self._sweep)
+        self._sweeper = asyncio.create_task(sweeping)
 
     async def stop(self) -> None:
         """Hand over what the log has not taken, and stop."""
@@ -297,18 +299,16 @@
         except Refusal as refusal:
             log.info("Program {} is not ended yet: {}", program, refusal.code)
 
-    async def _sweep_forever(self) -> None:
-        while True:
-            await self.clock.sleep(_SWEEP_SECONDS)
-            await self.end_expired()
-            await self.snapshots.write_due()
-            self.holdings.drop_judged(self.live_programs.stream, self.journal)
-            self._forget_ended()
+    async def _sweep(self) -> None:
+        await self.end_expired()
+        await self.snapshots.write_due()
+        self.holdings.drop_judged(self.live_programs.stream, self.journal)
+        self._forget_idle()
 
-    def _forget_ended(self) -> None:
+    def _forget_idle(self) -> None:
         for program in self.live_programs.known():
             state = self.live_programs.state(program)
-            if state is None or state.ended:
+            if state is None or state.ended or not self.takeover.responsible(state):
                 self.live_programs.forget(program)
 
 
--- a/src/eelgrasslock/release.py
+++ b/src/eelgrasslock/release.py
@@ -11,6 +11,7 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError, LogError
+from eelgrasslock.periodic import run_periodically
 from eelgrasslock.program import Program
 from eelgrasslock.program_ids import parse_program_id
 from eelgrasslock.programs import Programs
@@ -104,12 +105,15 @@
         self._first_seen: dict[tuple[str, str], float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         programs.journal.on_ended.append(self._release_ended)
+        programs.journal.on_moved.append(self._release_moved)
 
     async def start(self) -> None:
         """Start sending orders and comparing engines with the journal."""
+        sending = run_periodically(self.clock, lambda: _TICK_SECONDS, self.send_due)
+        reconciling = run_periodically(self.clock, self._reconcile_wait, self.reconcile)
         self._tasks = [
-            asyncio.create_task(self._send_forever()),
-            asyncio.create_task(self._reconcile_forever()),
+            asyncio.create_task(sending),
+            asyncio.create_task(reconciling),
         ]
 
     async def stop(self) -> None:
@@ -157,6 +161,10 @@
             for endpoint in program.endpoints:
                 self.release(endpoint, program.id, program.updated)
 
+    def _release_moved(self, program: Program, endpoint: str) -> None:
+        if self.programs.takeover.responsible(program):
+            self.release(endpoint, program.id, program.fence)
+
     def _is_ours(self, program: str) -> bool:
         """Tell whether this daemon is the one that answers for a program."""
         try:
@@ -172,10 +180,9 @@
         state = self.programs.live_programs.state(program)
         if state is None or state.ended:
             return True
-        live = self.programs.live_programs.live(program)
-        if live.lock.locked() or not state.turns:
+        if self.programs.live_programs.is_running(program) or not state.turns:
             return False
-        return state.turns[-1].endpoint != endpoint
+        return state.endpoint != endpoint
 
     def _note_strays(self, seen: set[tuple[str, str]]) -> None:
         """Release strays only once they have been there for a safe time."""
@@ -213,12 +220,5 @@
             log.info("{} did not release {}: {}", url, order.program, error)
             return False
 
-    async def _send_forever(self) -> None:
-        while True:
-            await self.clock.sleep(_TICK_SECONDS)
-            await self.send_due()
-
-    async def _reconcile_forever(self) -> None:
-        while True:
-            await self.clock.sleep(_RECONCILE_SECONDS * (1 + self.rng.random()))
-            await self.reconcile()
+    def _reconcile_wait(self) -> float:
+        return _RECONCILE_SECONDS * (1 + self.rng.random())
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -69,6 +69,8 @@
         self.fault_tokens = 0
         self.gate = None
         self.tokens = 0
+        self.posting = b"posted %d"
+        self.endpoint = "engine-1"
 
     async def __call__(self, exchange):
         exchange.sent = False
@@ -83,7 +85,7 @@
             exchange.tokens_used = self.fault_tokens
             raise self.fault
         if exchange.kind is RequestKind.PLAIN:
-            await self._answer(exchange, b"posted %d" % len(self.runs))
+            await self._answer(exchange, self.posting % len(self.runs))
             return
         await self._complete(exchange)
 
@@ -97,7 +99,7 @@
             answer={"id": f"c{len(self.runs)}", "model": "m", "choices": [choice]},
             usage=Usage(),
             tokens=used,
-            endpoint="engine-1",
+            endpoint=self.endpoint,
             reason="The only one.",
         )
         for hook in exchange.before_final:
