Add the scheduler: placement, order, slots, admission, breakers, quarantine

The daemon needs one place that decides which waiting call starts next and on which endpoint, without I/O, so that measurements drive the code that serves.

Waiting calls are parked at the endpoint they chose, so that a change costs the same however many wait; ranks never change, so that all calls age alike. Slots of a shared engine: a fair share is always free, idle slots are borrowed in part between two words from peers. Suspects of a crash run alone, so that a second crash convicts one digest and no neighbour.

Ruled out: trying parked endpoints anyway when all are parked (a gateway has no queue, we have one); counting each broken call of one crash as a crash. Additions to shared types: Assignment.import_from, a repeated digest in PeerLoad.suspect_digests, EndpointSettings.kv_tokens_per_second.

--- a/src/eelgrasslock/scheduling.py
+++ b/src/eelgrasslock/scheduling.py
@@ -66,6 +66,9 @@
         The expected time to the answer's end.
     reason : str
         One sentence that explains the choice.
+    import_from : str
+        An endpoint from which the prompt's KV cache is worth importing before
+        the call is sent, or empty. A failed import only costs time.
     """
 
     call: Call
@@ -73,6 +76,7 @@
     cached_tokens: int
     predicted_seconds: float
     reason: str
+    import_from: str = ""
 
 
 class CallEnd(enum.Enum):
@@ -137,7 +141,8 @@
     waiting : int
         Calls that wait at the peer.
     suspect_digests : tuple of str
-        Request digests that were in flight when an endpoint crashed.
+        Request digests that were in flight when an endpoint crashed, each once
+        for each crash that the peer saw.
     open_breakers : tuple of str
         Endpoints that the peer holds to be down.
     """
--- a/src/eelgrasslock/settings.py
+++ b/src/eelgrasslock/settings.py
@@ -153,6 +153,9 @@
         For engines, the size of its prefix cache.
     prefill_tokens_per_second, decode_tokens_per_second : float
         For engines, the speed for one call in an empty batch.
+    kv_tokens_per_second : float
+        For engines, the speed at which it exports or imports KV cache; 0 if it
+        can't.
     checks_fencing : bool
         Whether it refuses an order with an old fencing number.
     credential_env : str
@@ -169,6 +172,7 @@
     cache_tokens: int = 200_000
     prefill_tokens_per_second: float = 8_000.0
     decode_tokens_per_second: float = 40.0
+    kv_tokens_per_second: float = 0.0
     checks_fencing: bool = False
     credential_env: str = ""
     leaving: bool = False
--- /dev/null
+++ b/src/eelgrasslock/slots.py
@@ -0,0 +1,74 @@
+"""Keeps an engine near its batch limit though daemons hear of each other late.
+
+Each daemon may always use its fair share of an engine's slots. What idle
+daemons leave is borrowed, but only a part of the free slots between two words
+from peers, so that daemons which see the same gap don't all fill it.
+"""
+
+import math
+import random
+
+from eelgrasslock.endpoint_state import EndpointState
+from eelgrasslock.exchange import CallClass
+
+LOOKUP_EXTRA_SLOTS = 2
+_RENEW_SECONDS = 0.5
+
+
+class Slots:
+    """Says whether a call may be sent to an endpoint now.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Settles who takes the last free slots.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.waiting_at: dict[str, int] = {}
+
+    @property
+    def daemons(self) -> int:
+        """How many daemons share the endpoints, this one included."""
+        return 1 + len(self.waiting_at)
+
+    def hear_peer(self, incarnation: str, waiting: int) -> None:
+        """Take in how many calls wait at a peer."""
+        self.waiting_at[incarnation] = waiting
+
+    def forget_peer(self, incarnation: str) -> None:
+        """Drop a peer that is gone."""
+        self.waiting_at.pop(incarnation, None)
+
+    def free(self, state: EndpointState, call_class: CallClass, now: float) -> bool:
+        """Return whether a slot is free for a call of this class."""
+        limit = state.settings.batch_limit
+        if call_class is CallClass.LOOKUP:
+            return state.load() < limit + LOOKUP_EXTRA_SLOTS
+        if self.daemons == 1:
+            return state.load() < limit
+        if len(state.running) < limit // self.daemons:
+            return True
+        self._renew(state, now)
+        return state.borrowable > 0 and state.load() < limit
+
+    def take(self, state: EndpointState) -> None:
+        """Note a call that is about to be sent."""
+        share = state.settings.batch_limit // self.daemons
+        if len(state.running) >= share:
+            state.borrowable -= 1
+
+    def _renew(self, state: EndpointState, now: float) -> None:
+        """Share the free slots anew, no more often than peers send word."""
+        if now - state.renewed < _RENEW_SECONDS:
+            return
+        state.renewed = now
+        room = state.settings.batch_limit - state.load()
+        if room <= 0:
+            state.borrowable = 0
+            return
+        rivals = 1 + sum(waiting > 0 for waiting in self.waiting_at.values())
+        part = room / rivals
+        whole = math.floor(part)
+        state.borrowable = whole + (self.rng.random() < part - whole)
--- /dev/null
+++ b/src/eelgrasslock/starter.py
@@ -0,0 +1,264 @@
+"""Starts waiting calls on endpoints that have a free slot."""
+
+import random
+
+from eelgrasslock.cache_estimate import CHUNK_TOKENS, CacheEstimate
+from eelgrasslock.decisions import Decisions
+from eelgrasslock.endpoint_state import EndpointState, RunningCall
+from eelgrasslock.exchange import CallClass
+from eelgrasslock.fleet import Fleet
+from eelgrasslock.placement import Candidate, Choice, Placement
+from eelgrasslock.pool import REVIEW_SECONDS, Pool
+from eelgrasslock.quarantine import Quarantine
+from eelgrasslock.queueing import ProgramTable, WaitingCall
+from eelgrasslock.scheduling import Assignment
+from eelgrasslock.slots import Slots
+
+_PLACED_AT_ONCE = 32
+_ENDPOINTS_AT_ONCE = 1_000
+_REVIEWED_AT_ONCE = 16
+_REVIEW_AGAIN_SECONDS = 0.05
+
+
+class Starter:
+    """Places the waiting calls of a pool in the order of their ranks.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The endpoints.
+    cache : CacheEstimate
+        What the engines hold.
+    slots : Slots
+        Whether an endpoint has a free slot.
+    programs : ProgramTable
+        Where programs ran last.
+    quarantine : Quarantine
+        Which calls must run alone.
+    rng : random.Random
+        The source of chance.
+    decisions : Decisions
+        Which decisions are on.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        cache: CacheEstimate,
+        slots: Slots,
+        programs: ProgramTable,
+        quarantine: Quarantine,
+        rng: random.Random,
+        decisions: Decisions,
+    ) -> None:
+        self.fleet = fleet
+        self.cache = cache
+        self.slots = slots
+        self.programs = programs
+        self.quarantine = quarantine
+        self.rng = rng
+        self.decisions = decisions
+        self.placement = Placement(cache, rng, decisions)
+
+    def start_waiting(self, pool: Pool, now: float, wall: float) -> list[Assignment]:
+        """Start what may start now."""
+        started: list[Assignment] = []
+        self._serve_unplaced(pool, now, wall, started)
+        if now >= pool.review_at:
+            self._review(pool, now, wall, started)
+        for _ in range(_ENDPOINTS_AT_ONCE):
+            if not pool.changed:
+                break
+            self._serve_parked(pool, pool.next_changed(), now, wall, started)
+        return started
+
+    def _serve_parked(
+        self,
+        pool: Pool,
+        endpoint: str,
+        now: float,
+        wall: float,
+        started: list[Assignment],
+    ) -> None:
+        state = pool.members.get(endpoint)
+        head = pool.parked_head(endpoint)
+        if state is None:
+            pool.unpark_all(endpoint)
+            return
+        if head is None:
+            if pool.total_waiting and self._has_slot(state, CallClass.BACKGROUND, now):
+                pool.review_at = min(pool.review_at, now + _REVIEW_AGAIN_SECONDS)
+            return
+        if not state.is_open(now, head.call.id):
+            pool.unpark_all(endpoint)
+            return
+        while head is not None and self._may_start(state, head, now):
+            pool.pop_parked(endpoint)
+            self._place(pool, head, now, wall, started)
+            head = pool.parked_head(endpoint)
+
+    def _review(
+        self, pool: Pool, now: float, wall: float, started: list[Assignment]
+    ) -> None:
+        """Place the heads again; they may have a better choice by now."""
+        pool.review_at = now + REVIEW_SECONDS
+        pool.changed.update(dict.fromkeys(pool.parked))
+        endpoints = [name for name, heap in pool.parked.items() if heap.head()]
+        if len(endpoints) > _REVIEWED_AT_ONCE:
+            endpoints = self.rng.sample(endpoints, _REVIEWED_AT_ONCE)
+        for endpoint in endpoints:
+            waiting = pool.pop_parked(endpoint)
+            if waiting is not None:
+                self._place(pool, waiting, now, wall, started)
+
+    def _serve_unplaced(
+        self, pool: Pool, now: float, wall: float, started: list[Assignment]
+    ) -> None:
+        homeless: list[WaitingCall] = []
+        for _ in range(_PLACED_AT_ONCE):
+            waiting = pool.unplaced.pop()
+            if waiting is None:
+                break
+            if not self._place(pool, waiting, now, wall, started):
+                homeless.append(waiting)
+        for waiting in homeless:
+            pool.unplaced.push(waiting)
+
+    def _place(
+        self,
+        pool: Pool,
+        waiting: WaitingCall,
+        now: float,
+        wall: float,
+        started: list[Assignment],
+    ) -> bool:
+        """Start or park a call; return False if no endpoint is open."""
+        choice = self._choose(pool, waiting, now)
+        if choice is None:
+            return False
+        state = choice.state
+        if self.quarantine.is_suspect(waiting.call.digest):
+            self._reserve(pool, state, waiting)
+        head = pool.parked_head(state.name)
+        is_first = head is None or waiting.rank < head.rank
+        if not is_first:
+            pool.changed[state.name] = None
+        if is_first and self._may_start(state, waiting, now):
+            started.append(self._start(pool, waiting, choice, now, wall))
+        else:
+            pool.park(waiting, state.name)
+        return True
+
+    def _choose(self, pool: Pool, waiting: WaitingCall, now: float) -> Choice | None:
+        call = waiting.call
+        program = self.programs.find(call.program, now)
+        states = self.placement.sample(
+            pool.states, pool.members, waiting.keys, program.home
+        )
+        candidates = self._candidates(pool, waiting, states, now)
+        if not candidates and len(states) < len(pool.states):
+            candidates = self._candidates(pool, waiting, pool.states, now)
+        return self.placement.choose(
+            call, waiting.keys, waiting.output_tokens, candidates
+        )
+
+    def _candidates(
+        self,
+        pool: Pool,
+        waiting: WaitingCall,
+        states: list[EndpointState],
+        now: float,
+    ) -> list[Candidate]:
+        call = waiting.call
+        is_lookup = call.call_class is CallClass.LOOKUP
+        candidates = []
+        for state in states:
+            if state.name in call.excluded or not state.is_open(now, call.id):
+                continue
+            cached = self._cached_tokens(state, waiting.keys)
+            ahead = 0 if is_lookup else pool.parked_counts.get(state.name, 0)
+            candidates.append(Candidate(state, cached, ahead))
+        return candidates
+
+    def _cached_tokens(self, state: EndpointState, keys: tuple[int, ...]) -> int:
+        if not self.decisions.cache or not keys:
+            return 0
+        return self.cache.cached_chunks(state.name, keys) * CHUNK_TOKENS
+
+    def _has_slot(
+        self, state: EndpointState, call_class: CallClass, now: float
+    ) -> bool:
+        return not self.decisions.slots or self.slots.free(state, call_class, now)
+
+    def _may_start(
+        self, state: EndpointState, waiting: WaitingCall, now: float
+    ) -> bool:
+        if not state.is_open(now, waiting.call.id):
+            return False
+        if self.quarantine.is_suspect(waiting.call.digest):
+            return not state.running and not state.others
+        return self._has_slot(state, waiting.call.call_class, now)
+
+    def _reserve(self, pool: Pool, state: EndpointState, waiting: WaitingCall) -> None:
+        """Keep an endpoint free for a call that must run alone."""
+        if state.reserved_for != waiting.call.id:
+            state.reserved_for = waiting.call.id
+            pool.unpark_all(state.name)
+
+    def _start(
+        self,
+        pool: Pool,
+        waiting: WaitingCall,
+        choice: Choice,
+        now: float,
+        wall: float,
+    ) -> Assignment:
+        call = waiting.call
+        state = choice.state
+        pool.remove(waiting)
+        self.slots.take(state)
+        running = RunningCall(
+            call=call,
+            keys=waiting.keys,
+            started=now,
+            cached_tokens=choice.cached_tokens,
+            uncached_tokens=choice.uncached_tokens,
+            queued_prefill_tokens=state.prefill_tokens,
+            batch=state.load(),
+        )
+        state.start(running, now, wall)
+        self.cache.store(state.name, waiting.keys)
+        self._move_home(call.program, state, call.prompt_tokens, now)
+        return Assignment(
+            call=call,
+            endpoint=state.name,
+            cached_tokens=choice.cached_tokens,
+            predicted_seconds=choice.run_seconds,
+            reason=_reason(choice, running.batch, now - waiting.submitted),
+            import_from=choice.import_from,
+        )
+
+    def _move_home(
+        self, program: str, state: EndpointState, tokens: int, now: float
+    ) -> None:
+        entry = self.programs.find(program, now)
+        entry.calls += 1
+        if not tokens:
+            return
+        former = self.fleet.states.get(entry.home)
+        if former is not None:
+            former.live_tokens -= entry.context_tokens
+        entry.home = state.name
+        entry.context_tokens = tokens
+        state.live_tokens += tokens
+
+
+def _reason(choice: Choice, batch: int, waited: float) -> str:
+    parts = [f"{batch} calls ran there", f"it waited {waited:.1f} s"]
+    prompt = choice.cached_tokens + choice.uncached_tokens
+    if prompt:
+        held = f"{choice.cached_tokens} of {prompt} prompt tokens were held"
+        parts.insert(0, held)
+    if choice.import_from:
+        parts.append(f"the prefix comes from {choice.import_from}")
+    return f"Chosen for the least cost: {', '.join(parts)}."
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,92 @@
+import pytest
+
+from decision_fakes import make_call, make_scheduler, peer_load, start
+from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.scheduling import CallEnd
+
+
+def crash(scheduler, endpoint):
+    running = list(scheduler.fleet.states[endpoint].running)
+    for call_id in running:
+        scheduler.finish(call_id, CallEnd.CRASHED)
+
+
+class TestQuarantine:
+    def test_a_request_crashes_at_most_two_endpoints(self):
+        scheduler, clock = make_scheduler(engines=4, batch_limit=4)
+        lost = []
+        for attempt in range(10):
+            for number in range(5):
+                start(scheduler, make_call(f"ok{attempt}-{number}"))
+            call = make_call(f"bad{attempt}", digest="poison")
+            if len(lost) == 2:
+                with pytest.raises(Refusal) as caught:
+                    scheduler.submit(call)
+                assert caught.value.code == "quarantined"
+                assert caught.value.status == 422
+                assert caught.value.ran is Ran.NO
+                continue
+            scheduler.submit(call)
+            for _ in range(20):
+                started = scheduler.assign()
+                if any(one.call is call for one in started):
+                    break
+                clock.advance(1.0)
+                for state in list(scheduler.fleet.states.values()):
+                    for call_id in list(state.running):
+                        scheduler.finish(call_id, CallEnd.DONE)
+            endpoint = scheduler.endpoint_of[call.id]
+            lost.append(endpoint)
+            crash(scheduler, endpoint)
+            clock.advance(30.0)
+        assert len(lost) == 2
+
+    def test_innocent_neighbours_are_cleared_by_running_alone(self):
+        scheduler, clock = make_scheduler(engines=2, batch_limit=4)
+        scheduler.mark_leaving("e1", True, "vm-list")
+        good = start(scheduler, make_call("good", digest="good"))
+        start(scheduler, make_call("bad", digest="bad"))
+        scheduler.mark_leaving("e1", False, "vm-list")
+        crash(scheduler, good.endpoint)
+        assert scheduler.suspects.is_suspect("good")
+        clock.advance(20.0)
+        again = start(scheduler, make_call("good", digest="good"))
+        state = scheduler.fleet.states[again.endpoint]
+        neighbours = [start(scheduler, make_call(f"n{n}")) for n in range(4)]
+        assert list(state.running) == [again.call.id]
+        assert any(neighbours)
+        scheduler.finish(again.call.id, CallEnd.DONE)
+        assert not scheduler.suspects.is_suspect("good")
+        assert scheduler.suspects.is_suspect("bad")
+
+    def test_crashes_that_two_daemons_saw_add_up(self):
+        ours, _ = make_scheduler()
+        ours.observe_peer(peer_load("b", suspect_digests=("poison",)))
+        ours.submit(make_call("p", digest="poison"))
+        ours.observe_peer(peer_load("c", suspect_digests=("poison",)))
+        ours.forget_peer("b")
+        with pytest.raises(Refusal):
+            ours.submit(make_call("q", digest="poison"))
+        [expired] = ours.expire()
+        assert expired.refusal.code == "quarantined"
+
+    def test_one_crash_is_told_once_for_each_call(self):
+        scheduler, _ = make_scheduler(engines=1, batch_limit=4)
+        for number in range(3):
+            start(scheduler, make_call(f"p{number}", digest=f"d{number}"))
+        crash(scheduler, "e0")
+        told = scheduler.peer_load().suspect_digests
+        assert sorted(told) == ["d0", "d1", "d2"]
+
+    def test_operators_quarantine_and_release(self):
+        scheduler, _ = make_scheduler()
+        scheduler.quarantine("d")
+        with pytest.raises(Refusal):
+            scheduler.submit(make_call(digest="d"))
+        scheduler.release_digest("d")
+        assert start(scheduler, make_call(digest="d")) is not None
+
+    def test_a_quarantined_request_is_not_retried(self):
+        scheduler, _ = make_scheduler()
+        scheduler.quarantine("d")
+        assert scheduler.retry_delay(make_call(digest="d"), "e0", 1) is None
