Assemble the daemon from its parts

Cause: the parts were built side by side; nothing ran as one process yet. Change: the application makes each part with what it needs, adopts a new incarnation in place when peers have retired the old one, and forwards the trace context with a forwarded call.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import secrets
 from typing import Protocol
 
 import aiohttp
@@ -26,7 +25,7 @@
 from eelgrasslock.log_client import HTTPLog
 from eelgrasslock.log_tail import LogTail
 from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.membership import Membership
+from eelgrasslock.membership import Membership, new_incarnation
 from eelgrasslock.metrics import Metrics
 from eelgrasslock.operator_api import OperatorAPI
 from eelgrasslock.parse_filter import ParseFilter
@@ -50,7 +49,6 @@
 
 _log = logger.bind(part="daemon")
 
-_INCARNATION_BYTES = 6
 _BALANCER_SECONDS = 1.0
 
 
@@ -90,9 +88,8 @@
         self.clock = clock
         self.rng = rng
         self.session = session
-        self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self.incarnation = new_incarnation(settings.name)
         self.draining = False
-        self.retired = asyncio.Event()
         self.in_flight = InFlight()
         self.metrics = Metrics(settings)
         self._make_state()
@@ -144,8 +141,8 @@
         empty = Configuration(deployment="", domains=[self.settings.domain])
         self.scheduler = Scheduler(self.clock, self.rng, empty, self.settings.domain)
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
-        self.engines = EngineClient(self.session, self.clock)
-        self.services = ServiceClient(self.session, self.clock)
+        self.engines = EngineClient(self.clock, self.known_configuration)
+        self.services = ServiceClient(self.clock, self.known_configuration)
         self.vm_list = VMList(self.settings.vm_list_url, self.session)
         self.endpoint_watch = EndpointWatch(
             self.configuration,
@@ -154,6 +151,7 @@
             self.vm_list,
             self.clock,
             self.rng,
+            self.dispatcher.kick,
         )
         self.release = ReleaseController(
             self.settings.domain,
@@ -168,7 +166,7 @@
     def _make_chain(self) -> None:
         self.handle_exchange = chain(
             [
-                ParseFilter(lambda: self.configuration.current, self.clock),
+                ParseFilter(self.known_configuration, self.clock),
                 LocateFilter(self.membership, self.tail, self.peers),
                 ProgramFilter(self.programs, self.current_configuration),
                 TurnFilter(self.programs),
@@ -181,6 +179,7 @@
                 self.services,
                 self.current_configuration,
                 self.clock,
+                self.metrics,
             ).handle,
         )
 
@@ -195,10 +194,14 @@
         self.membership.load_source = self.scheduler.peer_load
         self.membership.on_peer_load(self.scheduler.observe_peer)
         self.membership.on_peer_gone(self.scheduler.forget_peer)
-        self.membership.on_retired(self.retired.set)
+        self.membership.on_retired(self._adopt_incarnation)
 
     # --- what the parts ask of each other -------------------------------------
 
+    def known_configuration(self) -> Configuration | None:
+        """Return the configuration in force, or None while none is known."""
+        return self.configuration.current
+
     def current_configuration(self) -> Configuration:
         """Return the configuration in force.
 
@@ -248,6 +251,12 @@
             reasons.append("no configuration")
         return reasons
 
+    def _adopt_incarnation(self, old: str, new: str) -> None:
+        """Go on as a new incarnation; what the old one held must be claimed."""
+        self.incarnation = new
+        self.programs.live_programs.incarnation = new
+        self.actions.incarnation = new
+
     # --- requests ---------------------------------------------------------------
 
     async def handle(self, request: Request, responder: Responder) -> None:
@@ -296,6 +305,8 @@
             self.membership,
             self.programs,
             self.actions,
+            self.engines,
+            self.services,
             self.dispatcher,
             self.endpoint_watch,
             self.release,
--- a/src/eelgrasslock/daemon.py
+++ b/src/eelgrasslock/daemon.py
@@ -51,27 +51,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     async with capnp.kj_loop(), aiohttp.ClientSession() as session:
-        while not stop.is_set():
-            await _run_once(settings, session, stop)
-
-
-async def _run_once(
-    settings: DaemonSettings, session: aiohttp.ClientSession, stop: asyncio.Event
-) -> None:
-    """Run one incarnation, until told to stop or until peers have retired it."""
-    application = Application(settings, SystemClock(), random.Random(), session)
-    try:
-        await application.start()
-        waits = [
-            asyncio.create_task(stop.wait()),
-            asyncio.create_task(application.retired.wait()),
-        ]
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
-        await application.drain()
-    finally:
-        await application.stop()
+        application = Application(settings, SystemClock(), random.Random(), session)
+        try:
+            await application.start()
+            await stop.wait()
+            await application.drain()
+        finally:
+            await application.stop()
 
 
 if __name__ == "__main__":
--- a/src/eelgrasslock/locate_filter.py
+++ b/src/eelgrasslock/locate_filter.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from attrs import evolve
 from loguru import logger
 
 from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable, Refusal
@@ -10,6 +11,7 @@
 from eelgrasslock.log_tail import LogTail
 from eelgrasslock.membership import Membership
 from eelgrasslock.records import MEMBERS_STREAM, MemberJoined
+from eelgrasslock.tracing import context_headers, span
 
 _log = logger.bind(part="locate")
 
@@ -105,7 +107,9 @@
         if self.forwarded is not None:
             self.forwarded(exchange.program)
         try:
-            await self.peers.forward(owner, exchange.request, exchange.responder)
+            with span("locate.forward", owner=owner.name):
+                request = evolve(exchange.request, trace=context_headers())
+                await self.peers.forward(owner, request, exchange.responder)
         except PeerUnavailable as error:
             _log.warning("Owner {} can't be reached: {}", owner.name, error)
             raise Refusal(
