--- a/src/eelgrasslock/operator_api.py
+++ b/src/eelgrasslock/operator_api.py
@@ -291,7 +291,7 @@
 async def _read_order(request: web.Request, kind: type[Order]) -> Order:
     try:
         return from_jsonable(json.loads(await request.read()), kind)
-    except (ValueError, RecordError) as error:
+    except (ValueError, RecursionError, RecordError) as error:
         names = ", ".join(attribute.name for attribute in attrs.fields(kind))  # type: ignore
         sentence = f"The body must be a JSON object with {names}."
         raise OperatorError(400, error_view("bad_request", sentence)) from error
--- a/src/eelgrasslock/operator_keys.py
+++ b/src/eelgrasslock/operator_keys.py
@@ -24,7 +24,7 @@
             return True
         if not authorization.startswith(_SCHEME):
             return False
-        given = authorization.removeprefix(_SCHEME).encode()
+        given = authorization.removeprefix(_SCHEME).encode(errors="surrogateescape")
         # Every key is compared, so that the time tells nothing.
         matches = [hmac.compare_digest(given, key) for key in self.keys]
         return any(matches)
--- a/src/eelgrasslock/records.py
+++ b/src/eelgrasslock/records.py
@@ -429,7 +429,7 @@
     """
     try:
         bodies = json.loads(data)
-    except ValueError:
+    except (ValueError, RecursionError):
         return [RecordError("The entry is not JSON.")]
     if not isinstance(bodies, list):
         return [RecordError("The entry is not a list of records.")]
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -105,6 +105,14 @@
             stream.add(record)
         assert daemon.read().in_force == expected
 
+    def test_verdicts(self, stream, daemon):
+        for record in (V1, BAD_2, V2, RIVAL_2):
+            stream.add(record)
+        verdict = daemon.read().configuration.verdict
+        outcomes = [verdict(one).outcome.value for one in ("bad", "v2", "rival")]
+        assert outcomes == ["rejected", "accepted", "void"]
+        assert verdict("unseen") is None
+
     @pytest.mark.parametrize("seed", range(20))
     def test_readers_agree_and_never_go_back(self, seed):
         """Random streams, with readers that start late and hear gossip."""
@@ -179,6 +187,10 @@
         stream.add(copy(V2, 1))
         assert reader.read().in_force == "v3"
 
+    def test_what_a_copys_author_judged_is_not_judged_again(self, stream):
+        # Its author read v2 as void or rejected, whatever this reader thinks.
+        assert self.late(stream, [V1, V2, copy(V1, 1)], 1).in_force == "v1"
+
     def test_gossip_closes_the_gap(self, stream):
         witness = Daemon(stream)
         for record in (V1, V2, RIVAL_2):
@@ -361,6 +373,7 @@
         with pytest.raises(VersionConflict) as caught:
             await other.publish("bens", 3.0, replaces="first", author="ben")
         assert (caught.value.version, caught.value.author) == (2, "ana")
+        assert len(stream.entries) == 2
 
     async def test_a_race_that_only_the_stream_decides(self, stream, daemon):
         await daemon.publish("first", 1.0)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,5 +1,7 @@
 import json
 
+import pytest
+
 from eelgrasslock.exceptions import RecordError
 from eelgrasslock.records import (
     BudgetDrawn,
@@ -35,6 +37,9 @@
         assert second == drawn
         assert isinstance(third, RecordError)
 
-    def test_garbage_entry_is_one_error(self):
-        (error,) = decode_batch(b"\xff\x00")
+    @pytest.mark.parametrize(
+        "data", [b"\xff\x00", b"[" * 100_000], ids=["no text", "deep"]
+    )
+    def test_garbage_entry_is_one_error(self, data):
+        (error,) = decode_batch(data)
         assert isinstance(error, RecordError)
