--- a/src/eelgrasslock/membership.py
+++ b/src/eelgrasslock/membership.py
@@ -240,7 +240,7 @@
         await self.tail.caught_up(MEMBERS_STREAM)
         for member in self.table.live():
             if self._is_predecessor(member):
-                await self.retirement.append_replaced(member)
+                await self.retirement.retire([member], "replaced")
         while own is self.own and self.table.find(own.incarnation) is None:
             await self._append(own)
             await self.clock.sleep(_REJOIN_SECONDS)
--- a/src/eelgrasslock/retirement.py
+++ b/src/eelgrasslock/retirement.py
@@ -71,7 +71,7 @@
     async def consider(self, member: MemberJoined) -> None:
         """Retire a peer if it has been silent long enough and is confirmed so."""
         if self._is_replaced(member):
-            await self.append_replaced(member)
+            await self.retire([member], "replaced")
             return
         foreign = member.domain != self.own.domain
         patience = _FOREIGN_PATIENCE if foreign else 1.0
@@ -86,13 +86,15 @@
             if not self._is_silent(member, patience):
                 return
         if not foreign:
-            await self._append([member], "silent")
+            await self.retire([member], "silent")
         elif await self._whole_domain_is_silent(member):
-            await self._append(self.table.live(member.domain), "silent")
+            await self.retire(self.table.live(member.domain), "silent")
 
-    async def append_replaced(self, member: MemberJoined) -> None:
-        """Retire a member whose address another incarnation has taken."""
-        await self._append([member], "replaced")
+    async def retire(self, members: list[MemberJoined], reason: str) -> None:
+        """Append retirements, as far as the log takes them now."""
+        log.warning("Retiring {}: {}.", [one.name for one in members], reason)
+        appends = [self._append(member, reason) for member in members]
+        await asyncio.gather(*appends)
 
     def _is_replaced(self, member: MemberJoined) -> bool:
         health = self.watch.detector.peers.get(peer_key(member))
@@ -132,12 +134,7 @@
         answers = await asyncio.gather(*(self.watch.beat(one) for one in domain))
         return not any(answers)
 
-    async def _append(self, members: list[MemberJoined], reason: str) -> None:
-        log.warning("Retiring {}: {}.", [one.name for one in members], reason)
-        appends = [self._append_one(member, reason) for member in members]
-        await asyncio.gather(*appends)
-
-    async def _append_one(self, member: MemberJoined, reason: str) -> None:
+    async def _append(self, member: MemberJoined, reason: str) -> None:
         record = MemberRetired(
             author=self.own.incarnation,
             time=self.clock.now(),
