Run suspects apart instead of alone, and bound copies in flight

After a crash all calls in flight are suspects, up to a whole batch. Each one alone on its engine would have taken all ten engines of a pool for one lost VM. It is enough that no two suspects share an engine: a second crash then adds one to each neighbour, and only the suspect reaches two.

Copies of one request sent together would have crashed one engine each before the first crash was known; no more than two are in flight at a time. Also: an endpoint that a configuration removes keeps its state until its calls end.

--- a/src/eelgrasslock/admission.py
+++ b/src/eelgrasslock/admission.py
@@ -119,7 +119,7 @@
         pool = self.fleet.pool(call)
         if pool is None or not pool.states:
             raise _unavailable("No endpoint serves this.", _UNAVAILABLE_RETRY_SECONDS)
-        if any(state.is_open(now) or state.reserved_for for state in pool.states):
+        if any(state.is_open(now) for state in pool.states):
             return pool
         opens_at = pool.opens_at
         if opens_at is None:
--- a/src/eelgrasslock/endpoint_state.py
+++ b/src/eelgrasslock/endpoint_state.py
@@ -118,7 +118,7 @@
         self.prefill_tokens = 0
         self.leaving: set[str] = set()
         self.parked_until = 0.0
-        self.reserved_for = ""
+        self.suspect = ""
         self.live_tokens = 0
         self.slowness = 1.0
         self.service_seconds = (
@@ -135,13 +135,10 @@
         self.renewed = float("-inf")
         self._history: deque[tuple[float, int]] = deque(maxlen=_HISTORY_KEPT)
 
-    def is_open(self, now: float, call_id: str = "") -> bool:
+    def is_open(self, now: float) -> bool:
         """Return whether a new call may be sent, were there a free slot."""
         return (
-            not self.leaving
-            and self.parked_until <= now
-            and self.reserved_for in ("", call_id)
-            and self.breaker.allows(now)
+            not self.leaving and self.parked_until <= now and self.breaker.allows(now)
         )
 
     def opens_at(self) -> float | None:
@@ -181,15 +178,11 @@
         """Note a call that is over."""
         running = self.running.pop(call_id)
         self.decode_begins(running)
-        self.unreserve(call_id)
+        if self.suspect == call_id:
+            self.suspect = ""
         self._history.append((wall, len(self.running)))
         return running
 
-    def unreserve(self, call_id: str) -> None:
-        """Give up a reservation for one call."""
-        if self.reserved_for == call_id:
-            self.reserved_for = ""
-
     def observe(self, report: LoadReport) -> None:
         """Take in a load report, unless it is older than the last one.
 
--- a/src/eelgrasslock/fleet.py
+++ b/src/eelgrasslock/fleet.py
@@ -26,6 +26,7 @@
         self.cache = cache
         self.rng = rng
         self.states: dict[str, EndpointState] = {}
+        self.departed: dict[str, EndpointState] = {}
         self.pools: dict[PoolKey, Pool] = {}
         self.pools_of: dict[str, list[Pool]] = {}
         self.heard: dict[str, set[str]] = {}
@@ -37,6 +38,8 @@
             states[name] = self._state(configuration, name, settings)
         for name in self.states.keys() - states.keys():
             self.cache.forget(name)
+            if self.states[name].running:
+                self.departed[name] = self.states[name]
         self.states = states
         self._configure_pools(configuration)
 
@@ -44,6 +47,10 @@
         """Return the pool that can run a call."""
         return self.pools.get((call.service, call.model))
 
+    def find(self, endpoint: str) -> EndpointState | None:
+        """Return an endpoint, also one that was removed with calls in flight."""
+        return self.states.get(endpoint) or self.departed.get(endpoint)
+
     def changed(self, endpoint: str) -> None:
         """Note that an endpoint may have a free slot."""
         for pool in self.pools_of.get(endpoint, ()):
@@ -82,7 +89,8 @@
     def _state(
         self, configuration: Configuration, name: str, settings: EndpointSettings
     ) -> EndpointState:
-        state = self.states.get(name)
+        state = self.find(name)
+        self.departed.pop(name, None)
         if state is None or state.settings.service != settings.service:
             kind = configuration.services[settings.service].kind
             state = EndpointState(name, settings, kind, self.rng)
--- a/src/eelgrasslock/pool.py
+++ b/src/eelgrasslock/pool.py
@@ -14,8 +14,8 @@
 class Pool:
     """One service and model.
 
-    A call that waits is either unplaced or parked: it has chosen an endpoint
-    that has no free slot. Parked calls are looked at when that endpoint
+    A call that waits is unplaced, withheld, or parked: it has chosen an
+    endpoint that has no free slot. Parked calls are looked at when that endpoint
     changes, and now and then all heads are reviewed, so that a change costs
     the same however many calls wait.
 
@@ -29,6 +29,8 @@
         The same by name.
     unplaced : CallHeap
         Calls that wait to be placed.
+    withheld : list of WaitingCall
+        Calls that no endpoint may take now, until the next review.
     parked : dict of str to CallHeap
         By endpoint, calls that wait for its slots.
     parked_counts : dict of str to int
@@ -50,6 +52,7 @@
     states: list[EndpointState] = field(factory=list)
     members: dict[str, EndpointState] = field(factory=dict)
     unplaced: CallHeap = field(factory=CallHeap)
+    withheld: list[WaitingCall] = field(factory=list)
     parked: dict[str, CallHeap] = field(factory=dict)
     parked_counts: dict[str, int] = field(factory=dict)
     changed: dict[str, None] = field(factory=dict)
@@ -65,6 +68,7 @@
         self.states = states
         self.members = {state.name: state for state in states}
         self.slots = sum(state.settings.batch_limit for state in states)
+        self.offer_withheld()
         for endpoint in list(self.parked):
             if endpoint not in self.members:
                 self.unpark_all(endpoint)
@@ -111,6 +115,12 @@
         heap = self.parked.get(endpoint)
         return heap.head() if heap is not None else None
 
+    def offer_withheld(self) -> None:
+        """Let withheld calls be placed again."""
+        for waiting in self.withheld:
+            self.unplaced.push(waiting)
+        self.withheld.clear()
+
     def unpark_all(self, endpoint: str) -> None:
         """Let the calls that wait for an endpoint be placed again."""
         while (waiting := self.pop_parked(endpoint)) is not None:
--- a/src/eelgrasslock/quarantine.py
+++ b/src/eelgrasslock/quarantine.py
@@ -12,9 +12,10 @@
     """Counts, by request digest, the endpoints that crashed under it.
 
     All calls in flight on an endpoint that crashes become suspects. A suspect
-    runs again at most once, alone on its endpoint, so that its success clears
-    it and a second crash convicts it and no other. Crashes that peers saw are
-    added to our own; a peer tells a digest once for each crash that it saw.
+    runs again at most once, as the only suspect on its endpoint, so that its
+    success clears it and a second crash convicts it and none of its neighbours.
+    Crashes that peers saw are added to our own; a peer tells a digest once for
+    each crash that it saw.
     """
 
     def __init__(self) -> None:
@@ -63,7 +64,7 @@
         return len(self.own.get(digest, ())) + max(0, heard)
 
     def is_suspect(self, digest: str) -> bool:
-        """Return whether a call must run alone."""
+        """Return whether a call must be the only suspect on its endpoint."""
         return self.crashes(digest) > 0
 
     def holds(self, digest: str) -> bool:
--- a/src/eelgrasslock/retry_budget.py
+++ b/src/eelgrasslock/retry_budget.py
@@ -5,7 +5,7 @@
 
 _BASE_SECONDS = 0.1
 _CAP_SECONDS = 5.0
-_MOST_TOKENS = 10.0
+_MOST_TOKENS = 32.0
 _PROGRAM_START_TOKENS = 2.0
 _PROGRAMS_KEPT = 20_000
 
--- a/src/eelgrasslock/scheduler.py
+++ b/src/eelgrasslock/scheduler.py
@@ -217,6 +217,7 @@
             self.outcomes.crashed(state, call_id, now)
         running = state.end(call_id, self.clock.now())
         del self.endpoint_of[call_id]
+        self.starter.ended(running.call.digest)
         if end is CallEnd.DONE:
             self.outcomes.succeeded(state, running, usage, now)
         elif end is CallEnd.CANCELLED:
@@ -325,15 +326,12 @@
         waiting = self.waiting.pop(call_id, None)
         if waiting is None:
             return
-        state = self.fleet.states.get(waiting.wanted)
-        if state is not None:
-            state.unreserve(call_id)
         pool = self.fleet.pool(waiting.call)
         if pool is not None:
             pool.remove(waiting)
 
     def _state_of(self, call_id: str) -> EndpointState | None:
-        return self.fleet.states.get(self.endpoint_of.get(call_id, ""))
+        return self.fleet.find(self.endpoint_of.get(call_id, ""))
 
     def _drop_idle_programs(self) -> None:
         dropped = self.programs.overflow()
--- a/src/eelgrasslock/starter.py
+++ b/src/eelgrasslock/starter.py
@@ -1,6 +1,7 @@
 """Starts waiting calls on endpoints that have a free slot."""
 
 import random
+from collections import Counter
 
 from eelgrasslock.cache_estimate import CHUNK_TOKENS, CacheEstimate
 from eelgrasslock.decisions import Decisions
@@ -9,7 +10,7 @@
 from eelgrasslock.fleet import Fleet
 from eelgrasslock.placement import Candidate, Choice, Placement
 from eelgrasslock.pool import REVIEW_SECONDS, Pool
-from eelgrasslock.quarantine import Quarantine
+from eelgrasslock.quarantine import CRASHES_TO_QUARANTINE, Quarantine
 from eelgrasslock.queueing import ProgramTable, WaitingCall
 from eelgrasslock.scheduling import Assignment
 from eelgrasslock.slots import Slots
@@ -59,13 +60,21 @@
         self.rng = rng
         self.decisions = decisions
         self.placement = Placement(cache, rng, decisions)
+        self.digests: Counter[str] = Counter()
+
+    def ended(self, digest: str) -> None:
+        """Note that a call with a digest is no longer in flight."""
+        if self.digests[digest] > 1:
+            self.digests[digest] -= 1
+        else:
+            self.digests.pop(digest, None)
 
     def start_waiting(self, pool: Pool, now: float, wall: float) -> list[Assignment]:
         """Start what may start now."""
         started: list[Assignment] = []
-        self._serve_unplaced(pool, now, wall, started)
         if now >= pool.review_at:
             self._review(pool, now, wall, started)
+        self._serve_unplaced(pool, now, wall, started)
         for _ in range(_ENDPOINTS_AT_ONCE):
             if not pool.changed:
                 break
@@ -89,7 +98,7 @@
             if pool.total_waiting and self._has_slot(state, CallClass.BACKGROUND, now):
                 pool.review_at = min(pool.review_at, now + _REVIEW_AGAIN_SECONDS)
             return
-        if not state.is_open(now, head.call.id):
+        if not state.is_open(now):
             pool.unpark_all(endpoint)
             return
         while head is not None and self._may_start(state, head, now):
@@ -102,6 +111,7 @@
     ) -> None:
         """Place the heads again; they may have a better choice by now."""
         pool.review_at = now + REVIEW_SECONDS
+        pool.offer_withheld()
         pool.changed.update(dict.fromkeys(pool.parked))
         endpoints = [name for name, heap in pool.parked.items() if heap.head()]
         if len(endpoints) > _REVIEWED_AT_ONCE:
@@ -114,15 +124,11 @@
     def _serve_unplaced(
         self, pool: Pool, now: float, wall: float, started: list[Assignment]
     ) -> None:
-        homeless: list[WaitingCall] = []
         for _ in range(_PLACED_AT_ONCE):
             waiting = pool.unplaced.pop()
             if waiting is None:
                 break
-            if not self._place(pool, waiting, now, wall, started):
-                homeless.append(waiting)
-        for waiting in homeless:
-            pool.unplaced.push(waiting)
+            self._place(pool, waiting, now, wall, started)
 
     def _place(
         self,
@@ -131,26 +137,26 @@
         now: float,
         wall: float,
         started: list[Assignment],
-    ) -> bool:
-        """Start or park a call; return False if no endpoint is open."""
+    ) -> None:
+        """Start, park or withhold a call that is in no heap."""
         choice = self._choose(pool, waiting, now)
         if choice is None:
-            return False
+            pool.withheld.append(waiting)
+            return
         state = choice.state
-        if self.quarantine.is_suspect(waiting.call.digest):
-            self._reserve(pool, state, waiting)
         head = pool.parked_head(state.name)
         is_first = head is None or waiting.rank < head.rank
-        if not is_first:
-            pool.changed[state.name] = None
         if is_first and self._may_start(state, waiting, now):
             started.append(self._start(pool, waiting, choice, now, wall))
-        else:
-            pool.park(waiting, state.name)
-        return True
+            return
+        pool.park(waiting, state.name)
+        if not is_first:
+            pool.changed[state.name] = None
 
     def _choose(self, pool: Pool, waiting: WaitingCall, now: float) -> Choice | None:
         call = waiting.call
+        if self.digests[call.digest] >= CRASHES_TO_QUARANTINE:
+            return None
         program = self.programs.find(call.program, now)
         states = self.placement.sample(
             pool.states, pool.members, waiting.keys, program.home
@@ -171,9 +177,12 @@
     ) -> list[Candidate]:
         call = waiting.call
         is_lookup = call.call_class is CallClass.LOOKUP
+        is_suspect = self.quarantine.is_suspect(call.digest)
         candidates = []
         for state in states:
-            if state.name in call.excluded or not state.is_open(now, call.id):
+            if state.name in call.excluded or not state.is_open(now):
+                continue
+            if is_suspect and state.suspect:
                 continue
             cached = self._cached_tokens(state, waiting.keys)
             ahead = 0 if is_lookup else pool.parked_counts.get(state.name, 0)
@@ -193,18 +202,12 @@
     def _may_start(
         self, state: EndpointState, waiting: WaitingCall, now: float
     ) -> bool:
-        if not state.is_open(now, waiting.call.id):
+        if not state.is_open(now):
+            return False
+        if state.suspect and self.quarantine.is_suspect(waiting.call.digest):
             return False
-        if self.quarantine.is_suspect(waiting.call.digest):
-            return not state.running and not state.others
         return self._has_slot(state, waiting.call.call_class, now)
 
-    def _reserve(self, pool: Pool, state: EndpointState, waiting: WaitingCall) -> None:
-        """Keep an endpoint free for a call that must run alone."""
-        if state.reserved_for != waiting.call.id:
-            state.reserved_for = waiting.call.id
-            pool.unpark_all(state.name)
-
     def _start(
         self,
         pool: Pool,
@@ -217,6 +220,10 @@
         state = choice.state
         pool.remove(waiting)
         self.slots.take(state)
+        if call.digest:
+            self.digests[call.digest] += 1
+        if self.quarantine.is_suspect(call.digest):
+            state.suspect = call.id
         running = RunningCall(
             call=call,
             keys=waiting.keys,
--- /dev/null
+++ b/src/eelgrasslock_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions against a cost model of engines."""
