Build only the changed parts of a configuration again

Cause: each change of a configuration was merged, checked and structured whole on the daemon's loop.

A profile showed the walk over key-path patterns, copies made while merging and the structure step as the largest parts; parsing was small once cached. Checks of single values moved from key paths to class and field, so that they belong to the object that is built; merged trees share the files' values and a value keeps the object made of it. Origins and plain values are made on demand. The parse cache keeps one text a file, as it would have grown with every change.

--- a/src/eelgrasslock/check_tables.py
+++ b/src/eelgrasslock/check_tables.py
@@ -1,117 +1,139 @@
-"""Tables of what the settings' values must be."""
+"""Tables of what the settings' values must be, by class and field."""
 
 from collections.abc import Callable
 
 from attrs import frozen
 
 from eelgrasslock import text_formats
-from eelgrasslock.yaml_places import Path
+from eelgrasslock.records import Limits
+from eelgrasslock.settings import (
+    AliasSettings,
+    Configuration,
+    DaemonSettings,
+    EndpointSettings,
+    LimitSettings,
+    MethodSettings,
+    ModelSettings,
+    ServiceSettings,
+    WeightSettings,
+)
 
-ANY = "*"
+MAX_ALIAS_MODELS = 5
 _HTTP_METHODS = ("DELETE", "GET", "HEAD", "PATCH", "POST", "PUT")
 _LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
 
 
 @frozen
 class Bound:
-    """The least and the greatest value of a number, by key path."""
+    """The least and the greatest value of a number."""
 
-    path: Path
     least: float
     most: float
 
 
 @frozen
 class Format:
-    """A test of a text, by key path."""
+    """What a text, each item of a list or each key of a mapping looks like.
+
+    Attributes
+    ----------
+    test : callable
+        Returns what is wrong with a text, or an empty string.
+    secret : bool
+        Whether the text must not be shown.
+    """
 
-    path: Path
     test: Callable[[str], str]
+    secret: bool = False
 
 
 @frozen
-class Reference:
-    """A name that must be a key or an item of the target."""
-
-    path: Path
-    target: str
-    word: str
-
-
-_PROGRAM = ("limits", "program")
-BOUNDS = (
-    Bound(("models", ANY, "context_tokens"), 1, 100_000_000),
-    Bound(("models", ANY, "default_output_tokens"), 1, 10_000_000),
-    Bound(("models", ANY, "token_price"), 0, 1_000_000),
-    Bound(("endpoints", ANY, "batch_limit"), 1, 100_000),
-    Bound(("endpoints", ANY, "cache_tokens"), 0, 10_000_000_000),
-    Bound(("endpoints", ANY, "prefill_tokens_per_second"), 1, 100_000_000),
-    Bound(("endpoints", ANY, "decode_tokens_per_second"), 0.1, 1_000_000),
-    Bound(("weights", "latency"), 0, 1_000),
-    Bound(("weights", "wasted_cache"), 0, 1_000),
-    Bound((*_PROGRAM, "tokens"), 1, 10_000_000_000),
-    Bound((*_PROGRAM, "turns"), 1, 1_000_000),
-    Bound((*_PROGRAM, "age"), 1, 31_536_000),
-    Bound((*_PROGRAM, "money"), 0, 1_000_000_000),
-    Bound(("limits", "body_bytes"), 1_024, 268_435_456),
-    Bound(("limits", "call_seconds"), 1, 86_400),
-    Bound(("limits", "progress_seconds"), 0.1, 3_600),
-    Bound(("limits", "lookup_wait_seconds"), 0, 3_600),
-    Bound(("limits", "caller_wait_seconds"), 0, 3_600),
-    Bound(("limits", "background_wait_seconds"), 0, 86_400),
-    Bound(("limits", "retries_per_call"), 0, 10),
-    Bound(("limits", "retry_ratio"), 0, 1),
-)
-FORMATS = (
-    Format(("deployment",), text_formats.plain_name),
-    Format(("domains", ANY), text_formats.plain_name),
-    Format(
-        ("services", ANY, "status_path"),
-        text_formats.optional(text_formats.status_path),
-    ),
-    Format(("services", ANY, "methods", ANY, "path"), text_formats.absolute_path),
-    Format(
-        ("services", ANY, "methods", ANY, "method"), text_formats.one_of(_HTTP_METHODS)
-    ),
-    Format(("endpoints", ANY, "url"), text_formats.url),
-    Format(
-        ("endpoints", ANY, "credential_env"),
-        text_formats.optional(text_formats.environment_name),
-    ),
-    Format(("quarantined", ANY), text_formats.name),
-)
-REFERENCES = (
-    Reference(("models", ANY, "service"), "services", "service"),
-    Reference(("endpoints", ANY, "service"), "services", "service"),
-    Reference(("endpoints", ANY, "domain"), "domains", "failure domain"),
-    Reference(("endpoints", ANY, "models", ANY), "models", "model"),
-    Reference(("aliases", ANY, "models", ANY), "models", "model"),
-)
-NAMED = ("services", "models", "endpoints", "aliases")
-UNIQUE = (
-    ("domains",),
-    ("quarantined",),
-    ("aliases", ANY, "models"),
-    ("endpoints", ANY, "models"),
-)
-DAEMON_BOUNDS = (
-    Bound(("drain_seconds",), 0, 3_600),
-    Bound(("action_shards",), 1, 64),
-)
-DAEMON_FORMATS = (
-    Format(("name",), text_formats.plain_name),
-    Format(("domain",), text_formats.plain_name),
-    Format(("http_address",), text_formats.address),
-    Format(("peer_address",), text_formats.address),
-    Format(("seeds", ANY), text_formats.address),
-    Format(("statsd_address",), text_formats.optional(text_formats.address)),
-    Format(("log_url",), text_formats.url),
-    Format(("vm_list_url",), text_formats.optional(text_formats.url)),
-    Format(("weight_store_url",), text_formats.optional(text_formats.url)),
-    Format(("otlp_url",), text_formats.optional(text_formats.url)),
-    Format(("log_level",), text_formats.one_of(_LOG_LEVELS)),
-)
-DAEMON_KEYS = (
-    Format(("peer_keys", ANY), text_formats.shared_key),
-    Format(("operator_keys", ANY), text_formats.shared_key),
-)
+class Length:
+    """The least and the greatest length of a list without duplicates."""
+
+    least: int
+    most: int
+
+
+FieldCheck = Bound | Format | Length
+
+_ANY_LENGTH = Length(0, 1_000_000)
+_NAME = Format(text_formats.name)
+_PLAIN_NAME = Format(text_formats.plain_name)
+_ADDRESS = Format(text_formats.address)
+_URL = Format(text_formats.url)
+_OPTIONAL_URL = Format(text_formats.optional(text_formats.url))
+_KEY = Format(text_formats.shared_key, secret=True)
+
+FIELD_CHECKS: dict[type, dict[str, tuple[FieldCheck, ...]]] = {
+    Configuration: {
+        "deployment": (_PLAIN_NAME,),
+        "domains": (_PLAIN_NAME, Length(1, 1_000)),
+        "services": (_NAME,),
+        "models": (_NAME,),
+        "endpoints": (_NAME,),
+        "aliases": (_NAME,),
+        "quarantined": (_NAME, _ANY_LENGTH),
+    },
+    ServiceSettings: {
+        "status_path": (Format(text_formats.optional(text_formats.status_path)),),
+    },
+    MethodSettings: {
+        "method": (Format(text_formats.one_of(_HTTP_METHODS)),),
+        "path": (Format(text_formats.absolute_path),),
+    },
+    ModelSettings: {
+        "context_tokens": (Bound(1, 100_000_000),),
+        "default_output_tokens": (Bound(1, 10_000_000),),
+        "token_price": (Bound(0, 1_000_000),),
+    },
+    EndpointSettings: {
+        "url": (_URL,),
+        "models": (_ANY_LENGTH,),
+        "batch_limit": (Bound(1, 100_000),),
+        "cache_tokens": (Bound(0, 10_000_000_000),),
+        "prefill_tokens_per_second": (Bound(1, 100_000_000),),
+        "decode_tokens_per_second": (Bound(0.1, 1_000_000),),
+        "credential_env": (
+            Format(text_formats.optional(text_formats.environment_name)),
+        ),
+    },
+    AliasSettings: {"models": (Length(1, MAX_ALIAS_MODELS),)},
+    WeightSettings: {
+        "latency": (Bound(0, 1_000),),
+        "wasted_cache": (Bound(0, 1_000),),
+    },
+    Limits: {
+        "tokens": (Bound(1, 10_000_000_000),),
+        "turns": (Bound(1, 1_000_000),),
+        "age": (Bound(1, 31_536_000),),
+        "money": (Bound(0, 1_000_000_000),),
+    },
+    LimitSettings: {
+        "body_bytes": (Bound(1_024, 268_435_456),),
+        "call_seconds": (Bound(1, 86_400),),
+        "progress_seconds": (Bound(0.1, 3_600),),
+        "lookup_wait_seconds": (Bound(0, 3_600),),
+        "caller_wait_seconds": (Bound(0, 3_600),),
+        "background_wait_seconds": (Bound(0, 86_400),),
+        "retries_per_call": (Bound(0, 10),),
+        "retry_ratio": (Bound(0, 1),),
+    },
+    DaemonSettings: {
+        "name": (_PLAIN_NAME,),
+        "domain": (_PLAIN_NAME,),
+        "http_address": (_ADDRESS,),
+        "peer_address": (_ADDRESS,),
+        "seeds": (_ADDRESS, _ANY_LENGTH),
+        "statsd_address": (Format(text_formats.optional(text_formats.address)),),
+        "log_url": (_URL,),
+        "vm_list_url": (_OPTIONAL_URL,),
+        "weight_store_url": (_OPTIONAL_URL,),
+        "otlp_url": (_OPTIONAL_URL,),
+        "log_level": (Format(text_formats.one_of(_LOG_LEVELS)),),
+        "drain_seconds": (Bound(0, 3_600),),
+        "action_shards": (Bound(1, 64),),
+        "peer_keys": (_KEY,),
+        "operator_keys": (_KEY,),
+    },
+}
--- a/src/eelgrasslock/folder.py
+++ b/src/eelgrasslock/folder.py
@@ -1,12 +1,11 @@
 """Loads a folder of settings files, checked as a whole."""
 
-import functools
 import pathlib
 from typing import Any
 
 from attrs import field, frozen
 
-from eelgrasslock.checks import check_configuration, check_daemon_settings
+from eelgrasslock.checks import check_configuration
 from eelgrasslock.exceptions import Finding, SettingsError
 from eelgrasslock.merging import merge
 from eelgrasslock.settings import Configuration, DaemonSettings
@@ -24,7 +23,6 @@
 MAX_FILES = 1_000
 
 _SUFFIXES = {".yaml", ".yml"}
-_PARSED_FILES_KEPT = 2_000
 
 
 @frozen
@@ -46,7 +44,7 @@
     overrides: tuple[Place, ...] = ()
 
 
-@frozen
+@frozen(eq=False)
 class LoadedConfiguration:
     """A checked configuration and where each value comes from.
 
@@ -54,15 +52,43 @@
     ----------
     configuration : Configuration
         The typed result.
-    origins : dict of str to Origin
-        By key path.
-    merged : dict
-        The merged files as plain values.
+    tree : PlacedValue
+        The merged files.
     """
 
     configuration: Configuration
-    origins: dict[str, Origin] = field(repr=False)
-    merged: dict[str, Any] = field(repr=False)
+    tree: PlacedValue = field(repr=False)
+
+    @property
+    def origins(self) -> dict[str, Origin]:
+        """Where each value comes from, by key path."""
+        return find_origins(self.tree)
+
+    @property
+    def merged(self) -> dict[str, Any]:
+        """The merged files as plain values."""
+        return plain(self.tree)
+
+
+class ParsedFiles:
+    """The newest content of each file name, so that only changes are parsed."""
+
+    def __init__(self) -> None:
+        self.kept: dict[str, tuple[str, PlacedValue | None, list[Finding]]] = {}
+
+    def parse(self, name: str, text: str) -> tuple[PlacedValue | None, list[Finding]]:
+        """Return a file's content and what is wrong with it."""
+        kept = self.kept.pop(name, None)
+        if kept is None or kept[0] != text:
+            findings: list[Finding] = []
+            kept = (text, parse_yaml(name, text, findings), findings)
+        self.kept[name] = kept
+        if len(self.kept) > MAX_FILES:
+            del self.kept[next(iter(self.kept))]
+        return kept[1], kept[2]
+
+
+_parsed_files = ParsedFiles()
 
 
 def read_folder(folder: pathlib.Path) -> dict[str, str]:
@@ -96,7 +122,7 @@
         return merge([], findings)
     contents = []
     for name in sorted(files):
-        content, problems = _parse(name, files[name])
+        content, problems = _parsed_files.parse(name, files[name])
         findings.extend(_copy(problem) for problem in problems)
         if content is not None:
             contents.append(content)
@@ -121,7 +147,7 @@
     configuration = structure(merged, Configuration, findings)
     check_configuration(merged, findings)
     _raise(findings)
-    return LoadedConfiguration(configuration, find_origins(merged), plain(merged))
+    return LoadedConfiguration(configuration, merged)
 
 
 def load_daemon_settings(folder: pathlib.Path) -> DaemonSettings:
@@ -146,7 +172,6 @@
     findings: list[Finding] = []
     merged = merge_files(files, findings)
     settings = structure(merged, DaemonSettings, findings)
-    check_daemon_settings(merged, findings)
     _raise(findings)
     return settings
 
@@ -159,13 +184,6 @@
     }
 
 
-@functools.lru_cache(maxsize=_PARSED_FILES_KEPT)
-def _parse(name: str, text: str) -> tuple[PlacedValue | None, tuple[Finding, ...]]:
-    findings: list[Finding] = []
-    content = parse_yaml(name, text, findings)
-    return content, tuple(findings)
-
-
 def _copy(finding: Finding) -> Finding:
     return Finding(finding.message, finding.file, finding.line, finding.path)
 
--- a/src/eelgrasslock/merging.py
+++ b/src/eelgrasslock/merging.py
@@ -43,16 +43,22 @@
     """
     place = files[0].place if files else Place("", 1)
     merged = PlacedValue({}, place)
+    owned = {id(merged): merged}
     for content in files:
-        _FileMerge(findings).run(merged, content)
+        _FileMerge(findings, owned).run(merged, content)
     return merged
 
 
 class _FileMerge:
-    """Merges one file into what the earlier ones gave."""
+    """Merges one file into what the earlier ones gave.
 
-    def __init__(self, findings: list[Finding]) -> None:
+    Values of the files are taken over as they are; a mapping is copied before
+    something is merged into it, and `owned` holds these copies by identity.
+    """
+
+    def __init__(self, findings: list[Finding], owned: dict[int, PlacedValue]) -> None:
         self.findings = findings
+        self.owned = owned
         self.marks: list[_Mark] = []
 
     def run(self, merged: PlacedValue, content: PlacedValue) -> None:
@@ -85,44 +91,53 @@
         self, target: PlacedValue, items: dict[str, PlacedValue], path: Path
     ) -> None:
         assert isinstance(target.value, dict)
+        entries = target.value
         for key, item in items.items():
-            here = (*path, key)
-            old = target.value.get(key)
-            if item.value is None:
-                self.remove(target.value, key, item, here)
+            old = entries.get(key)
+            if old is None and not item.removes:
+                entries[key] = item
+            elif item.value is None:
+                self.remove(entries, key, item, (*path, key))
             elif old is None:
-                target.value[key] = self.fresh(item, here)
+                entries[key] = self.cleaned(item, (*path, key))
             elif isinstance(old.value, dict) and isinstance(item.value, dict):
-                self.merge_items(old, item.value, here)
+                entries[key] = self.own(old)
+                self.merge_items(entries[key], item.value, (*path, key))
             else:
-                target.value[key] = self.override(old, item, here)
+                entries[key] = self.override(old, item, (*path, key))
+
+    def own(self, placed: PlacedValue) -> PlacedValue:
+        if id(placed) in self.owned:
+            return placed
+        assert isinstance(placed.value, dict)
+        copy = PlacedValue(dict(placed.value), placed.place, placed.overrides)
+        self.owned[id(copy)] = copy
+        return copy
 
     def remove(
-        self, target: dict[str, PlacedValue], key: str, item: PlacedValue, path: Path
+        self, entries: dict[str, PlacedValue], key: str, item: PlacedValue, path: Path
     ) -> None:
-        if target.pop(key, None) is None:
+        if entries.pop(key, None) is None:
             self.report("There is nothing to remove.", item.place, path)
         self.marked(path)
 
-    def fresh(self, item: PlacedValue, path: Path) -> PlacedValue:
-        if not isinstance(item.value, dict):
-            return PlacedValue(item.value, item.place)
-        copy = PlacedValue({}, item.place)
+    def cleaned(self, item: PlacedValue, path: Path) -> PlacedValue:
+        copy = self.own(PlacedValue({}, item.place))
+        assert isinstance(item.value, dict)
         self.merge_items(copy, item.value, path)
         return copy
 
     def override(self, old: PlacedValue, item: PlacedValue, path: Path) -> PlacedValue:
-        places = [(*leaf.overrides, leaf.place) for _, leaf in leaves(old)]
         if not self.marked(path):
-            first = old.place
             message = (
-                f"The value is set in {first} already; to override it, list "
+                f"The value is set in {old.place} already; to override it, list "
                 f"{join_path(path)} under '{OVERRIDES_KEY}' in {item.place.file}."
             )
             self.report(message, item.place, path)
-        new = self.fresh(item, path)
-        new.overrides = tuple(place for group in places for place in group)
-        return new
+        before = [(*leaf.overrides, leaf.place) for _, leaf in leaves(old)]
+        places = tuple(place for group in before for place in group)
+        new = self.cleaned(item, path) if item.removes else item
+        return PlacedValue(new.value, item.place, places)
 
     def marked(self, path: Path) -> bool:
         covering = [mark for mark in self.marks if mark.covers(path)]
--- a/src/eelgrasslock/structuring.py
+++ b/src/eelgrasslock/structuring.py
@@ -2,6 +2,7 @@
 
 import difflib
 import enum
+import functools
 import types
 import typing
 from typing import Any
@@ -9,6 +10,7 @@
 import attrs
 
 from eelgrasslock.exceptions import Finding
+from eelgrasslock.field_checks import check_field
 from eelgrasslock.yaml_places import (
     Path,
     PlacedValue,
@@ -72,7 +74,7 @@
         if isinstance(kind, types.GenericAlias) and origin is list:
             return self.build_list(placed, typing.get_args(kind)[0], path)
         if attrs.has(kind):
-            return self.build_class(placed, kind, path, base)
+            return self.build_class_once(placed, kind, path, base)
         if issubclass(kind, enum.Enum):
             return self.build_enum(placed, kind, path)
         return self.build_scalar(placed, kind, path)
@@ -95,14 +97,28 @@
         ]
         return _whole(items, items)
 
+    def build_class_once(
+        self, placed: PlacedValue, kind: Any, path: Path, base: Any
+    ) -> Any:
+        if type(placed.built) is kind and base is None:
+            return placed.built
+        before = len(self.findings)
+        result = self.build_class(placed, kind, path, base)
+        if len(self.findings) == before and base is None:
+            placed.built = result
+        return result
+
     def build_class(self, placed: PlacedValue, kind: Any, path: Path, base: Any) -> Any:
         if not isinstance(placed.value, dict):
             return self.wrong_type(placed, dict, path)
-        fields = attrs.fields_dict(attrs.resolve_types(kind))
+        fields = _fields(kind)
         for key, item in placed.value.items():
             if key not in fields:
                 message = f"The key is unknown. {nearest(key, list(fields))}"
                 self.report(message, item, (*path, key))
+                continue
+            for complaint in check_field(kind, key, item, (*path, key)):
+                self.report(complaint.message, complaint.placed, complaint.path)
         given: dict[str, Any] = {}
         for name, attribute in fields.items():
             default = _default(attribute, base)
@@ -147,6 +163,11 @@
         self.findings.append(finding)
 
 
+@functools.cache
+def _fields(kind: Any) -> dict[str, Any]:
+    return attrs.fields_dict(attrs.resolve_types(kind))
+
+
 def _default(attribute: Any, base: Any) -> Any:
     if base is not None and base is not attrs.NOTHING:
         return getattr(base, attribute.name)
--- a/src/eelgrasslock/yaml_places.py
+++ b/src/eelgrasslock/yaml_places.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import yaml
-from attrs import define, field, frozen
+from attrs import define, frozen
 
 from eelgrasslock.exceptions import Finding
 
@@ -49,9 +49,9 @@
         return f"{self.file}:{self.line}"
 
 
-@define
+@define(eq=False)
 class PlacedValue:
-    """A value with its place.
+    """A value with its place; not changed once it is made.
 
     Attributes
     ----------
@@ -61,11 +61,18 @@
         Where.
     overrides : tuple of Place
         Where values stood that this one took the place of, the oldest first.
+    removes : bool
+        Whether a null stands somewhere among its mappings.
+    built : object
+        The typed object that was made of it, so that a value that is part of
+        the next version as well is not built again.
     """
 
     value: "Scalar | dict[str, PlacedValue] | list[PlacedValue]"
     place: Place
-    overrides: tuple[Place, ...] = field(default=(), eq=False)
+    overrides: tuple[Place, ...] = ()
+    removes: bool = False
+    built: Any = None
 
 
 def join_path(path: Path) -> str:
@@ -151,12 +158,15 @@
             return PlacedValue(Unreadable.VALUE, place)
         self.seen.add(id(node))
         if isinstance(node, yaml.MappingNode):
-            return PlacedValue(self.mapping(node, path), place)
+            value = self.mapping(node, path)
+            removes = any(item.removes for item in value.values())
+            return PlacedValue(value, place, removes=removes)
         if isinstance(node, yaml.SequenceNode):
             items = enumerate(node.value)
-            value = [self.convert(item, (*path, str(n))) for n, item in items]
-            return PlacedValue(value, place)
-        return PlacedValue(self.scalar(node, path), place)
+            parts = [self.convert(item, (*path, str(n))) for n, item in items]
+            return PlacedValue(parts, place)
+        scalar = self.scalar(node, path)
+        return PlacedValue(scalar, place, removes=scalar is None)
 
     def mapping(self, node: yaml.MappingNode, path: Path) -> dict[str, PlacedValue]:
         result: dict[str, PlacedValue] = {}
@@ -171,8 +181,9 @@
                 )
                 self.report(message, key_node, here)
                 continue
-            result[key] = self.convert(value_node, here)
-            result[key].place = Place(self.file, key_node.start_mark.line + 1)
+            value = self.convert(value_node, here)
+            value.place = Place(self.file, key_node.start_mark.line + 1)
+            result[key] = value
         return result
 
     def key(self, node: yaml.Node, path: Path) -> str | None:
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -59,6 +59,14 @@
         limits = load_configuration(files).configuration.limits.program
         assert (limits.turns, limits.tokens) == (7, 400_000)
 
+    def test_only_changed_parts_are_built_again(self):
+        first = load_configuration(folder()).configuration
+        changed = folder(**{"60.yaml": "endpoints: {two: {batch_limit: 3}}\n"})
+        second = load_configuration(changed).configuration
+        assert second.endpoints["one"] is first.endpoints["one"]
+        assert second.endpoints["two"].batch_limit == 3
+        assert load_configuration(folder()).configuration == first
+
     def test_a_second_load_reports_the_same(self):
         files = folder(**{"60.yaml": "limits: [\n"})
         first = findings_of(load_configuration, files)
