--- a/src/eelgrasslock/cli_fleet.py
+++ b/src/eelgrasslock/cli_fleet.py
@@ -22,7 +22,13 @@
     ResolveOrder,
     VersionView,
 )
-from eelgrasslock.tables import print_fields, print_json, print_table, shown_time
+from eelgrasslock.tables import (
+    print_fields,
+    print_json,
+    print_table,
+    print_version,
+    shown_time,
+)
 
 _RESULTS = {"done": "done", "not-run": "not_run"}
 
@@ -204,7 +210,7 @@
     path = f"/operator/endpoints/{quote(endpoint, safe='')}/drain"
     order = DrainOrder(author=author, undo=undo)
     version = client.send("POST", path, order, VersionView)
-    _print_version(version, as_json)
+    print_version(version, as_json)
 
 
 @click.command()
@@ -232,14 +238,7 @@
 ) -> None:
     path = f"/operator/quarantine/{quote(digest, safe='')}"
     version = client.send(method, path, AuthoredOrder(author=author), VersionView)
-    _print_version(version, as_json)
-
-
-def _print_version(version: VersionView, as_json: bool) -> None:
-    if as_json:
-        print_json(version)
-    else:
-        click.echo(f"Version {version.version} by {version.author} is in force.")
+    print_version(version, as_json)
 
 
 def _find_program(client: OperatorClient, program: str) -> dict[str, Any]:
--- a/src/eelgrasslock/cli_settings.py
+++ b/src/eelgrasslock/cli_settings.py
@@ -21,7 +21,7 @@
 from eelgrasslock.operator_edits import carry_over
 from eelgrasslock.operator_views import ErrorView, PublishOrder, VersionView
 from eelgrasslock.records import new_id
-from eelgrasslock.tables import print_json, print_table
+from eelgrasslock.tables import print_json, print_table, print_version
 from eelgrasslock.yaml_places import PlacedValue, join_path, leaves, plain
 
 _SECRET_KEYS = ("peer_keys", "operator_keys")
@@ -158,6 +158,10 @@
     _check_base(folder, in_force, replaces)
     if in_force is not None:
         files = carry_over(in_force.files, files)
+        if files == in_force.files:
+            write_base(folder, in_force.version, files)
+            print_version(in_force, as_json)
+            return
     order = PublishOrder(
         id=new_id(),
         author=author,
@@ -166,10 +170,7 @@
     )
     version = client.send("POST", "/operator/config", order, VersionView)
     write_base(folder, version.version, files)
-    if as_json:
-        print_json(version)
-    else:
-        click.echo(f"Version {version.version} by {version.author} is in force.")
+    print_version(version, as_json)
 
 
 @click.command()
--- a/src/eelgrasslock/configuration.py
+++ b/src/eelgrasslock/configuration.py
@@ -26,7 +26,7 @@
 )
 from eelgrasslock.version_keeper import VersionKeeper, Writer
 
-_RETENTION_SECONDS = 86_400.0
+_RETENTION_SECONDS = 3_600.0
 _GOSSIP_AFTER_SECONDS = 3.0
 
 log = logger.bind(part="configuration")
--- a/src/eelgrasslock/tables.py
+++ b/src/eelgrasslock/tables.py
@@ -6,10 +6,12 @@
 from collections.abc import Iterable
 from typing import Any
 
+from attrs import evolve
 from rich.console import Console
 from rich.table import Table
 from rich.text import Text
 
+from eelgrasslock.operator_views import VersionView
 from eelgrasslock.records import to_jsonable
 
 _PIPE_WIDTH_COLUMNS = 160
@@ -35,6 +37,14 @@
     print_table(title, ["", ""], fields.items())
 
 
+def print_version(version: VersionView, as_json: bool) -> None:
+    """Print which configuration is in force, without its files."""
+    if as_json:
+        print_json(evolve(version, files={}))
+    else:
+        print(f"Version {version.version} by {version.author} is in force.")
+
+
 def shown_time(seconds: float) -> str:
     """Return a time since the epoch as text for people."""
     if not seconds:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -155,6 +155,8 @@
         copy = tmp_path / "copy"
         assert run("pull", copy, daemon=daemon).exit_code == 0
         assert run("pull", copy, daemon=daemon).exit_code == 2
+        assert run_json("publish", copy, daemon=daemon)[1]["version"] == 2
+        (copy / "90.yaml").write_text("quarantined: [x]\n")
         assert run_json("publish", copy, daemon=daemon)[1]["version"] == 3
 
     def test_the_second_operator_is_refused_and_told(self, daemon, riga, tmp_path):
