Leave the new start after a retirement to the daemon

A retired incarnation's parts hold its name in many places, so the daemon starts a whole new incarnation; membership only stops owning and calls back. Joining again inside membership was tried and taken out: the other controllers would have gone on under the retired name.

--- a/src/eelgrasslock/membership.py
+++ b/src/eelgrasslock/membership.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import uuid
 from collections.abc import Awaitable, Callable
 
 from attrs import evolve
@@ -40,11 +39,6 @@
 log = logger.bind(part="members")
 
 
-def new_incarnation(name: str) -> str:
-    """Return an incarnation for one start of a daemon."""
-    return f"{name}-{uuid.uuid4().hex[:12]}"
-
-
 class Membership:
     """A daemon's part in the fleet.
 
@@ -71,6 +65,8 @@
         Who belongs to the fleet.
     own : MemberJoined
         Our own record.
+    retired : bool
+        Whether our incarnation was retired, or leaves.
     load_source : callable
         Gives the load that our heartbeats carry.
     seed_source : callable
@@ -108,9 +104,9 @@
         self.gossip = Gossip(
             peers, self.table, tail, clock, self._notice_own_retirement
         )
-        self._retired_callbacks: list[Callable[[str, str], None]] = []
+        self._retired_callbacks: list[Callable[[], None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
-        self._leaving = False
+        self.retired = False
         peers.beat_received = self.receive_beat
         peers.members_offer = self.table.snapshot
         peers.reach_member = self._reach
@@ -118,7 +114,7 @@
 
     @property
     def incarnation(self) -> str:
-        """Our incarnation; another one after we were retired."""
+        """Our incarnation."""
         return self.own.incarnation
 
     async def start(self) -> None:
@@ -140,7 +136,7 @@
 
     async def leave(self) -> None:
         """Retire our own incarnation, as far as the log can be reached."""
-        self._leaving = True
+        self.retired = True
         record = MemberRetired(
             author=self.incarnation,
             time=self.clock.now(),
@@ -173,8 +169,8 @@
         """Call back with the incarnation of a peer that is heard no more."""
         self.loads.gone_callbacks.append(callback)
 
-    def on_retired(self, callback: Callable[[str, str], None]) -> None:
-        """Call back with our old and new incarnation when we were retired."""
+    def on_retired(self, callback: Callable[[], None]) -> None:
+        """Call back when others have retired us; only a new start joins again."""
         self._retired_callbacks.append(callback)
 
     def make_beat(self, receiver: str) -> Beat:
@@ -224,25 +220,20 @@
             self.watch.detector.retired(peer_key(member), now)
 
     def _notice_own_retirement(self) -> None:
-        old = self.incarnation
-        if self._leaving or not self.table.is_retired(old):
+        if self.retired or not self.table.is_retired(self.incarnation):
             return
-        new = new_incarnation(self.settings.name)
-        log.warning("{} was retired; joining again as {}.", old, new)
-        self.own = self.retirement.own = self._describe(new)
-        self.peers.incarnation = new
+        self.retired = True
+        log.warning("{} was retired.", self.incarnation)
         for callback in self._retired_callbacks:
-            callback(old, new)
-        self._spawn(self._join())
+            callback()
 
     async def _join(self) -> None:
-        own = self.own
         await self.tail.caught_up(MEMBERS_STREAM)
         for member in self.table.live():
             if self._is_predecessor(member):
                 await self.retirement.retire([member], "replaced")
-        while own is self.own and self.table.find(own.incarnation) is None:
-            await self._append(own)
+        while not self.retired and self.table.find(self.incarnation) is None:
+            await self._append(self.own)
             await self.clock.sleep(_REJOIN_SECONDS)
 
     def _is_predecessor(self, member: MemberJoined) -> bool:
