--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -7,30 +7,38 @@
 PYTHON="${PYTHON:-python}"
 KILL_AFTER_SECONDS="${KILL_AFTER_SECONDS:-12}"
 logs="$(mktemp -d)"
-pids=()
+standins=()
+daemons=()
+client=""
 daemon_urls=()
 
-forget() {
-    local kept=()
-    for pid in "${pids[@]}"; do
-        [ "$pid" != "$1" ] && kept+=("$pid")
+alive() {
+    for pid in "$@"; do
+        kill -0 "$pid" 2>/dev/null && return 0
     done
-    pids=("${kept[@]}")
+    return 1
 }
 
-stop_all() {
-    trap - EXIT INT TERM
-    kill "${pids[@]}" 2>/dev/null || true
-    for _ in $(seq 50); do
-        any=""
-        for pid in "${pids[@]}"; do
-            kill -0 "$pid" 2>/dev/null && any=yes
-        done
-        [ -z "$any" ] && break
+# Ask processes to end, wait some seconds, and kill what is left.
+stop() {
+    [ "$#" -eq 0 ] && return
+    kill "$@" 2>/dev/null || true
+    for _ in $(seq 100); do
+        alive "$@" || break
         sleep 0.1
     done
-    kill -9 "${pids[@]}" 2>/dev/null || true
-    wait "${pids[@]}" 2>/dev/null || true
+    alive "$@" && kill -9 "$@" 2>/dev/null || true
+    wait "$@" 2>/dev/null || true
+}
+
+stop_all() {
+    status="$?"
+    trap - EXIT INT TERM
+    [ -n "$client" ] && stop "$client"
+    stop "${daemons[@]}"
+    stop "${standins[@]}"
+    [ "$status" -eq 0 ] && rm -r "$logs"
+    exit "$status"
 }
 trap stop_all EXIT
 trap 'exit 130' INT
@@ -40,13 +48,13 @@
     local name="$1"
     shift
     "$PYTHON" -m "$@" >"$logs/$name.out" 2>"$logs/$name.err" &
-    pids+=("$!")
 }
 
 standin() {
     local name="$1"
     shift
     start "$name" eelgrasslock_standins.main "$@"
+    standins+=("$!")
 }
 
 echo "demo: logs are in $logs"
@@ -68,10 +76,10 @@
 port=18081
 for name in riga-a-1 riga-a-2 riga-b-1 riga-b-2 riga-c-1; do
     start "$name" eelgrasslock.daemon --settings "examples/daemons/$name"
+    daemons+=("$!")
     daemon_urls+=(--daemon "http://127.0.0.1:$port")
     port=$((port + 1))
 done
-victim="${pids[$((${#pids[@]} - 4))]}"
 
 echo "demo: publishing examples/riga"
 published=""
@@ -92,20 +100,20 @@
 "$PYTHON" -m eelgrasslock_standins.demo "${daemon_urls[@]}" \
     --service http://127.0.0.1:19201 &
 client="$!"
-pids+=("$client")
 
 for _ in $(seq "$KILL_AFTER_SECONDS"); do
     sleep 1
     kill -0 "$client" 2>/dev/null || break
 done
+victim="${daemons[1]}"
 echo "demo: killing the daemon riga-a-2 (pid $victim)"
 kill -9 "$victim"
 wait "$victim" 2>/dev/null || true
-forget "$victim"
+unset 'daemons[1]'
 
 status=0
 wait "$client" || status="$?"
-forget "$client"
+client=""
 if [ "$status" -eq 0 ]; then
     echo "demo: all programs finished, each posting made exactly once"
 else
--- a/src/eelgrasslock/model_dispatch.py
+++ b/src/eelgrasslock/model_dispatch.py
@@ -4,6 +4,7 @@
 import contextlib
 from typing import Any
 
+from eelgrasslock.aliases import resolve_models
 from eelgrasslock.attempts import Attempts, DispatchParts, endpoint_settings
 from eelgrasslock.dispatch import NO_USAGE
 from eelgrasslock.endpoint_failure import EndpointFailure
@@ -11,7 +12,6 @@
 from eelgrasslock.exchange import CallResult, Exchange
 from eelgrasslock.relay import AnswerRelay
 from eelgrasslock.scheduling import Assignment, CallEnd
-from eelgrasslock.settings import Configuration
 from eelgrasslock.tracing import span
 from eelgrasslock.usage import Usage
 
@@ -38,7 +38,8 @@
         self.parts = parts
         self.exchange = exchange
         self.attempts = Attempts(exchange, parts.dispatcher, parts.metrics)
-        self.models = _models(parts.configuration(), exchange.model)
+        configuration = parts.configuration()
+        self.models = resolve_models(configuration, exchange.model)
         self.started = parts.clock.monotonic()
         id = f"chatcmpl-{self.attempts.id}"
         self.relay = AnswerRelay(exchange, id, int(parts.clock.now()))
@@ -183,8 +184,3 @@
         metrics.incr("prompt_tokens", usage.prompt_tokens)
         metrics.incr("cached_tokens", usage.cached_tokens)
         metrics.incr("completion_tokens", usage.completion_tokens)
-
-
-def _models(configuration: Configuration, name: str) -> list[str]:
-    alias = configuration.aliases.get(name)
-    return list(alias.models) if alias else [name]
--- a/src/eelgrasslock_standins/engine.py
+++ b/src/eelgrasslock_standins/engine.py
@@ -12,8 +12,9 @@
 from eelgrasslock.tokens import estimate_tokens, prompt_text
 from eelgrasslock_standins.answers import CRASH_MARK
 from eelgrasslock_standins.control import add_control, use_up
-from eelgrasslock_standins.engine_core import EngineCore, Generation, Session
+from eelgrasslock_standins.engine_core import EngineCore, Session
 from eelgrasslock_standins.engine_stream import EngineStream
+from eelgrasslock_standins.generation import Generation
 
 _MAX_BODY_BYTES = 64 * 2**20
 _CRASH_STATUS = 70
--- a/src/eelgrasslock_standins/engine_core.py
+++ b/src/eelgrasslock_standins/engine_core.py
@@ -6,11 +6,14 @@
 import uuid
 from typing import Any
 
-from attrs import define, field
+from attrs import define
 
+from eelgrasslock.scheduling import BLOCK_TOKENS
 from eelgrasslock.tokens import block_hashes, estimate_tokens, prompt_text
-from eelgrasslock_standins.answers import Answer, make_answer
+from eelgrasslock_standins.answers import make_answer
+from eelgrasslock_standins.engine_settings import EngineFaults, EngineShape
 from eelgrasslock_standins.engine_stream import EngineStream
+from eelgrasslock_standins.generation import Generation
 from eelgrasslock_standins.prefix_cache import PrefixCache
 from eelgrasslock_standins.serving import ScaledClock
 
@@ -21,156 +24,6 @@
 _KV_TOKENS_PER_SECOND = 100_000.0
 
 
-@define(kw_only=True)
-class EngineFaults:
-    """What can be switched on an engine.
-
-    Attributes
-    ----------
-    leaving : bool
-        The load report says so, and new calls are refused with 503.
-    hang : bool
-        Nothing but the control path is answered.
-    outage : bool
-        New calls answer 503.
-    refuse : int
-        So many calls get 429 with `retry_after`.
-    retry_after : int
-        In seconds.
-    fail : int
-        So many calls get 500, with a secret-looking text.
-    slow_factor : float
-        How many times longer each step takes.
-    break_streams, silent_streams : int
-        So many connections are cut off, or go silent without being closed,
-        after `fault_after_events` events.
-    fault_after_events : int
-        See above.
-    forget_streams : bool
-        Streams can't be resumed.
-    load_lag_seconds, event_lag_seconds : float
-        How late load reports and cache events are.
-    event_loss : float
-        The share of cache events that is lost.
-    checks_fencing : bool
-        Whether an order with an old fencing number is refused.
-    load_down : bool
-        The load report answers 503.
-    """
-
-    leaving: bool = False
-    hang: bool = False
-    outage: bool = False
-    refuse: int = 0
-    retry_after: int = 1
-    fail: int = 0
-    slow_factor: float = 1.0
-    break_streams: int = 0
-    silent_streams: int = 0
-    fault_after_events: int = 3
-    forget_streams: bool = False
-    load_lag_seconds: float = 0.5
-    event_lag_seconds: float = 0.5
-    event_loss: float = 0.02
-    checks_fencing: bool = False
-    load_down: bool = False
-
-
-@define(kw_only=True)
-class EngineShape:
-    """An engine's size and speed.
-
-    Attributes
-    ----------
-    name : str
-        Its id.
-    models : list of str
-        What it runs; empty means any.
-    batch_limit : int
-        How many calls it runs at once.
-    cache_tokens, context_tokens : int
-        The prefix cache's size, and the longest prompt and answer.
-    prefill_tokens_per_second, decode_tokens_per_second : float
-        For one call in an empty batch.
-    """
-
-    name: str = "engine"
-    models: list[str] = field(factory=list)
-    batch_limit: int = 16
-    cache_tokens: int = 200_000
-    context_tokens: int = 131_072
-    prefill_tokens_per_second: float = 8_000.0
-    decode_tokens_per_second: float = 40.0
-
-
-@define
-class Generation:
-    """One call on the engine."""
-
-    model: str
-    messages: list[dict[str, Any]]
-    answer: Answer
-    stream: EngineStream
-    blocks: tuple[int, ...]
-    prompt_tokens: int
-    program: str
-    include_usage: bool
-    cached_tokens: int = 0
-    prefill_left: int = 0
-    sent: int = 0
-
-    def chunk(
-        self, delta: dict[str, Any], finish_reason: str | None = None
-    ) -> dict[str, Any]:
-        """Return one ``chat.completion.chunk`` object."""
-        choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
-        return {**self._head("chat.completion.chunk"), "choices": [choice]}
-
-    def usage(self) -> dict[str, Any]:
-        """Return the usage object."""
-        return {
-            "prompt_tokens": self.prompt_tokens,
-            "completion_tokens": self.sent,
-            "total_tokens": self.prompt_tokens + self.sent,
-            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
-        }
-
-    def usage_chunk(self) -> dict[str, Any]:
-        """Return the chunk that carries the usage."""
-        head = self._head("chat.completion.chunk")
-        return {**head, "choices": [], "usage": self.usage()}
-
-    def completion(self) -> dict[str, Any]:
-        """Return the whole ``chat.completion`` object."""
-        choice = {
-            "index": 0,
-            "message": self.answer.message(self.sent),
-            "finish_reason": self.answer.finish_reason,
-        }
-        head = self._head("chat.completion")
-        return {**head, "choices": [choice], "usage": self.usage()}
-
-    def next_delta(self) -> dict[str, Any]:
-        """Return the delta with the next token."""
-        token = self.answer.tokens[self.sent]
-        if not self.answer.tool:
-            return {"content": token}
-        call: dict[str, Any] = {"index": 0, "function": {"arguments": token}}
-        if self.sent == 0:
-            call["id"] = f"call_{self.answer.tool}"
-            call["type"] = "function"
-            call["function"]["name"] = self.answer.tool
-        return {"tool_calls": [call]}
-
-    def _head(self, kind: str) -> dict[str, Any]:
-        return {
-            "id": f"chatcmpl-{self.stream.id}",
-            "object": kind,
-            "created": 0,
-            "model": self.model,
-        }
-
-
 @define
 class Session:
     """What a program holds in the engine's memory."""
@@ -312,7 +165,7 @@
 
     async def load_blocks(self, program: str, blocks: tuple[int, ...]) -> None:
         """Take blocks over from another engine."""
-        await self.clock.sleep(len(blocks) * 16 / _KV_TOKENS_PER_SECOND)
+        await self.clock.sleep(len(blocks) * BLOCK_TOKENS / _KV_TOKENS_PER_SECOND)
         self.cache.store(blocks, self.faults.event_loss)
         self._hold(program, blocks)
         self._sample()
@@ -329,7 +182,7 @@
             generation = self.waiting.popleft()
             if generation.stream.cancelled:
                 continue
-            cached = self.cache.match(generation.blocks) * 16
+            cached = self.cache.match(generation.blocks) * BLOCK_TOKENS
             generation.cached_tokens = min(cached, generation.prompt_tokens)
             left = generation.prompt_tokens - generation.cached_tokens
             generation.prefill_left = max(1, left)
--- a/src/eelgrasslock_standins/main.py
+++ b/src/eelgrasslock_standins/main.py
@@ -8,7 +8,8 @@
 import yaml
 
 from eelgrasslock_standins.engine import EngineStandin
-from eelgrasslock_standins.engine_core import EngineCore, EngineFaults, EngineShape
+from eelgrasslock_standins.engine_core import EngineCore
+from eelgrasslock_standins.engine_settings import EngineFaults, EngineShape
 from eelgrasslock_standins.log import LogFaults, LogStandin
 from eelgrasslock_standins.service import ServiceFaults, ServiceStandin
 from eelgrasslock_standins.serving import ScaledClock, serve
--- a/tests/standin_servers.py
+++ b/tests/standin_servers.py
@@ -6,7 +6,8 @@
 from aiohttp.test_utils import TestServer
 
 from eelgrasslock_standins.engine import EngineStandin
-from eelgrasslock_standins.engine_core import EngineCore, EngineFaults, EngineShape
+from eelgrasslock_standins.engine_core import EngineCore
+from eelgrasslock_standins.engine_settings import EngineFaults, EngineShape
 from eelgrasslock_standins.service import ServiceFaults, ServiceStandin
 from eelgrasslock_standins.serving import ScaledClock
 
