Test the configuration with the log writer and tail that daemons have

The fakes keep the table of streams quick, yet say nothing of lost requests, lost answers and duplicates as the writer resolves them, nor of a tail that jumps over dropped entries. Two tests with the real parts over the fake log cover these.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,3 +1,4 @@
+import asyncio
 import random
 
 import attrs
@@ -6,6 +7,8 @@
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.configuration import ConfigurationController
 from eelgrasslock.exceptions import LogUnavailable, SettingsError
+from eelgrasslock.log_tail import LogTail
+from eelgrasslock.log_writer import LogWriter
 from eelgrasslock.publish import (
     Publication,
     Publisher,
@@ -15,6 +18,7 @@
 from eelgrasslock.records import encode_batch
 from eelgrasslock.version_fold import copy_of, original_of
 from fake_config import FakeStream, FakeTail, FakeWriter, folder, version
+from fake_log import FakeLog, settle
 
 RETENTION = 1_000.0
 BAD = {"10.yaml": "wrong: ["}
@@ -240,7 +244,7 @@
             one.read()
             one.configuration.keeper.start()
         for _ in range(100):
-            await settle(clock, RETENTION / 100)
+            await settle(clock, RETENTION / 100, 1.0)
             for one in daemons:
                 one.read()
         copies = stream.records()[1:]
@@ -257,10 +261,10 @@
         daemon.read()
         daemon.configuration.keeper.start()
         stream.up = False
-        await settle(daemon.clock, RETENTION)
+        await settle(daemon.clock, RETENTION, 10.0)
         assert len(stream.entries) == 1
         stream.up = True
-        await settle(daemon.clock, RETENTION / 10)
+        await settle(daemon.clock, RETENTION / 10, 10.0)
         assert len(stream.entries) == 2
         await daemon.configuration.keeper.stop()
 
@@ -271,25 +275,11 @@
         stream.first = 2
         daemon.read()
         daemon.configuration.keeper.start()
-        await settle(daemon.clock, RETENTION * 1.1)
+        await settle(daemon.clock, RETENTION * 1.1, 10.0)
         assert daemon.read().configuration.fold.complete
         await daemon.configuration.keeper.stop()
 
 
-async def settle(clock, seconds, steps=10):
-    for _ in range(steps):
-        await clock_turn()
-        clock.advance(seconds / steps)
-    await clock_turn()
-
-
-async def clock_turn():
-    import asyncio
-
-    for _ in range(5):
-        await asyncio.sleep(0)
-
-
 class TestGossip:
     def test_starts_while_the_log_is_down(self, stream, daemon):
         stream.add(V1)
@@ -418,4 +408,65 @@
         assert stream.entries == []
 
 
+class TestOverTheLog:
+    """With the writer and the tail that daemons have."""
+
+    @pytest.fixture
+    async def start(self):
+        log, started = FakeLog(ManualClock(), step=2), []
+
+        async def start(seed):
+            daemon = Daemon(FakeStream(), log.clock, seed)
+            daemon.writer = LogWriter(log, log.clock, random.Random(seed))
+            daemon.tail = LogTail(log, log.clock, random.Random(seed))
+            parts = daemon.writer, daemon.tail, log.clock
+            daemon.configuration = ConfigurationController(
+                *parts, random.Random(seed), retention_seconds=RETENTION
+            )
+            daemon.publisher = Publisher(daemon.configuration, *parts)
+            controllers = daemon.configuration, daemon.writer, daemon.tail
+            for controller in controllers:
+                await controller.start()
+            started.extend(controllers)
+            return daemon
+
+        start.log = log
+        yield start
+        for controller in started:
+            await controller.stop()
+
+    async def publish(self, daemon, *arguments):
+        task = asyncio.create_task(daemon.publish(*arguments))
+        await settle(daemon.clock, 20.0)
+        return await task
+
+    async def test_faults_of_the_log_while_publishing(self, start):
+        first, second = await start(1), await start(2)
+        start.log.lose_answers = start.log.lose_requests = 1
+        assert (await self.publish(first, "one", 1.0)).version == 1
+        start.log.duplicate = 1
+        assert (await self.publish(second, "two", 2.0)).version == 2
+        assert (first.in_force, second.in_force) == ("two", "two")
+        start.log.down = True
+        with pytest.raises(LogUnavailable):
+            await self.publish(first, "three", 3.0)
+        start.log.down = False
+        assert (await self.publish(first, "three", 3.0)).version == 3
+        await settle(first.clock, 5.0)
+        assert second.in_force == "three"
+
+    async def test_a_fresh_daemon_after_retention(self, start):
+        first = await start(1)
+        for number, name in enumerate(["one", "two", "three"]):
+            await self.publish(first, name, number + 1.0)
+        await settle(first.clock, RETENTION, 10.0)
+        start.log.retention = 2
+        del start.log.streams["config"][:-2]
+        fresh = await start(2)
+        await settle(first.clock, 5.0)
+        assert fresh.in_force == "three"
+        assert (await self.publish(fresh, "four", 4.0)).version == 4
+        assert first.in_force == "four"
+
+
 RIVAL_2_OF_FIRST = version(2, "first", "rival", folder(9), author="ben")
