Tell a dropped start of the stream by the records that follow

A tail that jumps over dropped entries does not say so, and a fresh daemon then judged the first change that it saw as void: it served the right version from gossip, yet told the next operator that a good publish was refused. Seen with one entry held that was a partial version.

A first record that has a predecessor proves that something was dropped, as its author had read one; so such a reader now waits for a copy or gossip that covers the gap. A start afresh covers itself, as no copy of it may be held yet. A jump in the middle of a run still needs the tail's word.

--- a/src/eelgrasslock/operator_api.py
+++ b/src/eelgrasslock/operator_api.py
@@ -1,5 +1,6 @@
 """The operators' interface of a daemon, over HTTP."""
 
+import contextlib
 import json
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
@@ -226,20 +227,20 @@
 
     async def _edit(self, author: str, edit: Edit) -> VersionView:
         """Publish a change of the version in force, whoever else is at it."""
-        for last in [False] * (_EDIT_TRIES - 1) + [True]:
-            record = self._record()
-            files = edit(record.files)
-            if files == record.files:
-                return _version_view(record)
-            publication = Publication(
-                id=new_id(), author=author, files=files, replaces=record.id
-            )
-            try:
-                return _version_view(await self.publisher.publish(publication))
-            except VersionConflict:
-                if last:
-                    raise
-        raise AssertionError("The last try returns or raises.")
+        for _ in range(_EDIT_TRIES - 1):
+            with contextlib.suppress(VersionConflict):
+                return await self._edit_once(author, edit)
+        return await self._edit_once(author, edit)
+
+    async def _edit_once(self, author: str, edit: Edit) -> VersionView:
+        record = self._record()
+        files = edit(record.files)
+        if files == record.files:
+            return _version_view(record)
+        publication = Publication(
+            id=new_id(), author=author, files=files, replaces=record.id
+        )
+        return _version_view(await self.publisher.publish(publication))
 
     def _record(self) -> ConfigVersion:
         record = self.application.configuration.record
--- a/src/eelgrasslock/version_fold.py
+++ b/src/eelgrasslock/version_fold.py
@@ -84,6 +84,10 @@
     return attrs.evolve(record, files=files, partial=False, removed=[])
 
 
+def _has_predecessor(record: ConfigVersion) -> bool:
+    return record.republished or record.version > 1
+
+
 class VersionFold:
     """The configuration in force, as a function of a prefix of the stream.
 
@@ -100,6 +104,7 @@
     what it has kept beyond that offset, and from there on is like any other
     reader. Until then it serves the newest copy, which is safe: a copy is only
     made of an accepted version, and one with a lower number is never taken.
+    A copy that names itself starts the stream afresh (see `publish`).
 
     Gossip hands over the same copies, so a version that came by gossip obeys
     the same rule; it never decides what a record of the stream is worth.
@@ -152,8 +157,10 @@
         record = positioned.record
         if not isinstance(record, ConfigVersion):
             return
+        if self.complete and self.version is None and _has_predecessor(record):
+            self.note_gap(positioned.offset)
         if record.republished:
-            self._take_copy(record)
+            self._take_copy(record, positioned.offset)
         elif self.complete:
             self._judge(positioned)
         else:
@@ -174,16 +181,19 @@
     def take_gossip(self, copy: ConfigVersion) -> None:
         """Use a peer's copy to close a gap."""
         if not self.complete:
-            self._take_copy(copy)
+            self._take_copy(copy, -1)
 
-    def _take_copy(self, copy: ConfigVersion) -> None:
-        closes = not self.complete and copy.in_force_at >= self._gap_end
+    def _take_copy(self, copy: ConfigVersion, offset: int) -> None:
+        in_force_at = copy.in_force_at
+        if copy.replaces == copy.id:
+            in_force_at = max(in_force_at, offset)
+        closes = not self.complete and in_force_at >= self._gap_end
         newer = copy.version > self.number
         rival = copy.version == self.number and copy.replaces != self.record_id
         if (newer or (closes and rival)) and not self._adopt(original_of(copy)):
             return
         if closes:
-            self._close_gap(copy.in_force_at)
+            self._close_gap(in_force_at)
 
     def _adopt(self, record: ConfigVersion) -> bool:
         checked = self._check(record)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -181,10 +181,14 @@
         records = [V1, V2, copy(V2, 1), version(3, "v2")]
         assert self.late(stream, records, 2).in_force == "v3"
 
-    def test_a_hidden_winner_is_not_replaced_by_its_rival(self, stream):
+    @pytest.mark.parametrize(
+        "held",
+        [[RIVAL_2, copy(V1, 0)], [copy(V1, 0), RIVAL_2]],
+        ids=["rival first", "copy first"],
+    )
+    def test_a_hidden_winner_is_not_replaced_by_its_rival(self, stream, held):
         # v2 won and is dropped; its rival and a stale copy of v1 are still held.
-        records = [V1, V2, RIVAL_2, copy(V1, 0)]
-        reader = self.late(stream, records, 2)
+        reader = self.late(stream, [V1, V2, *held], 2)
         assert reader.in_force == "v1"
         stream.add(V3)
         assert reader.read().in_force == "v1"
@@ -468,5 +472,31 @@
         assert (await self.publish(fresh, "four", 4.0)).version == 4
         assert first.in_force == "four"
 
+    async def test_a_fresh_daemon_that_sees_only_a_fresh_start(self, start):
+        start.log.put("config", encode_batch([RIVAL_2]))
+        first = await start(1)
+        await settle(first.clock, 5.0)
+        assert (await self.publish(first, "new", 1.0)).version == 3
+        del start.log.streams["config"][:-1]
+        start.log.retention = 1
+        other = await start(2)
+        await settle(first.clock, 5.0)
+        assert (await self.publish(other, "newer", 2.0)).version == 4
+        assert first.in_force == "newer"
+
+    async def test_a_fresh_daemon_that_sees_only_changes(self, start):
+        first = await start(1)
+        await self.publish(first, "one", 1.0)
+        await self.publish(first, "two", 2.0)
+        del start.log.streams["config"][:-1]
+        start.log.retention = 1
+        fresh = await start(2)
+        await settle(first.clock, 5.0)
+        assert fresh.in_force is None
+        gossip(first, fresh)
+        assert fresh.in_force == "two"
+        assert (await self.publish(fresh, "three", 3.0)).version == 3
+        assert first.in_force == "three"
+
 
 RIVAL_2_OF_FIRST = version(2, "first", "rival", folder(9), author="ben")
