--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions.py
@@ -14,7 +14,7 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogError, LogUnavailable, Ran, Refusal
 from eelgrasslock.held import done_within
-from eelgrasslock.log_gate import LogGate, Writer, journal_unavailable
+from eelgrasslock.log_gate import LogGate, Writer, append_surely, journal_unavailable
 from eelgrasslock.records import (
     ActionIntended,
     ActionOutcome,
@@ -265,6 +265,9 @@
             self.tables
         )
 
+    def _stream(self, record: ActionIntended | ActionOutcome) -> str:
+        return actions_stream(self._shard(record.service, record.action))
+
     def _intent(
         self, service: str, action: str, request_digest: str, program: str
     ) -> ActionIntended:
@@ -289,10 +292,10 @@
         return entry
 
     async def _append(
-        self, record: ActionIntended | ActionOutcome, timeout: float | None
+        self, record: ActionIntended | ActionOutcome, timeout: float
     ) -> None:
         """Append a record and read up to it."""
-        stream = actions_stream(self._shard(record.service, record.action))
+        stream = self._stream(record)
         offset = await self.writer.append(stream, record, timeout)
         try:
             await self.tail.reached(stream, offset, timeout)
@@ -300,8 +303,10 @@
             raise LogError("The record was not read back.") from error
 
     async def _record_outcome(self, outcome: ActionOutcome) -> None:
+        stream = self._stream(outcome)
         try:
-            await self._append(outcome, None)
+            offset = await append_surely(self.writer, self.clock, stream, outcome)
+            await self.tail.reached(stream, offset)
         finally:
             self._unrecorded.pop(outcome.intent, None)
 
@@ -344,9 +349,14 @@
     def _watch(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._done)
         return task
 
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.warning("An outcome was not read back: {}", task.exception())
+
 
 def _is_unresolved(entry: ActionEntry, stale: float) -> bool:
     if entry.settled:
--- a/src/eelgrasslock/live_programs.py
+++ b/src/eelgrasslock/live_programs.py
@@ -15,12 +15,17 @@
 from eelgrasslock.journal import Journal
 from eelgrasslock.ledger import ZERO, Amount
 from eelgrasslock.limits import ended_refusal
-from eelgrasslock.log_gate import LogGate, Tail, Writer, journal_unavailable
+from eelgrasslock.log_gate import (
+    LogGate,
+    Tail,
+    Writer,
+    append_surely,
+    journal_unavailable,
+)
 from eelgrasslock.program import Program, created_program
 from eelgrasslock.records import ProgramCreated, Record, journal_stream
 
 JOURNAL_WAIT_SECONDS = 1.0
-_APPEND_RETRY_SECONDS = 1.0
 _REFUSALS_KEPT = 16
 _CONFLICT = 409
 
@@ -187,7 +192,10 @@
             log.info("Program {} goes on unjournaled, {} copies.", live.id, copies)
         if not task.done():
             return False
-        verdict = task.result()
+        try:
+            verdict = task.result()
+        except LogError:
+            return False
         if not verdict.counted:
             raise void_refusal(verdict, self.state(live.id))
         return True
@@ -218,7 +226,7 @@
 
     async def _append(self, live: LiveProgram, record: Record) -> Verdict:
         async with live.appending:
-            offset = await self._append_for_sure(record)
+            offset = await append_surely(self.writer, self.clock, self.stream, record)
         await self.tail.reached(self.stream, offset)
         verdict = self.journal.verdict(record.id) or void("unread")
         live.held.drop_judged(self.journal)
@@ -227,15 +235,6 @@
             log.warning("{} of {} is void: {}.", kind, live.id, verdict.reason)
         return verdict
 
-    async def _append_for_sure(self, record: Record) -> int:
-        """Append a record that must not be lost or overtaken."""
-        while True:
-            try:
-                return await self.writer.append(self.stream, record)
-            except LogError as error:
-                log.warning("The writer took no record: {}", error)
-            await self.clock.sleep(_APPEND_RETRY_SECONDS)
-
 
 def void_refusal(verdict: Verdict, state: Program | None) -> Refusal:
     """Return the final answer to a call whose record is void."""
--- a/src/eelgrasslock/log_gate.py
+++ b/src/eelgrasslock/log_gate.py
@@ -2,12 +2,18 @@
 
 from typing import Protocol
 
-from eelgrasslock.exceptions import Ran, Refusal
+from loguru import logger
+
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import LogError, Ran, Refusal
 from eelgrasslock.records import Record
 
 RETRY_AFTER_SECONDS = 5.0
+_RETRY_SECONDS = 1.0
 _UNAVAILABLE = 503
 
+log = logger.bind(part="log")
+
 
 class Writer(Protocol):
     """Appends records; see `log_writer.LogWriter`."""
@@ -55,6 +61,18 @@
             raise journal_unavailable()
 
 
+async def append_surely(
+    writer: Writer, clock: Clock, stream: str, record: Record
+) -> int:
+    """Append a record that must not be lost, however long it takes."""
+    while True:
+        try:
+            return await writer.append(stream, record)
+        except LogError as error:
+            log.warning("The writer took no record: {}", error)
+        await clock.sleep(_RETRY_SECONDS)
+
+
 def journal_unavailable() -> Refusal:
     """Return the final answer to a request that needs the log now."""
     return Refusal(
--- a/src/eelgrasslock/takeover.py
+++ b/src/eelgrasslock/takeover.py
@@ -1,6 +1,5 @@
 """Taking a program over from a daemon that is gone."""
 
-import asyncio
 from typing import Any
 
 from loguru import logger
@@ -107,7 +106,7 @@
         log.info("Took {} over from {}.", program, state.holder)
 
     async def _append(self, record: Record) -> bool:
-        task = asyncio.ensure_future(self.programs.judge(record))
+        task = self.programs.watch(self.programs.judge(record))
         if not await done_within(self.programs.clock, task, _CLAIM_SECONDS):
             task.cancel()
             raise journal_unavailable()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,7 +9,7 @@
 from eelgrasslock.actions import Actions
 from eelgrasslock.budget_filter import BudgetFilter
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.exceptions import PeerUnavailable, Refusal
+from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable, Refusal
 from eelgrasslock.exchange import CallResult, Exchange, Request, RequestKind, chain
 from eelgrasslock.log_tail import LogTail
 from eelgrasslock.log_writer import LogWriter
@@ -87,12 +87,12 @@
         if exchange.kind is RequestKind.PLAIN:
             await self._answer(exchange, self.posting % len(self.runs))
             return
-        await self._complete(exchange)
+        self.tokens += exchange.prompt_tokens + exchange.max_tokens
+        await self._complete(exchange, f"answer {len(self.runs)}")
 
-    async def _complete(self, exchange):
+    async def _complete(self, exchange, text):
         used = exchange.prompt_tokens + exchange.max_tokens
-        self.tokens += used
-        message = {"role": "assistant", "content": f"answer {len(self.runs)}"}
+        message = {"role": "assistant", "content": text}
         choice = {"index": 0, "message": message, "finish_reason": "stop"}
         result = CallResult(
             message=message,
@@ -130,24 +130,72 @@
 
 
 class FakePeers:
-    """Links between the daemons of a fleet; `cut` ones don't answer."""
+    """Links between the daemons of a fleet.
 
-    def __init__(self, fleet):
+    `cut` ones don't answer, `lose` is how many answers get lost, `late` the
+    seconds that each call takes, and `twice` repeats what is sent.
+    """
+
+    def __init__(self, fleet, awake):
         self.fleet = fleet
+        self.awake = awake
         self.cut = False
+        self.lose = 0
+        self.late = 0.0
+        self.twice = False
 
     async def hold(self, member, stream, records):
-        self._peer(member).programs.holdings.hold(stream, records)
+        peer = await self._reach(member)
+        for _ in range(1 + self.twice):
+            peer.programs.holdings.hold(stream, records)
+        self._answer()
 
     async def held(self, member, stream):
-        return self._peer(member).programs.holdings.held(stream)
+        peer = await self._reach(member)
+        self._answer()
+        return peer.programs.holdings.held(stream)
 
-    def _peer(self, member):
+    async def _reach(self, member):
         peer = self.fleet.daemons[member.incarnation]
+        await self.awake.wait()
+        if self.late:
+            await self.fleet.clock.sleep(self.late)
+        await peer.peers.awake.wait()
         if self.cut or peer.peers.cut or peer.dead:
             raise PeerUnavailable("cut")
         return peer
 
+    def _answer(self):
+        self.lose -= 1
+        if self.lose >= 0:
+            raise PeerUnavailable("lost")
+
+
+class LogLink:
+    """One daemon's way to the log; a paused daemon neither asks nor hears."""
+
+    def __init__(self, log, awake):
+        self.log = log
+        self.awake = awake
+        self.cut = False
+
+    async def append(self, stream, data):
+        await self._pass()
+        offset = await self.log.append(stream, data)
+        await self.awake.wait()
+        return offset
+
+    async def read(self, stream, offset, limit):
+        await self._pass()
+        entries = await self.log.read(stream, offset, limit)
+        await self.awake.wait()
+        return entries
+
+    async def _pass(self):
+        await self.awake.wait()
+        if self.cut:
+            raise LogUnavailable("cut")
+
 
 class Daemon:
     """The program state of one daemon, with its filters before an engine."""
@@ -155,12 +203,14 @@
     def __init__(self, fleet, incarnation, limits):
         self.incarnation = incarnation
         self.dead = False
+        self.awake = asyncio.Event()
+        self.awake.set()
         clock, rng = fleet.clock, random.Random(incarnation)
-        self.log = fleet.log
+        self.log = LogLink(fleet.log, self.awake)
         self.writer = LogWriter(self.log, clock, rng, appends_per_second=1000.0)
         self.tail = LogTail(self.log, clock, rng)
         self.membership = FakeMembership(incarnation)
-        self.peers = FakePeers(fleet)
+        self.peers = FakePeers(fleet, self.awake)
         self.actions = Actions(incarnation, self.writer, self.tail, clock, 2)
         self.programs = Programs(
             DOMAIN,
@@ -181,7 +231,12 @@
             BudgetFilter(self.programs),
             ActionFilter(self.actions, SERVICES.get, clock),
         ]
-        self.serve = chain(filters, self.engine)
+        self.serve = chain(filters, self._dispatch)
+
+    async def _dispatch(self, exchange):
+        exchange.sent = False
+        await self.awake.wait()
+        await self.engine(exchange)
 
     async def start(self):
         await self.tail.start()
@@ -191,6 +246,7 @@
     async def kill(self):
         """Stop without any farewell."""
         self.dead = True
+        self.awake.clear()
         await self.writer.stop()
         await self.tail.stop()
         await asyncio.gather(*self._cancel_tasks(), return_exceptions=True)
@@ -217,10 +273,13 @@
         self.engine = FakeEngine()
         self.limits = limits or Limits(tokens=10_000, turns=50, age=1e6)
         self.daemons = {}
+        self.retired = []
 
     async def add(self, incarnation):
         daemon = Daemon(self, incarnation, self.limits)
         self.daemons[incarnation] = daemon
+        for record in self.retired:
+            daemon.membership.table.apply(record)
         for one in self.daemons.values():
             for other in self.daemons:
                 one.membership.table.apply(joined(other))
@@ -232,9 +291,10 @@
         record = MemberRetired(
             author="x", time=0.0, incarnation=incarnation, reason="silent"
         )
+        self.retired.append(Positioned(1, 0, record))
         for one in self.daemons.values():
             if one.incarnation != incarnation:
-                one.membership.table.apply(Positioned(1, 0, record))
+                one.membership.table.apply(self.retired[-1])
 
     async def stop(self):
         for daemon in self.daemons.values():
