--- a/src/eelgrasslock/pool.py
+++ b/src/eelgrasslock/pool.py
@@ -27,8 +27,10 @@
         Its endpoints.
     members : dict of str to EndpointState
         The same by name.
+    urgent : CallHeap
+        Lookups; they are never parked, but take the first free slot anywhere.
     unplaced : CallHeap
-        Calls that wait to be placed.
+        Other calls that wait to be placed.
     withheld : list of WaitingCall
         Calls that no endpoint may take now, until the next review.
     parked : dict of str to CallHeap
@@ -51,6 +53,7 @@
     model: str
     states: list[EndpointState] = field(factory=list)
     members: dict[str, EndpointState] = field(factory=dict)
+    urgent: CallHeap = field(factory=CallHeap)
     unplaced: CallHeap = field(factory=CallHeap)
     withheld: list[WaitingCall] = field(factory=list)
     parked: dict[str, CallHeap] = field(factory=dict)
@@ -88,7 +91,10 @@
     def add(self, waiting: WaitingCall) -> None:
         """Take in a call that waits."""
         self.waiting[waiting.call.call_class] += 1
-        self.unplaced.push(waiting)
+        if waiting.call.call_class is CallClass.LOOKUP:
+            self.urgent.push(waiting)
+        else:
+            self.unplaced.push(waiting)
 
     def remove(self, waiting: WaitingCall) -> None:
         """Drop a call that waits no more; its heap forgets it later."""
--- a/src/eelgrasslock/starter.py
+++ b/src/eelgrasslock/starter.py
@@ -72,6 +72,7 @@
     def start_waiting(self, pool: Pool, now: float, wall: float) -> list[Assignment]:
         """Start what may start now."""
         started: list[Assignment] = []
+        self._serve_urgent(pool, now, wall, started)
         if now >= pool.review_at:
             self._review(pool, now, wall, started)
         self._serve_unplaced(pool, now, wall, started)
@@ -121,6 +122,22 @@
             if waiting is not None:
                 self._place(pool, waiting, now, wall, started)
 
+    def _serve_urgent(
+        self, pool: Pool, now: float, wall: float, started: list[Assignment]
+    ) -> None:
+        left: list[WaitingCall] = []
+        for _ in range(_PLACED_AT_ONCE):
+            waiting = pool.urgent.pop()
+            if waiting is None:
+                break
+            choice = self._choose(pool, waiting, now)
+            if choice is None:
+                left.append(waiting)
+            else:
+                started.append(self._start(pool, waiting, choice, now, wall))
+        for waiting in left:
+            pool.urgent.push(waiting)
+
     def _serve_unplaced(
         self, pool: Pool, now: float, wall: float, started: list[Assignment]
     ) -> None:
@@ -184,6 +201,8 @@
                 continue
             if is_suspect and state.suspect:
                 continue
+            if is_lookup and not self._has_slot(state, call.call_class, now):
+                continue
             cached = self._cached_tokens(state, waiting.keys)
             ahead = 0 if is_lookup else pool.parked_counts.get(state.name, 0)
             candidates.append(Candidate(state, cached, ahead))
--- a/src/eelgrasslock_measure/deployments.py
+++ b/src/eelgrasslock_measure/deployments.py
@@ -124,7 +124,7 @@
             model_calls=False,
         ),
     ],
-    knee=0.5,
+    knee=0.35,
 )
 
 TURKEY_WEST = Deployment(
--- a/src/eelgrasslock_measure/workload.py
+++ b/src/eelgrasslock_measure/workload.py
@@ -56,6 +56,8 @@
         The share of turns that start sub-agents.
     child_turns : Spread
         The sub-agents' calls to the model.
+    max_output_tokens : int
+        The limit that its calls ask for.
     model_calls : bool
         Whether the program calls a model; if not, it is one plain call.
     """
@@ -73,6 +75,7 @@
     plain_share: float = 0.3
     children_share: float = 0.0
     child_turns: Spread = Spread(median=2, sigma=0.6, most=10)
+    max_output_tokens: int = 1_500
     model_calls: bool = True
 
 
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -40,6 +40,13 @@
         lookup = make_call("l", call_class=LOOKUP)
         assert start(scheduler, lookup).call is lookup
 
+    def test_lookups_overtake_by_a_bounded_number(self):
+        scheduler, _ = make_scheduler(engines=1, batch_limit=1)
+        start(scheduler, make_call("b", call_class=BACKGROUND))
+        lookups = [make_call(f"l{n}", call_class=LOOKUP) for n in range(4)]
+        started = [start(scheduler, lookup) for lookup in lookups]
+        assert [one is not None for one in started] == [True, True, False, False]
+
     def test_programs_under_way_go_before_new_ones(self):
         scheduler, clock = make_scheduler(engines=1, batch_limit=1)
         early = start(scheduler, make_call("early"))
