Count an imported prefix as memory that it takes on its new engine

A call whose prefix is imported fills the target's cache like one that is computed, but the cost of pushing out live programs left imported tokens out.

--- a/src/eelgrasslock/placement.py
+++ b/src/eelgrasslock/placement.py
@@ -217,7 +217,7 @@
         wait = self._wait(candidate)
 
         wasted = float(max(0, source.cached_tokens - cached))
-        wasted += self._pushed_out(state, call, cached)
+        wasted += self._pushed_out(state, call, candidate.cached_tokens)
         prefill_speed = settings.prefill_tokens_per_second
         stalled = min(load, settings.batch_limit) * _STALL_SHARE
         stall = uncached / prefill_speed * stalled
