Charge an import for the second copy that it leaves behind

A moved prefix stays on its old engine as well. Where caches are full of live programs the copy pushes others out, so an import is charged as wasted in the measure that the target is full.

--- a/src/eelgrasslock/placement.py
+++ b/src/eelgrasslock/placement.py
@@ -218,6 +218,9 @@
 
         wasted = float(max(0, source.cached_tokens - cached))
         wasted += self._pushed_out(state, call, candidate.cached_tokens)
+        if imported:
+            moved = cached - candidate.cached_tokens
+            wasted += moved * min(1.0, state.live_tokens / settings.cache_tokens)
         prefill_speed = settings.prefill_tokens_per_second
         stalled = min(load, settings.batch_limit) * _STALL_SHARE
         stall = uncached / prefill_speed * stalled
