Hold new programs back while the engines' caches are full of live ones

Past the knee most of the loss came from caches: with more live programs than they hold, contexts are evicted while tools run and computed again each turn, which slows all and keeps still more programs live.

Sub-agents, whose prompt an engine holds, programs under way and lookups pass. Admission counts the gate's queue.

--- a/src/eelgrasslock/admission.py
+++ b/src/eelgrasslock/admission.py
@@ -138,6 +138,8 @@
         now: float,
     ) -> None:
         wait = self._wait(call, pool)
+        if not program.calls and call.call_class is not CallClass.LOOKUP:
+            wait = max(wait, pool.gate.predicted_wait())
         limit = wait_limit(self.limits, call.call_class)
         if not program.calls and call.call_class is not CallClass.LOOKUP:
             limit *= _NEW_PROGRAM_SHARE
--- a/src/eelgrasslock/cache_estimate.py
+++ b/src/eelgrasslock/cache_estimate.py
@@ -74,6 +74,10 @@
         depth = _longest_prefix(self.holders, keys)
         return self.holders[keys[depth - 1]] if depth else ()
 
+    def known_chunks(self, keys: tuple[int, ...]) -> int:
+        """Return how many leading chunks any endpoint holds."""
+        return _longest_prefix(self.holders, keys)
+
     def trim(self, endpoint: str, keys: tuple[int, ...], kept: int) -> None:
         """Drop the chunks after the first `kept`, which were not found there."""
         held = self.held.get(endpoint)
--- a/src/eelgrasslock/pool.py
+++ b/src/eelgrasslock/pool.py
@@ -4,6 +4,7 @@
 
 from eelgrasslock.endpoint_state import EndpointState
 from eelgrasslock.exchange import CallClass
+from eelgrasslock.memory_gate import MemoryGate
 from eelgrasslock.queueing import CallHeap, WaitingCall
 
 REVIEW_SECONDS = 0.25
@@ -29,6 +30,10 @@
         The same by name.
     urgent : CallHeap
         Lookups; they are never parked, but take the first free slot anywhere.
+    newcomers : CallHeap
+        First calls of programs, until the engines' caches have room for them.
+    gate : MemoryGate
+        Says how many newcomers there is room for.
     unplaced : CallHeap
         Other calls that wait to be placed.
     withheld : list of WaitingCall
@@ -54,6 +59,8 @@
     states: list[EndpointState] = field(factory=list)
     members: dict[str, EndpointState] = field(factory=dict)
     urgent: CallHeap = field(factory=CallHeap)
+    newcomers: CallHeap = field(factory=CallHeap)
+    gate: MemoryGate = field(factory=MemoryGate)
     unplaced: CallHeap = field(factory=CallHeap)
     withheld: list[WaitingCall] = field(factory=list)
     parked: dict[str, CallHeap] = field(factory=dict)
@@ -93,6 +100,9 @@
         self.waiting[waiting.call.call_class] += 1
         if waiting.call.call_class is CallClass.LOOKUP:
             self.urgent.push(waiting)
+        elif waiting.is_newcomer:
+            self.newcomers.push(waiting)
+            self.gate.waiting += 1
         else:
             self.unplaced.push(waiting)
 
@@ -101,6 +111,8 @@
         waiting.gone = True
         self.waiting[waiting.call.call_class] -= 1
         self._unpark(waiting)
+        if waiting.is_newcomer:
+            self.gate.left(waiting.call.prompt_tokens, waiting.admitted)
 
     def park(self, waiting: WaitingCall, endpoint: str) -> None:
         """Let a call that is in no heap wait for an endpoint's slot."""
@@ -142,6 +154,18 @@
         """Take in how long a finished call ran."""
         self.service_seconds += _LEARNING_RATE * (seconds - self.service_seconds)
 
+    def admit_newcomers(self, now: float, daemons: int) -> None:
+        """Let newcomers be placed while the engines' caches have room."""
+        head = self.newcomers.head()
+        if head is None:
+            return
+        self.gate.look(self.states, daemons, now)
+        while head is not None and self.gate.admit(head.call.prompt_tokens, now):
+            head.admitted = True
+            self.newcomers.pop()
+            self.unplaced.push(head)
+            head = self.newcomers.head()
+
     def predicted_wait(self, call_class: CallClass, daemons: int) -> float:
         """Return the seconds until a new call of a class would start."""
         ahead = self.ahead_of(call_class)
--- a/src/eelgrasslock/queueing.py
+++ b/src/eelgrasslock/queueing.py
@@ -33,7 +33,9 @@
     home : str
         The endpoint that ran its last call.
     context_tokens : int
-        The length of its last prompt.
+        The length of its last prompt, without what others had computed.
+    shared_tokens : int
+        The part of its first prompt that others had computed.
     calls : int
         Calls that were assigned.
     """
@@ -43,6 +45,7 @@
     output_tokens: float = _FIRST_OUTPUT_TOKENS
     home: str = ""
     context_tokens: int = 0
+    shared_tokens: int = 0
     calls: int = 0
 
     def learn(self, seconds: float, completion_tokens: int) -> None:
@@ -97,6 +100,10 @@
         The expected length of its answer.
     wanted : str
         The endpoint whose slot it waits for, empty if none was chosen yet.
+    is_newcomer : bool
+        Whether it begins a program whose context no engine holds yet.
+    admitted : bool
+        Whether a newcomer has been let past the memory gate.
     gone : bool
         Whether it has left the queue; heaps drop it when they meet it.
     """
@@ -107,6 +114,8 @@
     submitted: float
     output_tokens: float
     wanted: str = ""
+    is_newcomer: bool = False
+    admitted: bool = False
     gone: bool = False
 
 
--- a/src/eelgrasslock/scheduler.py
+++ b/src/eelgrasslock/scheduler.py
@@ -37,6 +37,7 @@
 
 ALL_ON = Decisions()
 _NO_USAGE = Usage()
+_KNOWN_SHARE = 0.8
 
 
 @frozen
@@ -139,7 +140,9 @@
         count = len(self.waiting)
         pool = self.admission.check(call, program, output_tokens, count, now)
         rank = self._rank(call, program, now)
-        waiting = WaitingCall(call, chunk_keys(call.blocks), rank, now, output_tokens)
+        keys = chunk_keys(call.blocks)
+        waiting = WaitingCall(call, keys, rank, now, output_tokens)
+        waiting.is_newcomer = self._is_newcomer(program, keys)
         self.waiting[call.id] = waiting
         pool.add(waiting)
         expires_at = self.admission.expires_at(call, now)
@@ -309,6 +312,16 @@
 
     # --- helpers ----------------------------------------------------------
 
+    def _is_newcomer(self, program: ProgramService, keys: tuple[int, ...]) -> bool:
+        """Return whether a call brings a context that no engine holds yet.
+
+        A sub-agent is none: it builds on what its parent holds, and its parent
+        waits for it.
+        """
+        if not self.decisions.memory or program.calls or not keys:
+            return False
+        return self.cache.known_chunks(keys) < _KNOWN_SHARE * len(keys)
+
     def _rank(self, call: Call, program: ProgramService, now: float) -> Rank:
         if self.decisions.program_order:
             return self.ranking.by_program(call, program, now)
--- a/src/eelgrasslock/starter.py
+++ b/src/eelgrasslock/starter.py
@@ -12,7 +12,7 @@
 from eelgrasslock.pool import REVIEW_SECONDS, Pool
 from eelgrasslock.quarantine import CRASHES_TO_QUARANTINE, Quarantine
 from eelgrasslock.queueing import ProgramTable, WaitingCall
-from eelgrasslock.scheduling import Assignment
+from eelgrasslock.scheduling import Assignment, Call
 from eelgrasslock.slots import Slots
 
 _PLACED_AT_ONCE = 32
@@ -75,6 +75,7 @@
         self._serve_urgent(pool, now, wall, started)
         if now >= pool.review_at:
             self._review(pool, now, wall, started)
+        pool.admit_newcomers(now, self.slots.daemons)
         self._serve_unplaced(pool, now, wall, started)
         for _ in range(_ENDPOINTS_AT_ONCE):
             if not pool.changed:
@@ -254,7 +255,7 @@
         )
         state.start(running, now, wall)
         self.cache.store(state.name, waiting.keys)
-        self._move_home(call.program, state, call.prompt_tokens, now)
+        self._move_home(call, state, choice.cached_tokens, now)
         return Assignment(
             call=call,
             endpoint=state.name,
@@ -265,18 +266,20 @@
         )
 
     def _move_home(
-        self, program: str, state: EndpointState, tokens: int, now: float
+        self, call: Call, state: EndpointState, cached_tokens: int, now: float
     ) -> None:
-        entry = self.programs.find(program, now)
+        entry = self.programs.find(call.program, now)
         entry.calls += 1
-        if not tokens:
+        if not call.prompt_tokens:
             return
+        if not entry.home:
+            entry.shared_tokens = cached_tokens
         former = self.fleet.states.get(entry.home)
         if former is not None:
             former.live_tokens -= entry.context_tokens
         entry.home = state.name
-        entry.context_tokens = tokens
-        state.live_tokens += tokens
+        entry.context_tokens = max(0, call.prompt_tokens - entry.shared_tokens)
+        state.live_tokens += entry.context_tokens
 
 
 def _reason(choice: Choice, batch: int, waited: float) -> str:
