--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -82,9 +82,10 @@
 done
 
 echo "demo: publishing examples/riga"
+cp -r examples/riga "$logs/riga"
 published=""
 for _ in $(seq 60); do
-    if "$PYTHON" -m eelgrasslock.cli publish examples/riga \
+    if "$PYTHON" -m eelgrasslock.cli publish "$logs/riga" \
         --daemon http://127.0.0.1:18081 >"$logs/publish.out" 2>&1; then
         published=yes
         break
--- a/src/eelgrasslock/attempts.py
+++ b/src/eelgrasslock/attempts.py
@@ -75,18 +75,15 @@
     ----------
     exchange : Exchange
         The call.
-    dispatcher : Dispatcher
-        Gives endpoints.
-    metrics : Metrics or None
-        Counts retries and failures.
+    parts : DispatchParts
+        Gives endpoints, and counts retries and failures.
     """
 
-    def __init__(
-        self, exchange: Exchange, dispatcher: Dispatcher, metrics: Metrics | None
-    ) -> None:
+    def __init__(self, exchange: Exchange, parts: DispatchParts) -> None:
         self.exchange = exchange
-        self.dispatcher = dispatcher
-        self.metrics = metrics
+        self.configuration = parts.configuration
+        self.dispatcher = parts.dispatcher
+        self.metrics = parts.metrics
         self.id = uuid.uuid4().hex
         self.number = 0
         self.ran = Ran.NO
@@ -95,6 +92,8 @@
     async def acquire(self, service: str, model: str) -> Assignment:
         """Wait for the next attempt's endpoint.
 
+        An endpoint that failed is asked again only if there is no other.
+
         Raises
         ------
         Refusal
@@ -174,9 +173,19 @@
             max_tokens=exchange.max_tokens,
             deadline=exchange.deadline,
             digest=exchange.digest,
-            excluded=self.excluded,
+            excluded=self._excluded(service, model),
         )
 
+    def _excluded(self, service: str, model: str) -> frozenset[str]:
+        endpoints = self.configuration().endpoints.items()
+        able = {
+            name
+            for name, settings in endpoints
+            if settings.service == service
+            and (not model or not settings.models or model in settings.models)
+        }
+        return self.excluded if able - self.excluded else frozenset()
+
 
 def endpoint_settings(
     configuration: Configuration, assignment: Assignment
--- a/src/eelgrasslock/model_dispatch.py
+++ b/src/eelgrasslock/model_dispatch.py
@@ -37,7 +37,7 @@
     def __init__(self, parts: DispatchParts, exchange: Exchange) -> None:
         self.parts = parts
         self.exchange = exchange
-        self.attempts = Attempts(exchange, parts.dispatcher, parts.metrics)
+        self.attempts = Attempts(exchange, parts)
         configuration = parts.configuration()
         self.models = resolve_models(configuration, exchange.model)
         self.started = parts.clock.monotonic()
--- a/src/eelgrasslock/plain_dispatch.py
+++ b/src/eelgrasslock/plain_dispatch.py
@@ -34,7 +34,7 @@
     def __init__(self, parts: DispatchParts, exchange: Exchange) -> None:
         self.parts = parts
         self.exchange = exchange
-        self.attempts = Attempts(exchange, parts.dispatcher, parts.metrics)
+        self.attempts = Attempts(exchange, parts)
         settings = parts.configuration().services[exchange.service]
         methods = find_methods(settings, exchange.request.method, exchange.rest)
         self.idempotent = any(method.idempotent for method in methods)
--- a/tests/fake_scheduler.py
+++ b/tests/fake_scheduler.py
@@ -42,9 +42,13 @@
     def assign(self):
         started = []
         while self.waiting and self.free:
-            call = self.waiting.pop(next(iter(self.waiting)))
+            call = next(iter(self.waiting.values()))
+            left = [name for name in self.endpoints if name not in call.excluded]
+            if not left:
+                break
+            del self.waiting[call.id]
             self.free -= 1
-            started.append(self._assignment(call))
+            started.append(_assignment(call, left[0]))
         return started
 
     def expire(self):
@@ -67,12 +71,12 @@
     def next_wake(self):
         return self.wake
 
-    def _assignment(self, call):
-        left = [name for name in self.endpoints if name not in call.excluded]
-        return Assignment(
-            call=call,
-            endpoint=(left or self.endpoints)[0],
-            cached_tokens=0,
-            predicted_seconds=0.0,
-            reason="first in the list",
-        )
+
+def _assignment(call, endpoint):
+    return Assignment(
+        call=call,
+        endpoint=endpoint,
+        cached_tokens=0,
+        predicted_seconds=0.0,
+        reason="first in the list",
+    )
