Close to new requests before a stop waits for those in flight

Ruled out: the turns themselves, which finish in milliseconds. Change: after the balancer's second the listener is closed and requests on kept connections get daemon_leaving with when to come back. Conclusion: the end of a drain depends on what is in flight alone.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -82,6 +82,7 @@
         self.session = session
         self.incarnation = f"{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}"
         self.draining = False
+        self.closed_to_new = False
         self.retired = asyncio.Event()
         self.in_flight = InFlight()
         self.metrics = Metrics(settings)
@@ -263,6 +264,9 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one request, from a caller or from a peer, to its end."""
         exchange = Exchange(request=request, responder=responder)
+        if self.closed_to_new:
+            await self._refuse(exchange, _leaving())
+            return
         started = self.clock.monotonic()
         with self.in_flight.enter(), span("daemon.handle", request.trace):
             try:
@@ -320,8 +324,10 @@
     async def drain(self) -> None:
         """Stop taking new work and wait for what is in flight.
 
-        The programs move to other daemons at their next turn. Waits at most
-        the settings' `drain_seconds`.
+        The programs move to other daemons at their next turn. New requests
+        are still served until the balancer has had time to see that this
+        daemon is not ready, then refused, so that a constant stream of them
+        can't hold up the end. Waits at most the settings' `drain_seconds`.
         """
         self.draining = True
         _log.info("Draining {} requests in flight.", self.in_flight.count)
@@ -329,6 +335,8 @@
             async with asyncio.timeout(self.settings.drain_seconds):
                 await self.membership.leave()
                 await self.clock.sleep(_BALANCER_SECONDS)
+                self.closed_to_new = True
+                await self.front.close_listener()
                 await self.in_flight.none_left()
         except TimeoutError:
             _log.warning("{} requests outlast the drain.", self.in_flight.count)
@@ -340,6 +348,15 @@
         _log.info("Stopped.")
 
 
+def _leaving() -> Refusal:
+    return Refusal(
+        "daemon_leaving",
+        "This daemon is stopping; another one takes the request.",
+        503,
+        retry_after=_BALANCER_SECONDS,
+    )
+
+
 def _unexpected(exchange: Exchange) -> Refusal:
     ran = Ran.UNKNOWN if exchange.tokens_used else Ran.NO
     return Refusal("internal_error", "The request failed inside the daemon.", 500, ran)
--- a/src/eelgrasslock/front.py
+++ b/src/eelgrasslock/front.py
@@ -67,6 +67,7 @@
         self.handle = handle
         self.routes = routes
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
 
     async def start(self) -> None:
         """Begin to listen."""
@@ -82,9 +83,16 @@
         )
         await self._runner.setup()
         host, _, port = self.address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        self._site = web.TCPSite(self._runner, host, int(port))
+        await self._site.start()
         _log.info("Listening for callers on {}.", self.address)
 
+    async def close_listener(self) -> None:
+        """Take no new connection; open ones go on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
     async def stop(self) -> None:
         """Stop listening and close what is left open."""
         if self._runner is not None:
