Ask services what became of an action, where they can tell

Cause: an outcome that was lost stayed unknown until an operator settled it, though some services tell by a status call. Change: the status call of services that name a status_path. Only a yes is taken. Ruled out: taking a no, since the request may still be on its way to the service and a freed action would then run twice. Conclusion: unknown actions settle by themselves where that is safe.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from eelgrasslock.action_filter import ActionFilter
+from eelgrasslock.action_status import ActionStatus
 from eelgrasslock.actions import Actions
 from eelgrasslock.budget_filter import BudgetFilter
 from eelgrasslock.clock import Clock
@@ -95,6 +96,7 @@
 
     def _make_state(self) -> None:
         settings = self.settings
+        self.services = ServiceClient(self.clock, self.known_configuration)
         self.log = HTTPLog(settings.log_url, self.session)
         self.writer = LogWriter(self.log, self.clock, self.rng)
         self.tail = LogTail(self.log, self.clock, self.rng)
@@ -117,6 +119,8 @@
             self.tail,
             self.clock,
             settings.action_shards,
+            ActionStatus(self.services, self.known_configuration).ask,
+            self._may_still_send,
         )
 
     def _make_decisions(self) -> None:
@@ -124,7 +128,6 @@
         self.scheduler = Scheduler(self.clock, self.rng, empty, self.settings.domain)
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
         self.engines = EngineClient(self.clock, self.known_configuration)
-        self.services = ServiceClient(self.clock, self.known_configuration)
         self.vm_list = VMList(self.settings.vm_list_url, self.session)
         self.endpoint_watch = EndpointWatch(
             self.configuration,
@@ -228,6 +231,9 @@
         """Return the limits in force."""
         return self.current_configuration().limits
 
+    def _may_still_send(self, incarnation: str) -> bool:
+        return not self.membership.table.is_retired(incarnation)
+
     def service(self, name: str) -> ServiceSettings | None:
         """Return a service's settings, or None for an unknown one."""
         return self.current_configuration().services.get(name)
