--- a/src/eelgrasslock/admission.py
+++ b/src/eelgrasslock/admission.py
@@ -119,7 +119,7 @@
         pool = self.fleet.pool(call)
         if pool is None or not pool.states:
             raise _unavailable("No endpoint serves this.", _UNAVAILABLE_RETRY_SECONDS)
-        if any(state.is_open(now) or state.reserved_for for state in pool.states):
+        if any(state.is_open(now) for state in pool.states):
             return pool
         opens_at = pool.opens_at
         if opens_at is None:
@@ -138,6 +138,8 @@
         now: float,
     ) -> None:
         wait = self._wait(call, pool)
+        if not program.calls and call.call_class is not CallClass.LOOKUP:
+            wait = max(wait, pool.gate.predicted_wait())
         limit = wait_limit(self.limits, call.call_class)
         if not program.calls and call.call_class is not CallClass.LOOKUP:
             limit *= _NEW_PROGRAM_SHARE
--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import secrets
-from typing import Protocol
 
 import aiohttp
 from loguru import logger
@@ -18,9 +17,10 @@
 from eelgrasslock.endpoint_watch import EndpointWatch
 from eelgrasslock.engine_client import EngineClient
 from eelgrasslock.exceptions import EelgrassError, Ran, Refusal
-from eelgrasslock.exchange import Exchange, Request, Responder, chain
+from eelgrasslock.exchange import Exchange, Filter, Request, Responder, chain
 from eelgrasslock.front import Front
 from eelgrasslock.health import health_routes
+from eelgrasslock.homes import Controller, Home, HomeFilter, Homes
 from eelgrasslock.in_flight import InFlight
 from eelgrasslock.locate_filter import LocateFilter
 from eelgrasslock.log_client import HTTPLog
@@ -54,16 +54,6 @@
 _BALANCER_SECONDS = 1.0
 
 
-class Controller(Protocol):
-    """A part with a life of its own."""
-
-    async def start(self) -> None:
-        """Begin to work."""
-
-    async def stop(self) -> None:
-        """End all tasks; a second call does nothing."""
-
-
 class Application:
     """One start of one daemon, from its settings to its end.
 
@@ -90,13 +80,14 @@
         self.clock = clock
         self.rng = rng
         self.session = session
-        self.incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self.incarnation = f"{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}"
         self.draining = False
         self.retired = asyncio.Event()
         self.in_flight = InFlight()
         self.metrics = Metrics(settings)
         self._make_state()
         self._make_decisions()
+        self.homes = Homes(settings.domain, self._make_home)
         self._make_chain()
         self._connect_parts()
         self._started: list[Controller] = []
@@ -126,26 +117,13 @@
             self.clock,
             settings.action_shards,
         )
-        self.programs = Programs(
-            settings.domain,
-            self.incarnation,
-            self.writer,
-            self.tail,
-            self.membership,
-            self.peers,
-            self.clock,
-            self.rng,
-            self.limits,
-            self.price,
-            self.actions,
-        )
 
     def _make_decisions(self) -> None:
         empty = Configuration(deployment="", domains=[self.settings.domain])
         self.scheduler = Scheduler(self.clock, self.rng, empty, self.settings.domain)
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
-        self.engines = EngineClient(self.session, self.clock)
-        self.services = ServiceClient(self.session, self.clock)
+        self.engines = EngineClient(self.clock, self.known_configuration)
+        self.services = ServiceClient(self.clock, self.known_configuration)
         self.vm_list = VMList(self.settings.vm_list_url, self.session)
         self.endpoint_watch = EndpointWatch(
             self.configuration,
@@ -154,25 +132,45 @@
             self.vm_list,
             self.clock,
             self.rng,
+            self.dispatcher.kick,
         )
-        self.release = ReleaseController(
-            self.settings.domain,
-            self.programs,
+
+    def _make_home(self, domain: str) -> Home:
+        programs = Programs(
+            domain,
+            self.incarnation,
+            self.writer,
+            self.tail,
+            self.membership,
+            self.peers,
+            self.clock,
+            self.rng,
+            self.limits,
+            self.price,
+            self.actions,
+        )
+        release = ReleaseController(
+            domain,
+            programs,
             self.membership,
             self.engines,
             self.engine_urls,
             self.clock,
             self.rng,
         )
+        filters: list[Filter] = [
+            ProgramFilter(programs, self.current_configuration),
+            TurnFilter(programs),
+            BudgetFilter(programs),
+        ]
+        return Home(programs, [programs, release], filters)
 
     def _make_chain(self) -> None:
         self.handle_exchange = chain(
             [
-                ParseFilter(lambda: self.configuration.current, self.clock),
+                ParseFilter(self.known_configuration, self.clock),
                 LocateFilter(self.membership, self.tail, self.peers),
-                ProgramFilter(self.programs, self.current_configuration),
-                TurnFilter(self.programs),
-                BudgetFilter(self.programs),
+                HomeFilter(self.homes),
                 ActionFilter(self.actions, self.service, self.clock),
             ],
             DispatchFilter(
@@ -181,13 +179,14 @@
                 self.services,
                 self.current_configuration,
                 self.clock,
+                self.metrics,
             ).handle,
         )
 
     def _connect_parts(self) -> None:
         self.peers.serve_request = self.handle
-        self.peers.hold_records = self.programs.holdings.hold
-        self.peers.held_records = self.programs.holdings.held
+        self.peers.hold_records = self.homes.hold
+        self.peers.held_records = self.homes.held
         self.peers.config_offer = self.configuration.offer
         self.peers.config_accept = self.configuration.accept
         self.peers.config_version = lambda: self.configuration.version
@@ -197,8 +196,17 @@
         self.membership.on_peer_gone(self.scheduler.forget_peer)
         self.membership.on_retired(self.retired.set)
 
+    @property
+    def programs(self) -> Programs:
+        """The programs of the daemon's own failure domain."""
+        return self.homes.own.programs
+
     # --- what the parts ask of each other -------------------------------------
 
+    def known_configuration(self) -> Configuration | None:
+        """Return the configuration in force, or None while none is known."""
+        return self.configuration.current
+
     def current_configuration(self) -> Configuration:
         """Return the configuration in force.
 
@@ -244,6 +252,8 @@
         reasons = []
         if self.draining:
             reasons.append("draining")
+        if self.retired.is_set():
+            reasons.append("retired")
         if self.configuration.current is None:
             reasons.append("no configuration")
         return reasons
@@ -294,11 +304,12 @@
             self.configuration,
             self.peers,
             self.membership,
-            self.programs,
             self.actions,
+            self.engines,
+            self.services,
             self.dispatcher,
             self.endpoint_watch,
-            self.release,
+            self.homes,
             self.front,
         ]
         for part in parts:
--- a/src/eelgrasslock/daemon.py
+++ b/src/eelgrasslock/daemon.py
@@ -52,13 +52,13 @@
         loop.add_signal_handler(number, stop.set)
     async with capnp.kj_loop(), aiohttp.ClientSession() as session:
         while not stop.is_set():
-            await _run_once(settings, session, stop)
+            await _run_incarnation(settings, session, stop)
 
 
-async def _run_once(
+async def _run_incarnation(
     settings: DaemonSettings, session: aiohttp.ClientSession, stop: asyncio.Event
 ) -> None:
-    """Run one incarnation, until told to stop or until peers have retired it."""
+    """Run until told to stop, or until peers have retired this incarnation."""
     application = Application(settings, SystemClock(), random.Random(), session)
     try:
         await application.start()
--- a/src/eelgrasslock/pool.py
+++ b/src/eelgrasslock/pool.py
@@ -4,6 +4,7 @@
 
 from eelgrasslock.endpoint_state import EndpointState
 from eelgrasslock.exchange import CallClass
+from eelgrasslock.memory_gate import MemoryGate
 from eelgrasslock.queueing import CallHeap, WaitingCall
 
 REVIEW_SECONDS = 0.25
@@ -14,8 +15,8 @@
 class Pool:
     """One service and model.
 
-    A call that waits is either unplaced or parked: it has chosen an endpoint
-    that has no free slot. Parked calls are looked at when that endpoint
+    A call that waits is unplaced, withheld, or parked: it has chosen an
+    endpoint that has no free slot. Parked calls are looked at when that endpoint
     changes, and now and then all heads are reviewed, so that a change costs
     the same however many calls wait.
 
@@ -27,8 +28,16 @@
         Its endpoints.
     members : dict of str to EndpointState
         The same by name.
+    urgent : CallHeap
+        Lookups; they are never parked, but take the first free slot anywhere.
+    newcomers : CallHeap
+        First calls of programs, until the engines' caches have room for them.
+    gate : MemoryGate
+        Says how many newcomers there is room for.
     unplaced : CallHeap
-        Calls that wait to be placed.
+        Other calls that wait to be placed.
+    withheld : list of WaitingCall
+        Calls that no endpoint may take now, until the next review.
     parked : dict of str to CallHeap
         By endpoint, calls that wait for its slots.
     parked_counts : dict of str to int
@@ -49,7 +58,11 @@
     model: str
     states: list[EndpointState] = field(factory=list)
     members: dict[str, EndpointState] = field(factory=dict)
+    urgent: CallHeap = field(factory=CallHeap)
+    newcomers: CallHeap = field(factory=CallHeap)
+    gate: MemoryGate = field(factory=MemoryGate)
     unplaced: CallHeap = field(factory=CallHeap)
+    withheld: list[WaitingCall] = field(factory=list)
     parked: dict[str, CallHeap] = field(factory=dict)
     parked_counts: dict[str, int] = field(factory=dict)
     changed: dict[str, None] = field(factory=dict)
@@ -65,6 +78,7 @@
         self.states = states
         self.members = {state.name: state for state in states}
         self.slots = sum(state.settings.batch_limit for state in states)
+        self.offer_withheld()
         for endpoint in list(self.parked):
             if endpoint not in self.members:
                 self.unpark_all(endpoint)
@@ -84,13 +98,21 @@
     def add(self, waiting: WaitingCall) -> None:
         """Take in a call that waits."""
         self.waiting[waiting.call.call_class] += 1
-        self.unplaced.push(waiting)
+        if waiting.call.call_class is CallClass.LOOKUP:
+            self.urgent.push(waiting)
+        elif waiting.is_newcomer:
+            self.newcomers.push(waiting)
+            self.gate.waiting += 1
+        else:
+            self.unplaced.push(waiting)
 
     def remove(self, waiting: WaitingCall) -> None:
         """Drop a call that waits no more; its heap forgets it later."""
         waiting.gone = True
         self.waiting[waiting.call.call_class] -= 1
         self._unpark(waiting)
+        if waiting.is_newcomer:
+            self.gate.left(waiting.call.prompt_tokens, waiting.admitted)
 
     def park(self, waiting: WaitingCall, endpoint: str) -> None:
         """Let a call that is in no heap wait for an endpoint's slot."""
@@ -111,6 +133,12 @@
         heap = self.parked.get(endpoint)
         return heap.head() if heap is not None else None
 
+    def offer_withheld(self) -> None:
+        """Let withheld calls be placed again."""
+        for waiting in self.withheld:
+            self.unplaced.push(waiting)
+        self.withheld.clear()
+
     def unpark_all(self, endpoint: str) -> None:
         """Let the calls that wait for an endpoint be placed again."""
         while (waiting := self.pop_parked(endpoint)) is not None:
@@ -126,6 +154,18 @@
         """Take in how long a finished call ran."""
         self.service_seconds += _LEARNING_RATE * (seconds - self.service_seconds)
 
+    def admit_newcomers(self, now: float, daemons: int) -> None:
+        """Let newcomers be placed while the engines' caches have room."""
+        head = self.newcomers.head()
+        if head is None:
+            return
+        self.gate.look(self.states, daemons, now)
+        while head is not None and self.gate.admit(head.call.prompt_tokens, now):
+            head.admitted = True
+            self.newcomers.pop()
+            self.unplaced.push(head)
+            head = self.newcomers.head()
+
     def predicted_wait(self, call_class: CallClass, daemons: int) -> float:
         """Return the seconds until a new call of a class would start."""
         ahead = self.ahead_of(call_class)
--- a/src/eelgrasslock/scheduler.py
+++ b/src/eelgrasslock/scheduler.py
@@ -37,6 +37,7 @@
 
 ALL_ON = Decisions()
 _NO_USAGE = Usage()
+_KNOWN_SHARE = 0.8
 
 
 @frozen
@@ -139,7 +140,9 @@
         count = len(self.waiting)
         pool = self.admission.check(call, program, output_tokens, count, now)
         rank = self._rank(call, program, now)
-        waiting = WaitingCall(call, chunk_keys(call.blocks), rank, now, output_tokens)
+        keys = chunk_keys(call.blocks)
+        waiting = WaitingCall(call, keys, rank, now, output_tokens)
+        waiting.is_newcomer = self._is_newcomer(program, keys)
         self.waiting[call.id] = waiting
         pool.add(waiting)
         expires_at = self.admission.expires_at(call, now)
@@ -217,6 +220,7 @@
             self.outcomes.crashed(state, call_id, now)
         running = state.end(call_id, self.clock.now())
         del self.endpoint_of[call_id]
+        self.starter.ended(running.call.digest)
         if end is CallEnd.DONE:
             self.outcomes.succeeded(state, running, usage, now)
         elif end is CallEnd.CANCELLED:
@@ -308,6 +312,16 @@
 
     # --- helpers ----------------------------------------------------------
 
+    def _is_newcomer(self, program: ProgramService, keys: tuple[int, ...]) -> bool:
+        """Return whether a call brings a context that no engine holds yet.
+
+        A sub-agent is none: it builds on what its parent holds, and its parent
+        waits for it.
+        """
+        if not self.decisions.memory or program.calls or not keys:
+            return False
+        return self.cache.known_chunks(keys) < _KNOWN_SHARE * len(keys)
+
     def _rank(self, call: Call, program: ProgramService, now: float) -> Rank:
         if self.decisions.program_order:
             return self.ranking.by_program(call, program, now)
@@ -325,15 +339,12 @@
         waiting = self.waiting.pop(call_id, None)
         if waiting is None:
             return
-        state = self.fleet.states.get(waiting.wanted)
-        if state is not None:
-            state.unreserve(call_id)
         pool = self.fleet.pool(waiting.call)
         if pool is not None:
             pool.remove(waiting)
 
     def _state_of(self, call_id: str) -> EndpointState | None:
-        return self.fleet.states.get(self.endpoint_of.get(call_id, ""))
+        return self.fleet.find(self.endpoint_of.get(call_id, ""))
 
     def _drop_idle_programs(self) -> None:
         dropped = self.programs.overflow()
