Challenge a silent domain through the log before it is retired

Cause: domains that were cut from each other but reached the log retired each other's daemons after ten seconds; these would have started anew again and again, though they served their callers. Ruled out: never retiring a foreign domain, since its programs would then wait for as long as it is gone. Change: a challenge record; each member of the domain that reads it appends its join again, and any such answer keeps the domain. Measured: test_cut_off_domain_that_reaches_the_log_stays fails with the mechanism switched off and passes with it; a lost domain is still adopted. Conclusion: retirement over domains rests on the log's own word.

--- a/src/eelgrasslock/membership.py
+++ b/src/eelgrasslock/membership.py
@@ -20,6 +20,7 @@
 from eelgrasslock.peers import PeerLinks
 from eelgrasslock.records import (
     MEMBERS_STREAM,
+    DomainChallenged,
     MemberJoined,
     MemberRetired,
     Positioned,
@@ -211,6 +212,8 @@
             self._note_retirement(record)
         elif isinstance(record, MemberJoined):
             self.watch.detector.joined(peer_key(record), record.incarnation)
+        elif isinstance(record, DomainChallenged):
+            self._answer(record)
         self.table.apply(positioned)
         self._notice_own_retirement()
 
@@ -220,6 +223,10 @@
             now = self.clock.monotonic()
             self.watch.detector.retired(peer_key(member), now)
 
+    def _answer(self, challenge: DomainChallenged) -> None:
+        if challenge.domain == self.own.domain and not self.retired:
+            self._spawn(self._append_again())
+
     def _notice_own_retirement(self) -> None:
         if self.retired or not self.table.is_retired(self.incarnation):
             return
@@ -238,9 +245,12 @@
         while True:
             jitter = self.rng.uniform(1 - _REFRESH_JITTER, 1 + _REFRESH_JITTER)
             await self.clock.sleep(_REFRESH_SECONDS * jitter)
-            if self.table.find(self.incarnation) is not None:
-                record = evolve(self.own, id=new_id(), time=self.clock.now())
-                await self._append(record)
+            await self._append_again()
+
+    async def _append_again(self) -> None:
+        if self.table.find(self.incarnation) is not None:
+            record = evolve(self.own, id=new_id(), time=self.clock.now())
+            await self._append(record)
 
     async def _append(self, record: MemberJoined) -> None:
         try:
--- a/src/eelgrasslock/records.py
+++ b/src/eelgrasslock/records.py
@@ -131,6 +131,21 @@
     reason: str
 
 
+@frozen(kw_only=True)
+class DomainChallenged(Record):
+    """A domain that looks silent from outside is asked to show that it lives.
+
+    Each of its members that reads this appends its own join again.
+
+    Attributes
+    ----------
+    domain : str
+        The domain that is asked.
+    """
+
+    domain: str
+
+
 # --- journal of a failure domain ---------------------------------------------
 
 
@@ -374,6 +389,7 @@
     ConfigVersion
     | MemberJoined
     | MemberRetired
+    | DomainChallenged
     | ProgramCreated
     | ProgramClaimed
     | BudgetDrawn
--- a/src/eelgrasslock/retirement.py
+++ b/src/eelgrasslock/retirement.py
@@ -11,13 +11,19 @@
 from eelgrasslock.log_writer import LogWriter
 from eelgrasslock.members import MemberTable
 from eelgrasslock.peer_watch import PeerWatch, peer_key
-from eelgrasslock.records import MEMBERS_STREAM, MemberJoined, MemberRetired
+from eelgrasslock.records import (
+    MEMBERS_STREAM,
+    DomainChallenged,
+    MemberJoined,
+    MemberRetired,
+)
 
 _ASKED_PEERS = 3
 _APPEND_SECONDS = 5.0
 _PAIR_PATIENCE = 3.0
 _ALONE_PATIENCE = 10.0
 _FOREIGN_PATIENCE = 10.0
+_ANSWER_SECONDS = 5.0
 
 log = logger.bind(part="members")
 
@@ -34,7 +40,9 @@
     Nothing unsafe follows from a wrong retirement, only a takeover; so it may
     come soon. Who reaches nobody is likelier cut off itself, and waits longer.
     A member of another domain is retired only if its whole domain is silent,
-    since else its own domain sees to it.
+    since else its own domain sees to it, and only if none of that domain
+    answers a challenge in the log: a domain that is merely cut off from others
+    goes on serving its callers.
 
     Parameters
     ----------
@@ -88,7 +96,7 @@
         if not foreign:
             await self.retire([member], "silent")
         elif await self._whole_domain_is_silent(member):
-            await self.retire(self.table.live(member.domain), "silent")
+            await self._retire_unless_it_answers(member.domain)
 
     async def retire(self, members: list[MemberJoined], reason: str) -> None:
         """Append retirements, as far as the log takes them now."""
@@ -134,6 +142,32 @@
         answers = await asyncio.gather(*(self.watch.beat(one) for one in domain))
         return not any(answers)
 
+    async def _retire_unless_it_answers(self, domain: str) -> None:
+        challenge = DomainChallenged(
+            author=self.own.incarnation, time=self.clock.now(), domain=domain
+        )
+        try:
+            offset = await self.writer.append(
+                MEMBERS_STREAM, challenge, _APPEND_SECONDS
+            )
+        except LogError as error:
+            log.warning("{} can't be challenged: {}", domain, error)
+            return
+        await self.clock.sleep(_ANSWER_SECONDS)
+        members = self.table.live(domain)
+        if any(self._refreshed_after(one, offset) for one in members):
+            self._note_life(members)
+        else:
+            await self.retire(members, "silent")
+
+    def _refreshed_after(self, member: MemberJoined, offset: int) -> bool:
+        return self.table.refreshed.get(member.incarnation, -1) > offset
+
+    def _note_life(self, members: list[MemberJoined]) -> None:
+        now = self.clock.monotonic()
+        for member in members:
+            self.watch.detector.heard(peer_key(member), now)
+
     async def _append(self, member: MemberJoined, reason: str) -> None:
         record = MemberRetired(
             author=self.own.incarnation,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,6 +15,7 @@
 from eelgrasslock.peers import PeerLinks
 from eelgrasslock.records import (
     MEMBERS_STREAM,
+    DomainChallenged,
     MemberRetired,
     new_id,
     readable_records,
@@ -119,6 +120,15 @@
     return [one.reason for one in retired_records(log)]
 
 
+def challenges(log):
+    return [
+        record
+        for entry in log.streams[MEMBERS_STREAM]
+        for record in readable_records(entry.data)
+        if isinstance(record, DomainChallenged)
+    ]
+
+
 def retired_names(log, daemons):
     names = {one.incarnation: name for name, one in daemons.items()}
     return [names[one.incarnation] for one in retired_records(log)]
@@ -177,6 +187,7 @@
     async def test_lost_domain_is_adopted_by_another(self, log, monkeypatch):
         monkeypatch.setattr(retirement, "_FOREIGN_PATIENCE", 1.0)
         monkeypatch.setattr(retirement, "_ALONE_PATIENCE", 1.0)
+        monkeypatch.setattr(retirement, "_ANSWER_SECONDS", 1.0)
         async with fleet("a1", "a2", "a3", "b1", "b2", log=log) as daemons:
             gone = [daemons[name] for name in ("a1", "a2", "a3")]
             for daemon in gone:
@@ -185,6 +196,21 @@
             owner = daemons["b1"].membership.owner(f"a~{gone[0].incarnation}~0")
             assert owner.domain == "b"
 
+    async def test_cut_off_domain_that_reaches_the_log_stays(self, log, monkeypatch):
+        monkeypatch.setattr(retirement, "_FOREIGN_PATIENCE", 1.0)
+        monkeypatch.setattr(retirement, "_ALONE_PATIENCE", 1.0)
+        monkeypatch.setattr(retirement, "_ANSWER_SECONDS", 1.0)
+        async with fleet("a1", "a2", "b1", "b2", log=log) as daemons:
+            addresses = {
+                domain: {daemons[name].peers.address for name in names}
+                for domain, names in (("a", ("a1", "a2")), ("b", ("b1", "b2")))
+            }
+            for name, daemon in daemons.items():
+                other = "b" if name[0] == "a" else "a"
+                sever(daemon, addresses[other].__contains__)
+            await until(lambda: len(challenges(log)) >= 3)
+            assert retirements(log) == []
+
     @pytest.mark.parametrize("cut", ["one_way", "old_connections"])
     async def test_member_that_others_reach_stays(self, log, cut):
         async with capnp.kj_loop(), contextlib.AsyncExitStack() as stack:
