Let operators see and release the requests that crash endpoints

Cause: a request that crashed endpoints twice is refused by its digest, yet no command showed a digest, and a release only took back what an operator had quarantined; a daemon's own count of crashes went on refusing the request.

The configuration now holds releases with a growing number, so that each reaches every daemon once, also one that starts later, and a second release of the same digest is told from the first. 'suspects' lists the digests. Ruled out: telling only the daemon that answers, as its peers would go on refusing.

--- a/src/eelgrasslock/check_tables.py
+++ b/src/eelgrasslock/check_tables.py
@@ -74,6 +74,7 @@
         "endpoints": (_NAME,),
         "aliases": (_NAME,),
         "quarantined": (_NAME, _ANY_LENGTH),
+        "released": (_NAME,),
     },
     ServiceSettings: {
         "status_path": (Format(text_formats.optional(text_formats.status_path)),),
--- a/src/eelgrasslock/cli.py
+++ b/src/eelgrasslock/cli.py
@@ -67,6 +67,7 @@
     cli_fleet.actions,
     cli_fleet.resolve,
     cli_fleet.drain,
+    cli_fleet.suspects,
     cli_fleet.quarantine,
     cli_fleet.release,
 ):
--- a/src/eelgrasslock/cli_fleet.py
+++ b/src/eelgrasslock/cli_fleet.py
@@ -20,6 +20,7 @@
     FleetView,
     ProgramView,
     ResolveOrder,
+    SuspectView,
     VersionView,
 )
 from eelgrasslock.tables import (
@@ -213,6 +214,22 @@
     print_version(version, as_json)
 
 
+@click.command()
+@needs_daemon
+@reports_errors
+def suspects(client: OperatorClient, as_json: bool) -> None:
+    """Show the digests of requests that crashed endpoints or are refused."""
+    views = client.get("/operator/quarantine", list[SuspectView])
+    if as_json:
+        print_json(views)
+        return
+    print_table(
+        f"{len(views)} request digests",
+        ["digest", "crashes", "refused", "by an operator"],
+        [(view.digest, view.crashes, view.refused, view.by_operator) for view in views],
+    )
+
+
 @click.command()
 @click.argument("digest")
 @author_option
@@ -229,7 +246,7 @@
 @needs_daemon
 @reports_errors
 def release(client: OperatorClient, digest: str, author: str, as_json: bool) -> None:
-    """Let a quarantined request run again."""
+    """Let a quarantined request run again, and forget its crashes."""
     _order_quarantine(client, "DELETE", digest, author, as_json)
 
 
--- a/src/eelgrasslock/operator_api.py
+++ b/src/eelgrasslock/operator_api.py
@@ -13,16 +13,23 @@
 from eelgrasslock.operator_edits import set_leaving, set_quarantined
 from eelgrasslock.operator_errors import OperatorError, describe, error_view
 from eelgrasslock.operator_keys import OperatorKeys
+from eelgrasslock.operator_reads import (
+    action_views,
+    endpoint_views,
+    fleet_view,
+    program_views,
+    suspect_views,
+)
 from eelgrasslock.operator_views import (
     ActionView,
     AuthoredOrder,
     DrainOrder,
     EndpointStateView,
     FleetView,
-    MemberView,
     ProgramView,
     PublishOrder,
     ResolveOrder,
+    SuspectView,
     VersionView,
 )
 from eelgrasslock.program_ids import parse_program_id
@@ -34,6 +41,7 @@
     new_id,
     to_jsonable,
 )
+from eelgrasslock.release_orders import ReleaseOrders
 
 _EDIT_TRIES = 3
 _MEMBERS_NAMED = 3
@@ -64,6 +72,8 @@
             application.tail,
             application.clock,
         )
+        orders = ReleaseOrders(application.scheduler.release_digest)
+        application.configuration.on_change(orders.configure)
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes, all under ``/operator/``."""
@@ -77,6 +87,7 @@
             ("GET", "/operator/programs/{id}", self.explain),
             ("GET", "/operator/actions", self.read_actions),
             ("POST", "/operator/actions/resolve", self.resolve),
+            ("GET", "/operator/quarantine", self.read_suspects),
             ("POST", "/operator/quarantine/{digest}", self.quarantine),
             ("DELETE", "/operator/quarantine/{digest}", self.release),
         ]
@@ -103,46 +114,11 @@
 
     async def read_fleet(self, request: web.Request) -> FleetView:
         """Answer with the members of the fleet."""
-        membership = self.application.membership
-        silent = membership.suspects()
-        members = [
-            MemberView(
-                name=member.name,
-                domain=member.domain,
-                incarnation=member.incarnation,
-                http_address=member.http_address,
-                peer_address=member.peer_address,
-                joined=member.time,
-                silent=member.incarnation in silent,
-                answering=member.incarnation == self.application.incarnation,
-            )
-            for member in membership.table.live()
-        ]
-        return FleetView(
-            version=self.application.configuration.version,
-            log_available=self.application.writer.available,
-            draining=self.application.draining,
-            members=sorted(members, key=lambda member: (member.domain, member.name)),
-        )
+        return fleet_view(self.application)
 
     async def read_endpoints(self, request: web.Request) -> list[EndpointStateView]:
         """Answer with the endpoints and their state."""
-        configuration = self.application.configuration.current
-        known = configuration.endpoints if configuration else {}
-        return [
-            EndpointStateView(
-                endpoint=view.endpoint,
-                service=view.service,
-                domain=view.domain,
-                url=known[view.endpoint].url if view.endpoint in known else "",
-                in_flight=view.in_flight,
-                load=view.load,
-                breaker=view.breaker,
-                leaving=list(view.leaving),
-                parked_seconds=view.parked_seconds,
-            )
-            for view in self.application.scheduler.endpoints()
-        ]
+        return endpoint_views(self.application)
 
     async def drain(self, request: web.Request) -> VersionView:
         """Drain an endpoint, or undo that."""
@@ -158,21 +134,7 @@
 
     async def read_programs(self, request: web.Request) -> list[ProgramView]:
         """Answer with the programs of this daemon's failure domain."""
-        programs = self.application.programs.journal.programs.values()
-        return [
-            ProgramView(
-                program=program.id,
-                holder=program.holder,
-                turn=program.turn,
-                spent_tokens=program.spent.tokens,
-                limit_tokens=program.limits.tokens,
-                created=program.created,
-                active=program.active,
-                ended=program.ended,
-                parent=program.parent,
-            )
-            for program in programs
-        ]
+        return program_views(self.application)
 
     async def explain(self, request: web.Request) -> Any:
         """Answer with what happened to a program."""
@@ -186,16 +148,7 @@
 
     async def read_actions(self, request: web.Request) -> list[ActionView]:
         """Answer with the actions of which nobody knows whether they ran."""
-        return [
-            ActionView(
-                service=action.service,
-                action=action.action,
-                program=action.program,
-                author=action.author,
-                time=action.time,
-            )
-            for action in self.application.actions.unresolved()
-        ]
+        return action_views(self.application)
 
     async def resolve(self, request: web.Request) -> ResolveOrder:
         """Settle an action by what an operator found out."""
@@ -209,6 +162,10 @@
         )
         return order
 
+    async def read_suspects(self, request: web.Request) -> list[SuspectView]:
+        """Answer with the requests that crashed endpoints or are refused."""
+        return suspect_views(self.application)
+
     async def quarantine(self, request: web.Request) -> VersionView:
         """Refuse a request digest everywhere."""
         order = await _read_order(request, AuthoredOrder)
--- a/src/eelgrasslock/operator_edits.py
+++ b/src/eelgrasslock/operator_edits.py
@@ -16,6 +16,8 @@
 QUARANTINED_FILE = "99-operator-quarantined.yaml"
 OPERATOR_FILES = (LEAVING_FILE, QUARANTINED_FILE)
 
+_RELEASED_KEPT = 100
+
 _HEADERS = {
     LEAVING_FILE: "# Made by `eelgrasslock drain`; undo with `drain --undo`.\n",
     QUARANTINED_FILE: "# Made by `eelgrasslock quarantine`; undo with `release`.\n",
@@ -31,11 +33,21 @@
 def set_quarantined(
     files: dict[str, str], digest: str, quarantined: bool
 ) -> dict[str, str]:
-    """Return a folder in which a request digest is quarantined, or is not."""
-    digests = [one for one in _merged(files).get("quarantined", []) if one != digest]
+    """Return a folder in which a request digest is quarantined, or released.
+
+    A release also makes the daemons forget the crashes that they have counted
+    for the digest; its number grows so that a second release is told apart.
+    """
+    merged = _merged(files)
+    digests = [one for one in merged.get("quarantined", []) if one != digest]
+    released = dict(_read(files, QUARANTINED_FILE).get("released", {}))
     if quarantined:
         digests.append(digest)
-    return _write_quarantined(files, digests)
+    else:
+        count = merged.get("released", {}).get(digest, 0)
+        released.pop(digest, None)
+        released[digest] = count + 1
+    return _write_quarantined(files, digests, released)
 
 
 def carry_over(in_force: dict[str, str], files: dict[str, str]) -> dict[str, str]:
@@ -56,9 +68,10 @@
         result = _write_leaving(result, marked)
     if QUARANTINED_FILE in in_force and QUARANTINED_FILE not in files:
         base = _merged(files).get("quarantined", [])
-        added = _read(in_force, QUARANTINED_FILE).get("quarantined", [])
-        digests = [*base, *(one for one in added if one not in base)]
-        result = _write_quarantined(result, digests)
+        kept = _read(in_force, QUARANTINED_FILE)
+        added = [one for one in kept.get("quarantined", []) if one not in base]
+        released = kept.get("released", {})
+        result = _write_quarantined(result, [*base, *added], released)
     return result
 
 
@@ -73,13 +86,21 @@
     return _write(others, LEAVING_FILE, {"endpoints": endpoints}, overrides)
 
 
-def _write_quarantined(files: dict[str, str], digests: list[str]) -> dict[str, str]:
+def _write_quarantined(
+    files: dict[str, str], digests: list[str], released: dict[str, int]
+) -> dict[str, str]:
     others = _without(files, QUARANTINED_FILE)
-    base = _merged(others).get("quarantined")
-    if digests == (base or []):
-        return others
-    overrides = [] if base is None else ["quarantined"]
-    return _write(others, QUARANTINED_FILE, {"quarantined": digests}, overrides)
+    base = _merged(others)
+    content: dict[str, Any] = {}
+    overrides = []
+    if digests != base.get("quarantined", []):
+        content["quarantined"] = digests
+        overrides += ["quarantined"] if "quarantined" in base else []
+    if released:
+        content["released"] = dict(list(released.items())[-_RELEASED_KEPT:])
+        known = base.get("released", {})
+        overrides += [f"released.{one}" for one in content["released"] if one in known]
+    return _write(others, QUARANTINED_FILE, content, overrides)
 
 
 def _write(
--- a/src/eelgrasslock/operator_views.py
+++ b/src/eelgrasslock/operator_views.py
@@ -104,6 +104,16 @@
     parent: str
 
 
+@define(kw_only=True)
+class SuspectView:
+    """A request digest that crashed endpoints or is refused."""
+
+    digest: str
+    crashes: int
+    refused: bool
+    by_operator: bool
+
+
 @define(kw_only=True)
 class ActionView:
     """An action of which nobody knows whether it ran."""
--- a/src/eelgrasslock/settings.py
+++ b/src/eelgrasslock/settings.py
@@ -256,6 +256,9 @@
         Limits for programs and requests.
     quarantined : list of str
         Request digests that are refused.
+    released : dict of str to int
+        Request digests whose crashes are forgotten, with how often an
+        operator has said so.
     """
 
     deployment: str
@@ -267,3 +270,4 @@
     weights: WeightSettings = WeightSettings()
     limits: LimitSettings = LimitSettings()
     quarantined: list[str] = field(factory=list)
+    released: dict[str, int] = field(factory=dict)
--- a/tests/fake_application.py
+++ b/tests/fake_application.py
@@ -9,6 +9,7 @@
 
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.operator_api import OperatorAPI
+from eelgrasslock.quarantine import Quarantine
 from eelgrasslock.records import MemberJoined
 from fake_config import FakeStream
 from test_configuration import Daemon
@@ -77,6 +78,12 @@
 class FakeScheduler:
     def __init__(self, configuration):
         self.configuration = configuration
+        self.suspects = Quarantine()
+        self.suspects.crashed(["d7"], 1.0)
+        self.suspects.heard("b-1-x", ("d7", "d8"))
+
+    def release_digest(self, digest):
+        self.suspects.release(digest)
 
     def endpoints(self):
         return [
