--- a/src/eelgrasslock/tables.py
+++ b/src/eelgrasslock/tables.py
@@ -34,7 +34,7 @@
 
 def print_fields(title: str, fields: dict[str, Any]) -> None:
     """Print names and values, one a line."""
-    print_table(title, ["", ""], fields.items())
+    print_table(title, ["field", "value"], fields.items())
 
 
 def print_version(version: VersionView, as_json: bool) -> None:
