Start fresh daemons on one held entry, and keep two from then on

With a retention of a single entry the fake log also dropped, at the next publish, the last entry that the running daemons had read. Where offsets are not dense nobody can tell that from a lost one, so a tail that reports its jumps makes such a reader wait, rightly; copies every third of the retention keep it from happening.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -478,7 +478,7 @@
         await settle(first.clock, 5.0)
         assert (await self.publish(first, "new", 1.0)).version == 3
         del start.log.streams["config"][:-1]
-        start.log.retention = 1
+        start.log.retention = 2
         other = await start(2)
         await settle(first.clock, 5.0)
         assert (await self.publish(other, "newer", 2.0)).version == 4
@@ -489,7 +489,7 @@
         await self.publish(first, "one", 1.0)
         await self.publish(first, "two", 2.0)
         del start.log.streams["config"][:-1]
-        start.log.retention = 1
+        start.log.retention = 2
         fresh = await start(2)
         await settle(first.clock, 5.0)
         assert fresh.in_force is None
