Let a daemon use the cache room that its peers leave

With ten daemons each one's fair share of the caches is less than one long renewal, so that programs were refused at the knee though most of the caches were free. Free room, as the engines report it, is now borrowed in parts.

Ruled out: telling live tokens in heartbeats, which needs a field more in each; the engines' reports hold the sum already.

--- a/src/eelgrasslock/memory_gate.py
+++ b/src/eelgrasslock/memory_gate.py
@@ -6,6 +6,7 @@
 """
 
 from eelgrasslock.endpoint_state import EndpointState
+from eelgrasslock.slots import Slots
 
 FULL_SHARE = 0.9
 _LOOK_SECONDS = 0.25
@@ -24,15 +25,19 @@
         self.admitted_at: float | None = None
         self.interval = 0.0
 
-    def look(self, states: list[EndpointState], daemons: int, now: float) -> None:
+    def look(self, states: list[EndpointState], slots: Slots, now: float) -> None:
         """Measure the room anew, a few times a second at most.
 
+        A daemon may always fill its fair share. What others leave is borrowed:
+        the part of the caches that the engines report as free, divided by the
+        daemons whose calls wait.
+
         Parameters
         ----------
         states : list of EndpointState
             The pool's engines.
-        daemons : int
-            How many daemons share them; each fills its part.
+        slots : Slots
+            Knows how many daemons share them.
         now : float
             On the monotonic clock.
         """
@@ -41,7 +46,11 @@
         self.looked = now
         capacity = sum(state.settings.cache_tokens for state in states)
         self.live_tokens = sum(state.live_tokens for state in states)
-        self.room = FULL_SHARE * capacity / daemons - self.live_tokens
+        full = FULL_SHARE * capacity
+        self.room = full / slots.daemons - self.live_tokens
+        if slots.daemons > 1:
+            free = full - sum(_reported_tokens(state) for state in states)
+            self.room = max(self.room, free / slots.rivals)
 
     def admit(self, tokens: int, now: float) -> bool:
         """Return whether a newcomer may be placed, and count it in."""
@@ -69,3 +78,9 @@
             seconds = now - self.admitted_at
             self.interval += _LEARNING_RATE * (seconds - self.interval)
         self.admitted_at = now
+
+
+def _reported_tokens(state: EndpointState) -> int:
+    if state.report is None:
+        return state.settings.cache_tokens
+    return state.report.cache_used_tokens
--- a/src/eelgrasslock/pool.py
+++ b/src/eelgrasslock/pool.py
@@ -6,6 +6,7 @@
 from eelgrasslock.exchange import CallClass
 from eelgrasslock.memory_gate import MemoryGate
 from eelgrasslock.queueing import CallHeap, WaitingCall
+from eelgrasslock.slots import Slots
 
 REVIEW_SECONDS = 0.25
 _LEARNING_RATE = 0.05
@@ -154,12 +155,12 @@
         """Take in how long a finished call ran."""
         self.service_seconds += _LEARNING_RATE * (seconds - self.service_seconds)
 
-    def admit_newcomers(self, now: float, daemons: int) -> None:
+    def admit_newcomers(self, now: float, slots: Slots) -> None:
         """Let newcomers be placed while the engines' caches have room."""
         head = self.newcomers.head()
         if head is None:
             return
-        self.gate.look(self.states, daemons, now)
+        self.gate.look(self.states, slots, now)
         while head is not None and self.gate.admit(head.call.prompt_tokens, now):
             head.admitted = True
             self.newcomers.pop()
--- a/src/eelgrasslock/slots.py
+++ b/src/eelgrasslock/slots.py
@@ -33,6 +33,11 @@
         """How many daemons share the endpoints, this one included."""
         return 1 + len(self.waiting_at)
 
+    @property
+    def rivals(self) -> int:
+        """How many daemons have calls that wait, this one included."""
+        return 1 + sum(waiting > 0 for waiting in self.waiting_at.values())
+
     def hear_peer(self, incarnation: str, waiting: int) -> None:
         """Take in how many calls wait at a peer."""
         self.waiting_at[incarnation] = waiting
@@ -68,7 +73,6 @@
         if room <= 0:
             state.borrowable = 0
             return
-        rivals = 1 + sum(waiting > 0 for waiting in self.waiting_at.values())
-        part = room / rivals
+        part = room / self.rivals
         whole = math.floor(part)
         state.borrowable = whole + (self.rng.random() < part - whole)
--- a/src/eelgrasslock/starter.py
+++ b/src/eelgrasslock/starter.py
@@ -75,7 +75,7 @@
         self._serve_urgent(pool, now, wall, started)
         if now >= pool.review_at:
             self._review(pool, now, wall, started)
-        pool.admit_newcomers(now, self.slots.daemons)
+        pool.admit_newcomers(now, self.slots)
         self._serve_unplaced(pool, now, wall, started)
         for _ in range(_ENDPOINTS_AT_ONCE):
             if not pool.changed:
