Learn the memory gate's pace only while programs wait before it

The predicted wait of new programs was the queue's length times the gap between two admissions, and that gap also held the time when nobody waited. Now it is the time that a newcomer stands first.

--- a/src/eelgrasslock/memory_gate.py
+++ b/src/eelgrasslock/memory_gate.py
@@ -22,7 +22,7 @@
         self.room = 0.0
         self.live_tokens = 0
         self.looked = float("-inf")
-        self.admitted_at: float | None = None
+        self.closed_at: float | None = None
         self.interval = 0.0
 
     def look(self, states: list[EndpointState], slots: Slots, now: float) -> None:
@@ -56,6 +56,8 @@
         """Return whether a newcomer may be placed, and count it in."""
         is_empty = self.live_tokens + self.admitted_tokens <= 0
         if not is_empty and self.room - self.admitted_tokens < tokens:
+            if self.closed_at is None:
+                self.closed_at = now
             return False
         self.admitted_tokens += tokens
         self._learn_interval(now)
@@ -74,10 +76,10 @@
         return self.waiting * self.interval
 
     def _learn_interval(self, now: float) -> None:
-        if self.admitted_at is not None:
-            seconds = now - self.admitted_at
-            self.interval += _LEARNING_RATE * (seconds - self.interval)
-        self.admitted_at = now
+        """Take in how long a newcomer stood first in the queue."""
+        seconds = now - self.closed_at if self.closed_at is not None else 0.0
+        self.interval += _LEARNING_RATE * (seconds - self.interval)
+        self.closed_at = None
 
 
 def _reported_tokens(state: EndpointState) -> int:
