--- a/src/eelgrasslock_measure/experiments.py
+++ b/src/eelgrasslock_measure/experiments.py
@@ -29,7 +29,17 @@
 MANY_DAEMONS = 10
 
 # Two-sided 95 % quantiles of Student's t, by the number of samples.
-_T_QUANTILES = {2: 12.71, 3: 4.30, 4: 3.18, 5: 2.78, 6: 2.57, 7: 2.45, 8: 2.36}
+_T_QUANTILES = {
+    2: 12.71,
+    3: 4.30,
+    4: 3.18,
+    5: 2.78,
+    6: 2.57,
+    7: 2.45,
+    8: 2.36,
+    9: 2.31,
+    10: 2.26,
+}
 _NORMAL_QUANTILE = 1.96
 
 
@@ -220,6 +230,8 @@
     mean = sum(values) / count
     if count < 2:
         return Estimate(mean=mean, half_width=math.nan)
+    if not math.isfinite(mean):
+        return Estimate(mean=mean, half_width=math.nan)
     variance = sum((value - mean) ** 2 for value in values) / (count - 1)
     quantile = _T_QUANTILES.get(count, _NORMAL_QUANTILE)
     return Estimate(mean=mean, half_width=quantile * math.sqrt(variance / count))
--- a/src/eelgrasslock_measure/main.py
+++ b/src/eelgrasslock_measure/main.py
@@ -25,7 +25,9 @@
 
 @click.group(invoke_without_command=True)
 @click.option("--quick", is_flag=True, help="Short runs and two seeds.")
-@click.option("--seeds", default=5, show_default=True, help="Seeds of the load tables.")
+@click.option(
+    "--seeds", default=10, show_default=True, help="Seeds of the load tables."
+)
 @click.option("--few-seeds", default=3, show_default=True, help="Of the other tables.")
 @click.option(
     "--jobs", default=_MOST_WORKERS, show_default=True, help="Runs at the same time."
--- a/src/eelgrasslock_measure/outcome.py
+++ b/src/eelgrasslock_measure/outcome.py
@@ -1,6 +1,6 @@
 """What a run gave, and the figures that are drawn from it."""
 
-from collections.abc import Iterable
+import math
 
 import numpy as np
 from attrs import define, field, frozen
@@ -157,7 +157,7 @@
         p95=float(np.percentile(latencies, 95)),
         p99=float(np.percentile(latencies, 99)),
         mean=float(latencies.mean()),
-        lookup_p95=_p95(one.latency for one in lookups if one.end is not None),
+        lookup_p95=_p95(lookups),
         wasted=recorder.wasted_tokens / 1_000.0 / max(1, len(done)),
         refused=recorder.refusals / max(1, len(programs)),
         unfinished=1.0 - sum(one.end is not None for one in programs) / len(programs),
@@ -170,6 +170,9 @@
     )
 
 
-def _p95(values: Iterable[float]) -> float:
-    listed = list(values)
-    return float(np.percentile(listed, 95)) if listed else 0.0
+def _p95(lookups: list[ProgramOutcome]) -> float:
+    """Return the latency of those that finished; infinite if none did."""
+    latencies = [one.latency for one in lookups if one.end is not None]
+    if not latencies:
+        return math.inf if lookups else 0.0
+    return float(np.percentile(latencies, 95))
--- a/src/eelgrasslock_measure/report.py
+++ b/src/eelgrasslock_measure/report.py
@@ -168,8 +168,10 @@
 
 
 def _ratio(ours: float, best: float) -> float:
+    if best == ours:
+        return 1.0
     if best == 0.0:
-        return 1.0 if ours == 0.0 else math.inf
+        return math.inf
     return ours / best
 
 
