--- a/src/eelgrasslock/memory_gate.py
+++ b/src/eelgrasslock/memory_gate.py
@@ -6,6 +6,7 @@
 """
 
 from eelgrasslock.endpoint_state import EndpointState
+from eelgrasslock.slots import Slots
 
 FULL_SHARE = 0.9
 _LOOK_SECONDS = 0.25
@@ -21,18 +22,22 @@
         self.room = 0.0
         self.live_tokens = 0
         self.looked = float("-inf")
-        self.admitted_at: float | None = None
+        self.closed_at: float | None = None
         self.interval = 0.0
 
-    def look(self, states: list[EndpointState], daemons: int, now: float) -> None:
+    def look(self, states: list[EndpointState], slots: Slots, now: float) -> None:
         """Measure the room anew, a few times a second at most.
 
+        A daemon may always fill its fair share. What others leave is borrowed:
+        the part of the caches that the engines report as free, divided by the
+        daemons whose calls wait.
+
         Parameters
         ----------
         states : list of EndpointState
             The pool's engines.
-        daemons : int
-            How many daemons share them; each fills its part.
+        slots : Slots
+            Knows how many daemons share them.
         now : float
             On the monotonic clock.
         """
@@ -41,12 +46,18 @@
         self.looked = now
         capacity = sum(state.settings.cache_tokens for state in states)
         self.live_tokens = sum(state.live_tokens for state in states)
-        self.room = FULL_SHARE * capacity / daemons - self.live_tokens
+        full = FULL_SHARE * capacity
+        self.room = full / slots.daemons - self.live_tokens
+        if slots.daemons > 1:
+            free = full - sum(_reported_tokens(state) for state in states)
+            self.room = max(self.room, free / slots.rivals)
 
     def admit(self, tokens: int, now: float) -> bool:
         """Return whether a newcomer may be placed, and count it in."""
         is_empty = self.live_tokens + self.admitted_tokens <= 0
         if not is_empty and self.room - self.admitted_tokens < tokens:
+            if self.closed_at is None:
+                self.closed_at = now
             return False
         self.admitted_tokens += tokens
         self._learn_interval(now)
@@ -65,7 +76,13 @@
         return self.waiting * self.interval
 
     def _learn_interval(self, now: float) -> None:
-        if self.admitted_at is not None:
-            seconds = now - self.admitted_at
-            self.interval += _LEARNING_RATE * (seconds - self.interval)
-        self.admitted_at = now
+        """Take in how long a newcomer stood first in the queue."""
+        seconds = now - self.closed_at if self.closed_at is not None else 0.0
+        self.interval += _LEARNING_RATE * (seconds - self.interval)
+        self.closed_at = None
+
+
+def _reported_tokens(state: EndpointState) -> int:
+    if state.report is None:
+        return state.settings.cache_tokens
+    return state.report.cache_used_tokens
