--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -3,60 +3,11 @@
 # agent programs, and kills one daemon in the middle. Ends all it has started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. examples/processes.sh
 
-PYTHON="${PYTHON:-python}"
 KILL_AFTER_SECONDS="${KILL_AFTER_SECONDS:-12}"
-logs="$(mktemp -d)"
-standins=()
-daemons=()
-client=""
 daemon_urls=()
 
-alive() {
-    for pid in "$@"; do
-        kill -0 "$pid" 2>/dev/null && return 0
-    done
-    return 1
-}
-
-# Ask processes to end, wait some seconds, and kill what is left.
-stop() {
-    [ "$#" -eq 0 ] && return
-    kill "$@" 2>/dev/null || true
-    for _ in $(seq 100); do
-        alive "$@" || break
-        sleep 0.1
-    done
-    alive "$@" && kill -9 "$@" 2>/dev/null || true
-    wait "$@" 2>/dev/null || true
-}
-
-stop_all() {
-    status="$?"
-    trap - EXIT INT TERM
-    [ -n "$client" ] && stop "$client"
-    stop "${daemons[@]}"
-    stop "${standins[@]}"
-    [ "$status" -eq 0 ] && rm -r "$logs"
-    exit "$status"
-}
-trap stop_all EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
-
-start() {
-    local name="$1"
-    shift
-    "$PYTHON" -m "$@" >"$logs/$name.out" 2>"$logs/$name.err" &
-}
-
-standin() {
-    local name="$1"
-    shift
-    start "$name" eelgrasslock_standins.main "$@"
-    standins+=("$!")
-}
-
 echo "demo: logs are in $logs"
 echo "demo: starting the log, the VM list, the weight store, 10 engines, 1 service"
 standin log log --port 19001
@@ -75,28 +26,13 @@
 echo "demo: starting five daemons in three failure domains"
 port=18081
 for name in riga-a-1 riga-a-2 riga-b-1 riga-b-2 riga-c-1; do
-    start "$name" eelgrasslock.daemon --settings "examples/daemons/$name"
-    daemons+=("$!")
+    daemon "examples/daemons/$name"
     daemon_urls+=(--daemon "http://127.0.0.1:$port")
     port=$((port + 1))
 done
 
 echo "demo: publishing examples/riga"
-cp -r examples/riga "$logs/riga"
-published=""
-for _ in $(seq 60); do
-    if "$PYTHON" -m eelgrasslock.cli publish "$logs/riga" \
-        --daemon http://127.0.0.1:18081 >"$logs/publish.out" 2>&1; then
-        published=yes
-        break
-    fi
-    sleep 0.5
-done
-if [ -z "$published" ]; then
-    echo "demo: could not publish:"
-    cat "$logs/publish.out"
-    exit 1
-fi
+publish examples/riga http://127.0.0.1:18081
 
 "$PYTHON" -m eelgrasslock_standins.demo "${daemon_urls[@]}" \
     --service http://127.0.0.1:19201 &
@@ -104,7 +40,7 @@
 
 for _ in $(seq "$KILL_AFTER_SECONDS"); do
     sleep 1
-    kill -0 "$client" 2>/dev/null || break
+    alive "$client" || break
 done
 victim="${daemons[1]}"
 echo "demo: killing the daemon riga-a-2 (pid $victim)"
