--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from eelgrasslock.action_filter import ActionFilter
+from eelgrasslock.action_status import ActionStatus
 from eelgrasslock.actions import Actions
 from eelgrasslock.budget_filter import BudgetFilter
 from eelgrasslock.clock import Clock
@@ -82,6 +83,7 @@
         self.session = session
         self.incarnation = f"{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}"
         self.draining = False
+        self.closed_to_new = False
         self.retired = asyncio.Event()
         self.in_flight = InFlight()
         self.metrics = Metrics(settings)
@@ -94,6 +96,7 @@
 
     def _make_state(self) -> None:
         settings = self.settings
+        self.services = ServiceClient(self.clock, self.known_configuration)
         self.log = HTTPLog(settings.log_url, self.session)
         self.writer = LogWriter(self.log, self.clock, self.rng)
         self.tail = LogTail(self.log, self.clock, self.rng)
@@ -116,6 +119,8 @@
             self.tail,
             self.clock,
             settings.action_shards,
+            ActionStatus(self.services, self.known_configuration).ask,
+            self._may_still_send,
         )
 
     def _make_decisions(self) -> None:
@@ -123,7 +128,6 @@
         self.scheduler = Scheduler(self.clock, self.rng, empty, self.settings.domain)
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
         self.engines = EngineClient(self.clock, self.known_configuration)
-        self.services = ServiceClient(self.clock, self.known_configuration)
         self.vm_list = VMList(self.settings.vm_list_url, self.session)
         self.endpoint_watch = EndpointWatch(
             self.configuration,
@@ -227,6 +231,9 @@
         """Return the limits in force."""
         return self.current_configuration().limits
 
+    def _may_still_send(self, incarnation: str) -> bool:
+        return not self.membership.table.is_retired(incarnation)
+
     def service(self, name: str) -> ServiceSettings | None:
         """Return a service's settings, or None for an unknown one."""
         return self.current_configuration().services.get(name)
@@ -263,6 +270,9 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one request, from a caller or from a peer, to its end."""
         exchange = Exchange(request=request, responder=responder)
+        if self.closed_to_new:
+            await self._refuse(exchange, _leaving())
+            return
         started = self.clock.monotonic()
         with self.in_flight.enter(), span("daemon.handle", request.trace):
             try:
@@ -320,8 +330,10 @@
     async def drain(self) -> None:
         """Stop taking new work and wait for what is in flight.
 
-        The programs move to other daemons at their next turn. Waits at most
-        the settings' `drain_seconds`.
+        The programs move to other daemons at their next turn. New requests
+        are still served until the balancer has had time to see that this
+        daemon is not ready, then refused, so that a constant stream of them
+        can't hold up the end. Waits at most the settings' `drain_seconds`.
         """
         self.draining = True
         _log.info("Draining {} requests in flight.", self.in_flight.count)
@@ -329,6 +341,8 @@
             async with asyncio.timeout(self.settings.drain_seconds):
                 await self.membership.leave()
                 await self.clock.sleep(_BALANCER_SECONDS)
+                self.closed_to_new = True
+                await self.front.close_listener()
                 await self.in_flight.none_left()
         except TimeoutError:
             _log.warning("{} requests outlast the drain.", self.in_flight.count)
@@ -340,6 +354,15 @@
         _log.info("Stopped.")
 
 
+def _leaving() -> Refusal:
+    return Refusal(
+        "daemon_leaving",
+        "This daemon is stopping; another one takes the request.",
+        503,
+        retry_after=_BALANCER_SECONDS,
+    )
+
+
 def _unexpected(exchange: Exchange) -> Refusal:
     ran = Ran.UNKNOWN if exchange.tokens_used else Ran.NO
     return Refusal("internal_error", "The request failed inside the daemon.", 500, ran)
