Tell the configuration when the log dropped records it had not read

Cause: a reader whose unread records had been dropped judged on without them and could accept a version whose rival had won in the gap. Change: the tail reports its jumps; the configuration judges nothing until a copy of the version in force covers the gap.

--- a/src/eelgrasslock/configuration.py
+++ b/src/eelgrasslock/configuration.py
@@ -42,6 +42,9 @@
     ) -> None:
         """Hand a stream's records to a handler."""
 
+    def on_gap(self, stream: str, handler: Callable[[], None]) -> None:
+        """Tell a handler when records of a stream were missed."""
+
     async def caught_up(self, stream: str, timeout: float | None = None) -> None:
         """Wait until a stream has been read to its end."""
 
@@ -152,9 +155,7 @@
     async def start(self) -> None:
         """Follow the stream, offer versions to peers and keep the copy young."""
         self.tail.follow(CONFIG_STREAM, self.apply)
-        on_gap = getattr(self.tail, "on_gap", None)
-        if on_gap is not None:
-            on_gap(CONFIG_STREAM, self.note_gap)
+        self.tail.on_gap(CONFIG_STREAM, self.note_gap)
         if self.peers is not None:
             self.peers.config_offer = self.offer
             self.peers.config_accept = self.accept
--- a/src/eelgrasslock/log_tail.py
+++ b/src/eelgrasslock/log_tail.py
@@ -95,6 +95,18 @@
         if self._started:
             reader.start()
 
+    def on_gap(self, stream: str, handler: Callable[[int], None]) -> None:
+        """Call back with the first held offset when dropped entries are skipped.
+
+        Parameters
+        ----------
+        stream : str
+            A stream that is followed.
+        handler : callable
+            Called before the records behind the gap are handed on.
+        """
+        self.readers[stream].gap_handlers.append(handler)
+
     async def reached(
         self, stream: str, offset: int, timeout: float | None = None
     ) -> None:
--- a/src/eelgrasslock/stream_reader.py
+++ b/src/eelgrasslock/stream_reader.py
@@ -100,6 +100,7 @@
         self.failing = True
         self.backoff = Backoff(rng)
         self.handlers: list[Callable[[Positioned], None]] = []
+        self.gap_handlers: list[Callable[[int], None]] = []
         self._ids = RecentIds()
         self._reads = 0
         self._waiters: list[_Waiter] = []
@@ -235,3 +236,5 @@
             return
         log.warning("{} holds {} to {} no more.", self.stream, start, error.first - 1)
         self.position = error.first - 1
+        for handler in self.gap_handlers:
+            handler(error.first)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -459,6 +459,20 @@
         await settle(first.clock, 5.0)
         assert second.in_force == "three"
 
+    async def test_a_hidden_winner_keeps_its_rival_out(self, start):
+        stream = [V1, V2, copy(V1, 0), RIVAL_2]
+        for record in stream:
+            start.log.put("config", encode_batch([record]))
+        witness = await start(1)
+        await settle(witness.clock, 2.0)
+        start.log.retention = 2
+        del start.log.streams["config"][:-2]
+        fresh = await start(2)
+        await settle(witness.clock, 2.0)
+        assert (witness.in_force, fresh.in_force) == ("v2", "v1")
+        gossip(witness, fresh)
+        assert fresh.in_force == "v2"
+
     async def test_a_fresh_daemon_after_retention(self, start):
         first = await start(1)
         for number, name in enumerate(["one", "two", "three"]):
