Type the handler of missed records

Cause: the type check failed on the new handler's argument. Change: it takes the first offset that the log still holds. Measured: mypy clean.

--- a/src/eelgrasslock/configuration.py
+++ b/src/eelgrasslock/configuration.py
@@ -42,8 +42,8 @@
     ) -> None:
         """Hand a stream's records to a handler."""
 
-    def on_gap(self, stream: str, handler: Callable[[], None]) -> None:
-        """Tell a handler when records of a stream were missed."""
+    def on_gap(self, stream: str, handler: Callable[[int], None]) -> None:
+        """Tell a handler the first held offset when records were missed."""
 
     async def caught_up(self, stream: str, timeout: float | None = None) -> None:
         """Wait until a stream has been read to its end."""
