Await that all others have read a retirement

The test looked at the other members' tables as soon as the retired one knew. What it asserts is unchanged: the cut-off member alone is retired, and all others see it.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -257,8 +257,8 @@
                 )
             await until(lambda: retirements(log))
             await until(lambda: lonely.membership.retired)
+            await until(lambda: all(one.sees() == {"a2", "a3"} for one in others))
             assert set(retired_names(log, daemons)) == {"a1"}
-            assert all(one.sees() == {"a2", "a3"} for one in others)
 
     async def test_member_that_a_third_reaches_stays(self, log):
         async with fleet("a1", "a2", "a3", log=log) as daemons:
