Move the sink of forwarded answers into a module of its own

The link's module had grown past what reads well, and the sink needs of the link no more than a note of each sign of life.

--- a/src/eelgrasslock/peer_link.py
+++ b/src/eelgrasslock/peer_link.py
@@ -11,7 +11,8 @@
 from eelgrasslock.exceptions import EelgrassError
 from eelgrasslock.exchange import Request, Responder
 from eelgrasslock.peer_auth import Handshake, PeerRefused, new_nonce
-from eelgrasslock.peer_schema import fields, from_fields, schema
+from eelgrasslock.peer_schema import fields, schema
+from eelgrasslock.peer_sink import SinkServer
 
 _CONNECT_SECONDS = 1.0
 _PING_SECONDS = 3.0
@@ -178,7 +179,7 @@
         except (capnp.KjException, OSError) as error:
             self.leave()
             raise LinkLost(f"{self.incarnation} gave no answer.") from error
-        self.heard_at = self.clock.monotonic()
+        self._note_sign()
         return answer
 
     async def heartbeat(self, beat: Beat, seconds: float) -> Beat:
@@ -221,7 +222,7 @@
         LinkLost
             If the connection broke or went silent.
         """
-        sink = SinkServer(responder, self)
+        sink = SinkServer(responder, self._note_sign)
         call = asyncio.create_task(self._send(id, request, sink))
         self.forwards += 1
         try:
@@ -246,7 +247,10 @@
         if self.left:
             self.leave()
 
-    async def _send(self, id: str, request: Request, sink: "SinkServer") -> None:
+    def _note_sign(self) -> None:
+        self.heard_at = self.clock.monotonic()
+
+    async def _send(self, id: str, request: Request, sink: SinkServer) -> None:
         try:
             await self.peer.forward(request=_to_message(id, request), sink=sink)
         except (capnp.KjException, OSError) as error:
@@ -257,48 +261,6 @@
             raise LinkLost(f"{self.incarnation} did not finish.") from error
 
 
-class SinkServer(schema.Sink.Server):
-    """Where the peer writes an answer.
-
-    Attributes
-    ----------
-    begun : bool
-        Whether anything of the answer has come.
-    error : Exception or None
-        What the responder raised, when the reader of the answer is gone.
-    """
-
-    def __init__(self, responder: Responder, link: PeerLink) -> None:
-        self.responder = responder
-        self.link = link
-        self.begun = False
-        self.closed = False
-        self.error: Exception | None = None
-
-    async def start(self, status: int, headers: Any, **_: Any) -> None:
-        """Send status and headers."""
-        self.begun = True
-        await self._relay(self.responder.start(status, from_fields(headers)))
-
-    async def write(self, chunk: bytes, **_: Any) -> None:
-        """Send part of the body; the peer waits for the reader."""
-        await self._relay(self.responder.write(bytes(chunk)))
-
-    async def finish(self, **_: Any) -> None:
-        """End the body."""
-        await self._relay(self.responder.finish())
-
-    async def _relay(self, step: Awaitable[None]) -> None:
-        self.link.heard_at = self.link.clock.monotonic()
-        if self.closed:
-            raise ConnectionError("The reader of the answer is gone.")
-        try:
-            await step
-        except Exception as error:
-            self.error = error
-            raise ConnectionError("The reader of the answer is gone.") from None
-
-
 async def _ping(peer: Any) -> None:
     await peer.ping()
 
--- /dev/null
+++ b/src/eelgrasslock/peer_sink.py
@@ -0,0 +1,56 @@
+"""Where a peer writes the answer to a forwarded request."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from eelgrasslock.exchange import Responder
+from eelgrasslock.peer_schema import from_fields, schema
+
+
+class SinkServer(schema.Sink.Server):
+    """Where the peer writes an answer.
+
+    Parameters
+    ----------
+    responder : Responder
+        Where the answer goes on.
+    on_sign : callable
+        Called at each sign of life.
+
+    Attributes
+    ----------
+    begun : bool
+        Whether anything of the answer has come.
+    error : Exception or None
+        What the responder raised, when the reader of the answer is gone.
+    """
+
+    def __init__(self, responder: Responder, on_sign: Callable[[], None]) -> None:
+        self.responder = responder
+        self.on_sign = on_sign
+        self.begun = False
+        self.closed = False
+        self.error: Exception | None = None
+
+    async def start(self, status: int, headers: Any, **_: Any) -> None:
+        """Send status and headers."""
+        self.begun = True
+        await self._relay(self.responder.start(status, from_fields(headers)))
+
+    async def write(self, chunk: bytes, **_: Any) -> None:
+        """Send part of the body; the peer waits for the reader."""
+        await self._relay(self.responder.write(bytes(chunk)))
+
+    async def finish(self, **_: Any) -> None:
+        """End the body."""
+        await self._relay(self.responder.finish())
+
+    async def _relay(self, step: Awaitable[None]) -> None:
+        self.on_sign()
+        if self.closed:
+            raise ConnectionError("The reader of the answer is gone.")
+        try:
+            await step
+        except Exception as error:
+            self.error = error
+            raise ConnectionError("The reader of the answer is gone.") from None
