--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -134,7 +134,7 @@
         refusal = await refused(fleet, other.serve(plain_call("fee-1")))
         assert refusal.ran is Ran.UNKNOWN
         fleet.engine.gate.set()
-        await asyncio.gather(task, return_exceptions=True)
+        await fleet.run(asyncio.gather(task, return_exceptions=True))
         assert len(fleet.engine.runs) == 1
 
     async def test_nothing_runs_while_the_log_is_down(self, fleet, daemon):
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -389,21 +389,20 @@
     def kill_and_replace(self, index):
         name = self.names[index]
         daemon = self.daemon(index)
-        self.do(self._kill(daemon))
+        self._kill(daemon)
         if name not in self._retired():
             self.fleet.retire(name)
         self.names[index] = f"b{next(self.numbers)}"
         self.do(self.fleet.add(self.names[index]))
         self.tick(0.5)
 
-    async def _kill(self, daemon):
+    def _kill(self, daemon):
         daemon.dead = True
         daemon.awake.clear()
-        tasks = [one.task for one in self.attempts if one.daemon is daemon]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await daemon.kill()
+        for attempt in self.attempts:
+            if attempt.daemon is daemon:
+                attempt.task.cancel()
+        self.do(daemon.kill())
 
     def _living(self):
         return [one for one in self.fleet.daemons.values() if not one.dead]
