--- /dev/null
+++ b/src/eelgrasslock/beat.py
@@ -0,0 +1,157 @@
+"""Heartbeats, and how they shrink to what has changed on a connection."""
+
+from typing import Any
+
+from attrs import frozen
+
+from eelgrasslock.scheduling import PeerLoad
+
+_COUNTS_LIMIT = 32
+_MARKS_LIMIT = 16
+_CALLS_BITS = 16
+_CALLS_LIMIT = 0xFFFF
+_NAMES_LIMIT = 0x10000
+_NEW_NAMES_LIMIT = 8
+_SEPARATOR = "\n"
+
+
+@frozen(kw_only=True)
+class Beat:
+    """What a heartbeat says, and its answer too.
+
+    Attributes
+    ----------
+    load : PeerLoad
+        The sender's use of the endpoints.
+    config_version : int
+        The newest configuration that the sender has accepted.
+    members_offset : int
+        How far the sender has read the `members` stream.
+    retired : bool
+        Whether the receiver is retired in the sender's table.
+    """
+
+    load: PeerLoad
+    config_version: int = 0
+    members_offset: int = -1
+    retired: bool = False
+
+
+class BeatEncoder:
+    """Writes one direction of one connection's heartbeats.
+
+    An endpoint's name travels once; later it goes by its number. Only counts
+    that changed travel, those that changed most first, and no more than fit
+    a bound: the others follow with the next heartbeats.
+    """
+
+    def __init__(self) -> None:
+        self._numbers: dict[str, int] = {}
+        self._sent: dict[str, int] = {}
+        self._marks: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
+
+    def fill(self, beat: Beat, message: Any) -> None:
+        """Write a heartbeat into a message builder."""
+        message.configVersion = beat.config_version
+        message.membersOffset = beat.members_offset
+        message.retired = beat.retired
+        message.waiting = beat.load.waiting
+        self._fill_counts(beat.load.in_flight, message)
+        self._fill_marks(beat.load, message)
+
+    def _fill_counts(self, in_flight: dict[str, int], message: Any) -> None:
+        names: list[str] = []
+        counts: list[int] = []
+        for endpoint, calls in self._changes(in_flight):
+            number = self._number(endpoint, names)
+            if number is not None and len(counts) < _COUNTS_LIMIT:
+                self._sent[endpoint] = calls
+                counts.append(number << _CALLS_BITS | min(calls, _CALLS_LIMIT))
+        if names:
+            message.names = _SEPARATOR.join(names)
+        if counts:
+            message.counts = counts
+
+    def _number(self, endpoint: str, names: list[str]) -> int | None:
+        """Return an endpoint's number; a new one's name is added to the list."""
+        number = self._numbers.get(endpoint)
+        if number is not None:
+            return number
+        full = len(names) >= _NEW_NAMES_LIMIT or len(self._numbers) >= _NAMES_LIMIT
+        if full or _SEPARATOR in endpoint:
+            return None
+        names.append(endpoint)
+        number = self._numbers[endpoint] = len(self._numbers)
+        return number
+
+    def _changes(self, in_flight: dict[str, int]) -> list[tuple[str, int]]:
+        changes = []
+        for endpoint in in_flight.keys() | self._sent.keys():
+            calls = in_flight.get(endpoint, 0)
+            change = abs(calls - self._sent.get(endpoint, 0))
+            if change:
+                changes.append((-change, endpoint, calls))
+        changes.sort()
+        return [(endpoint, calls) for _, endpoint, calls in changes]
+
+    def _fill_marks(self, load: PeerLoad, message: Any) -> None:
+        digests = load.suspect_digests[-_MARKS_LIMIT:]
+        breakers = load.open_breakers[-_MARKS_LIMIT:]
+        if (digests, breakers) == self._marks:
+            return
+        self._marks = (digests, breakers)
+        message.marked = True
+        message.digests = list(digests)
+        message.breakers = list(breakers)
+
+
+class BeatDecoder:
+    """Reads one direction of one connection's heartbeats.
+
+    Parameters
+    ----------
+    incarnation : str
+        The sender, as the connection's handshake proved it.
+    """
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self._names: list[str] = []
+        self._in_flight: dict[str, int] = {}
+        self._digests: tuple[str, ...] = ()
+        self._breakers: tuple[str, ...] = ()
+
+    def read(self, message: Any) -> Beat:
+        """Return the heartbeat that a message holds.
+
+        Raises
+        ------
+        IndexError
+            If it numbers an endpoint that was never named.
+        """
+        if message.names:
+            self._names.extend(message.names.split(_SEPARATOR))
+        for count in message.counts:
+            self._count(self._names[count >> _CALLS_BITS], count & _CALLS_LIMIT)
+        if message.marked:
+            self._digests = tuple(message.digests)
+            self._breakers = tuple(message.breakers)
+        load = PeerLoad(
+            incarnation=self.incarnation,
+            in_flight=dict(self._in_flight),
+            waiting=message.waiting,
+            suspect_digests=self._digests,
+            open_breakers=self._breakers,
+        )
+        return Beat(
+            load=load,
+            config_version=message.configVersion,
+            members_offset=message.membersOffset,
+            retired=message.retired,
+        )
+
+    def _count(self, endpoint: str, calls: int) -> None:
+        if calls:
+            self._in_flight[endpoint] = calls
+        else:
+            self._in_flight.pop(endpoint, None)
--- a/src/eelgrasslock/records.py
+++ b/src/eelgrasslock/records.py
@@ -60,7 +60,7 @@
 
 @frozen(kw_only=True)
 class ConfigVersion(Record):
-    """A whole configuration, put in place of the one it names.
+    """A configuration, put in place of the one it names.
 
     Attributes
     ----------
@@ -68,16 +68,27 @@
         The number of this version, one more than the replaced one's.
     replaces : str
         The record id of the version that it replaces, empty for the first.
+        For a republished one, the record id of the version that it repeats.
     files : dict of str to str
-        The folder's files: name to text.
+        The folder's files: name to text; only the changed ones if partial.
     republished : bool
         Whether it repeats a version before the log's retention drops it.
+    partial : bool
+        Whether the files that it does not name are those of the replaced one.
+    removed : list of str
+        For a partial one, names of files that are no more.
+    in_force_at : int
+        For a republished one, an offset of the stream at which the version
+        that it repeats is in force.
     """
 
     version: int
     replaces: str
     files: dict[str, str]
     republished: bool = False
+    partial: bool = False
+    removed: list[str] = field(factory=list)
+    in_force_at: int = -1
 
 
 # --- members ----------------------------------------------------------------
@@ -120,6 +131,21 @@
     reason: str
 
 
+@frozen(kw_only=True)
+class DomainChallenged(Record):
+    """A domain that looks silent from outside is asked to show that it lives.
+
+    Each of its members that reads this appends its own join again.
+
+    Attributes
+    ----------
+    domain : str
+        The domain that is asked.
+    """
+
+    domain: str
+
+
 # --- journal of a failure domain ---------------------------------------------
 
 
@@ -363,6 +389,7 @@
     ConfigVersion
     | MemberJoined
     | MemberRetired
+    | DomainChallenged
     | ProgramCreated
     | ProgramClaimed
     | BudgetDrawn
@@ -437,13 +464,19 @@
     """
     try:
         bodies = json.loads(data)
-    except ValueError:
+    except (ValueError, RecursionError):
         return [RecordError("The entry is not JSON.")]
     if not isinstance(bodies, list):
         return [RecordError("The entry is not a list of records.")]
     return [_decode(body) for body in bodies]
 
 
+def readable_records(data: bytes) -> list[Record]:
+    """Return the records of one log entry without those that can't be read."""
+    batch = decode_batch(data)
+    return [record for record in batch if not isinstance(record, RecordError)]
+
+
 def _decode(body: Any) -> Record | RecordError:
     if not isinstance(body, dict):
         return RecordError("The record is not an object.")
