Forget the programs' state when the log dropped unread records

A daemon cut off for longer than the log's retention kept a state that lacked what it had missed. Every record that it then judged was judged by that state, so it could claim or refuse against the fleet's view.

--- a/src/eelgrasslock/programs.py
+++ b/src/eelgrasslock/programs.py
@@ -162,7 +162,9 @@
 
     async def start(self) -> None:
         """Follow the journal and start the periodic work."""
-        self.tail.follow(self.live_programs.stream, self.journal.apply)
+        stream = self.live_programs.stream
+        self.tail.follow(stream, self.journal.apply)
+        self.tail.on_gap(stream, self.journal.restart)
         sweeping = run_periodically(self.clock, lambda: _SWEEP_SECONDS, self._sweep)
         self._sweeper = asyncio.create_task(sweeping)
 
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -106,6 +106,23 @@
         state = other.programs.journal.program(caller.program)
         assert (state.turn, state.history) == (3, caller.history)
 
+    async def test_new_owner_asks_all_peers_for_what_they_hold(self, fleet, daemon):
+        peers = [await fleet.add(name) for name in ("a2", "a3", "a4")]
+        caller = await start(fleet, daemon)
+        fleet.log.down = True
+        await caller.ask(daemon, "one", tokens=20)
+        await daemon.kill()
+        stream = "journal.riga-a"
+        (owner,) = [one for one in peers if not one.programs.holdings.held(stream)]
+        owner.membership.owner = lambda program: owner.membership.table.find(
+            owner.incarnation
+        )
+        fleet.log.down = False
+        await fleet.settle(30.0)
+        await caller.ask(owner, "two", tokens=20)
+        state = owner.programs.journal.program(caller.program)
+        assert (state.turn, state.history) == (2, caller.history)
+
     async def test_program_made_in_an_outage_survives_its_daemon(
         self, fleet, daemon, other
     ):
@@ -178,6 +195,57 @@
         state = fresh.programs.journal.program(caller.program)
         assert (state.turn, state.history) == (2, caller.history)
 
+    async def test_daemon_cut_off_for_longer_than_retention_starts_anew(
+        self, fleet, daemon, other
+    ):
+        caller = await start(fleet, daemon)
+        await caller.ask(daemon, "one")
+        await fleet.settle(1.0)
+        other.log.cut = True
+        await caller.ask(daemon, "two")
+        fleet.clock.advance(2_000.0)
+        await fleet.settle(10.0)
+        journal = fleet.log.streams["journal.riga-a"]
+        del journal[:-1]
+        fleet.log.retention = 100
+        other.log.cut = False
+        await fleet.settle(60.0)
+        await daemon.kill()
+        fleet.retire("a1")
+        await caller.ask(other, "three")
+        state = other.programs.journal.program(caller.program)
+        assert (state.turn, state.history) == (3, caller.history)
+
+
+class TestFigures:
+    async def test_log_use_of_a_turn_and_loss_of_a_kill(self):
+        """Print what a program costs; `pytest -s` shows it."""
+        limits = Limits(tokens=400_000, turns=100, age=1e6)
+        fleet = Fleet(limits)
+        daemon, other = await fleet.add("a1"), await fleet.add("a2")
+        caller = await start(fleet, daemon)
+        await fleet.settle(2.0)
+        journal = fleet.log.streams["journal.riga-a"]
+        before = len(journal), sum(len(entry.data) for entry in journal)
+        turns, text = 20, "x" * 1_600
+        for turn in range(turns):
+            await caller.ask(daemon, text, tokens=2_000 + 500 * turn)
+            await fleet.settle(2.0)
+        entries = len(journal) - before[0]
+        size = sum(len(entry.data) for entry in journal) - before[1]
+        await daemon.kill()
+        fleet.retire("a1")
+        await caller.ask(other, text, tokens=12_000)
+        lost = other.programs.journal.program(caller.program).ledger.forfeited.tokens
+        print(
+            f"\nrecords/turn={entries / turns:.2f} bytes/turn={size / turns:.0f} "
+            f"message-bytes/turn={len(text)} forfeited/kill={lost} of {limits.tokens}"
+        )
+        assert entries <= 2 * turns
+        assert size / turns < 2 * len(text) + 2_000
+        assert lost <= limits.tokens / 10
+        await fleet.stop()
+
 
 class TestCreation:
     async def test_repeated_key_answers_the_same(self, fleet, daemon):
