Run a non-idempotent request to its end when its caller goes away

A caller that hung up while a fee was being posted left the outcome unknown for good, although the service answered: the request was cancelled with its caller, and a broken connection to the caller counted as a broken answer. Cancelling stays right for model calls, which may run again.

The request now goes on by itself once a byte may have left, and its outcome is recorded; before that it is cancelled and the action is free again.

A stop leaves no task of an action behind any more.

--- a/src/eelgrasslock/action_filter.py
+++ b/src/eelgrasslock/action_filter.py
@@ -1,7 +1,9 @@
 """The filter that lets a non-idempotent request run at most once."""
 
+import asyncio
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from loguru import logger
 
@@ -100,6 +102,21 @@
             )
 
     async def _run(self, intent: Intent, exchange: Exchange, proceed: Proceed) -> None:
+        """Run the request to its end, also when its caller has gone.
+
+        What became of it is then known to whoever asks next.
+        """
+        task = self.actions.watch(self._run_whole(intent, exchange, proceed))
+        try:
+            await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if exchange.sent is False:
+                task.cancel()
+            raise
+
+    async def _run_whole(
+        self, intent: Intent, exchange: Exchange, proceed: Proceed
+    ) -> None:
         responder = exchange.responder
         recorder = _Recorder(responder, self.actions, intent)
         exchange.responder = recorder
@@ -138,19 +155,20 @@
         self._status = 0
         self._content_type = ""
         self._body = bytearray()
+        self._broken: Exception | None = None
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers."""
         self._status = status
         names = {name.lower(): value for name, value in headers.items()}
         self._content_type = names.get("content-type", "")
-        await self.responder.start(status, headers)
+        await self._pass_on(self.responder.start(status, headers))
 
     async def write(self, chunk: bytes) -> None:
         """Send part of the body."""
         if len(self._body) <= BODY_LIMIT:
             self._body += chunk
-        await self.responder.write(chunk)
+        await self._pass_on(self.responder.write(chunk))
 
     async def finish(self) -> None:
         """Record the outcome and end the body."""
@@ -163,7 +181,19 @@
             self._body.decode(errors=_ANY_BYTES) if kept else "",
             self._content_type,
         )
-        await self.responder.finish()
+        await self._pass_on(self.responder.finish())
+        if self._broken is not None:
+            raise self._broken
+
+    async def _pass_on(self, sending: Coroutine[Any, Any, None]) -> None:
+        """Send on, until the caller's connection breaks."""
+        if self._broken is not None:
+            sending.close()
+            return
+        try:
+            await sending
+        except Exception as error:
+            self._broken = error
 
 
 def is_idempotent(settings: ServiceSettings, method: str, path: str) -> bool:
--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions.py
@@ -123,13 +123,13 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self._sweeper
             self._sweeper = None
-        tasks = list(self._tasks)
-        if tasks:
-            waiting = asyncio.gather(*tasks, return_exceptions=True)
-            await done_within(self.clock, waiting, _STOP_SECONDS)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        waiting = asyncio.gather(*self._tasks, return_exceptions=True)
+        await done_within(self.clock, waiting, _STOP_SECONDS)
+        while self._tasks:
+            tasks = list(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     def find(self, service: str, action: str) -> ActionEntry | None:
         """Return what is known of an action."""
@@ -193,21 +193,21 @@
         """
         outcome = self._outcome(intent.record, result, status, body, content_type)
         self._unrecorded[intent.record.id] = outcome
-        task = self._watch(self._record_outcome(outcome))
+        task = self.watch(self._record_outcome(outcome))
         if self.writer.available:
             await done_within(self.clock, task, _SETTLE_WAIT_SECONDS)
 
     def record_done(self, intent: ActionIntended, body: str) -> None:
         """Record an outcome of the system's own making, without waiting."""
         outcome = self._outcome(intent, ActionResult.DONE, 200, body, "")
-        self._watch(self._record_outcome(outcome))
+        self.watch(self._record_outcome(outcome))
 
     def record_answer(self, intent: ActionIntended, answer: StatusAnswer) -> None:
         """Record a service's own word on an action, without waiting."""
         outcome = self._outcome(
             intent, answer.result, answer.status, answer.body, answer.content_type
         )
-        self._watch(self._record_outcome(outcome))
+        self.watch(self._record_outcome(outcome))
 
     def unresolved(self) -> list[UnresolvedAction]:
         """Return the actions whose outcome nobody knows, the oldest first."""
@@ -313,7 +313,7 @@
     def _free(self, record: ActionIntended) -> None:
         """Free an intent that surely was not sent and may be in the log."""
         outcome = self._outcome(record, ActionResult.NOT_RUN, 0, "", "")
-        self._watch(self._record_outcome(outcome))
+        self.watch(self._record_outcome(outcome))
 
     def _known_outcome(self, entry: ActionEntry) -> ActionOutcome:
         outcome = self._unrecorded.get(entry.intent.id) or entry.outcome
@@ -346,7 +346,8 @@
             content_type=content_type,
         )
 
-    def _watch(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    def watch(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run work that outlives the call that started it."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._done)
@@ -355,7 +356,7 @@
     def _done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log.warning("An outcome was not read back: {}", task.exception())
+            log.info("An action's work ended early: {!r}", task.exception())
 
 
 def _is_unresolved(entry: ActionEntry, stale: float) -> bool:
