Split the guard's messages and the programs' views off

The messages and refusals of actions, and what callers and operators are told of a program, have modules of their own now. Nothing changes in what they do.

--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions.py
@@ -6,13 +6,20 @@
 from typing import Any
 
 import xxhash
-from attrs import frozen
 from loguru import logger
 
+from eelgrasslock.action_messages import (
+    Intent,
+    UnresolvedAction,
+    check_same_request,
+    done_before_refusal,
+    is_unresolved,
+    unknown_refusal,
+)
 from eelgrasslock.action_sweep import ActionSweep, StatusAnswer, StatusCall
 from eelgrasslock.action_table import ActionEntry, ActionTable
 from eelgrasslock.clock import Clock
-from eelgrasslock.exceptions import LogError, LogUnavailable, Ran, Refusal
+from eelgrasslock.exceptions import LogError, LogUnavailable, Refusal
 from eelgrasslock.held import done_within
 from eelgrasslock.log_gate import LogGate, Writer, append_surely, journal_unavailable
 from eelgrasslock.records import (
@@ -27,48 +34,12 @@
 _SETTLE_WAIT_SECONDS = 1.0
 _STOP_SECONDS = 2.0
 _STALE_SECONDS = 30.0
-_UNKNOWN_RETRY_SECONDS = 10.0
 _NOT_FOUND = 404
 _CONFLICT = 409
-_UNPROCESSABLE = 422
 
 log = logger.bind(part="actions")
 
 
-@frozen(kw_only=True)
-class Intent:
-    """The right to send one request once.
-
-    Attributes
-    ----------
-    record : ActionIntended
-        The intent, read back as the first for its action.
-    """
-
-    record: ActionIntended
-
-
-@frozen(kw_only=True)
-class UnresolvedAction:
-    """An action of which nobody knows whether it ran.
-
-    Attributes
-    ----------
-    service, action, program : str
-        What was to run, and on whose behalf.
-    author : str
-        The incarnation that was to send it.
-    time : float
-        When, in seconds since the epoch.
-    """
-
-    service: str
-    action: str
-    program: str
-    author: str
-    time: float
-
-
 class Actions:
     """Guards non-idempotent requests.
 
@@ -150,7 +121,7 @@
             entry = await self._first(record)
         except LogError as error:
             raise journal_unavailable() from error
-        _check_same_request(entry, record)
+        check_same_request(entry, record)
         return entry
 
     async def intend(
@@ -176,7 +147,7 @@
             raise
         if entry.intent.id == record.id:
             return Intent(record=record)
-        _check_same_request(entry, record)
+        check_same_request(entry, record)
         return self._known_outcome(entry)
 
     async def settle(
@@ -222,7 +193,7 @@
             )
             for table in self.tables
             for entry in table.entries.values()
-            if _is_unresolved(entry, stale)
+            if is_unresolved(entry, stale)
         ]
         return sorted(found, key=lambda action: action.time)
 
@@ -242,7 +213,7 @@
         if entry.settled:
             raise Refusal("action_settled", "The action is settled.", _CONFLICT)
         if result is ActionResult.NOT_RUN and self._may_still_run(entry):
-            raise _unknown(entry)
+            raise unknown_refusal()
         self.gate.check()
         outcome = self._outcome(entry.intent, result, 0, "", "", operator)
         try:
@@ -320,9 +291,9 @@
         if outcome is not None and outcome.result is ActionResult.NOT_RUN:
             raise journal_unavailable()
         if outcome is None or outcome.result is not ActionResult.DONE:
-            raise _unknown(entry)
+            raise unknown_refusal()
         if not outcome.status:
-            raise _done_before()
+            raise done_before_refusal()
         return outcome
 
     def _outcome(
@@ -357,40 +328,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.info("An action's work ended early: {!r}", task.exception())
-
-
-def _is_unresolved(entry: ActionEntry, stale: float) -> bool:
-    if entry.settled:
-        return False
-    return entry.outcome is not None or entry.intent.time < stale
-
-
-def _check_same_request(entry: ActionEntry, record: ActionIntended) -> None:
-    same = entry.intent.request_digest == record.request_digest
-    if record.service != "programs":
-        same = same and entry.intent.program == record.program
-    if not same:
-        raise Refusal(
-            "action_conflict",
-            "This action id was used for another request.",
-            _UNPROCESSABLE,
-        )
-
-
-def _done_before() -> Refusal:
-    return Refusal(
-        "action_done",
-        "This action has run before; its answer is not kept.",
-        _CONFLICT,
-        Ran.YES,
-    )
-
-
-def _unknown(entry: ActionEntry) -> Refusal:
-    return Refusal(
-        "outcome_unknown",
-        "This action was begun and its outcome is not known.",
-        _CONFLICT,
-        Ran.UNKNOWN,
-        _UNKNOWN_RETRY_SECONDS,
-    )
--- a/src/eelgrasslock/creation.py
+++ b/src/eelgrasslock/creation.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from eelgrasslock.action_messages import CREATION_SERVICE
 from eelgrasslock.actions import Actions
 from eelgrasslock.budgets import first_draw
 from eelgrasslock.exceptions import Refusal
@@ -27,7 +28,6 @@
 )
 from eelgrasslock.takeover import Takeover
 
-CREATION_SERVICE = "programs"
 _SECRET_BYTES = 32
 _CHILD_SHARE = 1 / 4
 _CREATE_SECONDS = 5.0
--- a/src/eelgrasslock/programs.py
+++ b/src/eelgrasslock/programs.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import frozen
 from loguru import logger
 
 from eelgrasslock.actions import Actions
@@ -17,13 +16,18 @@
 from eelgrasslock.creation import CreatedProgram, Creation
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.held import HoldingPeers, PeerHoldings, Replicas
-from eelgrasslock.history import Message
 from eelgrasslock.journal import Journal
 from eelgrasslock.limits import EndReason, ended_refusal, expired
 from eelgrasslock.live_programs import LiveProgram, LivePrograms
 from eelgrasslock.log_gate import Writer
 from eelgrasslock.periodic import run_periodically
-from eelgrasslock.program import Program, TurnExplained
+from eelgrasslock.program import Program
+from eelgrasslock.program_views import (
+    ExplainedProgram,
+    ResumedProgram,
+    explained_program,
+    resumed_program,
+)
 from eelgrasslock.records import Limits, ProgramEnded
 from eelgrasslock.settings import LimitSettings
 from eelgrasslock.snapshots import Snapshots
@@ -36,71 +40,6 @@
 log = logger.bind(part="programs")
 
 
-@frozen(kw_only=True)
-class ResumedProgram:
-    """What a caller needs that lost its own state between turns.
-
-    Attributes
-    ----------
-    program : str
-        The program's id.
-    turn : int
-        The next turn's number.
-    digest : str
-        Digest of the history to build on.
-    history : list of dict
-        All messages so far.
-    limits : Limits
-        What the program may use.
-    spent_tokens : int
-        What it has used.
-    """
-
-    program: str
-    turn: int
-    digest: str
-    history: list[Message]
-    limits: Limits
-    spent_tokens: int
-
-
-@frozen(kw_only=True)
-class ExplainedProgram:
-    """What happened to a program, for people.
-
-    Attributes
-    ----------
-    program, holder, ended, parent : str
-        Its id, the incarnation that holds it, why it ended, its parent.
-    turn : int
-        The next turn's number.
-    spent_tokens, drawn_tokens, shared_tokens, forfeited_tokens : int
-        Its budget's use.
-    limit_tokens : int
-        Its whole budget.
-    turns : list of TurnExplained
-        Where each turn ran, and why there.
-    refusals : list of str
-        What this daemon refused lately, and why.
-    unjournaled : int
-        How many of its records wait for the log.
-    """
-
-    program: str
-    holder: str
-    ended: str
-    parent: str
-    turn: int
-    spent_tokens: int
-    drawn_tokens: int
-    shared_tokens: int
-    forfeited_tokens: int
-    limit_tokens: int
-    turns: list[TurnExplained]
-    refusals: list[str]
-    unjournaled: int
-
-
 class Programs:
     """The programs of this daemon.
 
@@ -250,14 +189,7 @@
         state = await self.takeover.find(program)
         if state.ended:
             raise ended_refusal(state.ended)
-        return ResumedProgram(
-            program=program,
-            turn=state.turn,
-            digest=state.digest,
-            history=list(state.history),
-            limits=state.limits,
-            spent_tokens=state.spent.tokens,
-        )
+        return resumed_program(state)
 
     def explain(self, program: str) -> ExplainedProgram:
         """Return what happened to a program.
@@ -270,22 +202,7 @@
         state = self.live_programs.state(program)
         if state is None:
             raise Refusal("unknown_program", "No such program.", 404)
-        live = self.live_programs.live(program)
-        return ExplainedProgram(
-            program=program,
-            holder=state.holder,
-            ended=state.ended,
-            parent=state.parent,
-            turn=state.turn,
-            spent_tokens=state.spent.tokens,
-            drawn_tokens=state.drawn.tokens,
-            shared_tokens=state.ledger.shared.tokens,
-            forfeited_tokens=state.ledger.forfeited.tokens,
-            limit_tokens=state.limits.tokens,
-            turns=list(state.turns),
-            refusals=[f"{one.code}: {one.sentence}" for one in live.refusals],
-            unjournaled=len(live.held.records),
-        )
+        return explained_program(state, self.live_programs.live(program))
 
     async def end_expired(self) -> None:
         """End the programs held here that are too old or idle for too long."""
