--- a/src/eelgrasslock/journal.py
+++ b/src/eelgrasslock/journal.py
@@ -128,7 +128,7 @@
     def _bury(self, program: Program, offset: int) -> None:
         self.programs.pop(program.id, None)
         for child in list(program.children):
-            self._end_child(child, offset)
+            self._end_child(child, program.active, offset)
         parent = self.programs.get(program.parent)
         if parent is not None:
             parent.ledger.take_back(program.ledger)
@@ -141,12 +141,13 @@
             _, oldest = self._tombstones.popitem(last=False)
             self.floor = max(self.floor, oldest.updated)
 
-    def _end_child(self, name: str, offset: int) -> None:
+    def _end_child(self, name: str, time: float, offset: int) -> None:
         child = self.programs.get(name)
         if child is None:
             return
         child.ledger.forfeit()
         child.ended = "parent_ended"
+        child.active = max(child.active, time)
         child.updated = offset
         self._bury(child, offset)
 
--- a/src/eelgrasslock/release.py
+++ b/src/eelgrasslock/release.py
@@ -21,6 +21,7 @@
 _TICK_SECONDS = 0.5
 _FIRST_RETRY_SECONDS = 1.0
 _LONGEST_RETRY_SECONDS = 60.0
+_NEWS_SECONDS = 120.0
 _JITTER = 0.3
 _ORDERS_KEPT = 20_000
 
@@ -157,14 +158,21 @@
         self._note_strays(seen)
 
     def _release_ended(self, program: Program) -> None:
-        if self.programs.takeover.responsible(program):
+        if self._is_news(program) and self.programs.takeover.responsible(program):
             for endpoint in program.endpoints:
                 self.release(endpoint, program.id, program.updated)
 
     def _release_moved(self, program: Program, endpoint: str) -> None:
-        if self.programs.takeover.responsible(program):
+        if self._is_news(program) and self.programs.takeover.responsible(program):
             self.release(endpoint, program.id, program.fence)
 
+    def _is_news(self, program: Program) -> bool:
+        """Tell whether it happened just now, not in a journal read at the start.
+
+        What a former daemon left undone is found by the reconciler.
+        """
+        return self.clock.now() - program.active <= _NEWS_SECONDS
+
     def _is_ours(self, program: str) -> bool:
         """Tell whether this daemon is the one that answers for a program."""
         try:
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -109,6 +109,21 @@
         fence = daemon.programs.journal.program(caller.program).fence
         assert engine.orders == [("http://e1", caller.program, fence)]
 
+    async def test_fresh_daemon_orders_nothing_for_what_ended_long_ago(
+        self, fleet, daemon, engine
+    ):
+        caller = await start(fleet, daemon)
+        await caller.ask(daemon, "one")
+        await fleet.run(daemon.programs.end(caller.program, "finished"))
+        await daemon.kill()
+        fleet.retire("a1")
+        fleet.clock.advance(1_000.0)
+        fresh = await fleet.add("a2")
+        controller = controller_of(fleet, fresh, engine)
+        await fleet.settle(2.0)
+        assert fresh.programs.journal.program(caller.program).ended
+        assert not controller.orders
+
 
 class TestReconciler:
     async def test_session_of_an_unknown_program_goes_after_a_safe_time(
