Say on a replayed answer whether the log holds it

A repeat's answer came without the word on whether its turn is journaled, which the first answer carries, and did not mark the answer as begun, so that an error after its start would have been answered a second time. The replay now marks it, says it, and uses the one encoder of events.

--- a/src/eelgrasslock/action_filter.py
+++ b/src/eelgrasslock/action_filter.py
@@ -234,6 +234,7 @@
     headers = {_REPLAYED_HEADER: "true"}
     if outcome.content_type:
         headers["Content-Type"] = outcome.content_type
+    exchange.started = True
     await exchange.responder.start(outcome.status, headers)
     await exchange.responder.write(outcome.body.encode(errors=_ANY_BYTES))
     await exchange.responder.finish()
--- a/src/eelgrasslock/replay.py
+++ b/src/eelgrasslock/replay.py
@@ -3,29 +3,34 @@
 import json
 from typing import Any
 
-from eelgrasslock.exchange import Exchange
+from eelgrasslock.exchange import JOURNALED_HEADER, Exchange
+from eelgrasslock.sse import DONE_EVENT, EVENT_STREAM_TYPE, encode_event
 
 _JSON_TYPE = "application/json"
-_EVENT_TYPE = "text/event-stream"
-_DONE_EVENT = b"data: [DONE]\n\n"
+_EXTRA_KEY = "eelgrass"
 
 
 async def replay_answer(exchange: Exchange, answer: dict[str, Any]) -> None:
     """Send a stored ``chat.completion`` the way the caller wants it."""
+    exchange.started = True
     if exchange.stream:
         await _replay_events(exchange, answer)
         return
-    await exchange.responder.start(200, {"Content-Type": _JSON_TYPE})
+    headers = {
+        "Content-Type": _JSON_TYPE,
+        JOURNALED_HEADER: str(exchange.journaled).lower(),
+    }
+    await exchange.responder.start(200, headers)
     await exchange.responder.write(json.dumps(answer).encode())
     await exchange.responder.finish()
 
 
 async def _replay_events(exchange: Exchange, answer: dict[str, Any]) -> None:
-    await exchange.responder.start(200, {"Content-Type": _EVENT_TYPE})
-    for chunk in _chunks(answer, _wants_usage(exchange)):
-        event = b"data: " + json.dumps(chunk).encode() + b"\n\n"
-        await exchange.responder.write(event)
-    await exchange.responder.write(_DONE_EVENT)
+    headers = {"Content-Type": EVENT_STREAM_TYPE, "Cache-Control": "no-cache"}
+    await exchange.responder.start(200, headers)
+    for chunk in _chunks(exchange, answer):
+        await exchange.responder.write(encode_event(chunk))
+    await exchange.responder.write(DONE_EVENT)
     await exchange.responder.finish()
 
 
@@ -34,12 +39,13 @@
     return bool(options.get("include_usage"))
 
 
-def _chunks(answer: dict[str, Any], usage: bool) -> list[dict[str, Any]]:
+def _chunks(exchange: Exchange, answer: dict[str, Any]) -> list[dict[str, Any]]:
     choices = answer.get("choices", [])
     deltas = [_choice(choice, _delta(choice), None) for choice in choices]
     ends = [_choice(choice, {}, choice.get("finish_reason")) for choice in choices]
     chunks = [_chunk(answer, deltas), _chunk(answer, ends)]
-    if usage and answer.get("usage"):
+    chunks[-1][_EXTRA_KEY] = {"journaled": exchange.journaled}
+    if _wants_usage(exchange) and answer.get("usage"):
         last = _chunk(answer, [])
         last["usage"] = answer["usage"]
         chunks.append(last)
--- a/tests/test_filters.py
+++ b/tests/test_filters.py
@@ -94,6 +94,8 @@
         assert events[-2:] == ["data: [DONE]", ""]
         assert chunks[0]["choices"][0]["delta"]["content"] == "answer 1"
         assert chunks[1]["choices"][0]["finish_reason"] == "stop"
+        assert chunks[1]["eelgrass"] == {"journaled": True}
+        assert again.started
 
 
 class TestSecrets:
