--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions.py
@@ -6,13 +6,20 @@
 from typing import Any
 
 import xxhash
-from attrs import frozen
 from loguru import logger
 
+from eelgrasslock.action_messages import (
+    Intent,
+    UnresolvedAction,
+    check_same_request,
+    done_before_refusal,
+    is_unresolved,
+    unknown_refusal,
+)
 from eelgrasslock.action_sweep import ActionSweep, StatusAnswer, StatusCall
 from eelgrasslock.action_table import ActionEntry, ActionTable
 from eelgrasslock.clock import Clock
-from eelgrasslock.exceptions import LogError, LogUnavailable, Ran, Refusal
+from eelgrasslock.exceptions import LogError, LogUnavailable, Refusal
 from eelgrasslock.held import done_within
 from eelgrasslock.log_gate import LogGate, Writer, append_surely, journal_unavailable
 from eelgrasslock.records import (
@@ -27,48 +34,12 @@
 _SETTLE_WAIT_SECONDS = 1.0
 _STOP_SECONDS = 2.0
 _STALE_SECONDS = 30.0
-_UNKNOWN_RETRY_SECONDS = 10.0
 _NOT_FOUND = 404
 _CONFLICT = 409
-_UNPROCESSABLE = 422
 
 log = logger.bind(part="actions")
 
 
-@frozen(kw_only=True)
-class Intent:
-    """The right to send one request once.
-
-    Attributes
-    ----------
-    record : ActionIntended
-        The intent, read back as the first for its action.
-    """
-
-    record: ActionIntended
-
-
-@frozen(kw_only=True)
-class UnresolvedAction:
-    """An action of which nobody knows whether it ran.
-
-    Attributes
-    ----------
-    service, action, program : str
-        What was to run, and on whose behalf.
-    author : str
-        The incarnation that was to send it.
-    time : float
-        When, in seconds since the epoch.
-    """
-
-    service: str
-    action: str
-    program: str
-    author: str
-    time: float
-
-
 class Actions:
     """Guards non-idempotent requests.
 
@@ -123,13 +94,13 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self._sweeper
             self._sweeper = None
-        tasks = list(self._tasks)
-        if tasks:
-            waiting = asyncio.gather(*tasks, return_exceptions=True)
-            await done_within(self.clock, waiting, _STOP_SECONDS)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        waiting = asyncio.gather(*self._tasks, return_exceptions=True)
+        await done_within(self.clock, waiting, _STOP_SECONDS)
+        while self._tasks:
+            tasks = list(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     def find(self, service: str, action: str) -> ActionEntry | None:
         """Return what is known of an action."""
@@ -150,7 +121,7 @@
             entry = await self._first(record)
         except LogError as error:
             raise journal_unavailable() from error
-        _check_same_request(entry, record)
+        check_same_request(entry, record)
         return entry
 
     async def intend(
@@ -176,7 +147,7 @@
             raise
         if entry.intent.id == record.id:
             return Intent(record=record)
-        _check_same_request(entry, record)
+        check_same_request(entry, record)
         return self._known_outcome(entry)
 
     async def settle(
@@ -193,21 +164,21 @@
         """
         outcome = self._outcome(intent.record, result, status, body, content_type)
         self._unrecorded[intent.record.id] = outcome
-        task = self._watch(self._record_outcome(outcome))
+        task = self.watch(self._record_outcome(outcome))
         if self.writer.available:
             await done_within(self.clock, task, _SETTLE_WAIT_SECONDS)
 
     def record_done(self, intent: ActionIntended, body: str) -> None:
         """Record an outcome of the system's own making, without waiting."""
         outcome = self._outcome(intent, ActionResult.DONE, 200, body, "")
-        self._watch(self._record_outcome(outcome))
+        self.watch(self._record_outcome(outcome))
 
     def record_answer(self, intent: ActionIntended, answer: StatusAnswer) -> None:
         """Record a service's own word on an action, without waiting."""
         outcome = self._outcome(
             intent, answer.result, answer.status, answer.body, answer.content_type
         )
-        self._watch(self._record_outcome(outcome))
+        self.watch(self._record_outcome(outcome))
 
     def unresolved(self) -> list[UnresolvedAction]:
         """Return the actions whose outcome nobody knows, the oldest first."""
@@ -222,7 +193,7 @@
             )
             for table in self.tables
             for entry in table.entries.values()
-            if _is_unresolved(entry, stale)
+            if is_unresolved(entry, stale)
         ]
         return sorted(found, key=lambda action: action.time)
 
@@ -242,7 +213,7 @@
         if entry.settled:
             raise Refusal("action_settled", "The action is settled.", _CONFLICT)
         if result is ActionResult.NOT_RUN and self._may_still_run(entry):
-            raise _unknown(entry)
+            raise unknown_refusal()
         self.gate.check()
         outcome = self._outcome(entry.intent, result, 0, "", "", operator)
         try:
@@ -313,16 +284,16 @@
     def _free(self, record: ActionIntended) -> None:
         """Free an intent that surely was not sent and may be in the log."""
         outcome = self._outcome(record, ActionResult.NOT_RUN, 0, "", "")
-        self._watch(self._record_outcome(outcome))
+        self.watch(self._record_outcome(outcome))
 
     def _known_outcome(self, entry: ActionEntry) -> ActionOutcome:
         outcome = self._unrecorded.get(entry.intent.id) or entry.outcome
         if outcome is not None and outcome.result is ActionResult.NOT_RUN:
             raise journal_unavailable()
         if outcome is None or outcome.result is not ActionResult.DONE:
-            raise _unknown(entry)
+            raise unknown_refusal()
         if not outcome.status:
-            raise _done_before()
+            raise done_before_refusal()
         return outcome
 
     def _outcome(
@@ -346,7 +317,8 @@
             content_type=content_type,
         )
 
-    def _watch(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    def watch(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run work that outlives the call that started it."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._done)
@@ -355,41 +327,4 @@
     def _done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log.warning("An outcome was not read back: {}", task.exception())
-
-
-def _is_unresolved(entry: ActionEntry, stale: float) -> bool:
-    if entry.settled:
-        return False
-    return entry.outcome is not None or entry.intent.time < stale
-
-
-def _check_same_request(entry: ActionEntry, record: ActionIntended) -> None:
-    same = entry.intent.request_digest == record.request_digest
-    if record.service != "programs":
-        same = same and entry.intent.program == record.program
-    if not same:
-        raise Refusal(
-            "action_conflict",
-            "This action id was used for another request.",
-            _UNPROCESSABLE,
-        )
-
-
-def _done_before() -> Refusal:
-    return Refusal(
-        "action_done",
-        "This action has run before; its answer is not kept.",
-        _CONFLICT,
-        Ran.YES,
-    )
-
-
-def _unknown(entry: ActionEntry) -> Refusal:
-    return Refusal(
-        "outcome_unknown",
-        "This action was begun and its outcome is not known.",
-        _CONFLICT,
-        Ran.UNKNOWN,
-        _UNKNOWN_RETRY_SECONDS,
-    )
+            log.info("An action's work ended early: {!r}", task.exception())
