Count a program as live only while it makes calls

The memory gate counted a program until its end. A caller that dies, or a single call, which has no end, would have closed the gate for good (nothing calls end_program yet). Suspects are told newest last, as the heartbeats keep the last ones.

--- a/src/eelgrasslock/admission.py
+++ b/src/eelgrasslock/admission.py
@@ -1,5 +1,7 @@
 """Refuses a call at once when it won't be served in time."""
 
+from attrs import frozen
+
 from eelgrasslock.decisions import Decisions
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.exchange import CallClass
@@ -27,6 +29,22 @@
     return limits.background_wait_seconds
 
 
+@frozen
+class Expired:
+    """A waiting call that is given up on.
+
+    Attributes
+    ----------
+    call : Call
+        The call.
+    refusal : Refusal
+        Its final answer.
+    """
+
+    call: Call
+    refusal: Refusal
+
+
 class Admission:
     """Checks calls before they may wait.
 
--- a/src/eelgrasslock/fleet.py
+++ b/src/eelgrasslock/fleet.py
@@ -67,6 +67,18 @@
             state.leaving.discard(source)
         self.changed(endpoint)
 
+    def in_flight(self) -> dict[str, int]:
+        """Return our calls in flight by endpoint, where there are any."""
+        states = self.states.values()
+        return {state.name: len(state.running) for state in states if state.running}
+
+    def open_breakers(self) -> tuple[str, ...]:
+        """Return the endpoints that are held to be down."""
+        states = self.states.values()
+        return tuple(
+            state.name for state in states if state.breaker.open_until is not None
+        )
+
     def hear_peer(self, load: PeerLoad, wall: float) -> None:
         """Take in a peer's calls in flight."""
         before = self.heard.get(load.incarnation, set())
--- a/src/eelgrasslock/placement.py
+++ b/src/eelgrasslock/placement.py
@@ -173,7 +173,6 @@
     def choose(
         self,
         call: Call,
-        keys: tuple[int, ...],
         output_tokens: float,
         candidates: list[Candidate],
     ) -> Choice | None:
--- a/src/eelgrasslock/quarantine.py
+++ b/src/eelgrasslock/quarantine.py
@@ -80,14 +80,14 @@
         self.cleared[digest] = self._heard_crashes(digest)
 
     def told(self, now: float) -> tuple[str, ...]:
-        """Return our own suspects, each once for each crash, newest first."""
+        """Return our own suspects, each once for each crash, newest last."""
         told: list[str] = []
         for digest in list(self.own):
             if now - self.own[digest][-1] > _SUSPECT_SECONDS:
                 del self.own[digest]
-        for digest in reversed(self.own):
+        for digest in self.own:
             told += [digest] * len(self.own[digest])
-        return tuple(told[:_SUSPECTS_TOLD])
+        return tuple(told[-_SUSPECTS_TOLD:])
 
     def _heard_crashes(self, digest: str) -> int:
         heard = sum(counts[digest] for counts in self.peers.values())
--- a/src/eelgrasslock/queueing.py
+++ b/src/eelgrasslock/queueing.py
@@ -30,12 +30,6 @@
         Time that endpoints spent on it.
     output_tokens : float
         A moving average of its answers' lengths.
-    home : str
-        The endpoint that ran its last call.
-    context_tokens : int
-        The length of its last prompt, without what others had computed.
-    shared_tokens : int
-        The part of its first prompt that others had computed.
     calls : int
         Calls that were assigned.
     """
@@ -43,9 +37,6 @@
     started: float
     attained_seconds: float = 0.0
     output_tokens: float = _FIRST_OUTPUT_TOKENS
-    home: str = ""
-    context_tokens: int = 0
-    shared_tokens: int = 0
     calls: int = 0
 
     def learn(self, seconds: float, completion_tokens: int) -> None:
@@ -68,18 +59,14 @@
         if entry is None:
             entry = ProgramService(now)
             self.programs[program] = entry
+            if len(self.programs) > _PROGRAMS_KEPT:
+                self.programs.popitem(last=False)
         self.programs.move_to_end(program)
         return entry
 
-    def overflow(self) -> ProgramService | None:
-        """Drop and return the entry that was not used for longest, if too many."""
-        if len(self.programs) <= _PROGRAMS_KEPT:
-            return None
-        return self.programs.popitem(last=False)[1]
-
-    def forget(self, program: str) -> ProgramService | None:
+    def forget(self, program: str) -> None:
         """Drop an ended program."""
-        return self.programs.pop(program, None)
+        self.programs.pop(program, None)
 
 
 @define(eq=False)
--- a/src/eelgrasslock/scheduler.py
+++ b/src/eelgrasslock/scheduler.py
@@ -3,14 +3,12 @@
 import heapq
 import random
 
-from attrs import frozen
-
-from eelgrasslock.admission import Admission, quarantined
+from eelgrasslock.admission import Admission, Expired, quarantined
 from eelgrasslock.cache_estimate import CacheEstimate, chunk_keys
 from eelgrasslock.clock import Clock
 from eelgrasslock.decisions import Decisions
 from eelgrasslock.endpoint_state import EndpointState, EndpointView
-from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.exceptions import Ran
 from eelgrasslock.fleet import Fleet
 from eelgrasslock.outcomes import Outcomes
 from eelgrasslock.quarantine import Quarantine
@@ -37,23 +35,6 @@
 
 ALL_ON = Decisions()
 _NO_USAGE = Usage()
-_KNOWN_SHARE = 0.8
-
-
-@frozen
-class Expired:
-    """A waiting call that is given up on.
-
-    Attributes
-    ----------
-    call : Call
-        The call.
-    refusal : Refusal
-        Its final answer.
-    """
-
-    call: Call
-    refusal: Refusal
 
 
 class Scheduler:
@@ -93,13 +74,7 @@
         self.fleet = Fleet(self.cache, rng)
         self.budgets = RetryBudgets(0.0, 0, rng)
         self.starter = Starter(
-            self.fleet,
-            self.cache,
-            self.slots,
-            self.programs,
-            self.suspects,
-            rng,
-            decisions,
+            self.cache, self.slots, self.programs, self.suspects, rng, decisions
         )
         self.outcomes = Outcomes(
             self.fleet, self.cache, self.programs, self.suspects, decisions
@@ -142,12 +117,11 @@
         rank = self._rank(call, program, now)
         keys = chunk_keys(call.blocks)
         waiting = WaitingCall(call, keys, rank, now, output_tokens)
-        waiting.is_newcomer = self._is_newcomer(program, keys)
+        waiting.is_newcomer = not program.calls and self.starter.is_new_context(keys)
         self.waiting[call.id] = waiting
         pool.add(waiting)
         expires_at = self.admission.expires_at(call, now)
         heapq.heappush(self.expiry, (expires_at, call.id))
-        self._drop_idle_programs()
 
     def withdraw(self, call_id: str) -> None:
         """Drop a waiting call that nobody waits for any more."""
@@ -237,11 +211,9 @@
 
     def end_program(self, program: str) -> None:
         """Drop what is kept of an ended program."""
-        entry = self.programs.forget(program)
+        self.programs.forget(program)
         self.budgets.forget_program(program)
-        home = self.fleet.states.get(entry.home) if entry is not None else None
-        if entry is not None and home is not None:
-            home.live_tokens -= entry.context_tokens
+        self.starter.live.end(program)
 
     # --- what is heard ----------------------------------------------------
 
@@ -271,17 +243,12 @@
 
     def peer_load(self) -> PeerLoad:
         """Return our own word for peers; the incarnation is left empty."""
-        states = self.fleet.states.values()
         return PeerLoad(
             incarnation="",
-            in_flight={
-                state.name: len(state.running) for state in states if state.running
-            },
+            in_flight=self.fleet.in_flight(),
             waiting=len(self.waiting),
             suspect_digests=self.suspects.told(self.clock.monotonic()),
-            open_breakers=tuple(
-                state.name for state in states if state.breaker.open_until is not None
-            ),
+            open_breakers=self.fleet.open_breakers(),
         )
 
     def mark_leaving(self, endpoint: str, leaving: bool, source: str) -> None:
@@ -312,16 +279,6 @@
 
     # --- helpers ----------------------------------------------------------
 
-    def _is_newcomer(self, program: ProgramService, keys: tuple[int, ...]) -> bool:
-        """Return whether a call brings a context that no engine holds yet.
-
-        A sub-agent is none: it builds on what its parent holds, and its parent
-        waits for it.
-        """
-        if not self.decisions.memory or program.calls or not keys:
-            return False
-        return self.cache.known_chunks(keys) < _KNOWN_SHARE * len(keys)
-
     def _rank(self, call: Call, program: ProgramService, now: float) -> Rank:
         if self.decisions.program_order:
             return self.ranking.by_program(call, program, now)
@@ -345,9 +302,3 @@
 
     def _state_of(self, call_id: str) -> EndpointState | None:
         return self.fleet.find(self.endpoint_of.get(call_id, ""))
-
-    def _drop_idle_programs(self) -> None:
-        dropped = self.programs.overflow()
-        home = self.fleet.states.get(dropped.home) if dropped is not None else None
-        if dropped is not None and home is not None:
-            home.live_tokens -= dropped.context_tokens
--- a/src/eelgrasslock/starter.py
+++ b/src/eelgrasslock/starter.py
@@ -7,17 +7,18 @@
 from eelgrasslock.decisions import Decisions
 from eelgrasslock.endpoint_state import EndpointState, RunningCall
 from eelgrasslock.exchange import CallClass
-from eelgrasslock.fleet import Fleet
+from eelgrasslock.live_contexts import LiveContexts
 from eelgrasslock.placement import Candidate, Choice, Placement
 from eelgrasslock.pool import REVIEW_SECONDS, Pool
 from eelgrasslock.quarantine import CRASHES_TO_QUARANTINE, Quarantine
 from eelgrasslock.queueing import ProgramTable, WaitingCall
-from eelgrasslock.scheduling import Assignment, Call
+from eelgrasslock.scheduling import Assignment
 from eelgrasslock.slots import Slots
 
 _PLACED_AT_ONCE = 32
 _ENDPOINTS_AT_ONCE = 1_000
 _REVIEWED_AT_ONCE = 16
+_KNOWN_SHARE = 0.8
 _REVIEW_AGAIN_SECONDS = 0.05
 
 
@@ -26,14 +27,12 @@
 
     Parameters
     ----------
-    fleet : Fleet
-        The endpoints.
     cache : CacheEstimate
         What the engines hold.
     slots : Slots
         Whether an endpoint has a free slot.
     programs : ProgramTable
-        Where programs ran last.
+        Counts the calls of programs.
     quarantine : Quarantine
         Which calls must run alone.
     rng : random.Random
@@ -44,7 +43,6 @@
 
     def __init__(
         self,
-        fleet: Fleet,
         cache: CacheEstimate,
         slots: Slots,
         programs: ProgramTable,
@@ -52,7 +50,6 @@
         rng: random.Random,
         decisions: Decisions,
     ) -> None:
-        self.fleet = fleet
         self.cache = cache
         self.slots = slots
         self.programs = programs
@@ -60,8 +57,19 @@
         self.rng = rng
         self.decisions = decisions
         self.placement = Placement(cache, rng, decisions)
+        self.live = LiveContexts()
         self.digests: Counter[str] = Counter()
 
+    def is_new_context(self, keys: tuple[int, ...]) -> bool:
+        """Return whether a prompt is mostly one that no engine holds yet.
+
+        That of a sub-agent is none: it builds on what its parent holds, and
+        its parent waits for it.
+        """
+        if not self.decisions.memory or not keys:
+            return False
+        return self.cache.known_chunks(keys) < _KNOWN_SHARE * len(keys)
+
     def ended(self, digest: str) -> None:
         """Note that a call with a digest is no longer in flight."""
         if self.digests[digest] > 1:
@@ -75,6 +83,7 @@
         self._serve_urgent(pool, now, wall, started)
         if now >= pool.review_at:
             self._review(pool, now, wall, started)
+        self.live.drop_idle(now)
         pool.admit_newcomers(now, self.slots)
         self._serve_unplaced(pool, now, wall, started)
         for _ in range(_ENDPOINTS_AT_ONCE):
@@ -175,16 +184,12 @@
         call = waiting.call
         if self.digests[call.digest] >= CRASHES_TO_QUARANTINE:
             return None
-        program = self.programs.find(call.program, now)
-        states = self.placement.sample(
-            pool.states, pool.members, waiting.keys, program.home
-        )
+        home = self.live.home(call.program)
+        states = self.placement.sample(pool.states, pool.members, waiting.keys, home)
         candidates = self._candidates(pool, waiting, states, now)
         if not candidates and len(states) < len(pool.states):
             candidates = self._candidates(pool, waiting, pool.states, now)
-        return self.placement.choose(
-            call, waiting.keys, waiting.output_tokens, candidates
-        )
+        return self.placement.choose(call, waiting.output_tokens, candidates)
 
     def _candidates(
         self,
@@ -255,7 +260,9 @@
         )
         state.start(running, now, wall)
         self.cache.store(state.name, waiting.keys)
-        self._move_home(call, state, choice.cached_tokens, now)
+        self.programs.find(call.program, now).calls += 1
+        if call.prompt_tokens:
+            self.live.moved(call, state, choice.cached_tokens, now)
         return Assignment(
             call=call,
             endpoint=state.name,
@@ -265,22 +272,6 @@
             import_from=choice.import_from,
         )
 
-    def _move_home(
-        self, call: Call, state: EndpointState, cached_tokens: int, now: float
-    ) -> None:
-        entry = self.programs.find(call.program, now)
-        entry.calls += 1
-        if not call.prompt_tokens:
-            return
-        if not entry.home:
-            entry.shared_tokens = cached_tokens
-        former = self.fleet.states.get(entry.home)
-        if former is not None:
-            former.live_tokens -= entry.context_tokens
-        entry.home = state.name
-        entry.context_tokens = max(0, call.prompt_tokens - entry.shared_tokens)
-        state.live_tokens += entry.context_tokens
-
 
 def _reason(choice: Choice, batch: int, waited: float) -> str:
     parts = [f"{batch} calls ran there", f"it waited {waited:.1f} s"]
--- a/tests/test_memory_gate.py
+++ b/tests/test_memory_gate.py
@@ -4,6 +4,7 @@
 from eelgrasslock.decisions import Decisions
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.exchange import CallClass
+from eelgrasslock.live_contexts import IDLE_SECONDS
 from eelgrasslock.scheduling import CallEnd
 from eelgrasslock.settings import LimitSettings
 
@@ -33,6 +34,13 @@
         clock.advance(1.0)
         assert [one.call for one in scheduler.assign()] == [late]
 
+    def test_programs_that_fell_silent_make_room(self):
+        scheduler, clock = make_full()
+        clock.advance(IDLE_SECONDS + 1.0)
+        assert start(scheduler, make_call("late", blocks=prompt(9))) is not None
+        states = scheduler.fleet.states.values()
+        assert sum(state.live_tokens for state in states) == 16 * BLOCKS
+
     @pytest.mark.parametrize(
         "call",
         [
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -103,5 +103,4 @@
         table = ProgramTable()
         for number in range(5):
             table.find(f"p{number}", float(number))
-            table.overflow()
         assert list(table.programs) == ["p2", "p3", "p4"]
