Measure decision costs at a steady number of waiting calls

The first version let the memory gate close (its programs never ended) and, in the rows with waiting calls, started none.

--- a/src/eelgrasslock_measure/costs.py
+++ b/src/eelgrasslock_measure/costs.py
@@ -3,6 +3,7 @@
 import random
 import time
 import tracemalloc
+from collections import deque
 
 from attrs import frozen
 from rich.console import Console
@@ -26,6 +27,7 @@
 _PROMPT_BLOCKS = 512
 _SHARED_BLOCKS = 128
 _DECISIONS = 1_000
+_CACHE_TOKENS = 20_000_000
 _WAITING = (0, 100, 1_000)
 
 
@@ -38,7 +40,7 @@
     engines, programs, waiting : int
         The setting: endpoints, programs known, and calls that wait.
     microseconds : float
-        Processor time to submit, place and finish one call.
+        Processor time to submit, place and finish one call, prompt hashes given.
     """
 
     engines: int
@@ -54,7 +56,7 @@
     Attributes
     ----------
     per_endpoint, per_program : float
-        Slopes, in bytes; a program has one prompt of 8,192 tokens cached.
+        Slopes, in bytes; each program has sent one prompt of 10,240 tokens.
     """
 
     per_endpoint: float
@@ -70,7 +72,10 @@
         models={"hydro": ModelSettings(service="hydro-llm")},
         endpoints={
             f"e{number}": EndpointSettings(
-                service="hydro-llm", domain="riga-a", url="http://127.0.0.1:1"
+                service="hydro-llm",
+                domain="riga-a",
+                url="http://127.0.0.1:1",
+                cache_tokens=_CACHE_TOKENS,
             )
             for number in range(engines)
         },
@@ -102,18 +107,18 @@
 def measure_decision(engines: int, programs: int, waiting: int = 0) -> DecisionCost:
     """Return the processor time of one decision."""
     scheduler = make_scheduler(engines)
+    running: deque[str] = deque()
     rng = random.Random(2)
-    calls = [make_call(number, number) for number in range(programs)]
-    for call in calls:
-        _serve(scheduler, call)
-    _fill(scheduler, engines, waiting)
+    for number in range(programs):
+        _cycle(scheduler, make_call(number, number), running)
+    _fill(scheduler, waiting, running)
     picked = [
         make_call(programs + number, rng.randrange(programs))
         for number in range(_DECISIONS)
     ]
     started = time.process_time()
     for call in picked:
-        _serve(scheduler, call)
+        _cycle(scheduler, call, running)
     seconds = time.process_time() - started
     return DecisionCost(
         engines=engines,
@@ -125,10 +130,10 @@
 
 def measure_memory() -> MemoryCost:
     """Return the slopes of memory with endpoints and programs."""
-    few, many = (_bytes_of(engines, 0) for engines in (100, 1_100))
-    none, some = (_bytes_of(100, programs) for programs in (0, 1_000))
+    few, many = (_bytes_of(engines, 1) for engines in (100, 1_100))
+    one, some = (_bytes_of(100, programs) for programs in (1, 1_001))
     return MemoryCost(
-        per_endpoint=(many - few) / 1_000, per_program=(some - none) / 1_000
+        per_endpoint=(many - few) / 1_000, per_program=(some - one) / 1_000
     )
 
 
@@ -160,29 +165,32 @@
     return costs
 
 
-def _serve(scheduler: Scheduler, call: Call) -> None:
+def _cycle(scheduler: Scheduler, call: Call, running: deque[str]) -> None:
+    """Submit one call, start what may start, and finish the oldest."""
     scheduler.submit(call)
-    for assignment in scheduler.assign():
-        usage = Usage(prompt_tokens=call.prompt_tokens, completion_tokens=200)
-        scheduler.progress(assignment.call.id, 1)
-        scheduler.finish(assignment.call.id, CallEnd.DONE, usage)
+    running.extend(one.call.id for one in scheduler.assign())
+    oldest = running.popleft()
+    usage = Usage(prompt_tokens=call.prompt_tokens, completion_tokens=200)
+    scheduler.progress(oldest, 1)
+    scheduler.finish(oldest, CallEnd.DONE, usage)
+    running.extend(one.call.id for one in scheduler.assign())
 
 
-def _fill(scheduler: Scheduler, engines: int, waiting: int) -> None:
-    """Keep all slots in use but one, and let calls wait."""
-    if not waiting:
-        return
-    for number in range(engines * 16 + waiting):
-        call = make_call(10_000_000 + number, 50_000 + number)
-        scheduler.submit(call)
-        scheduler.assign()
+def _fill(scheduler: Scheduler, waiting: int, running: deque[str]) -> None:
+    """Use all slots and let a number of calls wait."""
+    number = 10_000_000
+    while len(scheduler.waiting) < waiting:
+        scheduler.submit(make_call(number, number))
+        running.extend(one.call.id for one in scheduler.assign())
+        number += 1
 
 
 def _bytes_of(engines: int, programs: int) -> int:
     tracemalloc.start()
     scheduler = make_scheduler(engines)
+    running: deque[str] = deque()
     for number in range(programs):
-        _serve(scheduler, make_call(number, number))
+        _cycle(scheduler, make_call(number, number), running)
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return size
