Don't hold a refused request against its endpoint

The dispatcher reports a caller's own 4xx as REFUSED, like a 429, so that three malformed requests would have opened the breaker of a healthy endpoint. A refusal now only parks the endpoint if it asked for time. Ruled out: a separate end for a caller's fault, which changes the interface; the endpoint's 503 without Retry-After is bounded by the retry budgets.

--- a/src/eelgrasslock/outcomes.py
+++ b/src/eelgrasslock/outcomes.py
@@ -74,10 +74,15 @@
         retry_after: float | None,
         now: float,
     ) -> None:
-        """Take in a call that its endpoint failed."""
-        if end is CallEnd.REFUSED and retry_after is not None:
-            state.parked_until = now + retry_after
+        """Take in a call that its endpoint failed.
+
+        An endpoint that refuses a call answers, so that a refusal does not count
+        against its breaker: the request may be at fault.
+        """
+        if end is CallEnd.REFUSED:
             state.breaker.abandoned(running.call.id)
+            if retry_after is not None:
+                state.parked_until = now + retry_after
             return
         if not self.decisions.breakers:
             return
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -73,6 +73,13 @@
         views = {view.endpoint: view.breaker for view in scheduler.endpoints()}
         assert views["e0"] == "half_open"
 
+    def test_refused_requests_leave_a_healthy_endpoint_open(self):
+        scheduler, _ = make_scheduler(engines=1)
+        for number in range(2 * ERROR_THRESHOLD):
+            one = start(scheduler, make_call(f"p{number}"))
+            scheduler.finish(one.call.id, CallEnd.REFUSED)
+        assert scheduler.peer_load().open_breakers == ()
+
 
 class TestRetryBudgets:
     def make(self, ratio=0.1, retries_per_call=2):
