--- a/src/eelgrasslock_measure/calibration.py
+++ b/src/eelgrasslock_measure/calibration.py
@@ -10,7 +10,7 @@
 from eelgrasslock_measure.deployments import DEPLOYMENTS
 from eelgrasslock_measure.experiments import Job, collect, run_jobs
 from eelgrasslock_measure.policies import SIMPLE
-from eelgrasslock_measure.simulation import Scenario
+from eelgrasslock_measure.scenario import Scenario
 
 SEEDS = (101, 102, 103)
 STEPS = 12
--- a/src/eelgrasslock_measure/experiments.py
+++ b/src/eelgrasslock_measure/experiments.py
@@ -9,15 +9,16 @@
 
 from eelgrasslock_measure.bounds import ClairvoyantScheduler, make_clairvoyant
 from eelgrasslock_measure.deployments import DEPLOYMENTS
+from eelgrasslock_measure.front import FrontFactory
 from eelgrasslock_measure.outcome import Summary
 from eelgrasslock_measure.policies import (
     OURS,
     SIMPLE,
     SWITCHES,
-    FrontFactory,
     front_factory,
 )
-from eelgrasslock_measure.simulation import FaultKind, Scenario, Simulation
+from eelgrasslock_measure.scenario import FaultKind, Scenario
+from eelgrasslock_measure.simulation import Simulation
 from eelgrasslock_measure.workload import Generator
 
 CLAIRVOYANT = "clairvoyant"
--- a/src/eelgrasslock_measure/main.py
+++ b/src/eelgrasslock_measure/main.py
@@ -14,6 +14,7 @@
 from eelgrasslock_measure.costs import print_costs
 from eelgrasslock_measure.deployments import DEPLOYMENTS
 from eelgrasslock_measure.experiments import collect, plan_jobs, run_jobs
+from eelgrasslock_measure.markdown import markdown_tables, read_cells
 from eelgrasslock_measure.plots import plot_loads
 from eelgrasslock_measure.report import print_report, write_json
 
@@ -74,6 +75,17 @@
     print_costs(Console(width=_WIDTH))
 
 
+@main.command()
+@click.argument(
+    "path",
+    type=click.Path(path_type=pathlib.Path, exists=True, dir_okay=False),
+    default=pathlib.Path("results/measure.json"),
+)
+def tables(path: pathlib.Path) -> None:
+    """Print the tables of a measurement as Markdown."""
+    click.echo(markdown_tables(read_cells(path)))
+
+
 @main.command()
 @click.option("--jobs", default=_MOST_WORKERS, show_default=True)
 def calibrate(jobs: int) -> None:
--- a/src/eelgrasslock_measure/policies.py
+++ b/src/eelgrasslock_measure/policies.py
@@ -7,7 +7,6 @@
 
 import random
 from collections import deque
-from typing import Protocol
 
 import xxhash
 
@@ -26,6 +25,7 @@
 )
 from eelgrasslock.settings import Configuration
 from eelgrasslock.usage import Usage
+from eelgrasslock_measure.front import Front, FrontFactory
 
 _FAILED_SECONDS = 10.0
 _RETRIES = 2
@@ -34,46 +34,6 @@
 _LEAST_RETRY_SECONDS = 1.0
 
 
-class Front(Protocol):
-    """What a daemon of a simulation decides with; `Scheduler` is one."""
-
-    def submit(self, call: Call) -> None:
-        """Take a call in, or raise `Refusal`."""
-
-    def assign(self) -> list[Assignment]:
-        """Return the calls that start now."""
-
-    def expire(self) -> list[Expired]:
-        """Return the calls that are given up on."""
-
-    def progress(self, call_id: str, completion_tokens: int) -> None:
-        """Note a first token."""
-
-    def finish(self, call_id: str, end: CallEnd, usage: Usage = ...) -> None:
-        """Note the end of a call."""
-
-    def retry_delay(self, call: Call, endpoint: str, attempt: int) -> float | None:
-        """Return the seconds before a retry, if there is one."""
-
-    def observe_load(self, endpoint: str, report: LoadReport) -> None:
-        """Take in a load report."""
-
-    def observe_cache(self, endpoint: str, events: list[CacheEvent]) -> None:
-        """Take in cache events."""
-
-    def observe_peer(self, load: PeerLoad) -> None:
-        """Take in a peer's word."""
-
-    def peer_load(self) -> PeerLoad:
-        """Return our word for peers."""
-
-    def mark_leaving(self, endpoint: str, leaving: bool, source: str) -> None:
-        """Take in that an endpoint leaves."""
-
-    def end_program(self, program: str) -> None:
-        """Drop an ended program."""
-
-
 class EndpointNews:
     """What a simple policy knows of one endpoint.
 
@@ -265,19 +225,6 @@
         )
 
 
-class FrontFactory(Protocol):
-    """Makes the front of one daemon."""
-
-    def __call__(
-        self,
-        clock: Clock,
-        rng: random.Random,
-        configuration: Configuration,
-        domain: str,
-    ) -> Front:
-        """Return a new front."""
-
-
 OURS = "ours"
 SIMPLE: dict[str, FrontFactory] = {
     "random": RandomPolicy,
--- a/src/eelgrasslock_measure/program_run.py
+++ b/src/eelgrasslock_measure/program_run.py
@@ -9,8 +9,8 @@
 from eelgrasslock.scheduling import BLOCK_TOKENS, Call, CallEnd
 from eelgrasslock.usage import Usage
 from eelgrasslock_measure.deployments import PLAIN_SECONDS, Deployment
+from eelgrasslock_measure.front import Front
 from eelgrasslock_measure.outcome import ProgramOutcome
-from eelgrasslock_measure.policies import Front
 from eelgrasslock_measure.virtual_clock import VirtualClock
 from eelgrasslock_measure.workload import ProgramPlan, TurnPlan
 
--- a/src/eelgrasslock_measure/report.py
+++ b/src/eelgrasslock_measure/report.py
@@ -17,7 +17,7 @@
 WASTED_TARGET = 0.5
 WORSE_TARGET = 1.05
 
-_COLUMNS = {
+COLUMNS = {
     "p50": "p50 s",
     "p95": "p95 s",
     "p99": "p99 s",
@@ -119,22 +119,28 @@
 def _table(title: str, cells: Iterable[Cell]) -> Table:
     table = Table(title=title, title_justify="left")
     table.add_column("policy", no_wrap=True)
-    for heading in _COLUMNS.values():
+    for heading in COLUMNS.values():
         table.add_column(heading, justify="right", no_wrap=True)
-    order = [*SIMPLE, OURS]
-    for cell in sorted(cells, key=lambda cell: _place(order, cell.policy)):
-        shown = [_shown(cell.figures[name]) for name in _COLUMNS]
-        table.add_row(cell.policy, *shown)
+    for cell in sorted_cells(cells):
+        texts = [shown(cell.figures[name]) for name in COLUMNS]
+        table.add_row(cell.policy, *texts)
     return table
 
 
+def sorted_cells(cells: Iterable[Cell]) -> list[Cell]:
+    """Return cells with the simple policies first and the clairvoyant last."""
+    order = [*SIMPLE, OURS]
+    return sorted(cells, key=lambda cell: _place(order, cell.policy))
+
+
 def _place(order: list[str], policy: str) -> tuple[int, str]:
     if policy == CLAIRVOYANT:
         return (len(order) + 1, policy)
     return (order.index(policy) if policy in order else len(order), policy)
 
 
-def _shown(estimate: Estimate) -> str:
+def shown(estimate: Estimate) -> str:
+    """Return a mean and its interval in three digits or so."""
     digits = 0 if estimate.mean >= 100 else 1 if estimate.mean >= 10 else 2
     text = f"{estimate.mean:.{digits}f}"
     if math.isnan(estimate.half_width) or not estimate.half_width:
--- a/src/eelgrasslock_measure/simulation.py
+++ b/src/eelgrasslock_measure/simulation.py
@@ -1,73 +1,31 @@
 """Runs generated programs through real schedulers on a fast clock."""
 
-import enum
 import itertools
 import random
 from bisect import bisect_left
 from functools import partial
 
-from attrs import define, frozen
+from attrs import define
 
 from eelgrasslock.cache_estimate import CHUNK_TOKENS, chunk_keys
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.exchange import CallClass
-from eelgrasslock.scheduling import BLOCK_TOKENS, Assignment, Call, CallEnd, PeerLoad
+from eelgrasslock.scheduling import BLOCK_TOKENS, Assignment, Call, CallEnd
 from eelgrasslock.settings import EndpointSettings, ServiceKind
 from eelgrasslock.usage import Usage
 from eelgrasslock_measure.deployments import Deployment
+from eelgrasslock_measure.fault import Fault
+from eelgrasslock_measure.front import Front, FrontFactory
+from eelgrasslock_measure.news import News
 from eelgrasslock_measure.nodes import EngineNode, Node, PlainNode
 from eelgrasslock_measure.outcome import ProgramOutcome, Recorder, Summary, summarise
-from eelgrasslock_measure.policies import Front, FrontFactory
 from eelgrasslock_measure.program_run import Caller, ProgramRun, ideal_seconds
+from eelgrasslock_measure.scenario import Scenario
 from eelgrasslock_measure.virtual_clock import VirtualClock
 from eelgrasslock_measure.workload import ProgramPlan
 
 WARM_UP_SHARE = 0.2
-TICK_SECONDS = 0.25
-REPORT_SECONDS = 1.0
-HEARTBEAT_SECONDS = 0.5
-HEARTBEAT_LAG_SECONDS = 0.05
-CACHE_EVENT_LAG_SECONDS = 1.0
-CACHE_EVENT_LOSS = 0.05
-VM_LIST_LAG_SECONDS = 2.0
-DETECTION_SECONDS = 1.0
 CONNECT_SECONDS = 0.1
-OUTAGE_SECONDS = 60.0
-SLOWNESS = 3.0
-
-
-class FaultKind(enum.Enum):
-    """What happens to one engine half-way through a run."""
-
-    NONE = "none"
-    LOST = "lost"
-    SLOW = "slow"
-    LEAVING = "leaving"
-
-
-@frozen(kw_only=True)
-class Scenario:
-    """The circumstances of a run.
-
-    Attributes
-    ----------
-    load : float
-        Programs a second, over those at the knee.
-    seconds : float
-        How long programs arrive.
-    daemons : int
-        Daemons before the same endpoints.
-    report_lag : float
-        Seconds until a load report is heard.
-    fault : FaultKind
-        What happens half-way.
-    """
-
-    load: float = 1.0
-    seconds: float = 600.0
-    daemons: int = 1
-    report_lag: float = 1.0
-    fault: FaultKind = FaultKind.NONE
 
 
 @define(eq=False)
@@ -161,8 +119,8 @@
         self.live_programs = len(plans)
         for plan in plans:
             self.clock.at(plan.arrival, partial(self._arrive, plan))
-        self._start_news()
-        self._start_fault()
+        News(self).start()
+        Fault(self).start()
         self.clock.at(self.scenario.seconds, self._count_busy)
         while self.live_programs and self.clock.step():
             pass
@@ -182,7 +140,7 @@
         self.pending[call.id] = pending
         if call.call_class is CallClass.LOOKUP:
             self.waiting_lookups[call.id] = pending
-        self._pump(front)
+        self.pump(front)
 
     def chance(self) -> float:
         """Return a number from 0 to 1."""
@@ -234,7 +192,8 @@
 
         ProgramRun(plan, self, front, outcome, over).start()
 
-    def _pump(self, front: Front) -> None:
+    def pump(self, front: Front) -> None:
+        """Send what a front starts, and answer what it gives up."""
         for expired in front.expire():
             pending = self.pending.pop(expired.call.id)
             self.waiting_lookups.pop(expired.call.id, None)
@@ -253,7 +212,7 @@
         if not node.is_up:
             self.clock.after(
                 CONNECT_SECONDS,
-                lambda: self._ended(call.id, CallEnd.NOT_SENT, Usage()),
+                lambda: self.ended(call.id, CallEnd.NOT_SENT, Usage()),
             )
             return
         keys = chunk_keys(call.blocks)
@@ -298,114 +257,28 @@
             expected = pending.assignment.cached_tokens
             recorder.estimate_errors.append(expected - cached_tokens)
 
-    def _ended(self, call_id: str, end: CallEnd, usage: Usage) -> None:
+    def ended(self, call_id: str, end: CallEnd, usage: Usage) -> None:
+        """Tell a call's end to its front and to who waits for it."""
         pending = self.pending.pop(call_id)
         assignment = pending.assignment
         if assignment is None:
             return
         pending.front.finish(call_id, end, usage)
         pending.caller.ended(pending.call, assignment.endpoint, end, usage)
-        self._pump(pending.front)
+        self.pump(pending.front)
 
-    # --- news and faults ------------------------------------------------------
+    # --- endpoints ----------------------------------------------------------
 
     def _add_node(self, name: str, settings: EndpointSettings, seed: int) -> None:
         service = self.deployment.configuration.services[settings.service]
         if service.kind is ServiceKind.ENGINE:
             engine = EngineNode(
-                name, settings, self.clock, self._first_token, self._ended
+                name, settings, self.clock, self._first_token, self.ended
             )
             self.engines[name] = engine
             self.nodes[name] = engine
             return
-        self.nodes[name] = PlainNode(name, settings, self.clock, self._ended, seed)
-
-    def _start_news(self) -> None:
-        self.clock.after(TICK_SECONDS, self._tick)
-        self.clock.after(REPORT_SECONDS, self._report)
-        if len(self.fronts) > 1:
-            self.clock.after(HEARTBEAT_SECONDS, self._heartbeat)
-
-    def _tick(self) -> None:
-        for front in self.fronts:
-            self._pump(front)
-        self.clock.after(TICK_SECONDS, self._tick)
-
-    def _report(self) -> None:
-        for node in self.nodes.values():
-            if node.is_up:
-                self._report_load(node)
-        for engine in self.engines.values():
-            if engine.is_up:
-                self._report_cache(engine)
-        self.clock.after(REPORT_SECONDS, self._report)
-
-    def _report_load(self, node: Node) -> None:
-        report = node.report()
-
-        def hear() -> None:
-            for front in self.fronts:
-                front.observe_load(node.name, report)
-
-        self.clock.after(self.scenario.report_lag, hear)
-
-    def _report_cache(self, engine: EngineNode) -> None:
-        event = engine.cache_event()
-        if self.rng.random() < CACHE_EVENT_LOSS:
-            return
-
-        def hear() -> None:
-            for front in self.fronts:
-                front.observe_cache(engine.name, [event])
-
-        self.clock.after(CACHE_EVENT_LAG_SECONDS, hear)
-
-    def _heartbeat(self) -> None:
-        for number, front in enumerate(self.fronts):
-            said = front.peer_load()
-            word = PeerLoad(
-                incarnation=f"daemon-{number}",
-                in_flight=said.in_flight,
-                waiting=said.waiting,
-                suspect_digests=said.suspect_digests,
-                open_breakers=said.open_breakers,
-            )
-            self.clock.after(
-                HEARTBEAT_LAG_SECONDS,
-                partial(self._hear, front, word),
-            )
-        self.clock.after(HEARTBEAT_SECONDS, self._heartbeat)
-
-    def _hear(self, speaker: Front, word: PeerLoad) -> None:
-        for front in self.fronts:
-            if front is not speaker:
-                front.observe_peer(word)
-
-    def _start_fault(self) -> None:
-        half = self.scenario.seconds / 2
-        engine = next(iter(self.engines.values()))
-        match self.scenario.fault:
-            case FaultKind.LOST:
-                self.clock.at(half, lambda: self._lose(engine))
-            case FaultKind.SLOW:
-                self.clock.at(half, lambda: engine.slow_down(SLOWNESS))
-            case FaultKind.LEAVING:
-                self.clock.at(
-                    half + VM_LIST_LAG_SECONDS, lambda: self._leave(engine.name)
-                )
-
-    def _lose(self, engine: EngineNode) -> None:
-        lost = engine.crash()
-        for call_id in lost:
-            self.clock.after(
-                DETECTION_SECONDS,
-                partial(self._ended, call_id, CallEnd.BROKEN, Usage()),
-            )
-        self.clock.after(OUTAGE_SECONDS, engine.come_back)
-
-    def _leave(self, endpoint: str) -> None:
-        for front in self.fronts:
-            front.mark_leaving(endpoint, True, "vm-list")
+        self.nodes[name] = PlainNode(name, settings, self.clock, self.ended, seed)
 
     def _count_busy(self) -> None:
         for engine in self.engines.values():
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -21,9 +21,10 @@
     run_job,
 )
 from eelgrasslock_measure.main import main
+from eelgrasslock_measure.markdown import markdown_tables, read_cells
 from eelgrasslock_measure.prefix_cache import PrefixCache
 from eelgrasslock_measure.report import compare, last_line, print_report, write_json
-from eelgrasslock_measure.simulation import FaultKind, Scenario
+from eelgrasslock_measure.scenario import FaultKind, Scenario
 from eelgrasslock_measure.workload import Generator
 
 
@@ -197,6 +198,8 @@
         body = json.loads((tmp_path / "x.json").read_text())
         assert body["about"] == {"seconds": 60.0}
         assert len(body["cells"]) == 10
+        text = markdown_tables(read_cells(tmp_path / "x.json"))
+        assert text.count("| ours |") == 2
 
     def test_the_plan_covers_what_is_promised(self):
         jobs = plan_jobs(900.0, 5, 3)
