Import no prefix into a cache that live programs fill

The copies push live programs out of caches that are nearly full. Now none goes into a cache that live programs fill to 0.6. The test was seen to fail before.

--- a/src/eelgrasslock/placement.py
+++ b/src/eelgrasslock/placement.py
@@ -24,6 +24,7 @@
 _STALL_SHARE = 0.5
 _IMPORT_SECONDS = 0.05
 _FULL_CACHE = 0.9
+_IMPORT_FULL_SHARE = 0.6
 
 
 @define(eq=False)
@@ -237,6 +238,8 @@
         if tokens < CHUNK_TOKENS:
             return 0.0
         state = candidate.state
+        if state.live_tokens > _IMPORT_FULL_SHARE * state.settings.cache_tokens:
+            return 0.0
         seconds = import_seconds(tokens, source.state, state)
         computed = tokens / state.settings.prefill_tokens_per_second
         stalled = computed * len(state.running) * _STALL_SHARE
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -66,6 +66,17 @@
         other = start(scheduler, make_call("q", blocks=range(1600)))
         assert other.import_from == first.endpoint
 
+    def test_does_not_import_into_a_cache_full_of_live_programs(self):
+        scheduler, _ = make_scheduler(
+            engines=2, batch_limit=1, kv_tokens_per_second=80_000.0
+        )
+        first = start(scheduler, make_call("p", blocks=range(1600)))
+        for state in scheduler.fleet.states.values():
+            state.live_tokens = state.settings.cache_tokens
+        other = start(scheduler, make_call("q", blocks=range(1600)))
+        assert other.endpoint != first.endpoint
+        assert other.import_from == ""
+
     @pytest.mark.parametrize("speed", [0.0, 500.0])
     def test_recomputes_when_an_import_is_slow_or_unknown(self, speed):
         scheduler, _ = make_scheduler(engines=2, kv_tokens_per_second=speed)
