Make waiting dear in the test of imports into full caches

The test that came with the last commit failed on its own account: waiting for the holder was cheaper than computing, so that no call started. With slow service it starts, and without the new rule it is seen to fail by its import.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -73,6 +73,7 @@
         first = start(scheduler, make_call("p", blocks=range(1600)))
         for state in scheduler.fleet.states.values():
             state.live_tokens = state.settings.cache_tokens
+            state.service_seconds = 100.0
         other = start(scheduler, make_call("q", blocks=range(1600)))
         assert other.endpoint != first.endpoint
         assert other.import_from == ""
