Tell a dying engine from a silent one, and tell peers of a crash at once

A process test found a request that crashed three engines: while an engine dies its host may still take a connection and reset it, and the client called that silent, so the crash was not counted. Ruled out: counting each broken connection as a crash, which would quarantine requests after two cuts. A probe that breaks is now repeated, and a reset while connecting means that nobody listens. The dispatch filter can tell peers of a crash before the call goes on (tell_peers); wiring it is left to the application. Not proved: the same request sent to another daemon in the milliseconds before the word has spread.

--- a/src/eelgrasslock/attempts.py
+++ b/src/eelgrasslock/attempts.py
@@ -1,7 +1,9 @@
 """What the attempts of one call have in common."""
 
+import asyncio
+import contextlib
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 from attrs import frozen
@@ -19,6 +21,7 @@
 from eelgrasslock.settings import Configuration, EndpointSettings
 
 _RETRY_SECONDS = 2.0
+_TELL_PEERS_SECONDS = 1.0
 _BUSY = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
@@ -52,6 +55,8 @@
         The time.
     metrics : Metrics or None
         Where figures go.
+    tell_peers : callable or None
+        Gives peers word of this daemon's state at once.
     """
 
     dispatcher: Dispatcher
@@ -60,6 +65,7 @@
     configuration: Callable[[], Configuration]
     clock: Clock
     metrics: Metrics | None = None
+    tell_peers: Callable[[], Awaitable[None]] | None = None
 
     def seconds_left(self, exchange: Exchange) -> float:
         """Return the seconds that a call may still take."""
@@ -84,6 +90,7 @@
         self.configuration = parts.configuration
         self.dispatcher = parts.dispatcher
         self.metrics = parts.metrics
+        self.tell_peers = parts.tell_peers
         self.id = uuid.uuid4().hex
         self.number = 0
         self.ran = Ran.NO
@@ -104,8 +111,12 @@
         except Refusal as refusal:
             raise self.truthful(refusal) from refusal
 
-    def failed(self, assignment: Assignment, failure: EndpointFailure) -> None:
-        """Note a failed attempt."""
+    async def failed(self, assignment: Assignment, failure: EndpointFailure) -> None:
+        """Note a failed attempt.
+
+        Peers hear of a crash before the call goes on, so that a request that
+        crashes endpoints finds them warned wherever it is sent next.
+        """
         endpoint = assignment.endpoint
         log.warning("{} failed: {}: {}", endpoint, failure.end.value, failure)
         if self.metrics is not None:
@@ -113,6 +124,10 @@
         if failure.ran is not Ran.NO:
             self.ran = Ran.UNKNOWN
         self.excluded |= {endpoint}
+        if failure.end is CallEnd.CRASHED and self.tell_peers is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_TELL_PEERS_SECONDS):
+                    await self.tell_peers()
 
     def retry_delay(self, assignment: Assignment) -> float | None:
         """Return seconds to wait before one more attempt, None for none."""
--- a/src/eelgrasslock/dispatch_filter.py
+++ b/src/eelgrasslock/dispatch_filter.py
@@ -1,6 +1,6 @@
 """The last filter: brings calls to endpoints and their answers back."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from eelgrasslock.attempts import DispatchParts
 from eelgrasslock.clock import Clock
@@ -34,6 +34,9 @@
         The time.
     metrics : Metrics or None
         Where figures go.
+    tell_peers : callable or None
+        Gives peers word of this daemon's state at once; awaited when an
+        endpoint has crashed, before its call goes on.
     """
 
     name = "dispatch"
@@ -46,6 +49,7 @@
         configuration: Callable[[], Configuration],
         clock: Clock,
         metrics: Metrics | None = None,
+        tell_peers: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self.parts = DispatchParts(
             dispatcher=dispatcher,
@@ -54,6 +58,7 @@
             configuration=configuration,
             clock=clock,
             metrics=metrics,
+            tell_peers=tell_peers,
         )
 
     async def handle(self, exchange: Exchange, proceed: Proceed | None = None) -> None:
--- a/src/eelgrasslock/engine_call.py
+++ b/src/eelgrasslock/engine_call.py
@@ -21,6 +21,8 @@
 STREAM_HEADER = "X-Stream-Id"
 
 _RESUMES_WITHOUT_PROGRESS = 2
+_PROBES = 3
+_PROBE_PAUSE_SECONDS = 0.1
 _NOT_FOUND = 404
 
 log = logger.bind(part="engine-client")
@@ -162,24 +164,39 @@
 
     async def _blame(self, cut: Exception) -> EndpointFailure:
         """Ask on a fresh connection whether it is the endpoint that failed."""
-        end = CallEnd.SILENT if isinstance(cut, TimeoutError) else CallEnd.BROKEN
-        try:
-            load = await self.client.load(self.url)
-        except EndpointError as error:
-            end = _end_of_probe(error)
-        else:
-            if self.epoch and load.epoch != self.epoch:
-                end = CallEnd.CRASHED
-            elif self.received == 0 and not self.stream_id:
-                end = CallEnd.BROKEN
+        end = await self._probe()
+        if end is None:
+            end = CallEnd.BROKEN
+            if isinstance(cut, TimeoutError) and self.stream_id:
+                end = CallEnd.SILENT
         return EndpointFailure(f"{_name(cut)}: {cut}", end, Ran.UNKNOWN)
 
+    async def _probe(self) -> CallEnd | None:
+        """Return how the endpoint failed, None if it answers as before.
+
+        A process that is just dying may still take a connection and drop it,
+        so a broken probe is repeated.
+        """
+        end: CallEnd | None = CallEnd.BROKEN
+        for _ in range(_PROBES):
+            try:
+                load = await self.client.load(self.url)
+            except EndpointError as error:
+                end = _end_of_probe(error)
+            else:
+                restarted = bool(self.epoch) and load.epoch != self.epoch
+                return CallEnd.CRASHED if restarted else None
+            if end is not CallEnd.BROKEN:
+                break
+            await self.client.clock.sleep(_PROBE_PAUSE_SECONDS)
+        return end
+
 
 def _end_of_probe(error: EndpointError) -> CallEnd:
     cause = error.__cause__
     if isinstance(cause, aiohttp.ClientConnectorError):
-        refused_by_host = isinstance(cause.os_error, ConnectionRefusedError)
-        return CallEnd.CRASHED if refused_by_host else CallEnd.SILENT
+        nobody_listens = isinstance(cause.os_error, ConnectionError)
+        return CallEnd.CRASHED if nobody_listens else CallEnd.SILENT
     return CallEnd.SILENT if error.silent else CallEnd.BROKEN
 
 
--- a/src/eelgrasslock/model_dispatch.py
+++ b/src/eelgrasslock/model_dispatch.py
@@ -78,7 +78,7 @@
             try:
                 return await self._attempt(assignment, model)
             except EndpointFailure as failure:
-                delay = self._after(assignment, failure)
+                delay = await self._after(assignment, failure)
             await self.parts.clock.sleep(delay)
 
     async def _acquire(self) -> tuple[str, Assignment]:
@@ -97,9 +97,9 @@
         settings = self.parts.configuration().models.get(model)
         return settings.service if settings else self.exchange.service
 
-    def _after(self, assignment: Assignment, failure: EndpointFailure) -> float:
+    async def _after(self, assignment: Assignment, failure: EndpointFailure) -> float:
         """Return the seconds to wait before the next attempt, or refuse."""
-        self.attempts.failed(assignment, failure)
+        await self.attempts.failed(assignment, failure)
         if failure.callers_fault or not self._fits():
             raise self.attempts.refusal(failure)
         delay = self.attempts.retry_delay(assignment)
--- a/src/eelgrasslock/plain_dispatch.py
+++ b/src/eelgrasslock/plain_dispatch.py
@@ -54,7 +54,7 @@
             try:
                 answer = await self._attempt(assignment)
             except EndpointFailure as failure:
-                delay = self._after(assignment, failure)
+                delay = await self._after(assignment, failure)
             else:
                 await self._deliver(assignment, answer)
                 return
@@ -113,9 +113,9 @@
         if status >= 500 or status == _REQUEST_TIMEOUT:
             raise EndpointFailure(message, CallEnd.BROKEN, Ran.UNKNOWN, status)
 
-    def _after(self, assignment: Assignment, failure: EndpointFailure) -> float:
+    async def _after(self, assignment: Assignment, failure: EndpointFailure) -> float:
         """Return the seconds to wait before the next attempt, or refuse."""
-        self.attempts.failed(assignment, failure)
+        await self.attempts.failed(assignment, failure)
         if not self.idempotent and self.exchange.sent:
             raise self._final(failure)
         delay = self.attempts.retry_delay(assignment)
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -93,10 +93,15 @@
             "seeds": [one for one in self.peers if one != self.peers[index]],
             "operator_keys": [OPERATOR_KEY],
             "peer_keys": [PEER_KEY],
+            **self.more_settings(),
         }
         (folder / "daemon.yaml").write_text(yaml.safe_dump(settings))
         return await self.processes.daemon(pathlib.Path(folder), self.http[index])
 
+    def more_settings(self) -> dict:
+        """Return settings of the daemons beyond the usual ones."""
+        return {}
+
     def configuration(self, limits: dict) -> str:
         endpoint = {"service": "llm", "domain": "a", "url": self.engine.url}
         desk = {"service": "desk", "domain": "a", "url": self.service.url}
--- a/tests/test_dispatch_filter.py
+++ b/tests/test_dispatch_filter.py
@@ -6,6 +6,7 @@
 from eelgrasslock.clock import SystemClock
 from eelgrasslock.dispatch import Dispatcher
 from eelgrasslock.dispatch_filter import DispatchFilter
+from eelgrasslock.endpoint_failure import EndpointFailure
 from eelgrasslock.engine_client import EngineClient
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.exchange import Exchange, Request, RequestKind
@@ -96,7 +97,12 @@
             self.services,
             lambda: self.configuration,
             clock,
+            tell_peers=self._tell_peers,
         )
+        self.ends_when_told = []
+
+    async def _tell_peers(self):
+        self.ends_when_told.append(len(self.scheduler.ends))
 
     async def __aenter__(self):
         await self.dispatcher.start()
@@ -248,6 +254,21 @@
         assert exchange.sent is False
         assert exchange.tokens_used == 0
 
+    async def test_peers_hear_of_a_crash_before_the_next_attempt(self, servers):
+        engine = await servers.engine()
+        async with Bench({"e1": engine.url, "e2": engine.url}) as bench:
+            complete = bench.engines.complete
+
+            async def crash_once(*arguments):
+                bench.engines.complete = complete
+                yield {"choices": []}
+                raise EndpointFailure("gone", CallEnd.CRASHED, Ran.UNKNOWN)
+
+            bench.engines.complete = crash_once
+            await bench.filter.handle(model_exchange())
+        assert bench.ends() == [CallEnd.CRASHED, CallEnd.DONE]
+        assert bench.ends_when_told == [1]
+
     async def test_upstream_text_does_not_reach_the_caller(self, servers):
         engine = await servers.engine()
         engine.faults.fail = 9
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 
 import pytest
@@ -151,6 +152,23 @@
                 await chunks_of(client, engine.url, marked)
         assert caught.value.end is CallEnd.CRASHED
 
+    async def test_a_process_that_still_dies_is_told_from_a_cut(self, client):
+        """It drops the call and the first probe before it stops listening."""
+        dropped = []
+
+        async def drop(reader, writer):
+            dropped.append(await reader.read(1))
+            if len(dropped) == 2:
+                server.close()
+            writer.close()
+
+        server = await asyncio.start_server(drop, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        with pytest.raises(EndpointFailure) as caught:
+            await chunks_of(client, f"http://127.0.0.1:{port}")
+        assert caught.value.end is CallEnd.CRASHED
+        assert caught.value.ran is Ran.UNKNOWN
+
     async def test_a_restart_is_told_from_a_cut(self, servers, client):
         engine = await servers.engine()
         await client.load(engine.url)
