--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -153,12 +153,12 @@
         assert caught.value.end is CallEnd.CRASHED
 
     async def test_a_process_that_still_dies_is_told_from_a_cut(self, client):
-        """It drops the call and the first probe before it stops listening."""
+        """It drops the call, and the first probe with the library's repeat of it."""
         dropped = []
 
         async def drop(reader, writer):
             dropped.append(await reader.read(1))
-            if len(dropped) == 2:
+            if len(dropped) == 3:
                 server.close()
             writer.close()
 
