Take malformed answers and an empty VM list for faults

Reading the code showed three ways to lose more than one call: a load report without its fields ended the task that watches its endpoint, a malformed chunk reached the caller as an error of the daemon, and a VM list that came back empty for a moment made every endpoint leave at once. Ruled out: catching all errors in the watch, which would hide our own.

--- a/src/eelgrasslock/endpoint_failure.py
+++ b/src/eelgrasslock/endpoint_failure.py
@@ -1,5 +1,8 @@
 """How a call to an endpoint failed."""
 
+import contextlib
+from collections.abc import Iterator
+
 import aiohttp
 
 from eelgrasslock.exceptions import EndpointError, Ran
@@ -54,6 +57,16 @@
     return seconds if 0 <= seconds < float("inf") else None
 
 
+@contextlib.contextmanager
+def readable_answer() -> Iterator[None]:
+    """Turn the errors of reading a malformed answer into a failure."""
+    try:
+        yield
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        message = f"The answer is malformed: {error!r}"
+        raise EndpointFailure(message, CallEnd.BROKEN, Ran.UNKNOWN) from error
+
+
 async def refused(response: aiohttp.ClientResponse) -> EndpointFailure:
     """Return an endpoint's error answer as a failure."""
     text = (await response.text(errors="replace"))[:_ERROR_TEXT_CHARS]
--- a/src/eelgrasslock/endpoint_watch.py
+++ b/src/eelgrasslock/endpoint_watch.py
@@ -170,7 +170,8 @@
     async def look_at_vms(self, vm_list: VMSource) -> None:
         """Read the VM list once.
 
-        An endpoint that was listed and no longer is counts as leaving.
+        An endpoint that was listed and no longer is counts as leaving. A list
+        without any endpoint is taken for a fault of the list.
         """
         try:
             machines = await vm_list.fetch()
@@ -178,6 +179,8 @@
             log.info("No VM list: {}", error)
             return
         states = {vm.endpoint: vm.state for vm in machines if vm.endpoint}
+        if not states:
+            return
         self._listed |= states.keys()
         for endpoint in self._listed:
             leaving = states.get(endpoint) is not VMState.LIVE
--- a/src/eelgrasslock/engine_client.py
+++ b/src/eelgrasslock/engine_client.py
@@ -14,7 +14,7 @@
     Credentials,
     no_configuration,
 )
-from eelgrasslock.endpoint_failure import EndpointFailure, refused
+from eelgrasslock.endpoint_failure import EndpointFailure, readable_answer, refused
 from eelgrasslock.engine_call import EngineCall
 from eelgrasslock.engine_messages import CacheNews, EndpointLoad, EngineOrder
 from eelgrasslock.exceptions import Ran
@@ -127,34 +127,29 @@
     async def load(self, url: str) -> EndpointLoad:
         """Return an endpoint's load report; plain services give one as well."""
         answer = await self._json("GET", url, "/load")
-        report = LoadReport(
-            running=int(answer["running"]),
-            queued=int(answer["queued"]),
-            cache_used_tokens=int(answer.get("cache_used_tokens", 0)),
-            time=float(answer["time"]),
-        )
-        leaving = bool(answer.get("leaving", False))
-        return EndpointLoad(
-            report=report, leaving=leaving, epoch=self._epochs.get(url, "")
-        )
+        with readable_answer():
+            report = LoadReport(
+                running=int(answer["running"]),
+                queued=int(answer["queued"]),
+                cache_used_tokens=int(answer.get("cache_used_tokens", 0)),
+                time=float(answer["time"]),
+            )
+            leaving = bool(answer.get("leaving", False))
+        return EndpointLoad(report=report, leaving=leaving, epoch=self.epoch(url))
 
     async def cache_events(self, url: str, after: int) -> CacheNews:
         """Return an engine's cache events after a number."""
         answer = await self._json("GET", url, f"/cache/events?after={after}")
-        events = [
-            CacheEvent(
-                number=int(event["number"]),
-                stored=tuple(event["stored"]),
-                evicted=tuple(event["evicted"]),
-            )
-            for event in answer["events"]
-        ]
-        return CacheNews(epoch=str(answer.get("epoch", "")), events=events)
+        with readable_answer():
+            epoch = str(answer.get("epoch", ""))
+            events = [_cache_event(event) for event in answer["events"]]
+        return CacheNews(epoch=epoch, events=events)
 
     async def sessions(self, url: str) -> list[str]:
         """Return the programs that an engine holds memory for."""
         answer = await self._json("GET", url, "/sessions")
-        return [str(session["program"]) for session in answer["sessions"]]
+        with readable_answer():
+            return [str(session["program"]) for session in answer["sessions"]]
 
     async def release(self, url: str, program: str, fence: int) -> bool:
         """Order an engine to forget a program; False if the order is too old."""
@@ -169,13 +164,15 @@
     async def export_kv(self, url: str, program: str) -> tuple[int, ...]:
         """Return the blocks that an engine holds for a program."""
         answer = await self._json("POST", url, "/kv/export", {"program": program})
-        return tuple(answer["blocks"])
+        with readable_answer():
+            return tuple(int(block) for block in answer["blocks"])
 
     async def import_kv(self, url: str, program: str, blocks: tuple[int, ...]) -> int:
         """Load blocks into another engine, and return how many it took."""
         body = {"program": program, "blocks": list(blocks)}
         answer = await self._json("POST", url, "/kv/import", body)
-        return int(answer["imported"])
+        with readable_answer():
+            return int(answer["imported"])
 
     def cancel(self, url: str, stream_id: str) -> None:
         """Cancel a stream in the background."""
@@ -250,6 +247,14 @@
             ) from error
 
 
+def _cache_event(event: dict[str, Any]) -> CacheEvent:
+    return CacheEvent(
+        number=int(event["number"]),
+        stored=tuple(event["stored"]),
+        evicted=tuple(event["evicted"]),
+    )
+
+
 def _session(force_close: bool) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
     return aiohttp.ClientSession(
--- a/src/eelgrasslock/model_dispatch.py
+++ b/src/eelgrasslock/model_dispatch.py
@@ -7,7 +7,7 @@
 from eelgrasslock.aliases import resolve_models
 from eelgrasslock.attempts import Attempts, DispatchParts, endpoint_settings
 from eelgrasslock.dispatch import NO_USAGE
-from eelgrasslock.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoint_failure import EndpointFailure, readable_answer
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.exchange import CallResult, Exchange
 from eelgrasslock.relay import AnswerRelay
@@ -16,6 +16,7 @@
 from eelgrasslock.usage import Usage
 
 _MILLISECONDS = 1_000.0
+_NOT_FOUND = 404
 
 
 class ModelCall:
@@ -32,6 +33,11 @@
         What the call needs.
     exchange : Exchange
         The call.
+
+    Raises
+    ------
+    Refusal
+        If the configuration no longer has the model.
     """
 
     def __init__(self, parts: DispatchParts, exchange: Exchange) -> None:
@@ -40,6 +46,9 @@
         self.attempts = Attempts(exchange, parts)
         configuration = parts.configuration()
         self.models = resolve_models(configuration, exchange.model)
+        if not self.models:
+            sentence = f"No model is named {exchange.model!r}."
+            raise Refusal("unknown_model", sentence, _NOT_FOUND)
         self.started = parts.clock.monotonic()
         id = f"chatcmpl-{self.attempts.id}"
         self.relay = AnswerRelay(exchange, id, int(parts.clock.now()))
@@ -154,11 +163,13 @@
             async with contextlib.aclosing(chunks):
                 async for chunk in chunks:
                     await self._take(assignment, chunk)
-        return self.relay.end()
+        with readable_answer():
+            return self.relay.end()
 
     async def _take(self, assignment: Assignment, chunk: dict[str, Any]) -> None:
         before = self.relay.tokens
-        await self.relay.take(chunk)
+        with readable_answer():
+            await self.relay.take(chunk)
         after = self.relay.tokens
         if after == before:
             return
--- a/tests/test_dispatch_filter.py
+++ b/tests/test_dispatch_filter.py
@@ -269,6 +269,27 @@
         assert bench.ends() == [CallEnd.CRASHED, CallEnd.DONE]
         assert bench.ends_when_told == [1]
 
+    @pytest.mark.parametrize(
+        "chunk",
+        [
+            {"choices": "x"},
+            {"choices": [{"delta": 3}]},
+            {"choices": []},
+            {"choices": [{"finish_reason": "stop"}], "usage": 3},
+        ],
+    )
+    async def test_a_malformed_answer_is_a_failed_attempt(self, chunk):
+        async with Bench({"e1": "http://127.0.0.1:9"}, delays=()) as bench:
+
+            async def send(*arguments):
+                yield chunk
+
+            bench.engines.complete = send
+            with pytest.raises(Refusal) as caught:
+                await bench.filter.handle(model_exchange(stream=False))
+        assert caught.value.code == "endpoint_broken"
+        assert bench.ends() == [CallEnd.BROKEN]
+
     async def test_upstream_text_does_not_reach_the_caller(self, servers):
         engine = await servers.engine()
         engine.faults.fail = 9
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -2,6 +2,8 @@
 import contextlib
 
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 from loguru import logger
 
 from eelgrasslock.clock import SystemClock
@@ -232,6 +234,26 @@
         assert news.events[0].number == 1
         assert len(news.events[0].stored) == 15
 
+    @pytest.mark.parametrize(
+        "answer", ["[]", "{}", '{"running": "many"}', "no JSON", '{"events": 3}']
+    )
+    async def test_a_malformed_answer_is_a_failure(self, client, answer):
+        async def reply(request):
+            return web.Response(text=answer, content_type="application/json")
+
+        app = web.Application()
+        app.router.add_get("/{path:.*}", reply)
+        async with TestServer(app) as server:
+            url = str(server.make_url("")).rstrip("/")
+            reads = (
+                client.load(url),
+                client.cache_events(url, 0),
+                client.sessions(url),
+            )
+            for read in reads:
+                with pytest.raises(EndpointFailure):
+                    await read
+
 
 class TestCredentials:
     async def test_reach_the_engine_and_no_log_or_error(self, servers, monkeypatch):
