--- a/src/eelgrasslock/model_dispatch.py
+++ b/src/eelgrasslock/model_dispatch.py
@@ -7,7 +7,7 @@
 from eelgrasslock.aliases import resolve_models
 from eelgrasslock.attempts import Attempts, DispatchParts, endpoint_settings
 from eelgrasslock.dispatch import NO_USAGE
-from eelgrasslock.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoint_failure import EndpointFailure, readable_answer
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.exchange import CallResult, Exchange
 from eelgrasslock.relay import AnswerRelay
@@ -16,6 +16,7 @@
 from eelgrasslock.usage import Usage
 
 _MILLISECONDS = 1_000.0
+_NOT_FOUND = 404
 
 
 class ModelCall:
@@ -32,6 +33,11 @@
         What the call needs.
     exchange : Exchange
         The call.
+
+    Raises
+    ------
+    Refusal
+        If the configuration no longer has the model.
     """
 
     def __init__(self, parts: DispatchParts, exchange: Exchange) -> None:
@@ -40,6 +46,9 @@
         self.attempts = Attempts(exchange, parts)
         configuration = parts.configuration()
         self.models = resolve_models(configuration, exchange.model)
+        if not self.models:
+            sentence = f"No model is named {exchange.model!r}."
+            raise Refusal("unknown_model", sentence, _NOT_FOUND)
         self.started = parts.clock.monotonic()
         id = f"chatcmpl-{self.attempts.id}"
         self.relay = AnswerRelay(exchange, id, int(parts.clock.now()))
@@ -78,7 +87,7 @@
             try:
                 return await self._attempt(assignment, model)
             except EndpointFailure as failure:
-                delay = self._after(assignment, failure)
+                delay = await self._after(assignment, failure)
             await self.parts.clock.sleep(delay)
 
     async def _acquire(self) -> tuple[str, Assignment]:
@@ -97,9 +106,9 @@
         settings = self.parts.configuration().models.get(model)
         return settings.service if settings else self.exchange.service
 
-    def _after(self, assignment: Assignment, failure: EndpointFailure) -> float:
+    async def _after(self, assignment: Assignment, failure: EndpointFailure) -> float:
         """Return the seconds to wait before the next attempt, or refuse."""
-        self.attempts.failed(assignment, failure)
+        await self.attempts.failed(assignment, failure)
         if failure.callers_fault or not self._fits():
             raise self.attempts.refusal(failure)
         delay = self.attempts.retry_delay(assignment)
@@ -154,11 +163,13 @@
             async with contextlib.aclosing(chunks):
                 async for chunk in chunks:
                     await self._take(assignment, chunk)
-        return self.relay.end()
+        with readable_answer():
+            return self.relay.end()
 
     async def _take(self, assignment: Assignment, chunk: dict[str, Any]) -> None:
         before = self.relay.tokens
-        await self.relay.take(chunk)
+        with readable_answer():
+            await self.relay.take(chunk)
         after = self.relay.tokens
         if after == before:
             return
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -1,6 +1,9 @@
+import asyncio
 import contextlib
 
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 from loguru import logger
 
 from eelgrasslock.clock import SystemClock
@@ -151,6 +154,23 @@
                 await chunks_of(client, engine.url, marked)
         assert caught.value.end is CallEnd.CRASHED
 
+    async def test_a_process_that_still_dies_is_told_from_a_cut(self, client):
+        """It drops the call, and the first probe with the library's repeat of it."""
+        dropped = []
+
+        async def drop(reader, writer):
+            dropped.append(await reader.read(1))
+            if len(dropped) == 3:
+                server.close()
+            writer.close()
+
+        server = await asyncio.start_server(drop, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        with pytest.raises(EndpointFailure) as caught:
+            await chunks_of(client, f"http://127.0.0.1:{port}")
+        assert caught.value.end is CallEnd.CRASHED
+        assert caught.value.ran is Ran.UNKNOWN
+
     async def test_a_restart_is_told_from_a_cut(self, servers, client):
         engine = await servers.engine()
         await client.load(engine.url)
@@ -214,6 +234,26 @@
         assert news.events[0].number == 1
         assert len(news.events[0].stored) == 15
 
+    @pytest.mark.parametrize(
+        "answer", ["[]", "{}", '{"running": "many"}', "no JSON", '{"events": 3}']
+    )
+    async def test_a_malformed_answer_is_a_failure(self, client, answer):
+        async def reply(request):
+            return web.Response(text=answer, content_type="application/json")
+
+        app = web.Application()
+        app.router.add_get("/{path:.*}", reply)
+        async with TestServer(app) as server:
+            url = str(server.make_url("")).rstrip("/")
+            reads = (
+                client.load(url),
+                client.cache_events(url, 0),
+                client.sessions(url),
+            )
+            for read in reads:
+                with pytest.raises(EndpointFailure):
+                    await read
+
 
 class TestCredentials:
     async def test_reach_the_engine_and_no_log_or_error(self, servers, monkeypatch):
