--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -32,9 +32,11 @@
 from eelgrasslock.operator_api import OperatorAPI
 from eelgrasslock.parse_filter import ParseFilter
 from eelgrasslock.peers import PeerLinks
+from eelgrasslock.program import Program
 from eelgrasslock.program_filter import ProgramFilter
 from eelgrasslock.programs import Programs
 from eelgrasslock.refusal_body import refusal_body, refusal_headers
+from eelgrasslock.relays import watched_peers
 from eelgrasslock.release import ReleaseController
 from eelgrasslock.scheduler import Scheduler
 from eelgrasslock.service_client import ServiceClient
@@ -53,6 +55,7 @@
 
 _INCARNATION_BYTES = 6
 _BALANCER_SECONDS = 1.0
+_FLUSH_SECONDS = 0.1
 
 
 class Application:
@@ -162,6 +165,7 @@
             self.clock,
             self.rng,
         )
+        programs.journal.on_ended.append(self._forget_ended)
         filters: list[Filter] = [
             ProgramFilter(programs, self.current_configuration),
             TurnFilter(programs),
@@ -184,6 +188,7 @@
                 self.current_configuration,
                 self.clock,
                 self.metrics,
+                self._tell_peers,
             ).handle,
         )
 
@@ -231,6 +236,15 @@
         """Return the limits in force."""
         return self.current_configuration().limits
 
+    def _forget_ended(self, program: Program) -> None:
+        self.scheduler.end_program(program.id)
+
+    async def _tell_peers(self) -> None:
+        """Send all watched peers a heartbeat now."""
+        members = watched_peers(self.membership.own, self.membership.table)
+        beats = [self.membership.watch.beat(member) for member in members]
+        await asyncio.gather(*beats)
+
     def _may_still_send(self, incarnation: str) -> bool:
         return not self.membership.table.is_retired(incarnation)
 
@@ -347,6 +361,11 @@
         except TimeoutError:
             _log.warning("{} requests outlast the drain.", self.in_flight.count)
 
+    async def flush(self) -> None:
+        """Wait until the log holds all that this daemon has to tell it."""
+        while self.homes.unjournaled():
+            await self.clock.sleep(_FLUSH_SECONDS)
+
     async def stop(self) -> None:
         """Stop all parts in reverse order."""
         while self._started:
--- a/src/eelgrasslock/attempts.py
+++ b/src/eelgrasslock/attempts.py
@@ -92,6 +92,7 @@
         self.metrics = parts.metrics
         self.tell_peers = parts.tell_peers
         self.id = uuid.uuid4().hex
+        self.program = exchange.program or f"single-{self.id}"
         self.number = 0
         self.ran = Ran.NO
         self.excluded: frozenset[str] = frozenset()
@@ -175,11 +176,16 @@
             )
         return refusal
 
+    def close(self) -> None:
+        """Let the scheduler forget a call that is no part of a program."""
+        if not self.exchange.program:
+            self.dispatcher.scheduler.end_program(self.program)
+
     def _call(self, service: str, model: str) -> Call:
         exchange = self.exchange
         return Call(
             id=f"{self.id}.{self.number}",
-            program=exchange.program or f"single-{self.id}",
+            program=self.program,
             service=service,
             model=model,
             call_class=exchange.call_class,
--- a/src/eelgrasslock/daemon.py
+++ b/src/eelgrasslock/daemon.py
@@ -5,6 +5,8 @@
 import random
 import signal
 import sys
+from collections.abc import Coroutine
+from typing import Any
 
 import aiohttp
 import capnp
@@ -62,17 +64,21 @@
     application = Application(settings, SystemClock(), random.Random(), session)
     try:
         await application.start()
-        waits = [
-            asyncio.create_task(stop.wait()),
-            asyncio.create_task(application.retired.wait()),
-        ]
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
+        await _first(stop.wait(), application.retired.wait())
         await application.drain()
+        if not stop.is_set():
+            await _first(application.flush(), stop.wait())
     finally:
         await application.stop()
 
 
+async def _first(*waits: Coroutine[Any, Any, Any]) -> None:
+    """Wait until one of some coroutines is done and cancel the others."""
+    tasks = [asyncio.create_task(one) for one in waits]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+
+
 if __name__ == "__main__":
     main()
--- a/src/eelgrasslock/dispatch.py
+++ b/src/eelgrasslock/dispatch.py
@@ -55,6 +55,9 @@
     def retry_delay(self, call: Call, endpoint: str, attempt: int) -> float | None:
         """Return seconds to wait before a retry, None for no retry."""
 
+    def end_program(self, program: str) -> None:
+        """Forget a program."""
+
     def next_wake(self) -> float | None:
         """Return when there may be more to do, on the monotonic clock."""
 
--- a/src/eelgrasslock/dispatch_filter.py
+++ b/src/eelgrasslock/dispatch_filter.py
@@ -72,11 +72,18 @@
         """
         if exchange.kind is RequestKind.MODEL:
             exchange.sent = False
-            await ModelCall(self.parts, exchange).run()
+            await _run(ModelCall(self.parts, exchange))
         elif exchange.kind is RequestKind.PLAIN:
             exchange.sent = False
-            await PlainCall(self.parts, exchange).run()
+            await _run(PlainCall(self.parts, exchange))
         elif proceed is not None:
             await proceed(exchange)
         else:
             raise Refusal("not_found", "There is nothing here.", _NOT_FOUND)
+
+
+async def _run(call: ModelCall | PlainCall) -> None:
+    try:
+        await call.run()
+    finally:
+        call.attempts.close()
--- a/src/eelgrasslock/homes.py
+++ b/src/eelgrasslock/homes.py
@@ -82,6 +82,10 @@
             await _start(home)
         return home
 
+    def unjournaled(self) -> int:
+        """Return how many records wait for the log here."""
+        return sum(home.programs.unjournaled() for home in self.homes.values())
+
     def hold(self, stream: str, records: list[Record]) -> None:
         """Keep a peer's unjournaled records of a stream."""
         home = self._by_stream(stream)
--- a/src/eelgrasslock/live_programs.py
+++ b/src/eelgrasslock/live_programs.py
@@ -154,6 +154,12 @@
             return state
         return _overlay(state, live.held.records)
 
+    def unjournaled(self) -> int:
+        """Return how many records wait for the log."""
+        for live in self._live.values():
+            live.held.drop_judged(self.journal)
+        return sum(len(live.held.records) for live in self._live.values())
+
     def check_room(self, live: LiveProgram) -> None:
         """Raise a `Refusal` if too many records wait for the log already."""
         live.held.drop_judged(self.journal)
--- a/src/eelgrasslock/programs.py
+++ b/src/eelgrasslock/programs.py
@@ -204,6 +204,10 @@
             raise Refusal("unknown_program", "No such program.", 404)
         return explained_program(state, self.live_programs.live(program))
 
+    def unjournaled(self) -> int:
+        """Return how many records of programs wait for the log."""
+        return self.live_programs.unjournaled()
+
     async def end_expired(self) -> None:
         """End the programs held here that are too old or idle for too long."""
         now = self.clock.now()
--- a/tests/fake_scheduler.py
+++ b/tests/fake_scheduler.py
@@ -29,6 +29,10 @@
         self.waiting = {}
         self.ends = []
         self.calls = []
+        self.ended = []
+
+    def end_program(self, program):
+        self.ended.append(program)
 
     def submit(self, call):
         self.calls.append(call)
--- a/tests/test_dispatch_filter.py
+++ b/tests/test_dispatch_filter.py
@@ -369,6 +369,16 @@
 
 
 class TestPlainCall:
+    async def test_a_single_call_is_forgotten_and_a_programs_is_not(self, servers):
+        service = await servers.service()
+        exchanges = [plain_exchange("GET", "/licences/7", {}) for _ in range(2)]
+        exchanges[1].program = "a~d~1"
+        async with Bench({"a1": service.url}, kind=ServiceKind.PLAIN) as bench:
+            for exchange in exchanges:
+                await bench.filter.handle(exchange)
+            single, _ = bench.scheduler.calls
+            assert bench.scheduler.ended == [single.program]
+
     async def test_passes_a_posting_through_once(self, servers):
         service = await servers.service()
         headers = {
