Tell a creation's caller what history to build on

A repeated creation with the same key may reach a daemon that does not hold the program; asking to resume it there is refused as moving, although the creation itself has its answer. What is created now carries the next turn and digest as far as the daemon knows them, so that no resume is needed. Claiming the program for the sake of the answer was ruled out: it would take it from its holder.

--- a/src/eelgrasslock/creation.py
+++ b/src/eelgrasslock/creation.py
@@ -4,13 +4,14 @@
 import json
 import secrets
 
-from attrs import frozen
+from attrs import field, frozen
 
 from eelgrasslock.action_messages import CREATION_SERVICE
 from eelgrasslock.actions import Actions
 from eelgrasslock.budgets import first_draw
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.held import done_within
+from eelgrasslock.history import start_digest
 from eelgrasslock.ledger import Amount
 from eelgrasslock.limits import EndReason, ended_refusal
 from eelgrasslock.live_programs import LivePrograms
@@ -50,12 +51,22 @@
     journaled : bool
         Whether the log holds it; if not, it is lost with this daemon and the
         peers that hold a copy.
+    turn : int
+        The next turn's number, as far as this daemon knows.
+    digest : str
+        Digest of the history to build on, as far as this daemon knows.
     """
 
     program: str
     secret: str
     limits: Limits
     journaled: bool = True
+    turn: int = 0
+    digest: str = field()
+
+    @digest.default
+    def _start_digest(self) -> str:
+        return start_digest(self.program)
 
 
 class Creation:
--- a/src/eelgrasslock/programs.py
+++ b/src/eelgrasslock/programs.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from attrs import evolve
 from loguru import logger
 
 from eelgrasslock.actions import Actions
@@ -143,7 +144,13 @@
             If it can't be created.
         """
         bounds = self.limits().program
-        return await self.creation.create(creation_key, secret, limits, parent, bounds)
+        created = await self.creation.create(
+            creation_key, secret, limits, parent, bounds
+        )
+        state = self.live_programs.state(created.program)
+        if state is None:
+            return created
+        return evolve(created, turn=state.turn, digest=state.digest)
 
     async def authorize(self, program: str, secret: str) -> Program:
         """Return a program's state if the secret is its own.
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -3,6 +3,7 @@
 import pytest
 
 from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.history import history_digest, start_digest
 from eelgrasslock.records import Limits
 from fleet import Fleet, refused, start
 
@@ -257,6 +258,15 @@
         assert len({one.program for one in made}) == 1
         assert len(daemon.programs.journal.programs) == 1
 
+    async def test_creation_tells_what_to_build_on(self, fleet, daemon):
+        caller = await start(fleet, daemon, creation_key="key", secret="secret")
+        first = await fleet.run(daemon.programs.create("key", "secret"))
+        assert (first.turn, first.digest) == (0, start_digest(caller.program))
+        await caller.ask(daemon, "one")
+        again = await fleet.run(daemon.programs.create("key", "secret"))
+        digest = history_digest(caller.program, caller.history)
+        assert (again.turn, again.digest) == (1, digest)
+
     async def test_racing_creations_make_one_program(self, fleet, daemon):
         other = await fleet.add("a2")
         tasks = [one.programs.create("key", "secret") for one in (daemon, other)]
