Seed peers from the VM list and start lost-answer reads where the tail is

Cause: both were offered by their parts and set by nothing, so a daemon knew only its settings' seeds, and a lost answer to a stream's first append read that stream from its start. Change: the application sets both; heartbeats and state costs are commands of eelgrasslock-measure.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -49,7 +49,7 @@
 )
 from eelgrasslock.tracing import span
 from eelgrasslock.turn_filter import TurnFilter
-from eelgrasslock.vm_list import VMList
+from eelgrasslock.vm_list import VMKind, VMList
 
 _log = logger.bind(part="daemon")
 
@@ -103,6 +103,7 @@
         self.log = HTTPLog(settings.log_url, self.session)
         self.writer = LogWriter(self.log, self.clock, self.rng)
         self.tail = LogTail(self.log, self.clock, self.rng)
+        self.writer.position_source = self.tail.position
         self.peers = PeerLinks(settings, self.incarnation, self.clock, self.rng)
         self.configuration = ConfigurationController(
             self.writer, self.tail, self.clock, self.rng, self.peers
@@ -200,6 +201,7 @@
         self.peers.config_accept = self.configuration.accept
         self.peers.config_version = lambda: self.configuration.version
         self.configuration.on_change(self.scheduler.configure)
+        self.membership.seed_source = self._listed_peers
         self.membership.load_source = self.scheduler.peer_load
         self.membership.on_peer_load(self.scheduler.observe_peer)
         self.membership.on_peer_gone(self.scheduler.forget_peer)
@@ -239,6 +241,15 @@
     def _forget_ended(self, program: Program) -> None:
         self.scheduler.end_program(program.id)
 
+    async def _listed_peers(self) -> list[str]:
+        """Return the peer addresses of the platform's entry VMs."""
+        if not self.settings.vm_list_url:
+            return []
+        port = self.settings.peer_address.rpartition(":")[2]
+        vms = await self.vm_list.fetch()
+        entries = [vm.address for vm in vms if vm.kind is VMKind.ENTRY]
+        return [one if ":" in one else f"{one}:{port}" for one in entries]
+
     async def _tell_peers(self) -> None:
         """Send all watched peers a heartbeat now."""
         members = watched_peers(self.membership.own, self.membership.table)
--- a/src/eelgrasslock_measure/main.py
+++ b/src/eelgrasslock_measure/main.py
@@ -14,9 +14,11 @@
 from eelgrasslock_measure.costs import print_costs
 from eelgrasslock_measure.deployments import DEPLOYMENTS
 from eelgrasslock_measure.experiments import collect, plan_jobs, run_jobs
+from eelgrasslock_measure.heartbeats import heartbeats
 from eelgrasslock_measure.markdown import markdown_tables, read_cells
 from eelgrasslock_measure.plots import plot_loads
 from eelgrasslock_measure.report import print_report, write_json
+from eelgrasslock_measure.state import main as state_costs
 
 _WIDTH = 190
 _SECONDS = 900.0
@@ -111,5 +113,9 @@
     return max(1, min(jobs, os.cpu_count() or 1))
 
 
+main.add_command(heartbeats, "heartbeats")
+main.add_command(state_costs, "state")
+
+
 if __name__ == "__main__":
     main()
