Cut an answer that stopped half way instead of ending it

Cause: a refusal after an answer had begun either logged a traceback for an answer that was already ended, or, over a forwarded call, could begin the answer a second time. Ruled out: only returning, since a part would then end like a whole answer. Change: a responder that knows how far the answer has come gives the final answer; the OTLP exporter is imported only where an address is set. Conclusion: what was begun and not ended is cut, so nobody takes it for whole.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -35,7 +35,6 @@
 from eelgrasslock.program import Program
 from eelgrasslock.program_filter import ProgramFilter
 from eelgrasslock.programs import Programs
-from eelgrasslock.refusal_body import refusal_body, refusal_headers
 from eelgrasslock.relays import watched_peers
 from eelgrasslock.release import ReleaseController
 from eelgrasslock.scheduler import Scheduler
@@ -48,6 +47,7 @@
     ServiceSettings,
 )
 from eelgrasslock.tracing import span
+from eelgrasslock.tracked_responder import TrackedResponder
 from eelgrasslock.turn_filter import TurnFilter
 from eelgrasslock.vm_list import VMKind, VMList
 
@@ -294,34 +294,30 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve one request, from a caller or from a peer, to its end."""
-        exchange = Exchange(request=request, responder=responder)
+        tracked = TrackedResponder(responder)
         if self.closed_to_new:
-            await self._refuse(exchange, _leaving())
+            await self._refuse(tracked, _leaving())
             return
         started = self.clock.monotonic()
         with self.in_flight.enter(), span("daemon.handle", request.trace):
-            try:
-                await self.handle_exchange(exchange)
-            except Refusal as refusal:
-                await self._refuse(exchange, refusal)
-            except EelgrassError as error:
-                _log.opt(exception=error).error("A request failed.")
-                await self._refuse(exchange, _unexpected(exchange))
+            await self._serve(request, tracked)
         elapsed = self.clock.monotonic() - started
         self.metrics.timing("request", elapsed * 1_000.0)
 
-    async def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+    async def _serve(self, request: Request, tracked: TrackedResponder) -> None:
+        exchange = Exchange(request=request, responder=tracked)
+        try:
+            await self.handle_exchange(exchange)
+        except Refusal as refusal:
+            await self._refuse(tracked, refusal)
+        except EelgrassError as error:
+            _log.opt(exception=error).error("A request failed.")
+            await self._refuse(tracked, _unexpected(exchange))
+
+    async def _refuse(self, tracked: TrackedResponder, refusal: Refusal) -> None:
         _log.info("Refused {}: {}", refusal.code, refusal.sentence)
         self.metrics.incr(f"refused.{refusal.code}")
-        if exchange.started:
-            raise refusal
-        exchange.started = True
-        body = refusal_body(refusal)
-        headers = refusal_headers(refusal)
-        headers["Content-Length"] = str(len(body))
-        await exchange.responder.start(refusal.status, headers)
-        await exchange.responder.write(body)
-        await exchange.responder.finish()
+        await tracked.refuse(refusal)
 
     # --- life cycle ---------------------------------------------------------------
 
--- a/src/eelgrasslock/daemon.py
+++ b/src/eelgrasslock/daemon.py
@@ -43,8 +43,11 @@
             click.echo(str(finding), err=True)
         sys.exit(_EXIT_FINDINGS)
     logs.setup(settings)
-    tracing.setup(settings)
-    asyncio.run(_run(settings))
+    end_export = tracing.setup(settings)
+    try:
+        asyncio.run(_run(settings))
+    finally:
+        end_export()
 
 
 async def _run(settings: DaemonSettings) -> None:
--- a/src/eelgrasslock/tracing.py
+++ b/src/eelgrasslock/tracing.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterator, Mapping
 
 from opentelemetry import propagate, trace
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, SpanExporter
@@ -32,7 +31,7 @@
     if exporter is None:
         if not settings.otlp_url:
             return _nothing
-        exporter = OTLPSpanExporter(endpoint=_traces_url(settings.otlp_url))
+        exporter = _otlp_exporter(settings.otlp_url)
     resource = Resource.create(
         {
             "service.name": "eelgrasslockd",
@@ -90,6 +89,13 @@
     return headers
 
 
+def _otlp_exporter(url: str) -> SpanExporter:
+    # Imported only where it is used, since it takes five megabytes.
+    from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+
+    return OTLPSpanExporter(endpoint=_traces_url(url))
+
+
 def _traces_url(url: str) -> str:
     if url.endswith(_TRACES_PATH):
         return url
