--- a/src/eelgrasslock_standins/load.py
+++ b/src/eelgrasslock_standins/load.py
@@ -16,6 +16,7 @@
 _READY_SECONDS = 30.0
 _POLL_SECONDS = 0.2
 _MOST_CALLS = 20_000
+_STREAM_TOKENS = 1_000
 _PERCENTILES = (50, 95, 99)
 _KILOBYTES_PER_MEGABYTE = 1024
 _MILLISECONDS = 1_000.0
@@ -138,6 +139,7 @@
             written = await _appends(session, log_url) - appends
             cpu = _cpu_per_call(pids, before, calls)
             print(f"  {name:16} {rate:7.1f} a second, {cpu}, {written} log appends")
+        await _measure_streams(session, home, pids, concurrency)
         for pid in pids:
             print(
                 f"  resident memory of {pid}: {_usage(pid).resident_megabytes:.1f} MB"
@@ -173,6 +175,32 @@
     return calls / (time.perf_counter() - started)
 
 
+async def _measure_streams(
+    session: aiohttp.ClientSession, url: str, pids: list[int], streams: int
+) -> None:
+    before = [_usage(pid) for pid in pids]
+    started = time.perf_counter()
+    counts = await asyncio.gather(*(_stream(session, url) for _ in range(streams)))
+    seconds = time.perf_counter() - started
+    events = sum(counts)
+    cpu = _cpu_per_call(pids, before, events)
+    print(f"  streamed events  {events / seconds:7.1f} a second, {cpu}")
+
+
+async def _stream(session: aiohttp.ClientSession, url: str) -> int:
+    """Read one long streamed answer and return how many events it had."""
+    text = f"[tokens={_STREAM_TOKENS}] Describe aquifer {next(_numbers)}."
+    body = {
+        "model": "hydro-draft",
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": _STREAM_TOKENS,
+        "stream": True,
+    }
+    path = f"{url}/v1/chat/completions"
+    async with session.post(path, json=body) as answer:
+        return sum([line.startswith(b"data:") async for line in answer.content])
+
+
 async def _post(
     session: aiohttp.ClientSession,
     url: str,
@@ -220,7 +248,7 @@
         (_usage(pid).cpu_seconds - then.cpu_seconds) * _MILLISECONDS / calls
         for pid, then in zip(pids, before, strict=True)
     ]
-    return "CPU " + " + ".join(f"{one:.2f}" for one in spent) + " ms a call"
+    return "CPU " + " + ".join(f"{one:.3f}" for one in spent) + " ms each"
 
 
 def _spread(seconds: list[float]) -> str:
