Supersede calls begun before a hold was lost and taken back

A daemon that others had retired did not know it, lost a program and claimed it back while an old call still ran. The old call then committed with the daemon as holder again, on a draw that was forfeited. Reader rules could not see that.

A call now keeps a copy of the state that it began on and commits or settles only under the same claim. A reader's check of the messages was ruled out: it sees digests that fit.

--- a/src/eelgrasslock/budget_filter.py
+++ b/src/eelgrasslock/budget_filter.py
@@ -5,7 +5,7 @@
 from eelgrasslock.exchange import Exchange, Proceed, RequestKind
 from eelgrasslock.ledger import ZERO, Amount
 from eelgrasslock.limits import ended_refusal
-from eelgrasslock.live_programs import LiveProgram
+from eelgrasslock.live_programs import LiveProgram, same_hold
 from eelgrasslock.programs import Programs
 
 
@@ -32,10 +32,15 @@
         cost = self._cost(exchange)
         reserved = await self._reserve(live, cost)
         exchange.token_allowance = reserved.tokens
+        state = self.programs.live_programs.state(live.id)
+        before = state.copy() if state is not None else None
         try:
             await proceed(exchange)
         except BaseException as error:
-            self._settle_failed(live, exchange, cost, error)
+            now = self.programs.live_programs.state(live.id)
+            if same_hold(before, now):
+                self._settle_failed(live, exchange, cost, error)
+            self.programs.budgets.release(live)
             raise
         self._settle_rest(live, exchange)
         self.programs.budgets.draw_ahead(live)
--- a/src/eelgrasslock/live_programs.py
+++ b/src/eelgrasslock/live_programs.py
@@ -236,6 +236,17 @@
         return verdict
 
 
+def same_hold(before: Program | None, now: Program | None) -> bool:
+    """Return whether a program is held by the same claim as before.
+
+    A daemon that lost a program and took it back has forfeited what it drew.
+    A program that was not journaled yet has no fence.
+    """
+    if before is None or now is None or before.holder != now.holder:
+        return False
+    return before.fence in (now.fence, -1)
+
+
 def void_refusal(verdict: Verdict, state: Program | None) -> Refusal:
     """Return the final answer to a call whose record is void."""
     if state is not None and state.ended:
--- a/src/eelgrasslock/turn_filter.py
+++ b/src/eelgrasslock/turn_filter.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 
+from eelgrasslock.accept import void
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.exchange import (
     SECRET_HEADER,
@@ -22,7 +23,7 @@
 )
 from eelgrasslock.ledger import Amount
 from eelgrasslock.limits import ended_refusal, reached_limit
-from eelgrasslock.live_programs import LiveProgram
+from eelgrasslock.live_programs import LiveProgram, same_hold, void_refusal
 from eelgrasslock.program import Program
 from eelgrasslock.programs import Programs
 from eelgrasslock.records import TurnCommitted
@@ -78,7 +79,7 @@
         await self._check_limits(state)
         messages = _new_messages(state, exchange)
         self.programs.live_programs.check_room(live)
-        turn = _Turn(self.programs, live, state, exchange, messages)
+        turn = _Turn(self.programs, live, state.copy(), exchange, messages)
         exchange.before_final.append(turn.commit)
         await proceed(exchange)
 
@@ -103,6 +104,10 @@
 
     async def commit(self, result: CallResult) -> None:
         """Journal the turn and wait until it counts, or the log is too slow."""
+        state = self.programs.live_programs.state(self.live.id)
+        if not same_hold(self.state, state):
+            self.programs.budgets.release(self.live)
+            raise void_refusal(void("superseded"), state)
         record = self._record(result)
         self.programs.budgets.release(self.live)
         try:
@@ -134,7 +139,7 @@
     def _settle_void(self, result: CallResult) -> None:
         """Count a void turn's use, if the budget is still ours to count."""
         state = self.programs.live_programs.state(self.live.id)
-        ours = state is not None and state.holder == self.state.holder
+        ours = same_hold(self.state, state)
         if ours and state is not None and not state.ended:
             price = self.programs.price(self.exchange.model)
             used = Amount(result.tokens, result.tokens * price)
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -58,6 +58,27 @@
             assert state.history == caller.history
             assert state.spent.tokens + state.drawn.tokens >= fleet.engine.tokens
 
+    async def test_call_begun_before_a_lost_and_retaken_hold_is_superseded(
+        self, fleet, daemon, other
+    ):
+        caller = await start(fleet, daemon)
+        fleet.engine.gate = asyncio.Event()
+        task = asyncio.create_task(daemon.serve(caller.call("one")))
+        await fleet.settle(1.0)
+        gate, fleet.engine.gate = fleet.engine.gate, None
+        fleet.retire("a1")
+        await caller.ask(other, "two")
+        await fleet.settle(1.0)
+        await fleet.run(daemon.programs.resume(caller.program))
+        state = daemon.programs.journal.program(caller.program)
+        assert state.holder == "a1"
+        gate.set()
+        refusal = await refused(fleet, task)
+        assert (refusal.code, refusal.ran) == ("superseded", Ran.YES)
+        await fleet.settle(1.0)
+        assert state.history == caller.history
+        assert state.ledger.overdrawn == 0
+
     async def test_two_racing_claims_make_one_holder(self, fleet, daemon, other):
         third = await fleet.add("a3")
         caller = await start(fleet, daemon)
