Price an alias by its dearest model, and answer repeated creations in full

Cause: an alias had no price, so money budgets did not count its calls; a repeated creation key asked for the program's resumption and was refused where another daemon held it; the first model of an alias was worked out in two places. Change: the price of the dearest model that the alias may reach; the creation's own turn and digest; one place for the alias. Tried and reverted: reading streamed events from whole chunks instead of lines. Measured: tests of parsing, programs, filters and the contract pass. Conclusion: three leftovers of joining the parts are mended.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -10,6 +10,7 @@
 from eelgrasslock.action_filter import ActionFilter
 from eelgrasslock.action_status import ActionStatus
 from eelgrasslock.actions import Actions
+from eelgrasslock.aliases import resolve_models
 from eelgrasslock.budget_filter import BudgetFilter
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration import ConfigurationController
@@ -275,9 +276,11 @@
         }
 
     def price(self, model: str) -> float:
-        """Return a model's price for one token; 0 for an unknown one."""
-        settings = self.current_configuration().models.get(model)
-        return settings.token_price if settings else 0.0
+        """Return the price of a token of a model, or of an alias's dearest one."""
+        configuration = self.current_configuration()
+        names = resolve_models(configuration, model)
+        prices = [configuration.models[name].token_price for name in names]
+        return max(prices, default=0.0)
 
     def unready_reasons(self) -> list[str]:
         """Return why new requests should go elsewhere; empty if they needn't."""
--- a/src/eelgrasslock/parse_filter.py
+++ b/src/eelgrasslock/parse_filter.py
@@ -6,6 +6,7 @@
 from typing import Any
 from urllib.parse import unquote
 
+from eelgrasslock.aliases import resolve_models
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.exchange import (
@@ -140,11 +141,12 @@
         exchange.stream = _flag_field(body, "stream")
         if body.get("n", 1) != 1:
             raise _invalid("Only n = 1 is supported.")
-        model = configuration.models.get(_first_model(exchange.model, configuration))
-        if model is None:
+        names = resolve_models(configuration, exchange.model)
+        if not names:
             raise Refusal(
                 "unknown_model", f"No model is named {exchange.model!r}.", 404
             )
+        model = configuration.models[names[0]]
         exchange.service = model.service
         exchange.max_tokens = _max_tokens(body, model.default_output_tokens)
         exchange.prompt_tokens = estimate_tokens(prompt_text(body["messages"]))
@@ -191,14 +193,6 @@
                 _check_program_id(exchange.program)
 
 
-def _first_model(name: str, configuration: Configuration) -> str:
-    alias = configuration.aliases.get(name)
-    if alias is None:
-        return name
-    known = [model for model in alias.models if model in configuration.models]
-    return known[0] if known else ""
-
-
 def _invalid(sentence: str) -> Refusal:
     return Refusal("invalid_request", sentence, 400)
 
--- a/src/eelgrasslock/program_filter.py
+++ b/src/eelgrasslock/program_filter.py
@@ -82,13 +82,12 @@
         created = await self.programs.create(
             _text(body, "creation_key"), secret, self._limits(body), parent
         )
-        resumed = await self.programs.resume(created.program)
         return {
             "program": created.program,
             "secret": created.secret,
             "limits": to_jsonable(created.limits),
-            "next_turn": resumed.turn,
-            "digest": resumed.digest,
+            "next_turn": created.turn,
+            "digest": created.digest,
         }
 
     async def _read(self, exchange: Exchange) -> dict[str, Any]:
