Split the records by stream, and their codec from them

Cause: one module of 491 lines held the records of four streams and the codec; a newcomer had to read it all to find one record. Nothing else changed.

--- a/src/eelgrasslock/accept.py
+++ b/src/eelgrasslock/accept.py
@@ -6,16 +6,16 @@
 from attrs import frozen
 
 from eelgrasslock.history import extend_digest
-from eelgrasslock.ledger import Amount
-from eelgrasslock.program import Program, TurnExplained
-from eelgrasslock.records import (
+from eelgrasslock.journal_records import (
     BudgetDrawn,
     BudgetSettled,
     ProgramClaimed,
     ProgramEnded,
-    Record,
     TurnCommitted,
 )
+from eelgrasslock.ledger import Amount
+from eelgrasslock.program import Program, TurnExplained
+from eelgrasslock.records import Record
 
 
 @frozen
--- a/src/eelgrasslock/action_filter.py
+++ b/src/eelgrasslock/action_filter.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from eelgrasslock.action_records import ActionOutcome, ActionResult
 from eelgrasslock.action_sweep import REMEMBER_SECONDS
 from eelgrasslock.actions import BODY_LIMIT, Actions, Intent
 from eelgrasslock.clock import Clock
@@ -19,7 +20,6 @@
     RequestKind,
     Responder,
 )
-from eelgrasslock.records import ActionOutcome, ActionResult
 from eelgrasslock.settings import MethodSettings, ServiceSettings
 
 _REPLAYED_HEADER = "Eelgrass-Replayed"
--- a/src/eelgrasslock/action_messages.py
+++ b/src/eelgrasslock/action_messages.py
@@ -2,9 +2,9 @@
 
 from attrs import frozen
 
+from eelgrasslock.action_records import ActionIntended
 from eelgrasslock.action_table import ActionEntry
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.records import ActionIntended
 
 CREATION_SERVICE = "programs"
 _UNKNOWN_RETRY_SECONDS = 10.0
--- /dev/null
+++ b/src/eelgrasslock/action_records.py
@@ -0,0 +1,73 @@
+"""The records of non-idempotent actions."""
+
+import enum
+
+from attrs import frozen
+
+from eelgrasslock.records import Record
+
+
+@frozen(kw_only=True)
+class ActionIntended(Record):
+    """A daemon is about to send a non-idempotent request.
+
+    The first intent for a service and action id in log order may run, and
+    only after its author has read it back as the first.
+
+    Attributes
+    ----------
+    service, action : str
+        The plain service and the caller's action id.
+    request_digest : str
+        Digest of method, path and body.
+    program : str
+        The program on whose behalf, or empty.
+    repeats : str
+        The id of the intent that this one repeats for retention, or empty.
+    repeated : float
+        When it was repeated, in seconds since the epoch.
+    """
+
+    service: str
+    action: str
+    request_digest: str
+    program: str
+    repeats: str = ""
+    repeated: float = 0.0
+
+
+class ActionResult(enum.Enum):
+    """What became of an intended action."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@frozen(kw_only=True)
+class ActionOutcome(Record):
+    """What became of an intended action.
+
+    Attributes
+    ----------
+    service, action : str
+        As in the intent.
+    intent : str
+        The record id of the intent.
+    result : ActionResult
+        ``NOT_RUN`` frees the action for a new intent.
+    status : int
+        The service's HTTP status, 0 if there was none.
+    body : str
+        The service's answer, cut to a bound.
+    content_type : str
+        The answer's media type.
+    """
+
+    service: str
+    action: str
+    intent: str
+    result: ActionResult
+    status: int = 0
+    body: str = ""
+    content_type: str = ""
--- a/src/eelgrasslock/action_status.py
+++ b/src/eelgrasslock/action_status.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
+from eelgrasslock.action_records import ActionResult
 from eelgrasslock.action_sweep import StatusAnswer
 from eelgrasslock.exceptions import EelgrassError
-from eelgrasslock.records import ActionResult
 from eelgrasslock.service_client import PlainAnswer, PlainRequest, ServiceClient
 from eelgrasslock.settings import Configuration, EndpointSettings
 
--- a/src/eelgrasslock/action_sweep.py
+++ b/src/eelgrasslock/action_sweep.py
@@ -7,16 +7,11 @@
 from attrs import evolve, frozen
 from loguru import logger
 
+from eelgrasslock.action_records import ActionIntended, ActionOutcome, ActionResult
 from eelgrasslock.action_table import ActionEntry
 from eelgrasslock.exceptions import EelgrassError
 from eelgrasslock.periodic import run_periodically
-from eelgrasslock.records import (
-    ActionIntended,
-    ActionOutcome,
-    ActionResult,
-    actions_stream,
-    new_id,
-)
+from eelgrasslock.records import actions_stream, new_id
 
 if TYPE_CHECKING:
     from eelgrasslock.actions import Actions
--- a/src/eelgrasslock/action_table.py
+++ b/src/eelgrasslock/action_table.py
@@ -2,12 +2,8 @@
 
 from attrs import define, evolve
 
-from eelgrasslock.records import (
-    ActionIntended,
-    ActionOutcome,
-    ActionResult,
-    Positioned,
-)
+from eelgrasslock.action_records import ActionIntended, ActionOutcome, ActionResult
+from eelgrasslock.records import Positioned
 
 
 @define(kw_only=True)
--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions.py
@@ -16,18 +16,14 @@
     is_unresolved,
     unknown_refusal,
 )
+from eelgrasslock.action_records import ActionIntended, ActionOutcome, ActionResult
 from eelgrasslock.action_sweep import ActionSweep, StatusAnswer, StatusCall
 from eelgrasslock.action_table import ActionEntry, ActionTable
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogError, LogUnavailable, Refusal
 from eelgrasslock.held import done_within
 from eelgrasslock.log_gate import LogGate, Writer, append_surely, journal_unavailable
-from eelgrasslock.records import (
-    ActionIntended,
-    ActionOutcome,
-    ActionResult,
-    actions_stream,
-)
+from eelgrasslock.records import actions_stream
 
 BODY_LIMIT = 16_384
 _INTENT_SECONDS = 3.0
--- a/src/eelgrasslock/append_queue.py
+++ b/src/eelgrasslock/append_queue.py
@@ -15,7 +15,8 @@
     RecordsExpired,
 )
 from eelgrasslock.log import Entry
-from eelgrasslock.records import Record, encode_batch, readable_records
+from eelgrasslock.record_codec import encode_batch, readable_records
+from eelgrasslock.records import Record
 
 if TYPE_CHECKING:
     from eelgrasslock.log_writer import LogWriter
--- a/src/eelgrasslock/budgets.py
+++ b/src/eelgrasslock/budgets.py
@@ -7,12 +7,12 @@
 from eelgrasslock.accept import Verdict
 from eelgrasslock.exceptions import LogError, Ran, Refusal
 from eelgrasslock.held import done_within
+from eelgrasslock.journal_records import BudgetDrawn, BudgetSettled
 from eelgrasslock.ledger import ZERO, Amount
 from eelgrasslock.limits import EndReason
 from eelgrasslock.live_programs import LiveProgram, LivePrograms, void_refusal
 from eelgrasslock.log_gate import journal_unavailable
 from eelgrasslock.program import Program
-from eelgrasslock.records import BudgetDrawn, BudgetSettled
 
 DRAW_SHARE = 1 / 16
 _DRAW_WAIT_SECONDS = 2.0
--- a/src/eelgrasslock/check_tables.py
+++ b/src/eelgrasslock/check_tables.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from eelgrasslock import text_formats
-from eelgrasslock.records import Limits
+from eelgrasslock.journal_records import Limits
 from eelgrasslock.settings import (
     AliasSettings,
     Configuration,
--- a/src/eelgrasslock/configuration.py
+++ b/src/eelgrasslock/configuration.py
@@ -9,13 +9,8 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import RecordError, SettingsError
 from eelgrasslock.folder import LoadedConfiguration, load_configuration
-from eelgrasslock.records import (
-    CONFIG_STREAM,
-    ConfigVersion,
-    Positioned,
-    decode_batch,
-    encode_batch,
-)
+from eelgrasslock.record_codec import decode_batch, encode_batch
+from eelgrasslock.records import CONFIG_STREAM, ConfigVersion, Positioned
 from eelgrasslock.settings import Configuration
 from eelgrasslock.version_fold import (
     CheckedVersion,
--- a/src/eelgrasslock/creation.py
+++ b/src/eelgrasslock/creation.py
@@ -7,26 +7,21 @@
 from attrs import field, frozen
 
 from eelgrasslock.action_messages import CREATION_SERVICE
+from eelgrasslock.action_records import ActionIntended
 from eelgrasslock.actions import Actions
 from eelgrasslock.budgets import first_draw
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.held import done_within
 from eelgrasslock.history import start_digest
+from eelgrasslock.journal_records import Limits, ProgramCreated, ProgramEnded
 from eelgrasslock.ledger import Amount
 from eelgrasslock.limits import EndReason, ended_refusal
 from eelgrasslock.live_programs import LivePrograms
 from eelgrasslock.log_gate import journal_unavailable
 from eelgrasslock.program import Program
 from eelgrasslock.program_ids import new_program_id, parse_program_id
-from eelgrasslock.records import (
-    ActionIntended,
-    Limits,
-    ProgramCreated,
-    ProgramEnded,
-    from_jsonable,
-    journal_stream,
-    to_jsonable,
-)
+from eelgrasslock.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.records import journal_stream
 from eelgrasslock.takeover import Takeover
 
 _SECRET_BYTES = 32
--- a/src/eelgrasslock/journal.py
+++ b/src/eelgrasslock/journal.py
@@ -5,13 +5,9 @@
 
 from eelgrasslock.accept import Verdict, accept, counted, void
 from eelgrasslock.exceptions import RecordError
+from eelgrasslock.journal_records import ProgramCreated, ProgramSnapshot
 from eelgrasslock.program import Program, created_program, decode_program
-from eelgrasslock.records import (
-    Positioned,
-    ProgramCreated,
-    ProgramSnapshot,
-    Record,
-)
+from eelgrasslock.records import Positioned, Record
 
 _VERDICTS_KEPT = 20_000
 _TOMBSTONES_KEPT = 20_000
--- a/src/eelgrasslock/live_programs.py
+++ b/src/eelgrasslock/live_programs.py
@@ -13,6 +13,7 @@
 from eelgrasslock.exceptions import LogError, Ran, Refusal
 from eelgrasslock.held import HELD_IN_TOTAL, HeldRecords, Replicas, done_within
 from eelgrasslock.journal import Journal
+from eelgrasslock.journal_records import ProgramCreated
 from eelgrasslock.ledger import ZERO, Amount
 from eelgrasslock.limits import ended_refusal
 from eelgrasslock.log_gate import (
@@ -23,7 +24,7 @@
     journal_unavailable,
 )
 from eelgrasslock.program import Program, created_program
-from eelgrasslock.records import ProgramCreated, Record, journal_stream
+from eelgrasslock.records import Record, journal_stream
 
 JOURNAL_WAIT_SECONDS = 1.0
 _REFUSALS_KEPT = 16
--- a/src/eelgrasslock/log.py
+++ b/src/eelgrasslock/log.py
@@ -14,7 +14,7 @@
     offset : int
         The entry's place in its stream; offsets grow, without being dense.
     data : bytes
-        The encoded records of the append (see `records.encode_batch`).
+        The encoded records of the append (see `record_codec.encode_batch`).
     time : float
         When the log took it, in seconds since the epoch.
     """
--- a/src/eelgrasslock/log_writer.py
+++ b/src/eelgrasslock/log_writer.py
@@ -11,7 +11,8 @@
 from eelgrasslock.exceptions import AppendUnresolved, LogError, LogUnavailable
 from eelgrasslock.log import Log
 from eelgrasslock.rate import TokenBucket
-from eelgrasslock.records import Record, encode_batch
+from eelgrasslock.record_codec import encode_batch
+from eelgrasslock.records import Record
 
 _QUEUE_LIMIT_RECORDS = 20_000
 _RECORD_LIMIT_BYTES = 16_777_216
--- a/src/eelgrasslock/operator_api.py
+++ b/src/eelgrasslock/operator_api.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from loguru import logger
 
+from eelgrasslock.action_records import ActionResult
 from eelgrasslock.exceptions import RecordError, Refusal
 from eelgrasslock.operator_edits import set_leaving, set_quarantined
 from eelgrasslock.operator_errors import OperatorError, describe, error_view
@@ -34,13 +35,8 @@
 )
 from eelgrasslock.program_ids import parse_program_id
 from eelgrasslock.publish import Publication, Publisher, VersionConflict
-from eelgrasslock.records import (
-    ActionResult,
-    ConfigVersion,
-    from_jsonable,
-    new_id,
-    to_jsonable,
-)
+from eelgrasslock.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.records import ConfigVersion, new_id
 from eelgrasslock.release_orders import ReleaseOrders
 
 _EDIT_TRIES = 3
--- a/src/eelgrasslock/operator_client.py
+++ b/src/eelgrasslock/operator_client.py
@@ -7,7 +7,7 @@
 
 from eelgrasslock.exceptions import EelgrassError, RecordError
 from eelgrasslock.operator_views import ErrorView
-from eelgrasslock.records import from_jsonable, to_jsonable
+from eelgrasslock.record_codec import from_jsonable, to_jsonable
 
 _TIMEOUT_SECONDS = 30.0
 _TRIES = 4
--- a/src/eelgrasslock/peer_servant.py
+++ b/src/eelgrasslock/peer_servant.py
@@ -10,7 +10,7 @@
 from eelgrasslock.exchange import Request
 from eelgrasslock.peer_auth import Handshake, new_nonce
 from eelgrasslock.peer_schema import fields, from_fields, schema
-from eelgrasslock.records import encode_batch, readable_records
+from eelgrasslock.record_codec import encode_batch, readable_records
 
 if TYPE_CHECKING:
     from eelgrasslock.peer_server import Connection
--- a/src/eelgrasslock/peers.py
+++ b/src/eelgrasslock/peers.py
@@ -15,13 +15,8 @@
 from eelgrasslock.peer_callbacks import PeerCallbacks
 from eelgrasslock.peer_link import LinkLost, PeerLink, PeerReplaced
 from eelgrasslock.peer_server import PeerServer
-from eelgrasslock.records import (
-    MemberJoined,
-    Record,
-    encode_batch,
-    new_id,
-    readable_records,
-)
+from eelgrasslock.record_codec import encode_batch, readable_records
+from eelgrasslock.records import MemberJoined, Record, new_id
 from eelgrasslock.settings import DaemonSettings
 
 _BEAT_SECONDS = 1.0
--- a/src/eelgrasslock/program.py
+++ b/src/eelgrasslock/program.py
@@ -5,14 +5,10 @@
 from attrs import define, evolve, field, frozen
 
 from eelgrasslock.history import Message, start_digest
+from eelgrasslock.journal_records import Limits, ProgramCreated
 from eelgrasslock.ledger import Amount, Ledger
 from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.records import (
-    Limits,
-    ProgramCreated,
-    from_jsonable,
-    to_jsonable,
-)
+from eelgrasslock.record_codec import from_jsonable, to_jsonable
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/program_filter.py
+++ b/src/eelgrasslock/program_filter.py
@@ -8,8 +8,9 @@
 
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.exchange import SECRET_HEADER, Exchange, Proceed, RequestKind
+from eelgrasslock.journal_records import Limits
 from eelgrasslock.programs import Programs
-from eelgrasslock.records import Limits, to_jsonable
+from eelgrasslock.record_codec import to_jsonable
 from eelgrasslock.settings import Configuration
 
 _ENDED_BY_CALLER = "finished"
--- a/src/eelgrasslock/program_views.py
+++ b/src/eelgrasslock/program_views.py
@@ -3,9 +3,9 @@
 from attrs import frozen
 
 from eelgrasslock.history import Message
+from eelgrasslock.journal_records import Limits
 from eelgrasslock.live_programs import LiveProgram
 from eelgrasslock.program import Program, TurnExplained
-from eelgrasslock.records import Limits
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/programs.py
+++ b/src/eelgrasslock/programs.py
@@ -18,6 +18,7 @@
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.held import HoldingPeers, PeerHoldings, Replicas
 from eelgrasslock.journal import Journal
+from eelgrasslock.journal_records import Limits, ProgramEnded
 from eelgrasslock.limits import EndReason, ended_refusal, expired
 from eelgrasslock.live_programs import LiveProgram, LivePrograms
 from eelgrasslock.log_gate import Writer
@@ -29,7 +30,6 @@
     explained_program,
     resumed_program,
 )
-from eelgrasslock.records import Limits, ProgramEnded
 from eelgrasslock.settings import LimitSettings
 from eelgrasslock.snapshots import Snapshots
 from eelgrasslock.takeover import Takeover
--- a/src/eelgrasslock/snapshots.py
+++ b/src/eelgrasslock/snapshots.py
@@ -5,9 +5,9 @@
 from loguru import logger
 
 from eelgrasslock.exceptions import LogError
+from eelgrasslock.journal_records import ProgramSnapshot
 from eelgrasslock.live_programs import LivePrograms
 from eelgrasslock.program import Program, encode_program
-from eelgrasslock.records import ProgramSnapshot
 from eelgrasslock.takeover import Takeover
 
 SNAPSHOT_SECONDS = 1_800.0
--- a/src/eelgrasslock/tables.py
+++ b/src/eelgrasslock/tables.py
@@ -12,7 +12,7 @@
 from rich.text import Text
 
 from eelgrasslock.operator_views import VersionView
-from eelgrasslock.records import to_jsonable
+from eelgrasslock.record_codec import to_jsonable
 
 _PIPE_WIDTH_COLUMNS = 160
 
--- a/src/eelgrasslock/takeover.py
+++ b/src/eelgrasslock/takeover.py
@@ -6,11 +6,12 @@
 
 from eelgrasslock.exceptions import LogError, Ran, Refusal
 from eelgrasslock.held import PeerHoldings, done_within
+from eelgrasslock.journal_records import ProgramClaimed
 from eelgrasslock.live_programs import LiveProgram, LivePrograms
 from eelgrasslock.log_gate import journal_unavailable
 from eelgrasslock.program import Program
 from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.records import ProgramClaimed, Record
+from eelgrasslock.records import Record
 
 _CLAIM_SECONDS = 5.0
 _MOVED_RETRY_SECONDS = 1.0
--- a/src/eelgrasslock/turn_filter.py
+++ b/src/eelgrasslock/turn_filter.py
@@ -21,12 +21,12 @@
     extend_digest,
     history_digest,
 )
+from eelgrasslock.journal_records import TurnCommitted
 from eelgrasslock.ledger import Amount
 from eelgrasslock.limits import ended_refusal, reached_limit
 from eelgrasslock.live_programs import LiveProgram, same_hold, void_refusal
 from eelgrasslock.program import Program
 from eelgrasslock.programs import Programs
-from eelgrasslock.records import TurnCommitted
 from eelgrasslock.replay import replay_answer
 
 _WAITING_LIMIT = 16
--- a/src/eelgrasslock_measure/heartbeats.py
+++ b/src/eelgrasslock_measure/heartbeats.py
@@ -15,12 +15,12 @@
 from attrs import define, frozen
 
 from eelgrasslock.clock import SystemClock
+from eelgrasslock.journal_records import BudgetDrawn
 from eelgrasslock.log import Entry
 from eelgrasslock.log_tail import LogTail
 from eelgrasslock.log_writer import LogWriter
 from eelgrasslock.membership import Membership
 from eelgrasslock.peers import PeerLinks
-from eelgrasslock.records import BudgetDrawn
 from eelgrasslock.relays import heartbeat_interval
 from eelgrasslock.scheduling import PeerLoad
 from eelgrasslock.settings import DaemonSettings
--- a/src/eelgrasslock_measure/state.py
+++ b/src/eelgrasslock_measure/state.py
@@ -9,18 +9,15 @@
 from eelgrasslock.folder import load_configuration
 from eelgrasslock.history import extend_digest, history_digest
 from eelgrasslock.journal import Journal
-from eelgrasslock.program_ids import new_program_id
-from eelgrasslock.records import (
+from eelgrasslock.journal_records import (
     BudgetDrawn,
-    ConfigVersion,
     Limits,
-    Positioned,
     ProgramCreated,
-    Record,
     TurnCommitted,
-    encode_batch,
-    readable_records,
 )
+from eelgrasslock.program_ids import new_program_id
+from eelgrasslock.record_codec import encode_batch, readable_records
+from eelgrasslock.records import ConfigVersion, Positioned, Record
 
 ENDPOINTS = (38, 380, 3_800)
 _ENDPOINTS_PER_FILE = 100
--- a/tests/fake_config.py
+++ b/tests/fake_config.py
@@ -1,12 +1,8 @@
 """A log of one stream, with the writer and tail that a daemon sees."""
 
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
-from eelgrasslock.records import (
-    ConfigVersion,
-    Positioned,
-    decode_batch,
-    encode_batch,
-)
+from eelgrasslock.record_codec import decode_batch, encode_batch
+from eelgrasslock.records import ConfigVersion, Positioned
 
 DEPLOYMENT = """\
 deployment: small
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,12 +11,13 @@
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable, Refusal
 from eelgrasslock.exchange import CallResult, Exchange, Request, RequestKind, chain
+from eelgrasslock.journal_records import Limits
 from eelgrasslock.log_tail import LogTail
 from eelgrasslock.log_writer import LogWriter
 from eelgrasslock.members import MemberTable
 from eelgrasslock.ownership import owner_of
 from eelgrasslock.programs import Programs
-from eelgrasslock.records import Limits, MemberJoined, MemberRetired, Positioned
+from eelgrasslock.records import MemberJoined, MemberRetired, Positioned
 from eelgrasslock.settings import (
     LimitSettings,
     MethodSettings,
--- a/tests/test_action_status.py
+++ b/tests/test_action_status.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from eelgrasslock.action_records import ActionResult
 from eelgrasslock.action_status import ActionStatus
 from eelgrasslock.endpoint_failure import EndpointFailure
 from eelgrasslock.exceptions import EndpointError, Ran
-from eelgrasslock.records import ActionResult
 from eelgrasslock.scheduling import CallEnd
 from eelgrasslock.service_client import PlainAnswer
 from eelgrasslock.settings import (
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from eelgrasslock.action_records import ActionResult
 from eelgrasslock.action_sweep import REMEMBER_SECONDS, StatusAnswer
 from eelgrasslock.actions import BODY_LIMIT
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.records import ActionResult
 from fleet import Fleet, plain_call, refused
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,7 +15,7 @@
     PublishUnresolved,
     VersionConflict,
 )
-from eelgrasslock.records import encode_batch
+from eelgrasslock.record_codec import encode_batch
 from eelgrasslock.version_fold import copy_of, original_of
 from fake_config import FakeStream, FakeTail, FakeWriter, folder, version
 from fake_log import FakeLog, settle
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,18 +2,18 @@
 
 from eelgrasslock.history import extend_digest, history_digest
 from eelgrasslock.journal import Journal
-from eelgrasslock.program import encode_program
-from eelgrasslock.records import (
+from eelgrasslock.journal_records import (
     BudgetDrawn,
     BudgetSettled,
     Limits,
-    Positioned,
     ProgramClaimed,
     ProgramCreated,
     ProgramEnded,
     ProgramSnapshot,
     TurnCommitted,
 )
+from eelgrasslock.program import encode_program
+from eelgrasslock.records import Positioned
 
 PROGRAM = "riga-a~a1~0"
 LIMITS = Limits(tokens=100, turns=3, age=10.0)
--- a/tests/test_log_tail.py
+++ b/tests/test_log_tail.py
@@ -7,7 +7,7 @@
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import LogUnavailable
 from eelgrasslock.log_tail import LogTail
-from eelgrasslock.records import encode_batch
+from eelgrasslock.record_codec import encode_batch
 from eelgrasslock.stream_reader import RecentIds
 from fake_log import FakeLog, drawn, settle
 
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -6,7 +6,7 @@
 from eelgrasslock.clock import ManualClock, SystemClock
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
 from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.records import decode_batch
+from eelgrasslock.record_codec import decode_batch
 from fake_log import FakeLog, drawn, settle
 
 STREAM = "journal.a"
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,8 +3,9 @@
 import pytest
 
 from eelgrasslock.exceptions import RecordError
+from eelgrasslock.journal_records import BudgetDrawn
 from eelgrasslock.members import MemberTable
-from eelgrasslock.records import BudgetDrawn, MemberRetired, Positioned
+from eelgrasslock.records import MemberRetired, Positioned
 from fake_link import member
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,13 +13,8 @@
 from eelgrasslock.membership import Membership
 from eelgrasslock.peer_link import LinkLost
 from eelgrasslock.peers import PeerLinks
-from eelgrasslock.records import (
-    MEMBERS_STREAM,
-    DomainChallenged,
-    MemberRetired,
-    new_id,
-    readable_records,
-)
+from eelgrasslock.record_codec import readable_records
+from eelgrasslock.records import MEMBERS_STREAM, DomainChallenged, MemberRetired, new_id
 from eelgrasslock.scheduling import PeerLoad
 from fake_link import Relay, daemon_settings
 from fake_log import FakeLog
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -25,7 +25,9 @@
 
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.journal import Journal
-from eelgrasslock.records import Limits, Positioned, decode_batch, journal_stream
+from eelgrasslock.journal_records import Limits
+from eelgrasslock.record_codec import decode_batch
+from eelgrasslock.records import Positioned, journal_stream
 from fleet import DOMAIN, FakeEngine, Fleet, model_call, plain_call, user
 
 LIMITS = Limits(tokens=3_000, turns=40, age=1e6)
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -4,7 +4,7 @@
 
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.history import history_digest, start_digest
-from eelgrasslock.records import Limits
+from eelgrasslock.journal_records import Limits
 from fleet import Fleet, refused, start
 
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -3,13 +3,8 @@
 import pytest
 
 from eelgrasslock.exceptions import RecordError
-from eelgrasslock.records import (
-    BudgetDrawn,
-    Limits,
-    ProgramCreated,
-    decode_batch,
-    encode_batch,
-)
+from eelgrasslock.journal_records import BudgetDrawn, Limits, ProgramCreated
+from eelgrasslock.record_codec import decode_batch, encode_batch
 
 
 class TestBatch:
