--- a/src/eelgrasslock/held.py
+++ b/src/eelgrasslock/held.py
@@ -14,7 +14,7 @@
 from eelgrasslock.journal import Journal
 from eelgrasslock.records import MemberJoined, Record, journal_stream
 
-HELD_PER_PROGRAM = 8
+HELD_PER_PROGRAM = 32
 HELD_IN_TOTAL = 2_000
 _PEER_COPIES = 2
 _PEER_SECONDS = 0.5
