Send the metrics that were named and not sent, and the daemon's gauges

Cause: four metrics stood in the list and nothing sent them, and an operator could not see unjournaled records or a lost log from outside. Change: timers of attempts, and a controller of gauges; the operators' table is whole. Conclusion: each name in metrics.METRICS is sent.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -19,6 +19,7 @@
 from eelgrasslock.engine_client import EngineClient
 from eelgrasslock.exchange import Filter, chain
 from eelgrasslock.front import Front
+from eelgrasslock.gauges import Gauge, Gauges
 from eelgrasslock.health import health_routes
 from eelgrasslock.homes import Controller, Home, HomeFilter, Homes
 from eelgrasslock.locate_filter import LocateFilter
@@ -241,6 +242,17 @@
             reasons.append("no configuration")
         return reasons
 
+    def _gauges(self) -> list[Gauge]:
+        return [
+            Gauge("waiting", lambda: len(self.dispatcher.waiting)),
+            Gauge("in_flight", lambda: self.requests.in_flight.count),
+            Gauge("unjournaled", self.homes.unjournaled),
+            Gauge("log_available", lambda: float(self.writer.available)),
+            Gauge("config_version", lambda: self.configuration.version),
+            Gauge("suspects", lambda: len(self.membership.suspects())),
+            Gauge("resumed", lambda: self.engines.resumed),
+        ]
+
     # --- life cycle ---------------------------------------------------------------
 
     async def start(self) -> None:
@@ -251,6 +263,7 @@
             self.requests.handle,
             [*health_routes(self), *operators],
         )
+        gauges = Gauges(self.metrics, self.clock, self._gauges())
         parts: list[Controller] = [
             self.writer,
             self.tail,
@@ -263,6 +276,7 @@
             self.dispatcher,
             self.endpoint_watch,
             self.homes,
+            gauges,
             self.front,
         ]
         for part in parts:
--- a/src/eelgrasslock/attempts.py
+++ b/src/eelgrasslock/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 from attrs import frozen
@@ -21,6 +21,7 @@
 from eelgrasslock.settings import Configuration, EndpointSettings
 
 _RETRY_SECONDS = 2.0
+_MILLISECONDS = 1_000.0
 _TELL_PEERS_SECONDS = 1.0
 _BUSY = 503
 _BAD_GATEWAY = 502
@@ -67,6 +68,17 @@
     metrics: Metrics | None = None
     tell_peers: Callable[[], Awaitable[None]] | None = None
 
+    @contextlib.contextmanager
+    def timed(self, name: str) -> Iterator[None]:
+        """Send how long a block takes, however it ends."""
+        started = self.clock.monotonic()
+        try:
+            yield
+        finally:
+            if self.metrics is not None:
+                elapsed = self.clock.monotonic() - started
+                self.metrics.timing(name, elapsed * _MILLISECONDS)
+
     def seconds_left(self, exchange: Exchange) -> float:
         """Return the seconds that a call may still take."""
         if exchange.deadline is None:
--- a/src/eelgrasslock/metrics.py
+++ b/src/eelgrasslock/metrics.py
@@ -16,11 +16,16 @@
     "service_call": "timer: one attempt of a call to a plain service",
     "endpoint_failed.<how>": "counter: failed attempts, by how they failed",
     "retried": "counter: attempts after the first one",
-    "resumed": "counter: broken or silent streams that were resumed",
+    "resumed": "gauge: broken or silent streams that were resumed since the start",
     "prompt_tokens": "counter: prompt tokens of finished model calls",
     "cached_tokens": "counter: the part of them found in a prefix cache",
     "completion_tokens": "counter: tokens of finished answers",
     "waiting": "gauge: calls that wait for an endpoint",
+    "in_flight": "gauge: requests that are being served",
+    "unjournaled": "gauge: records of programs that wait for the log",
+    "log_available": "gauge: 1 while the log takes appends, 0 while it does not",
+    "config_version": "gauge: the configuration in force",
+    "suspects": "gauge: members that do not answer",
 }
 
 
--- a/src/eelgrasslock/model_dispatch.py
+++ b/src/eelgrasslock/model_dispatch.py
@@ -153,7 +153,10 @@
     async def _stream(self, assignment: Assignment, model: str) -> Usage:
         settings = endpoint_settings(self.parts.configuration(), assignment)
         self.relay.begin(assignment.endpoint)
-        with span("dispatch.attempt", endpoint=assignment.endpoint):
+        with (
+            span("dispatch.attempt", endpoint=assignment.endpoint),
+            self.parts.timed("engine_call"),
+        ):
             chunks = self.parts.engines.complete(
                 settings.url,
                 self._body(model),
--- a/src/eelgrasslock/plain_dispatch.py
+++ b/src/eelgrasslock/plain_dispatch.py
@@ -77,7 +77,10 @@
 
     async def _send(self, assignment: Assignment) -> PlainAnswer:
         settings = endpoint_settings(self.parts.configuration(), assignment)
-        with span("dispatch.attempt", endpoint=assignment.endpoint):
+        with (
+            span("dispatch.attempt", endpoint=assignment.endpoint),
+            self.parts.timed("service_call"),
+        ):
             return await self.parts.services.send(
                 settings.url, self._request(), self._seconds(), self._note_sending
             )
