Remove what nothing calls

Cause: a look for names that stand once in the sources. Change: a callback of the locate filter and a method of the cache estimate that nothing used are gone; weight_client and the KV calls stay, as the stand-ins' contract tests use them and migration is to build on them. Measured: the tests of both parts pass.

--- a/src/eelgrasslock/cache_estimate.py
+++ b/src/eelgrasslock/cache_estimate.py
@@ -78,14 +78,6 @@
         """Return how many leading chunks any endpoint holds."""
         return _longest_prefix(self.holders, keys)
 
-    def trim(self, endpoint: str, keys: tuple[int, ...], kept: int) -> None:
-        """Drop the chunks after the first `kept`, which were not found there."""
-        held = self.held.get(endpoint)
-        if held is None:
-            return
-        for key in keys[kept:]:
-            self._remove(endpoint, held, key)
-
     def observe(self, endpoint: str, event: CacheEvent) -> None:
         """Take in an endpoint's late word.
 
--- a/src/eelgrasslock/locate_filter.py
+++ b/src/eelgrasslock/locate_filter.py
@@ -1,6 +1,5 @@
 """The filter that brings a call to the daemon that owns its program."""
 
-from collections.abc import Callable
 from typing import Protocol
 
 from attrs import evolve
@@ -48,8 +47,6 @@
         To read up when two daemons disagree on the owner.
     peers : Forwarder
         The way to the owner.
-    forwarded : callable
-        Called with a program's id each time one of its calls is forwarded.
     """
 
     name = "locate"
@@ -59,12 +56,10 @@
         membership: Membership,
         tail: LogTail,
         peers: Forwarder,
-        forwarded: Callable[[str], None] | None = None,
     ) -> None:
         self.membership = membership
         self.tail = tail
         self.peers = peers
-        self.forwarded = forwarded
 
     async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
         """Go on here if this daemon owns the program, or forward.
@@ -104,8 +99,6 @@
         return self.membership.owner(program)
 
     async def _forward(self, owner: MemberJoined, exchange: Exchange) -> None:
-        if self.forwarded is not None:
-            self.forwarded(exchange.program)
         try:
             with span("locate.forward", owner=owner.name):
                 request = evolve(exchange.request, trace=context_headers())
