Let no path pass for an idempotent operation that it is not

Cause: found on reading. A path such as /search/../fees was covered by an idempotent entry, and the service resolves it to /fees; and of two entries that cover an operation one idempotent one was enough. Either way a posting could be repeated. Ruled out: resolving the path here, since services differ in what they resolve. Change: dot segments are refused as not run; an operation is idempotent only if no entry that covers it says otherwise; one place for the question. Conclusion: what the settings were asked about is what the service runs.

--- a/src/eelgrasslock/action_filter.py
+++ b/src/eelgrasslock/action_filter.py
@@ -20,7 +20,8 @@
     RequestKind,
     Responder,
 )
-from eelgrasslock.settings import MethodSettings, ServiceSettings
+from eelgrasslock.plain_methods import is_idempotent
+from eelgrasslock.settings import ServiceSettings
 
 _REPLAYED_HEADER = "Eelgrass-Replayed"
 _ACTION_ID_CHARS = 200
@@ -196,21 +197,6 @@
             self._broken = error
 
 
-def is_idempotent(settings: ServiceSettings, method: str, path: str) -> bool:
-    """Return whether the settings call an operation idempotent."""
-    return any(
-        one.idempotent and _matches(one, method, path) for one in settings.methods
-    )
-
-
-def _matches(settings: MethodSettings, method: str, path: str) -> bool:
-    if settings.method.upper() != method.upper():
-        return False
-    if settings.path.endswith("*"):
-        return path.startswith(settings.path[:-1])
-    return path == settings.path
-
-
 def request_digest(exchange: Exchange) -> str:
     """Return the digest of an action's method, path, query and body."""
     request = exchange.request
--- a/src/eelgrasslock/parse_filter.py
+++ b/src/eelgrasslock/parse_filter.py
@@ -31,6 +31,7 @@
 SERVICES_PREFIX = "/services/"
 
 _DIGEST_BYTES = 16
+_DOT_SEGMENTS = frozenset({".", ".."})
 
 _CLASS_NAMES = {
     "lookup": CallClass.LOOKUP,
@@ -169,6 +170,10 @@
             raise Refusal(
                 "unknown_service", f"No plain service is named {name!r}.", 404
             )
+        # A service would resolve these, and so run another operation than the
+        # one that the settings were asked about.
+        if _DOT_SEGMENTS & set(path.split("/")):
+            raise _invalid("The path holds a segment of dots.")
         exchange.service = unquote(name)
         exchange.rest = "/" + path
 
--- a/src/eelgrasslock/plain_dispatch.py
+++ b/src/eelgrasslock/plain_dispatch.py
@@ -4,7 +4,7 @@
 from eelgrasslock.endpoint_failure import EndpointFailure, parse_retry_after
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.exchange import ENDPOINT_HEADER, CallClass, Exchange
-from eelgrasslock.plain_methods import find_methods
+from eelgrasslock.plain_methods import is_idempotent, is_urgent
 from eelgrasslock.scheduling import Assignment, CallEnd
 from eelgrasslock.service_client import PlainAnswer, PlainRequest, clean_headers
 from eelgrasslock.tracing import span
@@ -36,9 +36,9 @@
         self.exchange = exchange
         self.attempts = Attempts(exchange, parts)
         settings = parts.configuration().services[exchange.service]
-        methods = find_methods(settings, exchange.request.method, exchange.rest)
-        self.idempotent = any(method.idempotent for method in methods)
-        if any(method.urgent for method in methods):
+        method = exchange.request.method
+        self.idempotent = is_idempotent(settings, method, exchange.rest)
+        if is_urgent(settings, method, exchange.rest):
             exchange.call_class = CallClass.LOOKUP
 
     async def run(self) -> None:
--- a/tests/test_parse_filter.py
+++ b/tests/test_parse_filter.py
@@ -125,6 +125,9 @@
             ("GET", "/v1/programsx", "not_found"),
             ("GET", "/v1/chat/completions", "method_not_allowed"),
             ("GET", "/services/hydro-llm/x", "unknown_service"),
+            ("POST", "/services/licence-app/search/../fees", "invalid_request"),
+            ("POST", "/services/licence-app/./fees", "invalid_request"),
+            ("POST", "/services/licence-app/a/..", "invalid_request"),
             ("PUT", "/v1/programs/d~i~1", "not_found"),
         ],
     )
