--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions.py
@@ -189,10 +189,16 @@
             )
             for table in self.tables
             for entry in table.entries.values()
-            if is_unresolved(entry, stale)
+            if is_unresolved(entry, stale) or self._is_orphaned(entry)
         ]
         return sorted(found, key=lambda action: action.time)
 
+    def _is_orphaned(self, entry: ActionEntry) -> bool:
+        """Tell whether the daemon that was to send it is gone, and told nothing."""
+        if entry.outcome is not None or self.is_live is None:
+            return False
+        return not self.is_live(entry.intent.author)
+
     async def resolve(
         self, service: str, action: str, result: ActionResult, operator: str
     ) -> None:
--- a/src/eelgrasslock/homes.py
+++ b/src/eelgrasslock/homes.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 from loguru import logger
 
-from eelgrasslock.exchange import Exchange, Filter, Proceed, chain
+from eelgrasslock.exchange import Exchange, Filter, Proceed, RequestKind, chain
 from eelgrasslock.program_ids import parse_program_id
 from eelgrasslock.programs import Programs
 from eelgrasslock.records import Record, journal_stream
@@ -124,7 +124,13 @@
         self.homes = homes
 
     async def handle(self, exchange: Exchange, proceed: Proceed) -> None:
-        """Run the home's filters, then the rest of the chain."""
+        """Run the home's filters, then the rest of the chain.
+
+        A plain call has no business with its program's home.
+        """
+        if exchange.kind is RequestKind.PLAIN:
+            await proceed(exchange)
+            return
         domain = self.homes.domain
         if exchange.program:
             domain = parse_program_id(exchange.program).domain
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -159,6 +159,10 @@
         await daemon.kill()
         refusal = await refused(fleet, other.serve(plain_call("fee-1")))
         assert refusal.ran is Ran.UNKNOWN
+        other.actions.is_live = lambda incarnation: True
+        assert not other.actions.unresolved()
+        other.actions.is_live = lambda incarnation: False
+        assert [one.action for one in other.actions.unresolved()] == ["fee-1"]
         fleet.engine.gate.set()
         await fleet.run(asyncio.gather(task, return_exceptions=True))
         assert len(fleet.engine.runs) == 1
