Take the tests' ports from below those of outgoing connections

Cause: in one of three trials a daemon that started again found its port taken by another process's outgoing connection, so the replacement test's verdict hung on chance. Ruled out: a wider deadline, since the port stays taken for as long as that connection. Change: ports from 20,000 to 31,999, below the range that the system hands out.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -14,19 +15,34 @@
 _READY_SECONDS = 30.0
 _STOP_SECONDS = 30.0
 _POLL_SECONDS = 0.05
+_PORTS = range(20_000, 32_000)
+_RANDOM = random.SystemRandom()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return loopback ports that nothing listens on now.
+
+    They lie below the range that outgoing connections take theirs from, so
+    that a daemon which starts again finds its port free.
+    """
+    ports: list[int] = []
+    for port in _RANDOM.sample(_PORTS, len(_PORTS)):
+        if len(ports) == count:
+            break
+        if _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as one:
+        try:
+            one.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 async def eventually(check, seconds: float = _READY_SECONDS) -> None:
     """Wait until an async check is true, or fail."""
     async with asyncio.timeout(seconds):
