Give the dispatch filter its parts as one object

Cause: the read-through found the same seven parameters, with the same words, at the filter and at the object that it made of them. Change: the application makes the object and the filter takes it. Conclusion: nothing is told twice there any more.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -10,6 +10,7 @@
 from eelgrasslock.action_filter import ActionFilter
 from eelgrasslock.action_status import ActionStatus
 from eelgrasslock.actions import Actions
+from eelgrasslock.attempts import DispatchParts
 from eelgrasslock.budget_filter import BudgetFilter
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration import ConfigurationController
@@ -170,6 +171,15 @@
         return Home(programs, [programs, release], filters)
 
     def _make_chain(self) -> None:
+        parts = DispatchParts(
+            dispatcher=self.dispatcher,
+            engines=self.engines,
+            services=self.services,
+            configuration=self.lookups.current,
+            clock=self.clock,
+            metrics=self.metrics,
+            tell_peers=self._tell_peers,
+        )
         serve = chain(
             [
                 ParseFilter(self.lookups.known, self.clock),
@@ -177,15 +187,7 @@
                 HomeFilter(self.homes),
                 ActionFilter(self.actions, self.lookups.service, self.clock),
             ],
-            DispatchFilter(
-                self.dispatcher,
-                self.engines,
-                self.services,
-                self.lookups.current,
-                self.clock,
-                self.metrics,
-                self._tell_peers,
-            ).handle,
+            DispatchFilter(parts).handle,
         )
         self.requests = RequestHandler(serve, self.clock, self.metrics)
 
--- a/src/eelgrasslock/attempts.py
+++ b/src/eelgrasslock/attempts.py
@@ -57,7 +57,8 @@
     metrics : Metrics or None
         Where figures go.
     tell_peers : callable or None
-        Gives peers word of this daemon's state at once.
+        Gives peers word of this daemon's state at once; awaited when an
+        endpoint has crashed, before its call goes on.
     """
 
     dispatcher: Dispatcher
--- a/tests/test_dispatch_filter.py
+++ b/tests/test_dispatch_filter.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from eelgrasslock.attempts import DispatchParts
 from eelgrasslock.clock import SystemClock
 from eelgrasslock.dispatch import Dispatcher
 from eelgrasslock.dispatch_filter import DispatchFilter
@@ -91,14 +92,15 @@
         self.engines = EngineClient(clock, lambda: self.configuration)
         self.services = ServiceClient(clock, lambda: self.configuration)
         self.dispatcher = Dispatcher(self.scheduler, clock)
-        self.filter = DispatchFilter(
-            self.dispatcher,
-            self.engines,
-            self.services,
-            lambda: self.configuration,
-            clock,
+        parts = DispatchParts(
+            dispatcher=self.dispatcher,
+            engines=self.engines,
+            services=self.services,
+            configuration=lambda: self.configuration,
+            clock=clock,
             tell_peers=self._tell_peers,
         )
+        self.filter = DispatchFilter(parts)
         self.ends_when_told = []
 
     async def _tell_peers(self):
