--- /dev/null
+++ b/src/eelgrasslock/actions/__init__.py
@@ -0,0 +1,1 @@
+"""The guard of non-idempotent requests."""
--- a/src/eelgrasslock/action_messages.py
+++ b/src/eelgrasslock/actions/action_messages.py
@@ -2,8 +2,8 @@
 
 from attrs import frozen
 
-from eelgrasslock.action_records import ActionIntended
-from eelgrasslock.action_table import ActionEntry
+from eelgrasslock.actions.action_records import ActionIntended
+from eelgrasslock.actions.action_table import ActionEntry
 from eelgrasslock.exceptions import Ran, Refusal
 
 CREATION_SERVICE = "programs"
--- a/src/eelgrasslock/action_records.py
+++ b/src/eelgrasslock/actions/action_records.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from eelgrasslock.records import Record
+from eelgrasslock.log.records import Record
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/action_status.py
+++ b/src/eelgrasslock/actions/action_status.py
@@ -4,11 +4,15 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-from eelgrasslock.action_records import ActionResult
-from eelgrasslock.action_sweep import StatusAnswer
+from eelgrasslock.actions.action_records import ActionResult
+from eelgrasslock.actions.action_sweep import StatusAnswer
+from eelgrasslock.configuration.settings import Configuration, EndpointSettings
+from eelgrasslock.endpoints.service_client import (
+    PlainAnswer,
+    PlainRequest,
+    ServiceClient,
+)
 from eelgrasslock.exceptions import EelgrassError
-from eelgrasslock.service_client import PlainAnswer, PlainRequest, ServiceClient
-from eelgrasslock.settings import Configuration, EndpointSettings
 
 _STATUS_SECONDS = 5.0
 _OK = 200
--- a/src/eelgrasslock/action_sweep.py
+++ b/src/eelgrasslock/actions/action_sweep.py
@@ -7,14 +7,18 @@
 from attrs import evolve, frozen
 from loguru import logger
 
-from eelgrasslock.action_records import ActionIntended, ActionOutcome, ActionResult
-from eelgrasslock.action_table import ActionEntry
+from eelgrasslock.actions.action_records import (
+    ActionIntended,
+    ActionOutcome,
+    ActionResult,
+)
+from eelgrasslock.actions.action_table import ActionEntry
 from eelgrasslock.exceptions import EelgrassError
+from eelgrasslock.log.records import actions_stream, new_id
 from eelgrasslock.periodic import run_periodically
-from eelgrasslock.records import actions_stream, new_id
 
 if TYPE_CHECKING:
-    from eelgrasslock.actions import Actions
+    from eelgrasslock.actions.guard import Actions
 
 REMEMBER_SECONDS = 604_800.0
 REPEAT_SECONDS = 1_800.0
--- a/src/eelgrasslock/action_table.py
+++ b/src/eelgrasslock/actions/action_table.py
@@ -2,8 +2,12 @@
 
 from attrs import define, evolve
 
-from eelgrasslock.action_records import ActionIntended, ActionOutcome, ActionResult
-from eelgrasslock.records import Positioned
+from eelgrasslock.actions.action_records import (
+    ActionIntended,
+    ActionOutcome,
+    ActionResult,
+)
+from eelgrasslock.log.records import Positioned
 
 
 @define(kw_only=True)
--- a/src/eelgrasslock/actions.py
+++ b/src/eelgrasslock/actions/guard.py
@@ -8,7 +8,7 @@
 import xxhash
 from loguru import logger
 
-from eelgrasslock.action_messages import (
+from eelgrasslock.actions.action_messages import (
     Intent,
     UnresolvedAction,
     check_same_request,
@@ -16,14 +16,23 @@
     is_unresolved,
     unknown_refusal,
 )
-from eelgrasslock.action_records import ActionIntended, ActionOutcome, ActionResult
-from eelgrasslock.action_sweep import ActionSweep, StatusAnswer, StatusCall
-from eelgrasslock.action_table import ActionEntry, ActionTable
+from eelgrasslock.actions.action_records import (
+    ActionIntended,
+    ActionOutcome,
+    ActionResult,
+)
+from eelgrasslock.actions.action_sweep import ActionSweep, StatusAnswer, StatusCall
+from eelgrasslock.actions.action_table import ActionEntry, ActionTable
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogError, LogUnavailable, Refusal
-from eelgrasslock.held import done_within
-from eelgrasslock.log_gate import LogGate, Writer, append_surely, journal_unavailable
-from eelgrasslock.records import actions_stream
+from eelgrasslock.log.log_gate import (
+    LogGate,
+    Writer,
+    append_surely,
+    journal_unavailable,
+)
+from eelgrasslock.log.records import actions_stream
+from eelgrasslock.programs.held import done_within
 
 BODY_LIMIT = 16_384
 _INTENT_SECONDS = 3.0
--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -7,46 +7,46 @@
 import aiohttp
 from loguru import logger
 
-from eelgrasslock.action_filter import ActionFilter
-from eelgrasslock.action_status import ActionStatus
-from eelgrasslock.actions import Actions
-from eelgrasslock.attempts import DispatchParts
-from eelgrasslock.budget_filter import BudgetFilter
+from eelgrasslock.actions.action_status import ActionStatus
+from eelgrasslock.actions.guard import Actions
 from eelgrasslock.clock import Clock
-from eelgrasslock.configuration import ConfigurationController
-from eelgrasslock.dispatch import Dispatcher
-from eelgrasslock.dispatch_filter import DispatchFilter
-from eelgrasslock.endpoint_watch import EndpointWatch
-from eelgrasslock.engine_client import EngineClient
-from eelgrasslock.exchange import Filter, chain
-from eelgrasslock.front import Front
-from eelgrasslock.gauges import Gauge, Gauges
-from eelgrasslock.health import health_routes
-from eelgrasslock.homes import Controller, Home, HomeFilter, Homes
-from eelgrasslock.locate_filter import LocateFilter
-from eelgrasslock.log_client import HTTPLog
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.lookups import Lookups
-from eelgrasslock.membership import Membership
-from eelgrasslock.metrics import Metrics
-from eelgrasslock.operator_api import OperatorAPI
-from eelgrasslock.parse_filter import ParseFilter
-from eelgrasslock.peers import PeerLinks
-from eelgrasslock.program import Program
-from eelgrasslock.program_filter import ProgramFilter
-from eelgrasslock.programs import Programs
-from eelgrasslock.relays import watched_peers
-from eelgrasslock.release import ReleaseController
-from eelgrasslock.request_handler import RequestHandler
-from eelgrasslock.scheduler import Scheduler
-from eelgrasslock.service_client import ServiceClient
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.controller import ConfigurationController
+from eelgrasslock.configuration.lookups import Lookups
+from eelgrasslock.configuration.settings import (
     Configuration,
     DaemonSettings,
 )
-from eelgrasslock.turn_filter import TurnFilter
-from eelgrasslock.vm_list import VMKind, VMList
+from eelgrasslock.endpoints.endpoint_watch import EndpointWatch
+from eelgrasslock.endpoints.engine_client import EngineClient
+from eelgrasslock.endpoints.release import ReleaseController
+from eelgrasslock.endpoints.service_client import ServiceClient
+from eelgrasslock.endpoints.vm_list import VMKind, VMList
+from eelgrasslock.log.log_client import HTTPLog
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.operators.operator_api import OperatorAPI
+from eelgrasslock.peers.links import PeerLinks
+from eelgrasslock.peers.membership import Membership
+from eelgrasslock.peers.relays import watched_peers
+from eelgrasslock.programs.controller import Programs
+from eelgrasslock.programs.program import Program
+from eelgrasslock.requests.action_filter import ActionFilter
+from eelgrasslock.requests.attempts import DispatchParts
+from eelgrasslock.requests.budget_filter import BudgetFilter
+from eelgrasslock.requests.dispatch_filter import DispatchFilter
+from eelgrasslock.requests.exchange import Filter, chain
+from eelgrasslock.requests.front import Front
+from eelgrasslock.requests.health import health_routes
+from eelgrasslock.requests.homes import Controller, Home, HomeFilter, Homes
+from eelgrasslock.requests.locate_filter import LocateFilter
+from eelgrasslock.requests.parse_filter import ParseFilter
+from eelgrasslock.requests.program_filter import ProgramFilter
+from eelgrasslock.requests.request_handler import RequestHandler
+from eelgrasslock.requests.turn_filter import TurnFilter
+from eelgrasslock.scheduling.dispatch import Dispatcher
+from eelgrasslock.scheduling.scheduler import Scheduler
+from eelgrasslock.telemetry.gauges import Gauge, Gauges
+from eelgrasslock.telemetry.metrics import Metrics
 
 _log = logger.bind(part="daemon")
 
--- /dev/null
+++ b/src/eelgrasslock/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and configuration: loaded, checked, published, kept in force."""
--- a/src/eelgrasslock/check_tables.py
+++ b/src/eelgrasslock/configuration/check_tables.py
@@ -4,9 +4,8 @@
 
 from attrs import frozen
 
-from eelgrasslock import text_formats
-from eelgrasslock.journal_records import Limits
-from eelgrasslock.settings import (
+from eelgrasslock.configuration import text_formats
+from eelgrasslock.configuration.settings import (
     AliasSettings,
     Configuration,
     DaemonSettings,
@@ -17,6 +16,7 @@
     ServiceSettings,
     WeightSettings,
 )
+from eelgrasslock.programs.journal_records import Limits
 
 MAX_ALIAS_MODELS = 5
 _HTTP_METHODS = ("DELETE", "GET", "HEAD", "PATCH", "POST", "PUT")
--- a/src/eelgrasslock/checks.py
+++ b/src/eelgrasslock/configuration/checks.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 
+from eelgrasslock.configuration.settings import ServiceKind
+from eelgrasslock.configuration.structuring import nearest
+from eelgrasslock.configuration.yaml_places import Path, PlacedValue, join_path
 from eelgrasslock.exceptions import Finding
-from eelgrasslock.settings import ServiceKind
-from eelgrasslock.structuring import nearest
-from eelgrasslock.yaml_places import Path, PlacedValue, join_path
 
 
 def check_configuration(merged: PlacedValue, findings: list[Finding]) -> None:
--- a/src/eelgrasslock/configuration.py
+++ b/src/eelgrasslock/configuration/controller.py
@@ -7,19 +7,19 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.exceptions import RecordError, SettingsError
-from eelgrasslock.folder import LoadedConfiguration, load_configuration
-from eelgrasslock.record_codec import decode_batch, encode_batch
-from eelgrasslock.records import CONFIG_STREAM, ConfigVersion, Positioned
-from eelgrasslock.settings import Configuration
-from eelgrasslock.version_fold import (
+from eelgrasslock.configuration.folder import LoadedConfiguration, load_configuration
+from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.configuration.version_fold import (
     CheckedVersion,
     VersionFold,
     VersionVerdict,
     copy_of,
     original_of,
 )
-from eelgrasslock.version_keeper import VersionKeeper, Writer
+from eelgrasslock.configuration.version_keeper import VersionKeeper, Writer
+from eelgrasslock.exceptions import RecordError, SettingsError
+from eelgrasslock.log.record_codec import decode_batch, encode_batch
+from eelgrasslock.log.records import CONFIG_STREAM, ConfigVersion, Positioned
 
 _RETENTION_SECONDS = 3_600.0
 _GOSSIP_AFTER_SECONDS = 3.0
--- a/src/eelgrasslock/field_checks.py
+++ b/src/eelgrasslock/configuration/field_checks.py
@@ -4,14 +4,14 @@
 
 from attrs import frozen
 
-from eelgrasslock.check_tables import (
+from eelgrasslock.configuration.check_tables import (
     FIELD_CHECKS,
     Bound,
     FieldCheck,
     Format,
     Length,
 )
-from eelgrasslock.yaml_places import Path, PlacedValue
+from eelgrasslock.configuration.yaml_places import Path, PlacedValue
 
 
 @frozen
--- a/src/eelgrasslock/folder.py
+++ b/src/eelgrasslock/configuration/folder.py
@@ -5,12 +5,11 @@
 
 from attrs import field, frozen
 
-from eelgrasslock.checks import check_configuration
-from eelgrasslock.exceptions import Finding, SettingsError
-from eelgrasslock.merging import merge
-from eelgrasslock.settings import Configuration, DaemonSettings
-from eelgrasslock.structuring import structure
-from eelgrasslock.yaml_places import (
+from eelgrasslock.configuration.checks import check_configuration
+from eelgrasslock.configuration.merging import merge
+from eelgrasslock.configuration.settings import Configuration, DaemonSettings
+from eelgrasslock.configuration.structuring import structure
+from eelgrasslock.configuration.yaml_places import (
     Place,
     PlacedValue,
     join_path,
@@ -18,6 +17,7 @@
     parse_yaml,
     plain,
 )
+from eelgrasslock.exceptions import Finding, SettingsError
 
 MAX_FOLDER_BYTES = 4_194_304
 MAX_FILES = 1_000
--- a/src/eelgrasslock/folder_base.py
+++ b/src/eelgrasslock/configuration/folder_base.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from eelgrasslock.operator_edits import OPERATOR_FILES
+from eelgrasslock.operators.operator_edits import OPERATOR_FILES
 
 BASE_FILE = ".eelgrasslock-base"
 
--- a/src/eelgrasslock/lookups.py
+++ b/src/eelgrasslock/configuration/lookups.py
@@ -1,14 +1,14 @@
 """Questions that parts ask of the configuration in force."""
 
-from eelgrasslock.aliases import resolve_models
-from eelgrasslock.configuration import ConfigurationController
-from eelgrasslock.exceptions import Refusal
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.controller import ConfigurationController
+from eelgrasslock.configuration.settings import (
     Configuration,
     LimitSettings,
     ServiceKind,
     ServiceSettings,
 )
+from eelgrasslock.exceptions import Refusal
+from eelgrasslock.requests.aliases import resolve_models
 
 
 class Lookups:
--- a/src/eelgrasslock/merging.py
+++ b/src/eelgrasslock/configuration/merging.py
@@ -2,14 +2,14 @@
 
 from attrs import define
 
-from eelgrasslock.exceptions import Finding
-from eelgrasslock.yaml_places import (
+from eelgrasslock.configuration.yaml_places import (
     Path,
     Place,
     PlacedValue,
     join_path,
     leaves,
 )
+from eelgrasslock.exceptions import Finding
 
 OVERRIDES_KEY = "overrides"
 
--- a/src/eelgrasslock/publish.py
+++ b/src/eelgrasslock/configuration/publish.py
@@ -4,7 +4,10 @@
 from attrs import frozen
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.configuration import ConfigurationController, Tail
+from eelgrasslock.configuration.controller import ConfigurationController, Tail
+from eelgrasslock.configuration.folder import load_configuration
+from eelgrasslock.configuration.version_fold import Outcome
+from eelgrasslock.configuration.version_keeper import Writer
 from eelgrasslock.exceptions import (
     AppendUnresolved,
     EelgrassError,
@@ -12,10 +15,7 @@
     LogUnavailable,
     SettingsError,
 )
-from eelgrasslock.folder import load_configuration
-from eelgrasslock.records import CONFIG_STREAM, ConfigVersion
-from eelgrasslock.version_fold import Outcome
-from eelgrasslock.version_keeper import Writer
+from eelgrasslock.log.records import CONFIG_STREAM, ConfigVersion
 
 _TIMEOUT_SECONDS = 10.0
 
--- a/src/eelgrasslock/settings.py
+++ b/src/eelgrasslock/configuration/settings.py
@@ -9,7 +9,7 @@
 
 from attrs import field, frozen
 
-from eelgrasslock.journal_records import Limits
+from eelgrasslock.programs.journal_records import Limits
 
 DEFAULT_LIMITS = Limits(tokens=400_000, turns=100, age=86_400.0)
 
--- a/src/eelgrasslock/structuring.py
+++ b/src/eelgrasslock/configuration/structuring.py
@@ -9,14 +9,14 @@
 
 import attrs
 
-from eelgrasslock.exceptions import Finding
-from eelgrasslock.field_checks import check_field
-from eelgrasslock.yaml_places import (
+from eelgrasslock.configuration.field_checks import check_field
+from eelgrasslock.configuration.yaml_places import (
     Path,
     PlacedValue,
     Unreadable,
     join_path,
 )
+from eelgrasslock.exceptions import Finding
 
 _TYPE_WORDS = {
     str: "text",
--- a/src/eelgrasslock/version_fold.py
+++ b/src/eelgrasslock/configuration/version_fold.py
@@ -7,9 +7,9 @@
 from attrs import frozen
 from loguru import logger
 
+from eelgrasslock.configuration.folder import LoadedConfiguration
 from eelgrasslock.exceptions import SettingsError
-from eelgrasslock.folder import LoadedConfiguration
-from eelgrasslock.records import ConfigVersion, Positioned, new_id
+from eelgrasslock.log.records import ConfigVersion, Positioned, new_id
 
 _VERDICTS_KEPT = 1_000
 _PENDING_KEPT = 100
--- a/src/eelgrasslock/version_keeper.py
+++ b/src/eelgrasslock/configuration/version_keeper.py
@@ -9,7 +9,7 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogError
-from eelgrasslock.records import CONFIG_STREAM, ConfigVersion, Record
+from eelgrasslock.log.records import CONFIG_STREAM, ConfigVersion, Record
 
 # Two copies must lie within the retention, so that a reader who starts at the
 # older one finds the younger one saying what was in force there.
--- a/src/eelgrasslock/daemon.py
+++ b/src/eelgrasslock/daemon.py
@@ -1,86 +1,55 @@
-"""The daemon's entry point."""
+"""The daemon's entry point.
 
-import asyncio
+What a daemon does not use is not imported, for the sake of its memory and of
+the time until it serves.
+"""
+
+import os
 import pathlib
-import random
-import signal
 import sys
-from collections.abc import Coroutine
-from typing import Any
 
-import aiohttp
-import capnp
 import click
-from loguru import logger
 
-from eelgrasslock import logs, tracing
-from eelgrasslock.application import Application
-from eelgrasslock.clock import SystemClock
 from eelgrasslock.exceptions import SettingsError
-from eelgrasslock.folder import load_daemon_settings
-from eelgrasslock.settings import DaemonSettings
-
-_log = logger.bind(part="daemon")
 
-_EXIT_FINDINGS = 1
+SETTINGS_VARIABLE = "EELGRASSLOCK_SETTINGS"
+EXIT_FINDINGS = 1
 
 
 @click.command()
 @click.option(
     "--settings",
     "folder",
-    required=True,
     type=click.Path(path_type=pathlib.Path),
     help="The folder of YAML files with this daemon's settings.",
 )
 @click.version_option(package_name="eelgrasslock")
-def main(folder: pathlib.Path) -> None:
-    """Run one eelgrasslock daemon until SIGTERM or SIGINT."""
+def main(folder: pathlib.Path | None) -> None:
+    """Run one eelgrasslock daemon until SIGTERM or SIGINT.
+
+    Without a folder, the daemon serves routes on a platform, with the settings
+    of the file that EELGRASSLOCK_SETTINGS names.
+    """
+    named = os.environ.get(SETTINGS_VARIABLE, "")
+    if folder is None and not named:
+        raise click.UsageError(f"Give --settings, or set {SETTINGS_VARIABLE}.")
     try:
-        settings = load_daemon_settings(folder)
+        _run(folder, pathlib.Path(named))
     except SettingsError as group:
         for finding in group.exceptions:
             click.echo(str(finding), err=True)
-        sys.exit(_EXIT_FINDINGS)
-    logs.setup(settings)
-    end_export = tracing.setup(settings)
-    try:
-        asyncio.run(_run(settings))
-    finally:
-        end_export()
+        sys.exit(EXIT_FINDINGS)
 
 
-async def _run(settings: DaemonSettings) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    async with capnp.kj_loop(), aiohttp.ClientSession() as session:
-        while not stop.is_set():
-            await _run_incarnation(settings, session, stop)
-
-
-async def _run_incarnation(
-    settings: DaemonSettings, session: aiohttp.ClientSession, stop: asyncio.Event
-) -> None:
-    """Run until told to stop, or until peers have retired this incarnation."""
-    application = Application(settings, SystemClock(), random.Random(), session)
-    try:
-        await application.start()
-        await _first(stop.wait(), application.retired.wait())
-        await application.drain()
-        if not stop.is_set():
-            await _first(application.flush(), stop.wait())
-    finally:
-        await application.stop()
+def _run(folder: pathlib.Path | None, named: pathlib.Path) -> None:
+    if folder is None:
+        from eelgrasslock.gateway.run import run_gateway
 
+        run_gateway(named)
+    else:
+        from eelgrasslock.serving import run_daemon
 
-async def _first(*waits: Coroutine[Any, Any, Any]) -> None:
-    """Wait until one of some coroutines is done and cancel the others."""
-    tasks = [asyncio.create_task(one) for one in waits]
-    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-    for task in tasks:
-        task.cancel()
+        run_daemon(folder)
 
 
 if __name__ == "__main__":
--- a/src/eelgrasslock/credentials.py
+++ b/src/eelgrasslock/endpoints/credentials.py
@@ -3,8 +3,8 @@
 import os
 from collections.abc import Callable, Mapping
 
-from eelgrasslock import logs
-from eelgrasslock.settings import Configuration
+from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.telemetry import logs
 
 ConfigurationSource = Callable[[], Configuration | None]
 
--- a/src/eelgrasslock/endpoint_failure.py
+++ b/src/eelgrasslock/endpoints/endpoint_failure.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from eelgrasslock.exceptions import EndpointError, Ran
-from eelgrasslock.scheduling import CallEnd
+from eelgrasslock.scheduling.calls import CallEnd
 
 _CALLER_STATUSES = frozenset({400, 405, 406, 411, 413, 414, 415, 422, 431})
 _REFUSED_STATUSES = frozenset({429, 503})
--- a/src/eelgrasslock/endpoint_watch.py
+++ b/src/eelgrasslock/endpoints/endpoint_watch.py
@@ -9,11 +9,15 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.engine_client import EngineClient
+from eelgrasslock.configuration.settings import (
+    Configuration,
+    EndpointSettings,
+    ServiceKind,
+)
+from eelgrasslock.endpoints.engine_client import EngineClient
+from eelgrasslock.endpoints.vm_list import VM, VMState
 from eelgrasslock.exceptions import EelgrassError
-from eelgrasslock.scheduling import CacheEvent, LoadReport
-from eelgrasslock.settings import Configuration, EndpointSettings, ServiceKind
-from eelgrasslock.vm_list import VM, VMState
+from eelgrasslock.scheduling.calls import CacheEvent, LoadReport
 
 LOAD_SOURCE = "load report"
 VM_SOURCE = "VM list"
--- a/src/eelgrasslock/engine_call.py
+++ b/src/eelgrasslock/endpoints/engine_call.py
@@ -10,13 +10,13 @@
 import aiohttp
 from loguru import logger
 
-from eelgrasslock.endpoint_failure import EndpointFailure, refused
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure, refused
 from eelgrasslock.exceptions import EndpointError, Ran
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.sse import DONE, read_events
+from eelgrasslock.requests.sse import DONE, read_events
+from eelgrasslock.scheduling.calls import CallEnd
 
 if TYPE_CHECKING:
-    from eelgrasslock.engine_client import EngineClient
+    from eelgrasslock.endpoints.engine_client import EngineClient
 
 STREAM_HEADER = "X-Stream-Id"
 
--- a/src/eelgrasslock/engine_client.py
+++ b/src/eelgrasslock/endpoints/engine_client.py
@@ -9,19 +9,23 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.credentials import (
+from eelgrasslock.configuration.settings import LimitSettings
+from eelgrasslock.endpoints.credentials import (
     ConfigurationSource,
     Credentials,
     no_configuration,
 )
-from eelgrasslock.endpoint_failure import EndpointFailure, readable_answer, refused
-from eelgrasslock.engine_call import EngineCall
-from eelgrasslock.engine_messages import CacheNews, EndpointLoad, EngineOrder
+from eelgrasslock.endpoints.endpoint_failure import (
+    EndpointFailure,
+    readable_answer,
+    refused,
+)
+from eelgrasslock.endpoints.engine_call import EngineCall
+from eelgrasslock.endpoints.engine_messages import CacheNews, EndpointLoad, EngineOrder
 from eelgrasslock.exceptions import Ran
-from eelgrasslock.exchange import PROGRAM_HEADER
-from eelgrasslock.scheduling import CacheEvent, CallEnd, LoadReport
-from eelgrasslock.settings import LimitSettings
-from eelgrasslock.tracing import context_headers
+from eelgrasslock.requests.exchange import PROGRAM_HEADER
+from eelgrasslock.scheduling.calls import CacheEvent, CallEnd, LoadReport
+from eelgrasslock.telemetry.tracing import context_headers
 
 EPOCH_HEADER = "X-Engine-Epoch"
 
--- a/src/eelgrasslock/engine_messages.py
+++ b/src/eelgrasslock/endpoints/engine_messages.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from eelgrasslock.scheduling import CacheEvent, LoadReport
+from eelgrasslock.scheduling.calls import CacheEvent, LoadReport
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/release.py
+++ b/src/eelgrasslock/endpoints/release.py
@@ -12,9 +12,9 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError, LogError
 from eelgrasslock.periodic import run_periodically
-from eelgrasslock.program import Program
-from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.programs import Programs
+from eelgrasslock.programs.controller import Programs
+from eelgrasslock.programs.program import Program
+from eelgrasslock.programs.program_ids import parse_program_id
 
 UNKNOWN_SAFE_SECONDS = 60.0
 _RECONCILE_SECONDS = 30.0
--- a/src/eelgrasslock/release_orders.py
+++ b/src/eelgrasslock/endpoints/release_orders.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from eelgrasslock.settings import Configuration
+from eelgrasslock.configuration.settings import Configuration
 
 
 class ReleaseOrders:
--- a/src/eelgrasslock/service_client.py
+++ b/src/eelgrasslock/endpoints/service_client.py
@@ -9,15 +9,15 @@
 from attrs import field, frozen
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.credentials import (
+from eelgrasslock.endpoints.credentials import (
     ConfigurationSource,
     Credentials,
     no_configuration,
 )
-from eelgrasslock.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure
 from eelgrasslock.exceptions import Ran
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.tracing import context_headers
+from eelgrasslock.scheduling.calls import CallEnd
+from eelgrasslock.telemetry.tracing import context_headers
 
 _CONNECT_SECONDS = 5.0
 _DROPPED_HEADERS = frozenset(
--- a/src/eelgrasslock/weight_client.py
+++ b/src/eelgrasslock/endpoints/weight_client.py
@@ -6,9 +6,9 @@
 import aiohttp
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.endpoint_failure import EndpointFailure, refused
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure, refused
 from eelgrasslock.exceptions import Ran
-from eelgrasslock.scheduling import CallEnd
+from eelgrasslock.scheduling.calls import CallEnd
 
 _READ_SECONDS = 60.0
 _TRIES = 5
--- /dev/null
+++ b/src/eelgrasslock/log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's log: its records, readers and writers."""
--- a/src/eelgrasslock/append_queue.py
+++ b/src/eelgrasslock/log/append_queue.py
@@ -14,12 +14,12 @@
     LogUnavailable,
     RecordsExpired,
 )
-from eelgrasslock.log import Entry
-from eelgrasslock.record_codec import encode_batch, readable_records
-from eelgrasslock.records import Record
+from eelgrasslock.log.entries import Entry
+from eelgrasslock.log.record_codec import encode_batch, readable_records
+from eelgrasslock.log.records import Record
 
 if TYPE_CHECKING:
-    from eelgrasslock.log_writer import LogWriter
+    from eelgrasslock.log.log_writer import LogWriter
 
 _ENTRY_LIMIT_RECORDS = 512
 _ENTRY_LIMIT_BYTES = 1_048_576
--- a/src/eelgrasslock/log_gate.py
+++ b/src/eelgrasslock/log/log_gate.py
@@ -6,7 +6,7 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogError, Ran, Refusal
-from eelgrasslock.records import Record
+from eelgrasslock.log.records import Record
 
 RETRY_AFTER_SECONDS = 5.0
 _RETRY_SECONDS = 1.0
--- a/src/eelgrasslock/log_tail.py
+++ b/src/eelgrasslock/log/log_tail.py
@@ -8,9 +8,9 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogUnavailable
-from eelgrasslock.log import Log
-from eelgrasslock.records import Positioned
-from eelgrasslock.stream_reader import StreamReader
+from eelgrasslock.log.entries import Log
+from eelgrasslock.log.records import Positioned
+from eelgrasslock.log.stream_reader import StreamReader
 
 Handler = Callable[[Positioned], None]
 
--- a/src/eelgrasslock/log_writer.py
+++ b/src/eelgrasslock/log/log_writer.py
@@ -6,13 +6,13 @@
 
 from loguru import logger
 
-from eelgrasslock.append_queue import AppendQueue, PendingAppend
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import AppendUnresolved, LogError, LogUnavailable
-from eelgrasslock.log import Log
-from eelgrasslock.rate import TokenBucket
-from eelgrasslock.record_codec import encode_batch
-from eelgrasslock.records import Record
+from eelgrasslock.log.append_queue import AppendQueue, PendingAppend
+from eelgrasslock.log.entries import Log
+from eelgrasslock.log.record_codec import encode_batch
+from eelgrasslock.log.records import Record
+from eelgrasslock.scheduling.rate import TokenBucket
 
 _QUEUE_LIMIT_RECORDS = 20_000
 _RECORD_LIMIT_BYTES = 16_777_216
--- a/src/eelgrasslock/record_codec.py
+++ b/src/eelgrasslock/log/record_codec.py
@@ -5,9 +5,16 @@
 
 import cattrs
 
-from eelgrasslock.action_records import ActionIntended, ActionOutcome
+from eelgrasslock.actions.action_records import ActionIntended, ActionOutcome
 from eelgrasslock.exceptions import RecordError
-from eelgrasslock.journal_records import (
+from eelgrasslock.log.records import (
+    ConfigVersion,
+    DomainChallenged,
+    MemberJoined,
+    MemberRetired,
+    Record,
+)
+from eelgrasslock.programs.journal_records import (
     BudgetDrawn,
     BudgetSettled,
     ProgramClaimed,
@@ -16,13 +23,6 @@
     ProgramSnapshot,
     TurnCommitted,
 )
-from eelgrasslock.records import (
-    ConfigVersion,
-    DomainChallenged,
-    MemberJoined,
-    MemberRetired,
-    Record,
-)
 
 RECORD_VERSION = 1
 
--- a/src/eelgrasslock/stream_reader.py
+++ b/src/eelgrasslock/log/stream_reader.py
@@ -10,9 +10,9 @@
 from eelgrasslock.backoff import Backoff
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogUnavailable, RecordError, RecordsExpired
-from eelgrasslock.log import Entry, Log
-from eelgrasslock.record_codec import decode_batch
-from eelgrasslock.records import Positioned, Record
+from eelgrasslock.log.entries import Entry, Log
+from eelgrasslock.log.record_codec import decode_batch
+from eelgrasslock.log.records import Positioned, Record
 
 _READ_LIMIT_ENTRIES = 256
 _REMEMBERED_IDS = 65_536
--- /dev/null
+++ b/src/eelgrasslock/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface and command line."""
--- a/src/eelgrasslock/cli.py
+++ b/src/eelgrasslock/operators/cli.py
@@ -3,7 +3,8 @@
 import click
 from click.shell_completion import get_completion_class
 
-from eelgrasslock import __version__, cli_fleet, cli_settings
+from eelgrasslock import __version__
+from eelgrasslock.operators import cli_fleet, cli_settings
 
 _NAME = "eelgrasslock"
 _COMPLETE_VARIABLE = "_EELGRASSLOCK_COMPLETE"
--- a/src/eelgrasslock/cli_fleet.py
+++ b/src/eelgrasslock/operators/cli_fleet.py
@@ -6,13 +6,17 @@
 
 import click
 
-from eelgrasslock.cli_options import author_option, needs_daemon, reports_errors
-from eelgrasslock.operator_client import (
+from eelgrasslock.operators.cli_options import (
+    author_option,
+    needs_daemon,
+    reports_errors,
+)
+from eelgrasslock.operators.operator_client import (
     DaemonUnreachable,
     OperatorClient,
     OrderRefused,
 )
-from eelgrasslock.operator_views import (
+from eelgrasslock.operators.operator_views import (
     ActionView,
     AuthoredOrder,
     DrainOrder,
@@ -23,7 +27,7 @@
     SuspectView,
     VersionView,
 )
-from eelgrasslock.tables import (
+from eelgrasslock.operators.tables import (
     print_fields,
     print_json,
     print_table,
--- a/src/eelgrasslock/cli_options.py
+++ b/src/eelgrasslock/operators/cli_options.py
@@ -10,13 +10,13 @@
 import click
 
 from eelgrasslock.exceptions import SettingsError
-from eelgrasslock.operator_client import (
+from eelgrasslock.operators.operator_client import (
     DaemonUnreachable,
     OperatorClient,
     OrderRefused,
 )
-from eelgrasslock.operator_views import ErrorView, FindingView
-from eelgrasslock.tables import print_json, print_table
+from eelgrasslock.operators.operator_views import ErrorView, FindingView
+from eelgrasslock.operators.tables import print_json, print_table
 
 Command = Callable[..., Any]
 
--- a/src/eelgrasslock/cli_settings.py
+++ b/src/eelgrasslock/operators/cli_settings.py
@@ -6,9 +6,7 @@
 import click
 import yaml
 
-from eelgrasslock.cli_options import author_option, needs_daemon, reports_errors
-from eelgrasslock.exceptions import Finding, SettingsError
-from eelgrasslock.folder import (
+from eelgrasslock.configuration.folder import (
     Origin,
     daemon_settings,
     find_origins,
@@ -16,13 +14,19 @@
     merge_files,
     read_folder,
 )
-from eelgrasslock.folder_base import digest_files, read_base, write_base
-from eelgrasslock.operator_client import OperatorClient, OrderRefused
-from eelgrasslock.operator_edits import carry_over
-from eelgrasslock.operator_views import ErrorView, PublishOrder, VersionView
-from eelgrasslock.records import new_id
-from eelgrasslock.tables import print_json, print_table, print_version
-from eelgrasslock.yaml_places import PlacedValue, join_path, leaves, plain
+from eelgrasslock.configuration.folder_base import digest_files, read_base, write_base
+from eelgrasslock.configuration.yaml_places import PlacedValue, join_path, leaves, plain
+from eelgrasslock.exceptions import Finding, SettingsError
+from eelgrasslock.log.records import new_id
+from eelgrasslock.operators.cli_options import (
+    author_option,
+    needs_daemon,
+    reports_errors,
+)
+from eelgrasslock.operators.operator_client import OperatorClient, OrderRefused
+from eelgrasslock.operators.operator_edits import carry_over
+from eelgrasslock.operators.operator_views import ErrorView, PublishOrder, VersionView
+from eelgrasslock.operators.tables import print_json, print_table, print_version
 
 _SECRET_KEYS = ("peer_keys", "operator_keys")
 _HIDDEN = "(hidden)"
--- a/src/eelgrasslock/operator_api.py
+++ b/src/eelgrasslock/operators/operator_api.py
@@ -9,19 +9,23 @@
 from aiohttp import web
 from loguru import logger
 
-from eelgrasslock.action_records import ActionResult
+from eelgrasslock.actions.action_records import ActionResult
+from eelgrasslock.configuration.publish import Publication, Publisher, VersionConflict
+from eelgrasslock.endpoints.release_orders import ReleaseOrders
 from eelgrasslock.exceptions import RecordError, Refusal
-from eelgrasslock.operator_edits import set_leaving, set_quarantined
-from eelgrasslock.operator_errors import OperatorError, describe, error_view
-from eelgrasslock.operator_keys import OperatorKeys
-from eelgrasslock.operator_reads import (
+from eelgrasslock.log.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.log.records import ConfigVersion, new_id
+from eelgrasslock.operators.operator_edits import set_leaving, set_quarantined
+from eelgrasslock.operators.operator_errors import OperatorError, describe, error_view
+from eelgrasslock.operators.operator_keys import OperatorKeys
+from eelgrasslock.operators.operator_reads import (
     action_views,
     endpoint_views,
     fleet_view,
     program_views,
     suspect_views,
 )
-from eelgrasslock.operator_views import (
+from eelgrasslock.operators.operator_views import (
     ActionView,
     AuthoredOrder,
     DrainOrder,
@@ -33,11 +37,7 @@
     SuspectView,
     VersionView,
 )
-from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.publish import Publication, Publisher, VersionConflict
-from eelgrasslock.record_codec import from_jsonable, to_jsonable
-from eelgrasslock.records import ConfigVersion, new_id
-from eelgrasslock.release_orders import ReleaseOrders
+from eelgrasslock.programs.program_ids import parse_program_id
 
 _EDIT_TRIES = 3
 _MEMBERS_NAMED = 3
--- a/src/eelgrasslock/operator_client.py
+++ b/src/eelgrasslock/operators/operator_client.py
@@ -6,8 +6,8 @@
 import aiohttp
 
 from eelgrasslock.exceptions import EelgrassError, RecordError
-from eelgrasslock.operator_views import ErrorView
-from eelgrasslock.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.log.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.operators.operator_views import ErrorView
 
 _TIMEOUT_SECONDS = 30.0
 _TRIES = 4
--- a/src/eelgrasslock/operator_edits.py
+++ b/src/eelgrasslock/operators/operator_edits.py
@@ -8,9 +8,9 @@
 
 import yaml
 
-from eelgrasslock.folder import merge_files
-from eelgrasslock.merging import OVERRIDES_KEY
-from eelgrasslock.yaml_places import plain
+from eelgrasslock.configuration.folder import merge_files
+from eelgrasslock.configuration.merging import OVERRIDES_KEY
+from eelgrasslock.configuration.yaml_places import plain
 
 LEAVING_FILE = "99-operator-leaving.yaml"
 QUARANTINED_FILE = "99-operator-quarantined.yaml"
--- a/src/eelgrasslock/operator_errors.py
+++ b/src/eelgrasslock/operators/operator_errors.py
@@ -5,14 +5,14 @@
 from aiohttp import web
 from loguru import logger
 
+from eelgrasslock.configuration.publish import PublishUnresolved, VersionConflict
 from eelgrasslock.exceptions import (
     EelgrassError,
     LogError,
     Refusal,
     SettingsError,
 )
-from eelgrasslock.operator_views import ErrorView, FindingView
-from eelgrasslock.publish import PublishUnresolved, VersionConflict
+from eelgrasslock.operators.operator_views import ErrorView, FindingView
 
 log = logger.bind(part="operators")
 
--- a/src/eelgrasslock/operator_reads.py
+++ b/src/eelgrasslock/operators/operator_reads.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from eelgrasslock.operator_views import (
+from eelgrasslock.operators.operator_views import (
     ActionView,
     EndpointStateView,
     FleetView,
--- a/src/eelgrasslock/tables.py
+++ b/src/eelgrasslock/operators/tables.py
@@ -11,8 +11,8 @@
 from rich.table import Table
 from rich.text import Text
 
-from eelgrasslock.operator_views import VersionView
-from eelgrasslock.record_codec import to_jsonable
+from eelgrasslock.log.record_codec import to_jsonable
+from eelgrasslock.operators.operator_views import VersionView
 
 _PIPE_WIDTH_COLUMNS = 160
 
--- /dev/null
+++ b/src/eelgrasslock/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other daemons: links, heartbeats, membership and retirement."""
--- a/src/eelgrasslock/beat.py
+++ b/src/eelgrasslock/peers/beat.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from eelgrasslock.scheduling import PeerLoad
+from eelgrasslock.scheduling.calls import PeerLoad
 
 _COUNTS_LIMIT = 32
 _MARKS_LIMIT = 16
--- a/src/eelgrasslock/gossip.py
+++ b/src/eelgrasslock/peers/gossip.py
@@ -5,13 +5,13 @@
 
 from loguru import logger
 
-from eelgrasslock.beat import Beat
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable, RecordError
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.members import MemberTable
-from eelgrasslock.peers import PeerLinks
-from eelgrasslock.records import MEMBERS_STREAM, MemberJoined
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.records import MEMBERS_STREAM, MemberJoined
+from eelgrasslock.peers.beat import Beat
+from eelgrasslock.peers.links import PeerLinks
+from eelgrasslock.peers.members import MemberTable
 
 _SEED_SECONDS = 2.0
 
--- a/src/eelgrasslock/peers.py
+++ b/src/eelgrasslock/peers/links.py
@@ -7,17 +7,17 @@
 
 from loguru import logger
 
-from eelgrasslock.beat import Beat
 from eelgrasslock.clock import Clock
+from eelgrasslock.configuration.settings import DaemonSettings
 from eelgrasslock.exceptions import PeerUnavailable, Ran
-from eelgrasslock.exchange import Request, Responder
-from eelgrasslock.peer_auth import PeerRefused
-from eelgrasslock.peer_callbacks import PeerCallbacks
-from eelgrasslock.peer_link import LinkLost, PeerLink, PeerReplaced
-from eelgrasslock.peer_server import PeerServer
-from eelgrasslock.record_codec import encode_batch, readable_records
-from eelgrasslock.records import MemberJoined, Record, new_id
-from eelgrasslock.settings import DaemonSettings
+from eelgrasslock.log.record_codec import encode_batch, readable_records
+from eelgrasslock.log.records import MemberJoined, Record, new_id
+from eelgrasslock.peers.beat import Beat
+from eelgrasslock.peers.peer_auth import PeerRefused
+from eelgrasslock.peers.peer_callbacks import PeerCallbacks
+from eelgrasslock.peers.peer_link import LinkLost, PeerLink, PeerReplaced
+from eelgrasslock.peers.peer_server import PeerServer
+from eelgrasslock.requests.exchange import Request, Responder
 
 _BEAT_SECONDS = 1.0
 _CALL_SECONDS = 3.0
--- a/src/eelgrasslock/members.py
+++ b/src/eelgrasslock/peers/members.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from eelgrasslock.exceptions import RecordError
-from eelgrasslock.record_codec import from_jsonable, to_jsonable
-from eelgrasslock.records import MemberJoined, MemberRetired, Positioned
+from eelgrasslock.log.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.log.records import MemberJoined, MemberRetired, Positioned
 
 _REMEMBERED_RETIRED = 8_192
 
--- a/src/eelgrasslock/membership.py
+++ b/src/eelgrasslock/peers/membership.py
@@ -7,18 +7,12 @@
 from attrs import evolve
 from loguru import logger
 
-from eelgrasslock.beat import Beat
 from eelgrasslock.clock import Clock
+from eelgrasslock.configuration.settings import DaemonSettings
 from eelgrasslock.exceptions import LogError
-from eelgrasslock.gossip import Gossip
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.members import MemberTable
-from eelgrasslock.ownership import owner_of
-from eelgrasslock.peer_loads import PeerLoads
-from eelgrasslock.peer_watch import PeerWatch, peer_key
-from eelgrasslock.peers import PeerLinks
-from eelgrasslock.records import (
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.log.records import (
     MEMBERS_STREAM,
     DomainChallenged,
     MemberJoined,
@@ -26,10 +20,16 @@
     Positioned,
     new_id,
 )
-from eelgrasslock.relays import heartbeat_interval, watched_peers
-from eelgrasslock.retirement import Retirement
-from eelgrasslock.scheduling import PeerLoad
-from eelgrasslock.settings import DaemonSettings
+from eelgrasslock.peers.beat import Beat
+from eelgrasslock.peers.gossip import Gossip
+from eelgrasslock.peers.links import PeerLinks
+from eelgrasslock.peers.members import MemberTable
+from eelgrasslock.peers.peer_loads import PeerLoads
+from eelgrasslock.peers.peer_watch import PeerWatch, peer_key
+from eelgrasslock.peers.relays import heartbeat_interval, watched_peers
+from eelgrasslock.peers.retirement import Retirement
+from eelgrasslock.programs.ownership import owner_of
+from eelgrasslock.scheduling.calls import PeerLoad
 
 _TICK_SECONDS = 0.5
 _REJOIN_SECONDS = 5.0
--- a/src/eelgrasslock/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 
-from eelgrasslock.beat import Beat
-from eelgrasslock.exchange import Request, Responder
-from eelgrasslock.records import Record
+from eelgrasslock.log.records import Record
+from eelgrasslock.peers.beat import Beat
+from eelgrasslock.requests.exchange import Request, Responder
 
 
 class PeerCallbacks:
--- a/src/eelgrasslock/peer_link.py
+++ b/src/eelgrasslock/peers/peer_link.py
@@ -6,13 +6,13 @@
 
 import capnp
 
-from eelgrasslock.beat import Beat, BeatDecoder, BeatEncoder
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError
-from eelgrasslock.exchange import Request, Responder
-from eelgrasslock.peer_auth import Handshake, PeerRefused, new_nonce
-from eelgrasslock.peer_schema import fields, schema
-from eelgrasslock.peer_sink import SinkServer
+from eelgrasslock.peers.beat import Beat, BeatDecoder, BeatEncoder
+from eelgrasslock.peers.peer_auth import Handshake, PeerRefused, new_nonce
+from eelgrasslock.peers.peer_schema import fields, schema
+from eelgrasslock.peers.peer_sink import SinkServer
+from eelgrasslock.requests.exchange import Request, Responder
 
 _CONNECT_SECONDS = 1.0
 _PING_SECONDS = 3.0
--- a/src/eelgrasslock/peer_loads.py
+++ b/src/eelgrasslock/peers/peer_loads.py
@@ -6,8 +6,8 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.members import MemberTable
-from eelgrasslock.scheduling import PeerLoad
+from eelgrasslock.peers.members import MemberTable
+from eelgrasslock.scheduling.calls import PeerLoad
 
 _KEPT_SECONDS = 12.0
 _KEPT_INTERVALS = 3.0
--- a/src/eelgrasslock/peer_servant.py
+++ b/src/eelgrasslock/peers/peer_servant.py
@@ -6,14 +6,14 @@
 import capnp
 from loguru import logger
 
-from eelgrasslock.beat import BeatDecoder, BeatEncoder
-from eelgrasslock.exchange import Request
-from eelgrasslock.peer_auth import Handshake, new_nonce
-from eelgrasslock.peer_schema import fields, from_fields, schema
-from eelgrasslock.record_codec import encode_batch, readable_records
+from eelgrasslock.log.record_codec import encode_batch, readable_records
+from eelgrasslock.peers.beat import BeatDecoder, BeatEncoder
+from eelgrasslock.peers.peer_auth import Handshake, new_nonce
+from eelgrasslock.peers.peer_schema import fields, from_fields, schema
+from eelgrasslock.requests.exchange import Request
 
 if TYPE_CHECKING:
-    from eelgrasslock.peer_server import Connection
+    from eelgrasslock.peers.peer_server import Connection
 
 log = logger.bind(part="peers")
 
--- a/src/eelgrasslock/peer_server.py
+++ b/src/eelgrasslock/peers/peer_server.py
@@ -8,9 +8,9 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.forward_ids import ForwardIds
-from eelgrasslock.peer_callbacks import PeerCallbacks
-from eelgrasslock.peer_servant import GateServer
+from eelgrasslock.peers.forward_ids import ForwardIds
+from eelgrasslock.peers.peer_callbacks import PeerCallbacks
+from eelgrasslock.peers.peer_servant import GateServer
 
 _IDLE_SECONDS = 90.0
 _SWEEP_SECONDS = 30.0
--- a/src/eelgrasslock/peer_sink.py
+++ b/src/eelgrasslock/peers/peer_sink.py
@@ -3,8 +3,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from eelgrasslock.exchange import Responder
-from eelgrasslock.peer_schema import from_fields, schema
+from eelgrasslock.peers.peer_schema import from_fields, schema
+from eelgrasslock.requests.exchange import Responder
 
 
 class SinkServer(schema.Sink.Server):
--- a/src/eelgrasslock/peer_watch.py
+++ b/src/eelgrasslock/peers/peer_watch.py
@@ -6,13 +6,13 @@
 
 from loguru import logger
 
-from eelgrasslock.beat import Beat
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable
-from eelgrasslock.heartbeat import FailureDetector
-from eelgrasslock.peers import PeerDenied, PeerGone, PeerLinks
-from eelgrasslock.records import MemberJoined
-from eelgrasslock.relays import heartbeat_interval
+from eelgrasslock.log.records import MemberJoined
+from eelgrasslock.peers.beat import Beat
+from eelgrasslock.peers.heartbeat import FailureDetector
+from eelgrasslock.peers.links import PeerDenied, PeerGone, PeerLinks
+from eelgrasslock.peers.relays import heartbeat_interval
 
 _RETRY_SECONDS = 0.5
 _JITTER = 0.2
--- a/src/eelgrasslock/relays.py
+++ b/src/eelgrasslock/peers/relays.py
@@ -1,8 +1,8 @@
 """Which peers a daemon sends heartbeats to."""
 
-from eelgrasslock.members import MemberTable
-from eelgrasslock.ownership import rank
-from eelgrasslock.records import MemberJoined
+from eelgrasslock.log.records import MemberJoined
+from eelgrasslock.peers.members import MemberTable
+from eelgrasslock.programs.ownership import rank
 
 _RELAYS = 2
 _INTERVAL_SECONDS = 1.0
--- a/src/eelgrasslock/retirement.py
+++ b/src/eelgrasslock/peers/retirement.py
@@ -8,15 +8,15 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogError, PeerUnavailable
-from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.members import MemberTable
-from eelgrasslock.peer_watch import PeerWatch, peer_key
-from eelgrasslock.records import (
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.log.records import (
     MEMBERS_STREAM,
     DomainChallenged,
     MemberJoined,
     MemberRetired,
 )
+from eelgrasslock.peers.members import MemberTable
+from eelgrasslock.peers.peer_watch import PeerWatch, peer_key
 
 _ASKED_PEERS = 3
 _APPEND_SECONDS = 5.0
--- /dev/null
+++ b/src/eelgrasslock/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Agent programs: their journal, budgets, ownership and takeover."""
--- a/src/eelgrasslock/accept.py
+++ b/src/eelgrasslock/programs/accept.py
@@ -5,17 +5,17 @@
 
 from attrs import frozen
 
-from eelgrasslock.history import extend_digest
-from eelgrasslock.journal_records import (
+from eelgrasslock.log.records import Record
+from eelgrasslock.programs.history import extend_digest
+from eelgrasslock.programs.journal_records import (
     BudgetDrawn,
     BudgetSettled,
     ProgramClaimed,
     ProgramEnded,
     TurnCommitted,
 )
-from eelgrasslock.ledger import Amount
-from eelgrasslock.program import Program, TurnExplained
-from eelgrasslock.records import Record
+from eelgrasslock.programs.ledger import Amount
+from eelgrasslock.programs.program import Program, TurnExplained
 
 
 @frozen
--- a/src/eelgrasslock/budgets.py
+++ b/src/eelgrasslock/programs/budgets.py
@@ -4,15 +4,15 @@
 
 from attrs import frozen
 
-from eelgrasslock.accept import Verdict
 from eelgrasslock.exceptions import LogError, Ran, Refusal
-from eelgrasslock.held import done_within
-from eelgrasslock.journal_records import BudgetDrawn, BudgetSettled
-from eelgrasslock.ledger import ZERO, Amount
-from eelgrasslock.limits import EndReason
-from eelgrasslock.live_programs import LiveProgram, LivePrograms, void_refusal
-from eelgrasslock.log_gate import journal_unavailable
-from eelgrasslock.program import Program
+from eelgrasslock.log.log_gate import journal_unavailable
+from eelgrasslock.programs.accept import Verdict
+from eelgrasslock.programs.held import done_within
+from eelgrasslock.programs.journal_records import BudgetDrawn, BudgetSettled
+from eelgrasslock.programs.ledger import ZERO, Amount
+from eelgrasslock.programs.limits import EndReason
+from eelgrasslock.programs.live_programs import LiveProgram, LivePrograms, void_refusal
+from eelgrasslock.programs.program import Program
 
 DRAW_SHARE = 1 / 16
 _DRAW_WAIT_SECONDS = 2.0
--- a/src/eelgrasslock/programs.py
+++ b/src/eelgrasslock/programs/controller.py
@@ -11,28 +11,28 @@
 from attrs import evolve
 from loguru import logger
 
-from eelgrasslock.actions import Actions
-from eelgrasslock.budgets import Budgets
+from eelgrasslock.actions.guard import Actions
 from eelgrasslock.clock import Clock
-from eelgrasslock.creation import CreatedProgram, Creation
+from eelgrasslock.configuration.settings import LimitSettings
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.held import HoldingPeers, PeerHoldings, Replicas
-from eelgrasslock.journal import Journal
-from eelgrasslock.journal_records import Limits, ProgramEnded
-from eelgrasslock.limits import EndReason, ended_refusal, expired
-from eelgrasslock.live_programs import LiveProgram, LivePrograms
-from eelgrasslock.log_gate import Writer
+from eelgrasslock.log.log_gate import Writer
 from eelgrasslock.periodic import run_periodically
-from eelgrasslock.program import Program
-from eelgrasslock.program_views import (
+from eelgrasslock.programs.budgets import Budgets
+from eelgrasslock.programs.creation import CreatedProgram, Creation
+from eelgrasslock.programs.held import HoldingPeers, PeerHoldings, Replicas
+from eelgrasslock.programs.journal import Journal
+from eelgrasslock.programs.journal_records import Limits, ProgramEnded
+from eelgrasslock.programs.limits import EndReason, ended_refusal, expired
+from eelgrasslock.programs.live_programs import LiveProgram, LivePrograms
+from eelgrasslock.programs.program import Program
+from eelgrasslock.programs.program_views import (
     ExplainedProgram,
     ResumedProgram,
     explained_program,
     resumed_program,
 )
-from eelgrasslock.settings import LimitSettings
-from eelgrasslock.snapshots import Snapshots
-from eelgrasslock.takeover import Takeover
+from eelgrasslock.programs.snapshots import Snapshots
+from eelgrasslock.programs.takeover import Takeover
 
 HAND_OVER_SECONDS = 2.0
 _SWEEP_SECONDS = 5.0
--- a/src/eelgrasslock/creation.py
+++ b/src/eelgrasslock/programs/creation.py
@@ -6,23 +6,23 @@
 
 from attrs import field, frozen
 
-from eelgrasslock.action_messages import CREATION_SERVICE
-from eelgrasslock.action_records import ActionIntended
-from eelgrasslock.actions import Actions
-from eelgrasslock.budgets import first_draw
+from eelgrasslock.actions.action_messages import CREATION_SERVICE
+from eelgrasslock.actions.action_records import ActionIntended
+from eelgrasslock.actions.guard import Actions
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.held import done_within
-from eelgrasslock.history import start_digest
-from eelgrasslock.journal_records import Limits, ProgramCreated, ProgramEnded
-from eelgrasslock.ledger import Amount
-from eelgrasslock.limits import EndReason, ended_refusal
-from eelgrasslock.live_programs import LivePrograms
-from eelgrasslock.log_gate import journal_unavailable
-from eelgrasslock.program import Program
-from eelgrasslock.program_ids import new_program_id, parse_program_id
-from eelgrasslock.record_codec import from_jsonable, to_jsonable
-from eelgrasslock.records import journal_stream
-from eelgrasslock.takeover import Takeover
+from eelgrasslock.log.log_gate import journal_unavailable
+from eelgrasslock.log.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.log.records import journal_stream
+from eelgrasslock.programs.budgets import first_draw
+from eelgrasslock.programs.held import done_within
+from eelgrasslock.programs.history import start_digest
+from eelgrasslock.programs.journal_records import Limits, ProgramCreated, ProgramEnded
+from eelgrasslock.programs.ledger import Amount
+from eelgrasslock.programs.limits import EndReason, ended_refusal
+from eelgrasslock.programs.live_programs import LivePrograms
+from eelgrasslock.programs.program import Program
+from eelgrasslock.programs.program_ids import new_program_id, parse_program_id
+from eelgrasslock.programs.takeover import Takeover
 
 _SECRET_BYTES = 32
 _CHILD_SHARE = 1 / 4
--- a/src/eelgrasslock/held.py
+++ b/src/eelgrasslock/programs/held.py
@@ -11,8 +11,8 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable
-from eelgrasslock.journal import Journal
-from eelgrasslock.records import MemberJoined, Record, journal_stream
+from eelgrasslock.log.records import MemberJoined, Record, journal_stream
+from eelgrasslock.programs.journal import Journal
 
 HELD_PER_PROGRAM = 32
 HELD_IN_TOTAL = 2_000
--- a/src/eelgrasslock/journal.py
+++ b/src/eelgrasslock/programs/journal.py
@@ -3,11 +3,11 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from eelgrasslock.accept import Verdict, accept, counted, void
 from eelgrasslock.exceptions import RecordError
-from eelgrasslock.journal_records import ProgramCreated, ProgramSnapshot
-from eelgrasslock.program import Program, created_program, decode_program
-from eelgrasslock.records import Positioned, Record
+from eelgrasslock.log.records import Positioned, Record
+from eelgrasslock.programs.accept import Verdict, accept, counted, void
+from eelgrasslock.programs.journal_records import ProgramCreated, ProgramSnapshot
+from eelgrasslock.programs.program import Program, created_program, decode_program
 
 _VERDICTS_KEPT = 20_000
 _TOMBSTONES_KEPT = 20_000
--- a/src/eelgrasslock/journal_records.py
+++ b/src/eelgrasslock/programs/journal_records.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from eelgrasslock.records import Record
+from eelgrasslock.log.records import Record
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/ledger.py
+++ b/src/eelgrasslock/programs/ledger.py
@@ -2,7 +2,7 @@
 
 from attrs import define, frozen
 
-from eelgrasslock.journal_records import Limits
+from eelgrasslock.programs.journal_records import Limits
 
 NO_MONEY_LIMIT = 1e12
 _MONEY_ROUNDING = 1e-9
--- a/src/eelgrasslock/limits.py
+++ b/src/eelgrasslock/programs/limits.py
@@ -3,7 +3,7 @@
 import enum
 
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.program import Program
+from eelgrasslock.programs.program import Program
 
 IDLE_SECONDS = 21_600.0
 
--- a/src/eelgrasslock/live_programs.py
+++ b/src/eelgrasslock/programs/live_programs.py
@@ -8,23 +8,23 @@
 from attrs import define, field
 from loguru import logger
 
-from eelgrasslock.accept import Verdict, accept, void
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogError, Ran, Refusal
-from eelgrasslock.held import HELD_IN_TOTAL, HeldRecords, Replicas, done_within
-from eelgrasslock.journal import Journal
-from eelgrasslock.journal_records import ProgramCreated
-from eelgrasslock.ledger import ZERO, Amount
-from eelgrasslock.limits import ended_refusal
-from eelgrasslock.log_gate import (
+from eelgrasslock.log.log_gate import (
     LogGate,
     Tail,
     Writer,
     append_surely,
     journal_unavailable,
 )
-from eelgrasslock.program import Program, created_program
-from eelgrasslock.records import Record, journal_stream
+from eelgrasslock.log.records import Record, journal_stream
+from eelgrasslock.programs.accept import Verdict, accept, void
+from eelgrasslock.programs.held import HELD_IN_TOTAL, HeldRecords, Replicas, done_within
+from eelgrasslock.programs.journal import Journal
+from eelgrasslock.programs.journal_records import ProgramCreated
+from eelgrasslock.programs.ledger import ZERO, Amount
+from eelgrasslock.programs.limits import ended_refusal
+from eelgrasslock.programs.program import Program, created_program
 
 JOURNAL_WAIT_SECONDS = 1.0
 _REFUSALS_KEPT = 16
--- a/src/eelgrasslock/ownership.py
+++ b/src/eelgrasslock/programs/ownership.py
@@ -4,9 +4,9 @@
 
 from xxhash import xxh64_intdigest
 
-from eelgrasslock.members import MemberTable
-from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.records import MemberJoined
+from eelgrasslock.log.records import MemberJoined
+from eelgrasslock.peers.members import MemberTable
+from eelgrasslock.programs.program_ids import parse_program_id
 
 
 def owner_of(program: str, table: MemberTable) -> MemberJoined | None:
--- a/src/eelgrasslock/program.py
+++ b/src/eelgrasslock/programs/program.py
@@ -4,11 +4,11 @@
 
 from attrs import define, evolve, field, frozen
 
-from eelgrasslock.history import Message, start_digest
-from eelgrasslock.journal_records import Limits, ProgramCreated
-from eelgrasslock.ledger import Amount, Ledger
-from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.log.record_codec import from_jsonable, to_jsonable
+from eelgrasslock.programs.history import Message, start_digest
+from eelgrasslock.programs.journal_records import Limits, ProgramCreated
+from eelgrasslock.programs.ledger import Amount, Ledger
+from eelgrasslock.programs.program_ids import parse_program_id
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/program_views.py
+++ b/src/eelgrasslock/programs/program_views.py
@@ -2,10 +2,10 @@
 
 from attrs import frozen
 
-from eelgrasslock.history import Message
-from eelgrasslock.journal_records import Limits
-from eelgrasslock.live_programs import LiveProgram
-from eelgrasslock.program import Program, TurnExplained
+from eelgrasslock.programs.history import Message
+from eelgrasslock.programs.journal_records import Limits
+from eelgrasslock.programs.live_programs import LiveProgram
+from eelgrasslock.programs.program import Program, TurnExplained
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/snapshots.py
+++ b/src/eelgrasslock/programs/snapshots.py
@@ -5,10 +5,10 @@
 from loguru import logger
 
 from eelgrasslock.exceptions import LogError
-from eelgrasslock.journal_records import ProgramSnapshot
-from eelgrasslock.live_programs import LivePrograms
-from eelgrasslock.program import Program, encode_program
-from eelgrasslock.takeover import Takeover
+from eelgrasslock.programs.journal_records import ProgramSnapshot
+from eelgrasslock.programs.live_programs import LivePrograms
+from eelgrasslock.programs.program import Program, encode_program
+from eelgrasslock.programs.takeover import Takeover
 
 SNAPSHOT_SECONDS = 1_800.0
 _JITTER = 0.2
--- a/src/eelgrasslock/takeover.py
+++ b/src/eelgrasslock/programs/takeover.py
@@ -5,13 +5,13 @@
 from loguru import logger
 
 from eelgrasslock.exceptions import LogError, Ran, Refusal
-from eelgrasslock.held import PeerHoldings, done_within
-from eelgrasslock.journal_records import ProgramClaimed
-from eelgrasslock.live_programs import LiveProgram, LivePrograms
-from eelgrasslock.log_gate import journal_unavailable
-from eelgrasslock.program import Program
-from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.records import Record
+from eelgrasslock.log.log_gate import journal_unavailable
+from eelgrasslock.log.records import Record
+from eelgrasslock.programs.held import PeerHoldings, done_within
+from eelgrasslock.programs.journal_records import ProgramClaimed
+from eelgrasslock.programs.live_programs import LiveProgram, LivePrograms
+from eelgrasslock.programs.program import Program
+from eelgrasslock.programs.program_ids import parse_program_id
 
 _CLAIM_SECONDS = 5.0
 _MOVED_RETRY_SECONDS = 1.0
--- /dev/null
+++ b/src/eelgrasslock/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: the filter chain, from the caller to an endpoint."""
--- a/src/eelgrasslock/action_filter.py
+++ b/src/eelgrasslock/requests/action_filter.py
@@ -7,12 +7,13 @@
 
 from loguru import logger
 
-from eelgrasslock.action_records import ActionOutcome, ActionResult
-from eelgrasslock.action_sweep import REMEMBER_SECONDS
-from eelgrasslock.actions import BODY_LIMIT, Actions, Intent
+from eelgrasslock.actions.action_records import ActionOutcome, ActionResult
+from eelgrasslock.actions.action_sweep import REMEMBER_SECONDS
+from eelgrasslock.actions.guard import BODY_LIMIT, Actions, Intent
 from eelgrasslock.clock import Clock
+from eelgrasslock.configuration.settings import ServiceSettings
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import (
+from eelgrasslock.requests.exchange import (
     ACTION_HEADER,
     ISSUED_AT_HEADER,
     Exchange,
@@ -20,8 +21,7 @@
     RequestKind,
     Responder,
 )
-from eelgrasslock.plain_methods import is_idempotent
-from eelgrasslock.settings import ServiceSettings
+from eelgrasslock.requests.plain_methods import is_idempotent
 
 _REPLAYED_HEADER = "Eelgrass-Replayed"
 _ACTION_ID_CHARS = 200
--- a/src/eelgrasslock/aliases.py
+++ b/src/eelgrasslock/requests/aliases.py
@@ -1,6 +1,6 @@
 """Resolves the name of a model or alias to the models to try, in order."""
 
-from eelgrasslock.settings import Configuration
+from eelgrasslock.configuration.settings import Configuration
 
 MAX_CHAIN = 5
 
--- a/src/eelgrasslock/attempts.py
+++ b/src/eelgrasslock/requests/attempts.py
@@ -10,15 +10,15 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.dispatch import Dispatcher
-from eelgrasslock.endpoint_failure import EndpointFailure
-from eelgrasslock.engine_client import EngineClient
+from eelgrasslock.configuration.settings import Configuration, EndpointSettings
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoints.engine_client import EngineClient
+from eelgrasslock.endpoints.service_client import ServiceClient
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import Exchange
-from eelgrasslock.metrics import Metrics
-from eelgrasslock.scheduling import Assignment, Call, CallEnd
-from eelgrasslock.service_client import ServiceClient
-from eelgrasslock.settings import Configuration, EndpointSettings
+from eelgrasslock.requests.exchange import Exchange
+from eelgrasslock.scheduling.calls import Assignment, Call, CallEnd
+from eelgrasslock.scheduling.dispatch import Dispatcher
+from eelgrasslock.telemetry.metrics import Metrics
 
 _RETRY_SECONDS = 2.0
 _MILLISECONDS = 1_000.0
--- a/src/eelgrasslock/budget_filter.py
+++ b/src/eelgrasslock/requests/budget_filter.py
@@ -1,12 +1,12 @@
 """The filter that keeps each call inside its program's budget."""
 
-from eelgrasslock.budgets import BudgetExhausted, CallCost, call_cost
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import Exchange, Proceed, RequestKind
-from eelgrasslock.ledger import ZERO, Amount
-from eelgrasslock.limits import ended_refusal
-from eelgrasslock.live_programs import LiveProgram, same_hold
-from eelgrasslock.programs import Programs
+from eelgrasslock.programs.budgets import BudgetExhausted, CallCost, call_cost
+from eelgrasslock.programs.controller import Programs
+from eelgrasslock.programs.ledger import ZERO, Amount
+from eelgrasslock.programs.limits import ended_refusal
+from eelgrasslock.programs.live_programs import LiveProgram, same_hold
+from eelgrasslock.requests.exchange import Exchange, Proceed, RequestKind
 
 
 class BudgetFilter:
--- a/src/eelgrasslock/dispatch_filter.py
+++ b/src/eelgrasslock/requests/dispatch_filter.py
@@ -1,10 +1,10 @@
 """The last filter: brings calls to endpoints and their answers back."""
 
-from eelgrasslock.attempts import DispatchParts
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import Exchange, Proceed, RequestKind
-from eelgrasslock.model_dispatch import ModelCall
-from eelgrasslock.plain_dispatch import PlainCall
+from eelgrasslock.requests.attempts import DispatchParts
+from eelgrasslock.requests.exchange import Exchange, Proceed, RequestKind
+from eelgrasslock.requests.model_dispatch import ModelCall
+from eelgrasslock.requests.plain_dispatch import PlainCall
 
 _NOT_FOUND = 404
 
--- a/src/eelgrasslock/exchange.py
+++ b/src/eelgrasslock/requests/exchange.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field, frozen
 
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.usage import Usage
 
 PROGRAM_HEADER = "Eelgrass-Program"
 SECRET_HEADER = "Eelgrass-Secret"
--- a/src/eelgrasslock/front.py
+++ b/src/eelgrasslock/requests/front.py
@@ -6,8 +6,8 @@
 from loguru import logger
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import Request, Responder
-from eelgrasslock.refusal_body import refusal_body, refusal_headers
+from eelgrasslock.requests.exchange import Request, Responder
+from eelgrasslock.requests.refusal_body import refusal_body, refusal_headers
 
 _log = logger.bind(part="front")
 
--- a/src/eelgrasslock/homes.py
+++ b/src/eelgrasslock/requests/homes.py
@@ -6,10 +6,10 @@
 from attrs import frozen
 from loguru import logger
 
-from eelgrasslock.exchange import Exchange, Filter, Proceed, RequestKind, chain
-from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.programs import Programs
-from eelgrasslock.records import Record, journal_stream
+from eelgrasslock.log.records import Record, journal_stream
+from eelgrasslock.programs.controller import Programs
+from eelgrasslock.programs.program_ids import parse_program_id
+from eelgrasslock.requests.exchange import Exchange, Filter, Proceed, RequestKind, chain
 
 _log = logger.bind(part="homes")
 
--- a/src/eelgrasslock/locate_filter.py
+++ b/src/eelgrasslock/requests/locate_filter.py
@@ -6,11 +6,17 @@
 from loguru import logger
 
 from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable, Refusal
-from eelgrasslock.exchange import Exchange, Proceed, Request, RequestKind, Responder
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.membership import Membership
-from eelgrasslock.records import MEMBERS_STREAM, MemberJoined
-from eelgrasslock.tracing import context_headers, span
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.records import MEMBERS_STREAM, MemberJoined
+from eelgrasslock.peers.membership import Membership
+from eelgrasslock.requests.exchange import (
+    Exchange,
+    Proceed,
+    Request,
+    RequestKind,
+    Responder,
+)
+from eelgrasslock.telemetry.tracing import context_headers, span
 
 _log = logger.bind(part="locate")
 
--- a/src/eelgrasslock/model_dispatch.py
+++ b/src/eelgrasslock/requests/model_dispatch.py
@@ -4,16 +4,16 @@
 import contextlib
 from typing import Any
 
-from eelgrasslock.aliases import resolve_models
-from eelgrasslock.attempts import Attempts, DispatchParts, endpoint_settings
-from eelgrasslock.dispatch import NO_USAGE
-from eelgrasslock.endpoint_failure import EndpointFailure, readable_answer
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure, readable_answer
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import CallResult, Exchange
-from eelgrasslock.relay import AnswerRelay
-from eelgrasslock.scheduling import Assignment, CallEnd
-from eelgrasslock.tracing import span
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.aliases import resolve_models
+from eelgrasslock.requests.attempts import Attempts, DispatchParts, endpoint_settings
+from eelgrasslock.requests.exchange import CallResult, Exchange
+from eelgrasslock.requests.relay import AnswerRelay
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import Assignment, CallEnd
+from eelgrasslock.scheduling.dispatch import NO_USAGE
+from eelgrasslock.telemetry.tracing import span
 
 _MILLISECONDS = 1_000.0
 _NOT_FOUND = 404
--- a/src/eelgrasslock/parse_filter.py
+++ b/src/eelgrasslock/requests/parse_filter.py
@@ -6,10 +6,12 @@
 from typing import Any
 from urllib.parse import unquote
 
-from eelgrasslock.aliases import resolve_models
 from eelgrasslock.clock import Clock
+from eelgrasslock.configuration.settings import Configuration, ServiceKind
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import (
+from eelgrasslock.programs.program_ids import parse_program_id
+from eelgrasslock.requests.aliases import resolve_models
+from eelgrasslock.requests.exchange import (
     CLASS_HEADER,
     DEADLINE_HEADER,
     HISTORY_HEADER,
@@ -21,9 +23,7 @@
     Request,
     RequestKind,
 )
-from eelgrasslock.program_ids import parse_program_id
-from eelgrasslock.settings import Configuration, ServiceKind
-from eelgrasslock.tokens import block_hashes, estimate_tokens, prompt_text
+from eelgrasslock.requests.tokens import block_hashes, estimate_tokens, prompt_text
 
 CHAT_PATH = "/v1/chat/completions"
 MODELS_PATH = "/v1/models"
--- a/src/eelgrasslock/plain_dispatch.py
+++ b/src/eelgrasslock/requests/plain_dispatch.py
@@ -1,13 +1,17 @@
 """Passing a request through to a plain service."""
 
-from eelgrasslock.attempts import Attempts, DispatchParts, endpoint_settings
-from eelgrasslock.endpoint_failure import EndpointFailure, parse_retry_after
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure, parse_retry_after
+from eelgrasslock.endpoints.service_client import (
+    PlainAnswer,
+    PlainRequest,
+    clean_headers,
+)
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import ENDPOINT_HEADER, CallClass, Exchange
-from eelgrasslock.plain_methods import is_idempotent, is_urgent
-from eelgrasslock.scheduling import Assignment, CallEnd
-from eelgrasslock.service_client import PlainAnswer, PlainRequest, clean_headers
-from eelgrasslock.tracing import span
+from eelgrasslock.requests.attempts import Attempts, DispatchParts, endpoint_settings
+from eelgrasslock.requests.exchange import ENDPOINT_HEADER, CallClass, Exchange
+from eelgrasslock.requests.plain_methods import is_idempotent, is_urgent
+from eelgrasslock.scheduling.calls import Assignment, CallEnd
+from eelgrasslock.telemetry.tracing import span
 
 _TOO_MANY = 429
 _REQUEST_TIMEOUT = 408
--- a/src/eelgrasslock/plain_methods.py
+++ b/src/eelgrasslock/requests/plain_methods.py
@@ -1,6 +1,6 @@
 """What the settings say of one operation of a plain service."""
 
-from eelgrasslock.settings import MethodSettings, ServiceSettings
+from eelgrasslock.configuration.settings import MethodSettings, ServiceSettings
 
 _ANY_REST = "*"
 
--- a/src/eelgrasslock/program_filter.py
+++ b/src/eelgrasslock/requests/program_filter.py
@@ -6,12 +6,12 @@
 
 from attrs import evolve
 
+from eelgrasslock.configuration.settings import Configuration
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import SECRET_HEADER, Exchange, Proceed, RequestKind
-from eelgrasslock.journal_records import Limits
-from eelgrasslock.programs import Programs
-from eelgrasslock.record_codec import to_jsonable
-from eelgrasslock.settings import Configuration
+from eelgrasslock.log.record_codec import to_jsonable
+from eelgrasslock.programs.controller import Programs
+from eelgrasslock.programs.journal_records import Limits
+from eelgrasslock.requests.exchange import SECRET_HEADER, Exchange, Proceed, RequestKind
 
 _ENDED_BY_CALLER = "finished"
 
--- a/src/eelgrasslock/refusal_body.py
+++ b/src/eelgrasslock/requests/refusal_body.py
@@ -4,7 +4,7 @@
 import math
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import RAN_HEADER
+from eelgrasslock.requests.exchange import RAN_HEADER
 
 
 def refusal_body(refusal: Refusal) -> bytes:
--- a/src/eelgrasslock/relay.py
+++ b/src/eelgrasslock/requests/relay.py
@@ -3,19 +3,19 @@
 import json
 from typing import Any
 
-from eelgrasslock.chat_message import MessageBuilder
-from eelgrasslock.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import (
+from eelgrasslock.requests.chat_message import MessageBuilder
+from eelgrasslock.requests.exchange import (
     ENDPOINT_HEADER,
     JOURNALED_HEADER,
     CallResult,
     Exchange,
 )
-from eelgrasslock.refusal_body import refusal_body
-from eelgrasslock.scheduling import Assignment, CallEnd
-from eelgrasslock.sse import DONE_EVENT, EVENT_STREAM_TYPE, encode_event
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.refusal_body import refusal_body
+from eelgrasslock.requests.sse import DONE_EVENT, EVENT_STREAM_TYPE, encode_event
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import Assignment, CallEnd
 
 _EXTRA_KEY = "eelgrass"
 _BAD_GATEWAY = 502
--- a/src/eelgrasslock/replay.py
+++ b/src/eelgrasslock/requests/replay.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any
 
-from eelgrasslock.exchange import JOURNALED_HEADER, Exchange
-from eelgrasslock.sse import DONE_EVENT, EVENT_STREAM_TYPE, encode_event
+from eelgrasslock.requests.exchange import JOURNALED_HEADER, Exchange
+from eelgrasslock.requests.sse import DONE_EVENT, EVENT_STREAM_TYPE, encode_event
 
 _JSON_TYPE = "application/json"
 _EXTRA_KEY = "eelgrass"
--- a/src/eelgrasslock/request_handler.py
+++ b/src/eelgrasslock/requests/request_handler.py
@@ -4,11 +4,11 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError, Ran, Refusal
-from eelgrasslock.exchange import Exchange, Proceed, Request, Responder
-from eelgrasslock.in_flight import InFlight
-from eelgrasslock.metrics import Metrics
-from eelgrasslock.tracing import span
-from eelgrasslock.tracked_responder import TrackedResponder
+from eelgrasslock.requests.exchange import Exchange, Proceed, Request, Responder
+from eelgrasslock.requests.in_flight import InFlight
+from eelgrasslock.requests.tracked_responder import TrackedResponder
+from eelgrasslock.telemetry.metrics import Metrics
+from eelgrasslock.telemetry.tracing import span
 
 _COME_BACK_SECONDS = 1.0
 _MILLISECONDS = 1_000.0
--- a/src/eelgrasslock/tokens.py
+++ b/src/eelgrasslock/requests/tokens.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from eelgrasslock.scheduling import BLOCK_TOKENS
+from eelgrasslock.scheduling.calls import BLOCK_TOKENS
 
 BYTES_PER_TOKEN = 4
 _BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
--- a/src/eelgrasslock/tracked_responder.py
+++ b/src/eelgrasslock/requests/tracked_responder.py
@@ -1,8 +1,8 @@
 """A responder that knows how far its answer has come."""
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import Responder
-from eelgrasslock.refusal_body import refusal_body, refusal_headers
+from eelgrasslock.requests.exchange import Responder
+from eelgrasslock.requests.refusal_body import refusal_body, refusal_headers
 
 
 class TrackedResponder:
--- a/src/eelgrasslock/turn_filter.py
+++ b/src/eelgrasslock/requests/turn_filter.py
@@ -6,28 +6,28 @@
 
 from attrs import define
 
-from eelgrasslock.accept import void
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import (
+from eelgrasslock.programs.accept import void
+from eelgrasslock.programs.controller import Programs
+from eelgrasslock.programs.history import (
+    Message,
+    canonical_json,
+    extend_digest,
+    history_digest,
+)
+from eelgrasslock.programs.journal_records import TurnCommitted
+from eelgrasslock.programs.ledger import Amount
+from eelgrasslock.programs.limits import ended_refusal, reached_limit
+from eelgrasslock.programs.live_programs import LiveProgram, same_hold, void_refusal
+from eelgrasslock.programs.program import Program
+from eelgrasslock.requests.exchange import (
     SECRET_HEADER,
     CallResult,
     Exchange,
     Proceed,
     RequestKind,
 )
-from eelgrasslock.history import (
-    Message,
-    canonical_json,
-    extend_digest,
-    history_digest,
-)
-from eelgrasslock.journal_records import TurnCommitted
-from eelgrasslock.ledger import Amount
-from eelgrasslock.limits import ended_refusal, reached_limit
-from eelgrasslock.live_programs import LiveProgram, same_hold, void_refusal
-from eelgrasslock.program import Program
-from eelgrasslock.programs import Programs
-from eelgrasslock.replay import replay_answer
+from eelgrasslock.requests.replay import replay_answer
 
 _WAITING_LIMIT = 16
 _BUSY_RETRY_SECONDS = 2.0
--- a/src/eelgrasslock/admission.py
+++ b/src/eelgrasslock/scheduling/admission.py
@@ -2,16 +2,16 @@
 
 from attrs import frozen
 
-from eelgrasslock.decisions import Decisions
+from eelgrasslock.configuration.settings import LimitSettings, ServiceKind
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.fleet import Fleet
-from eelgrasslock.pool import Pool
-from eelgrasslock.quarantine import Quarantine
-from eelgrasslock.queueing import ProgramService
-from eelgrasslock.scheduling import Call
-from eelgrasslock.settings import LimitSettings, ServiceKind
-from eelgrasslock.slots import Slots
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.calls import Call
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.fleet import Fleet
+from eelgrasslock.scheduling.pool import Pool
+from eelgrasslock.scheduling.quarantine import Quarantine
+from eelgrasslock.scheduling.queueing import ProgramService
+from eelgrasslock.scheduling.slots import Slots
 
 MAX_WAITING = 5_000
 _NEW_PROGRAM_SHARE = 0.5
--- a/src/eelgrasslock/cache_estimate.py
+++ b/src/eelgrasslock/scheduling/cache_estimate.py
@@ -3,7 +3,7 @@
 import sys
 from collections import OrderedDict
 
-from eelgrasslock.scheduling import BLOCK_TOKENS, CacheEvent
+from eelgrasslock.scheduling.calls import BLOCK_TOKENS, CacheEvent
 
 CHUNK_BLOCKS = 16
 CHUNK_TOKENS = CHUNK_BLOCKS * BLOCK_TOKENS
--- a/src/eelgrasslock/scheduling.py
+++ b/src/eelgrasslock/scheduling/calls.py
@@ -4,7 +4,7 @@
 
 from attrs import define, frozen
 
-from eelgrasslock.exchange import CallClass
+from eelgrasslock.requests.exchange import CallClass
 
 BLOCK_TOKENS = 16
 
@@ -27,6 +27,9 @@
         How urgent it is.
     blocks : tuple of int
         Chained hashes of the prompt's blocks of `BLOCK_TOKENS` tokens each.
+    keys : tuple of int
+        Chained hashes of the prompt's chunks, where they are known without
+        `blocks`.
     prompt_tokens, max_tokens : int
         The prompt's length and the answer's limit.
     deadline : float or None
@@ -43,6 +46,7 @@
     model: str = ""
     call_class: CallClass = CallClass.CALLER_WAITING
     blocks: tuple[int, ...] = ()
+    keys: tuple[int, ...] = ()
     prompt_tokens: int = 0
     max_tokens: int = 0
     deadline: float | None = None
--- a/src/eelgrasslock/dispatch.py
+++ b/src/eelgrasslock/scheduling/dispatch.py
@@ -7,8 +7,8 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.scheduling import Assignment, Call, CallEnd
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import Assignment, Call, CallEnd
 
 NO_USAGE = Usage()
 
--- a/src/eelgrasslock/endpoint_state.py
+++ b/src/eelgrasslock/scheduling/endpoint_state.py
@@ -5,9 +5,9 @@
 
 from attrs import define, frozen
 
-from eelgrasslock.breaker import Breaker
-from eelgrasslock.scheduling import Call, LoadReport
-from eelgrasslock.settings import EndpointSettings, ServiceKind
+from eelgrasslock.configuration.settings import EndpointSettings, ServiceKind
+from eelgrasslock.scheduling.breaker import Breaker
+from eelgrasslock.scheduling.calls import Call, LoadReport
 
 CONFIGURED = "configuration"
 
--- a/src/eelgrasslock/fleet.py
+++ b/src/eelgrasslock/scheduling/fleet.py
@@ -2,11 +2,15 @@
 
 import random
 
-from eelgrasslock.cache_estimate import CacheEstimate
-from eelgrasslock.endpoint_state import CONFIGURED, EndpointState
-from eelgrasslock.pool import Pool
-from eelgrasslock.scheduling import Call, PeerLoad
-from eelgrasslock.settings import Configuration, EndpointSettings, ServiceKind
+from eelgrasslock.configuration.settings import (
+    Configuration,
+    EndpointSettings,
+    ServiceKind,
+)
+from eelgrasslock.scheduling.cache_estimate import CacheEstimate
+from eelgrasslock.scheduling.calls import Call, PeerLoad
+from eelgrasslock.scheduling.endpoint_state import CONFIGURED, EndpointState
+from eelgrasslock.scheduling.pool import Pool
 
 PoolKey = tuple[str, str]
 
--- a/src/eelgrasslock/live_contexts.py
+++ b/src/eelgrasslock/scheduling/live_contexts.py
@@ -4,8 +4,8 @@
 
 from attrs import define
 
-from eelgrasslock.endpoint_state import EndpointState
-from eelgrasslock.scheduling import Call
+from eelgrasslock.scheduling.calls import Call
+from eelgrasslock.scheduling.endpoint_state import EndpointState
 
 IDLE_SECONDS = 180.0
 
--- a/src/eelgrasslock/memory_gate.py
+++ b/src/eelgrasslock/scheduling/memory_gate.py
@@ -5,8 +5,8 @@
 so that still more programs are live. Fewer at a time finish sooner.
 """
 
-from eelgrasslock.endpoint_state import EndpointState
-from eelgrasslock.slots import Slots
+from eelgrasslock.scheduling.endpoint_state import EndpointState
+from eelgrasslock.scheduling.slots import Slots
 
 FULL_SHARE = 0.9
 _LOOK_SECONDS = 0.25
--- a/src/eelgrasslock/outcomes.py
+++ b/src/eelgrasslock/scheduling/outcomes.py
@@ -2,16 +2,16 @@
 
 from loguru import logger
 
-from eelgrasslock.cache_estimate import CacheEstimate
-from eelgrasslock.decisions import Decisions
-from eelgrasslock.endpoint_state import EndpointState, RunningCall
-from eelgrasslock.fleet import Fleet
-from eelgrasslock.placement import expected_seconds
-from eelgrasslock.quarantine import Quarantine
-from eelgrasslock.queueing import ProgramTable
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.settings import ServiceKind
-from eelgrasslock.usage import Usage
+from eelgrasslock.configuration.settings import ServiceKind
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.cache_estimate import CacheEstimate
+from eelgrasslock.scheduling.calls import CallEnd
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
+from eelgrasslock.scheduling.fleet import Fleet
+from eelgrasslock.scheduling.placement import expected_seconds
+from eelgrasslock.scheduling.quarantine import Quarantine
+from eelgrasslock.scheduling.queueing import ProgramTable
 
 log = logger.bind(part="scheduler")
 
--- a/src/eelgrasslock/placement.py
+++ b/src/eelgrasslock/scheduling/placement.py
@@ -10,12 +10,16 @@
 
 from attrs import define, frozen
 
-from eelgrasslock.cache_estimate import CHUNK_TOKENS, CacheEstimate
-from eelgrasslock.decisions import Decisions
-from eelgrasslock.endpoint_state import EndpointState, RunningCall
-from eelgrasslock.scheduling import Call
-from eelgrasslock.settings import EndpointSettings, ServiceKind, WeightSettings
-from eelgrasslock.usage import Usage
+from eelgrasslock.configuration.settings import (
+    EndpointSettings,
+    ServiceKind,
+    WeightSettings,
+)
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.cache_estimate import CHUNK_TOKENS, CacheEstimate
+from eelgrasslock.scheduling.calls import Call
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
 
 SMALL_POOL = 16
 _SAMPLED = 8
--- a/src/eelgrasslock/pool.py
+++ b/src/eelgrasslock/scheduling/pool.py
@@ -2,11 +2,11 @@
 
 from attrs import define, field
 
-from eelgrasslock.endpoint_state import EndpointState
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.memory_gate import MemoryGate
-from eelgrasslock.queueing import CallHeap, WaitingCall
-from eelgrasslock.slots import Slots
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.endpoint_state import EndpointState
+from eelgrasslock.scheduling.memory_gate import MemoryGate
+from eelgrasslock.scheduling.queueing import CallHeap, WaitingCall
+from eelgrasslock.scheduling.slots import Slots
 
 REVIEW_SECONDS = 0.25
 _LEARNING_RATE = 0.05
--- a/src/eelgrasslock/queueing.py
+++ b/src/eelgrasslock/scheduling/queueing.py
@@ -6,8 +6,8 @@
 
 from attrs import define
 
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.scheduling import Call
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.calls import Call
 
 _PROGRAMS_KEPT = 20_000
 _BACKGROUND_SECONDS = 120.0
--- a/src/eelgrasslock/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -3,24 +3,13 @@
 import heapq
 import random
 
-from eelgrasslock.admission import Admission, Expired, quarantined
-from eelgrasslock.cache_estimate import CacheEstimate, chunk_keys
 from eelgrasslock.clock import Clock
-from eelgrasslock.decisions import Decisions
-from eelgrasslock.endpoint_state import EndpointState, EndpointView
+from eelgrasslock.configuration.settings import Configuration
 from eelgrasslock.exceptions import Ran
-from eelgrasslock.fleet import Fleet
-from eelgrasslock.outcomes import Outcomes
-from eelgrasslock.quarantine import Quarantine
-from eelgrasslock.queueing import (
-    ProgramService,
-    ProgramTable,
-    Rank,
-    Ranking,
-    WaitingCall,
-)
-from eelgrasslock.retry_budget import RetryBudgets
-from eelgrasslock.scheduling import (
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.admission import Admission, Expired, quarantined
+from eelgrasslock.scheduling.cache_estimate import CacheEstimate, chunk_keys
+from eelgrasslock.scheduling.calls import (
     Assignment,
     CacheEvent,
     Call,
@@ -28,13 +17,25 @@
     LoadReport,
     PeerLoad,
 )
-from eelgrasslock.settings import Configuration
-from eelgrasslock.slots import Slots
-from eelgrasslock.starter import Starter
-from eelgrasslock.usage import Usage
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.endpoint_state import EndpointState, EndpointView
+from eelgrasslock.scheduling.fleet import Fleet
+from eelgrasslock.scheduling.outcomes import Outcomes
+from eelgrasslock.scheduling.quarantine import Quarantine
+from eelgrasslock.scheduling.queueing import (
+    ProgramService,
+    ProgramTable,
+    Rank,
+    Ranking,
+    WaitingCall,
+)
+from eelgrasslock.scheduling.retry_budget import RetryBudgets
+from eelgrasslock.scheduling.slots import Slots
+from eelgrasslock.scheduling.starter import Starter
 
 ALL_ON = Decisions()
 _NO_USAGE = Usage()
+_FADING = 0.8
 
 
 class Scheduler:
@@ -115,7 +116,7 @@
         count = len(self.waiting)
         pool = self.admission.check(call, program, output_tokens, count, now)
         rank = self._rank(call, program, now)
-        keys = chunk_keys(call.blocks)
+        keys = call.keys or chunk_keys(call.blocks)
         waiting = WaitingCall(call, keys, rank, now, output_tokens)
         waiting.is_newcomer = not program.calls and self.starter.is_new_context(keys)
         self.waiting[call.id] = waiting
@@ -224,6 +225,16 @@
             state.observe(report)
             self.fleet.changed(endpoint)
 
+    def age_loads(self) -> None:
+        """Let what endpoints said of others' calls fade.
+
+        An endpoint that is sent nothing would never renew it.
+        """
+        for state in self.fleet.states.values():
+            if state.reported_others:
+                state.reported_others = int(state.reported_others * _FADING)
+                self.fleet.changed(state.name)
+
     def observe_cache(self, endpoint: str, events: list[CacheEvent]) -> None:
         """Take in an engine's cache events."""
         for event in events:
--- a/src/eelgrasslock/slots.py
+++ b/src/eelgrasslock/scheduling/slots.py
@@ -8,8 +8,8 @@
 import math
 import random
 
-from eelgrasslock.endpoint_state import EndpointState
-from eelgrasslock.exchange import CallClass
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.endpoint_state import EndpointState
 
 LOOKUP_EXTRA_SLOTS = 2
 _RENEW_SECONDS = 0.5
--- a/src/eelgrasslock/starter.py
+++ b/src/eelgrasslock/scheduling/starter.py
@@ -3,17 +3,17 @@
 import random
 from collections import Counter
 
-from eelgrasslock.cache_estimate import CHUNK_TOKENS, CacheEstimate
-from eelgrasslock.decisions import Decisions
-from eelgrasslock.endpoint_state import EndpointState, RunningCall
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.live_contexts import LiveContexts
-from eelgrasslock.placement import Candidate, Choice, Placement
-from eelgrasslock.pool import REVIEW_SECONDS, Pool
-from eelgrasslock.quarantine import CRASHES_TO_QUARANTINE, Quarantine
-from eelgrasslock.queueing import ProgramTable, WaitingCall
-from eelgrasslock.scheduling import Assignment
-from eelgrasslock.slots import Slots
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.cache_estimate import CHUNK_TOKENS, CacheEstimate
+from eelgrasslock.scheduling.calls import Assignment
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
+from eelgrasslock.scheduling.live_contexts import LiveContexts
+from eelgrasslock.scheduling.placement import Candidate, Choice, Placement
+from eelgrasslock.scheduling.pool import REVIEW_SECONDS, Pool
+from eelgrasslock.scheduling.quarantine import CRASHES_TO_QUARANTINE, Quarantine
+from eelgrasslock.scheduling.queueing import ProgramTable, WaitingCall
+from eelgrasslock.scheduling.slots import Slots
 
 _PLACED_AT_ONCE = 32
 _ENDPOINTS_AT_ONCE = 1_000
--- /dev/null
+++ b/src/eelgrasslock/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- a/src/eelgrasslock/gauges.py
+++ b/src/eelgrasslock/telemetry/gauges.py
@@ -7,8 +7,8 @@
 from attrs import frozen
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.metrics import Metrics
 from eelgrasslock.periodic import run_periodically
+from eelgrasslock.telemetry.metrics import Metrics
 
 _INTERVAL_SECONDS = 10.0
 
--- a/src/eelgrasslock/logs.py
+++ b/src/eelgrasslock/telemetry/logs.py
@@ -7,11 +7,11 @@
 
 from loguru import logger
 
-from eelgrasslock.settings import DaemonSettings
-
 if TYPE_CHECKING:
     from loguru import Message
 
+    from eelgrasslock.configuration.settings import DaemonSettings
+
 _FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {extra[part]}: {message}"
 _HIDDEN = "<hidden>"
 _BEARER = re.compile(r"(?i)\b(bearer\s+)[^\s'\",}]+")
@@ -33,7 +33,7 @@
     return _BEARER.sub(rf"\g<1>{_HIDDEN}", text)
 
 
-def setup(settings: DaemonSettings, output: TextIO | None = None) -> None:
+def setup(settings: "DaemonSettings", output: TextIO | None = None) -> None:
     """Send log lines to standard error, as text or as JSON.
 
     Parameters
@@ -64,6 +64,29 @@
     )
 
 
+def setup_json(name: str, level: str, output: TextIO | None = None) -> None:
+    """Send log lines to standard output, one JSON object each.
+
+    Parameters
+    ----------
+    name : str
+        The daemon's name.
+    level : str
+        The least level that is logged.
+    output : file or None
+        Where lines go instead of standard output.
+    """
+    sink = output or sys.stdout
+
+    def write(message: "Message") -> None:
+        sink.write(redact(_json_line(message)))
+        sink.flush()
+
+    logger.remove()
+    logger.configure(extra={"part": "daemon", "daemon": name})
+    logger.add(write, format="{message}", level=level, backtrace=False, diagnose=False)
+
+
 def _json_line(message: "Message") -> str:
     record = message.record
     line = {
--- a/src/eelgrasslock/metrics.py
+++ b/src/eelgrasslock/telemetry/metrics.py
@@ -4,7 +4,7 @@
 
 import statsd
 
-from eelgrasslock.settings import DaemonSettings
+from eelgrasslock.configuration.settings import DaemonSettings
 
 PREFIX = "eelgrasslock"
 
--- a/src/eelgrasslock/tracing.py
+++ b/src/eelgrasslock/telemetry/tracing.py
@@ -9,7 +9,7 @@
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, SpanExporter
 from opentelemetry.trace import Span, StatusCode
 
-from eelgrasslock.settings import DaemonSettings
+from eelgrasslock.configuration.settings import DaemonSettings
 
 _TRACES_PATH = "/v1/traces"
 
--- a/src/eelgrasslock_measure/bounds.py
+++ b/src/eelgrasslock_measure/bounds.py
@@ -7,12 +7,12 @@
 
 import random
 
-from eelgrasslock.cache_estimate import CHUNK_TOKENS
 from eelgrasslock.clock import Clock
-from eelgrasslock.decisions import Decisions
-from eelgrasslock.scheduler import Scheduler
-from eelgrasslock.scheduling import Call
-from eelgrasslock.settings import Configuration
+from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.scheduling.cache_estimate import CHUNK_TOKENS
+from eelgrasslock.scheduling.calls import Call
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock_measure.prefix_cache import PrefixCache
 from eelgrasslock_measure.simulation import Simulation
 
--- a/src/eelgrasslock_measure/costs.py
+++ b/src/eelgrasslock_measure/costs.py
@@ -10,17 +10,17 @@
 from rich.table import Table
 
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.scheduler import Scheduler
-from eelgrasslock.scheduling import Call, CallEnd
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.settings import (
     Configuration,
     EndpointSettings,
     ModelSettings,
     ServiceKind,
     ServiceSettings,
 )
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import Call, CallEnd
+from eelgrasslock.scheduling.scheduler import Scheduler
 
 ENGINES = (10, 100, 350, 3_800)
 PROGRAMS = (100, 1_000, 10_000)
--- a/src/eelgrasslock_measure/deployments.py
+++ b/src/eelgrasslock_measure/deployments.py
@@ -2,8 +2,7 @@
 
 from attrs import evolve, frozen
 
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.settings import (
     Configuration,
     EndpointSettings,
     LimitSettings,
@@ -12,6 +11,7 @@
     ServiceSettings,
     WeightSettings,
 )
+from eelgrasslock.requests.exchange import CallClass
 from eelgrasslock_measure.workload import ProgramKind, Spread
 
 KV_TOKENS_PER_SECOND = 16_000.0
--- a/src/eelgrasslock_measure/fault.py
+++ b/src/eelgrasslock_measure/fault.py
@@ -3,8 +3,8 @@
 from functools import partial
 from typing import Protocol
 
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import CallEnd
 from eelgrasslock_measure.front import Front
 from eelgrasslock_measure.nodes import EngineNode
 from eelgrasslock_measure.scenario import FaultKind, Scenario
--- a/src/eelgrasslock_measure/front.py
+++ b/src/eelgrasslock_measure/front.py
@@ -4,8 +4,9 @@
 from typing import Protocol
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.scheduler import Expired
-from eelgrasslock.scheduling import (
+from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import (
     Assignment,
     CacheEvent,
     Call,
@@ -13,8 +14,7 @@
     LoadReport,
     PeerLoad,
 )
-from eelgrasslock.settings import Configuration
-from eelgrasslock.usage import Usage
+from eelgrasslock.scheduling.scheduler import Expired
 
 
 class Front(Protocol):
--- a/src/eelgrasslock_measure/heartbeats.py
+++ b/src/eelgrasslock_measure/heartbeats.py
@@ -15,15 +15,15 @@
 from attrs import define, frozen
 
 from eelgrasslock.clock import SystemClock
-from eelgrasslock.journal_records import BudgetDrawn
-from eelgrasslock.log import Entry
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.membership import Membership
-from eelgrasslock.peers import PeerLinks
-from eelgrasslock.relays import heartbeat_interval
-from eelgrasslock.scheduling import PeerLoad
-from eelgrasslock.settings import DaemonSettings
+from eelgrasslock.configuration.settings import DaemonSettings
+from eelgrasslock.log.entries import Entry
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.peers.links import PeerLinks
+from eelgrasslock.peers.membership import Membership
+from eelgrasslock.peers.relays import heartbeat_interval
+from eelgrasslock.programs.journal_records import BudgetDrawn
+from eelgrasslock.scheduling.calls import PeerLoad
 
 _SIZES = (5, 10, 20, 29, 40)
 _WARM_UP_SECONDS = 4.0
--- a/src/eelgrasslock_measure/markdown.py
+++ b/src/eelgrasslock_measure/markdown.py
@@ -4,7 +4,7 @@
 import math
 import pathlib
 
-from eelgrasslock.record_codec import from_jsonable
+from eelgrasslock.log.record_codec import from_jsonable
 from eelgrasslock_measure.experiments import Cell
 from eelgrasslock_measure.report import COLUMNS, shown, sorted_cells
 
--- a/src/eelgrasslock_measure/news.py
+++ b/src/eelgrasslock_measure/news.py
@@ -4,7 +4,7 @@
 from functools import partial
 from typing import Protocol
 
-from eelgrasslock.scheduling import PeerLoad
+from eelgrasslock.scheduling.calls import PeerLoad
 from eelgrasslock_measure.front import Front
 from eelgrasslock_measure.nodes import EngineNode, Node
 from eelgrasslock_measure.scenario import Scenario
--- a/src/eelgrasslock_measure/nodes.py
+++ b/src/eelgrasslock_measure/nodes.py
@@ -6,11 +6,11 @@
 from functools import partial
 from typing import Protocol
 
-from eelgrasslock.cache_estimate import CHUNK_TOKENS, chunk_keys
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.scheduling import CacheEvent, Call, CallEnd, LoadReport
-from eelgrasslock.settings import EndpointSettings
-from eelgrasslock.usage import Usage
+from eelgrasslock.configuration.settings import EndpointSettings
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.cache_estimate import CHUNK_TOKENS, chunk_keys
+from eelgrasslock.scheduling.calls import CacheEvent, Call, CallEnd, LoadReport
 from eelgrasslock_measure.deployments import PLAIN_SECONDS
 from eelgrasslock_measure.engine_model import (
     EngineCall,
--- a/src/eelgrasslock_measure/outcome.py
+++ b/src/eelgrasslock_measure/outcome.py
@@ -5,7 +5,7 @@
 import numpy as np
 from attrs import define, field, frozen
 
-from eelgrasslock.exchange import CallClass
+from eelgrasslock.requests.exchange import CallClass
 
 LATE_FACTOR = 3.0
 LATE_SECONDS = 60.0
--- a/src/eelgrasslock_measure/policies.py
+++ b/src/eelgrasslock_measure/policies.py
@@ -10,12 +10,12 @@
 
 import xxhash
 
-from eelgrasslock.admission import wait_limit
 from eelgrasslock.clock import Clock
-from eelgrasslock.decisions import Decisions
+from eelgrasslock.configuration.settings import Configuration
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.scheduler import Expired, Scheduler
-from eelgrasslock.scheduling import (
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.admission import wait_limit
+from eelgrasslock.scheduling.calls import (
     Assignment,
     CacheEvent,
     Call,
@@ -23,8 +23,8 @@
     LoadReport,
     PeerLoad,
 )
-from eelgrasslock.settings import Configuration
-from eelgrasslock.usage import Usage
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.scheduler import Expired, Scheduler
 from eelgrasslock_measure.front import Front, FrontFactory
 
 _FAILED_SECONDS = 10.0
--- a/src/eelgrasslock_measure/program_run.py
+++ b/src/eelgrasslock_measure/program_run.py
@@ -5,9 +5,9 @@
 from typing import Protocol
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.scheduling import BLOCK_TOKENS, Call, CallEnd
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import BLOCK_TOKENS, Call, CallEnd
 from eelgrasslock_measure.deployments import PLAIN_SECONDS, Deployment
 from eelgrasslock_measure.front import Front
 from eelgrasslock_measure.outcome import ProgramOutcome
--- a/src/eelgrasslock_measure/simulation.py
+++ b/src/eelgrasslock_measure/simulation.py
@@ -7,12 +7,12 @@
 
 from attrs import define
 
-from eelgrasslock.cache_estimate import CHUNK_TOKENS, chunk_keys
+from eelgrasslock.configuration.settings import EndpointSettings, ServiceKind
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.scheduling import BLOCK_TOKENS, Assignment, Call, CallEnd
-from eelgrasslock.settings import EndpointSettings, ServiceKind
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.cache_estimate import CHUNK_TOKENS, chunk_keys
+from eelgrasslock.scheduling.calls import BLOCK_TOKENS, Assignment, Call, CallEnd
 from eelgrasslock_measure.deployments import Deployment
 from eelgrasslock_measure.fault import Fault
 from eelgrasslock_measure.front import Front, FrontFactory
--- a/src/eelgrasslock_measure/state.py
+++ b/src/eelgrasslock_measure/state.py
@@ -6,18 +6,18 @@
 import click
 from attrs import frozen
 
-from eelgrasslock.folder import load_configuration
-from eelgrasslock.history import extend_digest, history_digest
-from eelgrasslock.journal import Journal
-from eelgrasslock.journal_records import (
+from eelgrasslock.configuration.folder import load_configuration
+from eelgrasslock.log.record_codec import encode_batch, readable_records
+from eelgrasslock.log.records import ConfigVersion, Positioned, Record
+from eelgrasslock.programs.history import extend_digest, history_digest
+from eelgrasslock.programs.journal import Journal
+from eelgrasslock.programs.journal_records import (
     BudgetDrawn,
     Limits,
     ProgramCreated,
     TurnCommitted,
 )
-from eelgrasslock.program_ids import new_program_id
-from eelgrasslock.record_codec import encode_batch, readable_records
-from eelgrasslock.records import ConfigVersion, Positioned, Record
+from eelgrasslock.programs.program_ids import new_program_id
 
 ENDPOINTS = (38, 380, 3_800)
 _ENDPOINTS_PER_FILE = 100
--- a/src/eelgrasslock_measure/workload.py
+++ b/src/eelgrasslock_measure/workload.py
@@ -3,7 +3,7 @@
 import numpy as np
 from attrs import define, field, frozen
 
-from eelgrasslock.exchange import CallClass
+from eelgrasslock.requests.exchange import CallClass
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock_standins/answers.py
+++ b/src/eelgrasslock_standins/answers.py
@@ -8,7 +8,7 @@
 import xxhash
 from attrs import define
 
-from eelgrasslock.tokens import BYTES_PER_TOKEN, prompt_text
+from eelgrasslock.requests.tokens import BYTES_PER_TOKEN, prompt_text
 
 CRASH_MARK = "[crash]"
 _LENGTH_MARK = re.compile(r"\[tokens=(\d+)\]")
--- a/src/eelgrasslock_standins/engine.py
+++ b/src/eelgrasslock_standins/engine.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from eelgrasslock.tokens import estimate_tokens, prompt_text
+from eelgrasslock.requests.tokens import estimate_tokens, prompt_text
 from eelgrasslock_standins.answers import CRASH_MARK
 from eelgrasslock_standins.control import add_control, use_up
 from eelgrasslock_standins.engine_core import EngineCore, Session
--- a/src/eelgrasslock_standins/engine_core.py
+++ b/src/eelgrasslock_standins/engine_core.py
@@ -8,8 +8,8 @@
 
 from attrs import define
 
-from eelgrasslock.scheduling import BLOCK_TOKENS
-from eelgrasslock.tokens import block_hashes, estimate_tokens, prompt_text
+from eelgrasslock.requests.tokens import block_hashes, estimate_tokens, prompt_text
+from eelgrasslock.scheduling.calls import BLOCK_TOKENS
 from eelgrasslock_standins.answers import make_answer
 from eelgrasslock_standins.engine_settings import EngineFaults, EngineShape
 from eelgrasslock_standins.engine_stream import EngineStream
--- a/src/eelgrasslock_standins/prefix_cache.py
+++ b/src/eelgrasslock_standins/prefix_cache.py
@@ -5,7 +5,7 @@
 
 from attrs import define
 
-from eelgrasslock.scheduling import BLOCK_TOKENS
+from eelgrasslock.scheduling.calls import BLOCK_TOKENS
 from eelgrasslock_standins.serving import ScaledClock
 
 _EVENTS_KEPT = 2_000
--- a/tests/decision_fakes.py
+++ b/tests/decision_fakes.py
@@ -2,11 +2,7 @@
 import random
 
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.decisions import Decisions
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.scheduler import Scheduler
-from eelgrasslock.scheduling import Call, PeerLoad
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.settings import (
     Configuration,
     EndpointSettings,
     LimitSettings,
@@ -15,6 +11,10 @@
     ServiceKind,
     ServiceSettings,
 )
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.calls import Call, PeerLoad
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.scheduler import Scheduler
 
 _ids = itertools.count()
 
--- a/tests/fake_application.py
+++ b/tests/fake_application.py
@@ -8,9 +8,9 @@
 from aiohttp import web
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.operator_api import OperatorAPI
-from eelgrasslock.quarantine import Quarantine
-from eelgrasslock.records import MemberJoined
+from eelgrasslock.log.records import MemberJoined
+from eelgrasslock.operators.operator_api import OperatorAPI
+from eelgrasslock.scheduling.quarantine import Quarantine
 from fake_config import FakeStream
 from test_configuration import Daemon
 
--- a/tests/fake_config.py
+++ b/tests/fake_config.py
@@ -1,8 +1,8 @@
 """A log of one stream, with the writer and tail that a daemon sees."""
 
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
-from eelgrasslock.record_codec import decode_batch, encode_batch
-from eelgrasslock.records import ConfigVersion, Positioned
+from eelgrasslock.log.record_codec import decode_batch, encode_batch
+from eelgrasslock.log.records import ConfigVersion, Positioned
 
 DEPLOYMENT = """\
 deployment: small
--- a/tests/fake_link.py
+++ b/tests/fake_link.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from eelgrasslock.records import MemberJoined
-from eelgrasslock.settings import DaemonSettings
+from eelgrasslock.configuration.settings import DaemonSettings
+from eelgrasslock.log.records import MemberJoined
 
 
 def daemon_settings(name, domain="a", address="127.0.0.1:0", **more):
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -4,8 +4,8 @@
 
 from eelgrasslock.clock import Clock, ManualClock
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
-from eelgrasslock.journal_records import BudgetDrawn
-from eelgrasslock.log import Entry
+from eelgrasslock.log.entries import Entry
+from eelgrasslock.programs.journal_records import BudgetDrawn
 
 
 class FakeLog:
--- a/tests/fake_scheduler.py
+++ b/tests/fake_scheduler.py
@@ -3,7 +3,7 @@
 from attrs import frozen
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.scheduling import Assignment, Call
+from eelgrasslock.scheduling.calls import Assignment, Call
 
 
 @frozen
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,27 +5,33 @@
 
 import pytest
 
-from eelgrasslock.action_filter import ActionFilter
-from eelgrasslock.actions import Actions
-from eelgrasslock.budget_filter import BudgetFilter
+from eelgrasslock.actions.guard import Actions
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable, Refusal
-from eelgrasslock.exchange import CallResult, Exchange, Request, RequestKind, chain
-from eelgrasslock.journal_records import Limits
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.members import MemberTable
-from eelgrasslock.ownership import owner_of
-from eelgrasslock.programs import Programs
-from eelgrasslock.records import MemberJoined, MemberRetired, Positioned
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.settings import (
     LimitSettings,
     MethodSettings,
     ServiceKind,
     ServiceSettings,
 )
-from eelgrasslock.turn_filter import TurnFilter
-from eelgrasslock.usage import Usage
+from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable, Refusal
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.log.records import MemberJoined, MemberRetired, Positioned
+from eelgrasslock.peers.members import MemberTable
+from eelgrasslock.programs.controller import Programs
+from eelgrasslock.programs.journal_records import Limits
+from eelgrasslock.programs.ownership import owner_of
+from eelgrasslock.requests.action_filter import ActionFilter
+from eelgrasslock.requests.budget_filter import BudgetFilter
+from eelgrasslock.requests.exchange import (
+    CallResult,
+    Exchange,
+    Request,
+    RequestKind,
+    chain,
+)
+from eelgrasslock.requests.turn_filter import TurnFilter
+from eelgrasslock.requests.usage import Usage
 from fake_log import FakeLog
 
 DOMAIN = "riga-a"
--- a/tests/test_action_status.py
+++ b/tests/test_action_status.py
@@ -2,18 +2,18 @@
 
 import pytest
 
-from eelgrasslock.action_records import ActionResult
-from eelgrasslock.action_status import ActionStatus
-from eelgrasslock.endpoint_failure import EndpointFailure
-from eelgrasslock.exceptions import EndpointError, Ran
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.service_client import PlainAnswer
-from eelgrasslock.settings import (
+from eelgrasslock.actions.action_records import ActionResult
+from eelgrasslock.actions.action_status import ActionStatus
+from eelgrasslock.configuration.settings import (
     Configuration,
     EndpointSettings,
     ServiceKind,
     ServiceSettings,
 )
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoints.service_client import PlainAnswer
+from eelgrasslock.exceptions import EndpointError, Ran
+from eelgrasslock.scheduling.calls import CallEnd
 
 LOST = EndpointFailure("lost", CallEnd.BROKEN, Ran.UNKNOWN)
 
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from eelgrasslock.action_records import ActionResult
-from eelgrasslock.action_sweep import REMEMBER_SECONDS, StatusAnswer
-from eelgrasslock.actions import BODY_LIMIT
+from eelgrasslock.actions.action_records import ActionResult
+from eelgrasslock.actions.action_sweep import REMEMBER_SECONDS, StatusAnswer
+from eelgrasslock.actions.guard import BODY_LIMIT
 from eelgrasslock.exceptions import Ran, Refusal
 from fleet import Fleet, plain_call, refused
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,11 +1,11 @@
 import pytest
 
 from decision_fakes import make_call, make_scheduler, start
-from eelgrasslock.decisions import Decisions
+from eelgrasslock.configuration.settings import LimitSettings
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.settings import LimitSettings
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.calls import CallEnd
+from eelgrasslock.scheduling.decisions import Decisions
 
 LIMITS = LimitSettings(
     lookup_wait_seconds=1.0, caller_wait_seconds=20.0, background_wait_seconds=40.0
@@ -68,7 +68,7 @@
             assert start(scheduler, call) is not None
 
     def test_the_queue_is_bounded(self, monkeypatch):
-        monkeypatch.setattr("eelgrasslock.admission.MAX_WAITING", 3)
+        monkeypatch.setattr("eelgrasslock.scheduling.admission.MAX_WAITING", 3)
         scheduler, _ = make_scheduler(engines=1)
         for number in range(5):
             start(scheduler, make_call(f"p{number}"))
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -3,15 +3,15 @@
 import pytest
 
 from decision_fakes import make_call, make_scheduler, start
-from eelgrasslock.breaker import (
+from eelgrasslock.scheduling.breaker import (
     ERROR_THRESHOLD,
     OPEN_SECONDS,
     WINDOW_SECONDS,
     Breaker,
     BreakerState,
 )
-from eelgrasslock.retry_budget import RetryBudgets
-from eelgrasslock.scheduling import CallEnd
+from eelgrasslock.scheduling.calls import CallEnd
+from eelgrasslock.scheduling.retry_budget import RetryBudgets
 
 
 def opened(now=0.0):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,11 +4,13 @@
 import pytest
 from click.testing import CliRunner
 
-from eelgrasslock.cli import main
+from eelgrasslock.operators.cli import main
 from fake_application import ABROAD, HOME, KEYS, fake_application, served
 from fake_config import folder
 from test_folder import EXAMPLES
 
+RETRY_SECONDS = "eelgrasslock.operators.operator_client._RETRY_SECONDS"
+
 NOWHERE = "http://127.0.0.1:1"
 COMMANDS = [
     "actions",
@@ -242,12 +244,16 @@
         )
 
     def test_the_log_is_down(self, application, daemon, riga, monkeypatch):
-        monkeypatch.setattr("eelgrasslock.operator_client._RETRY_SECONDS", 0.0)
+        monkeypatch.setattr(
+            "eelgrasslock.operators.operator_client._RETRY_SECONDS", 0.0
+        )
         application.writer.stream.up = False
         assert run("publish", riga, daemon=daemon).exit_code == 4
 
     def test_a_lost_answer_is_tried_again(self, application, daemon, riga, monkeypatch):
-        monkeypatch.setattr("eelgrasslock.operator_client._RETRY_SECONDS", 0.0)
+        monkeypatch.setattr(
+            "eelgrasslock.operators.operator_client._RETRY_SECONDS", 0.0
+        )
         stream = application.writer.stream
         stream.lose_answers = True
         assert run_json("publish", riga, daemon=daemon)[1]["version"] == 1
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,18 +5,18 @@
 import pytest
 
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.configuration import ConfigurationController
-from eelgrasslock.exceptions import LogUnavailable, SettingsError
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.publish import (
+from eelgrasslock.configuration.controller import ConfigurationController
+from eelgrasslock.configuration.publish import (
     Publication,
     Publisher,
     PublishUnresolved,
     VersionConflict,
 )
-from eelgrasslock.record_codec import encode_batch
-from eelgrasslock.version_fold import copy_of, original_of
+from eelgrasslock.configuration.version_fold import copy_of, original_of
+from eelgrasslock.exceptions import LogUnavailable, SettingsError
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.log.record_codec import encode_batch
 from fake_config import FakeStream, FakeTail, FakeWriter, folder, version
 from fake_log import FakeLog, settle
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,9 +4,9 @@
 import pytest
 
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.dispatch import Dispatcher
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.scheduling import Call, CallEnd
+from eelgrasslock.scheduling.calls import Call, CallEnd
+from eelgrasslock.scheduling.dispatch import Dispatcher
 from fake_scheduler import FakeScheduler
 
 
--- a/tests/test_dispatch_filter.py
+++ b/tests/test_dispatch_filter.py
@@ -3,17 +3,8 @@
 
 import pytest
 
-from eelgrasslock.attempts import DispatchParts
 from eelgrasslock.clock import SystemClock
-from eelgrasslock.dispatch import Dispatcher
-from eelgrasslock.dispatch_filter import DispatchFilter
-from eelgrasslock.endpoint_failure import EndpointFailure
-from eelgrasslock.engine_client import EngineClient
-from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import Exchange, Request, RequestKind
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.service_client import ServiceClient, clean_headers
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.settings import (
     Configuration,
     EndpointSettings,
     LimitSettings,
@@ -22,6 +13,15 @@
     ServiceKind,
     ServiceSettings,
 )
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoints.engine_client import EngineClient
+from eelgrasslock.endpoints.service_client import ServiceClient, clean_headers
+from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.requests.attempts import DispatchParts
+from eelgrasslock.requests.dispatch_filter import DispatchFilter
+from eelgrasslock.requests.exchange import Exchange, Request, RequestKind
+from eelgrasslock.scheduling.calls import CallEnd
+from eelgrasslock.scheduling.dispatch import Dispatcher
 from fake_scheduler import FakeScheduler
 from processes import eventually, free_ports
 from standin_servers import StandinServers
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -6,17 +6,17 @@
 import pytest
 
 from eelgrasslock.clock import ManualClock, SystemClock
-from eelgrasslock.endpoint_failure import EndpointFailure
-from eelgrasslock.endpoint_watch import LOAD_SOURCE, VM_SOURCE, EndpointWatch
-from eelgrasslock.engine_client import EngineClient
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.settings import (
     Configuration,
     EndpointSettings,
     ServiceKind,
     ServiceSettings,
 )
-from eelgrasslock.vm_list import VM, VMKind, VMListUnavailable, VMState
-from eelgrasslock.weight_client import WeightClient
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoints.endpoint_watch import LOAD_SOURCE, VM_SOURCE, EndpointWatch
+from eelgrasslock.endpoints.engine_client import EngineClient
+from eelgrasslock.endpoints.vm_list import VM, VMKind, VMListUnavailable, VMState
+from eelgrasslock.endpoints.weight_client import WeightClient
 from standin_servers import StandinServers
 
 
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -7,16 +7,16 @@
 from loguru import logger
 
 from eelgrasslock.clock import SystemClock
-from eelgrasslock.endpoint_failure import EndpointFailure
-from eelgrasslock.engine_client import EngineClient
-from eelgrasslock.engine_messages import EngineOrder
-from eelgrasslock.exceptions import Ran
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.settings import (
     Configuration,
     EndpointSettings,
     LimitSettings,
 )
+from eelgrasslock.endpoints.endpoint_failure import EndpointFailure
+from eelgrasslock.endpoints.engine_client import EngineClient
+from eelgrasslock.endpoints.engine_messages import EngineOrder
+from eelgrasslock.exceptions import Ran
+from eelgrasslock.scheduling.calls import CallEnd
 from processes import Processes, eventually, free_ports
 from standin_servers import StandinServers
 
--- a/tests/test_filters.py
+++ b/tests/test_filters.py
@@ -4,8 +4,8 @@
 import pytest
 
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.history import history_digest
-from eelgrasslock.journal_records import Limits
+from eelgrasslock.programs.history import history_digest
+from eelgrasslock.programs.journal_records import Limits
 from fleet import Fleet, model_call, refused, start, user
 
 
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from eelgrasslock.exceptions import SettingsError
-from eelgrasslock.folder import (
+from eelgrasslock.configuration.folder import (
     MAX_FOLDER_BYTES,
     load_configuration,
     load_daemon_settings,
     read_folder,
 )
-from eelgrasslock.yaml_places import MAX_FILE_BYTES
+from eelgrasslock.configuration.yaml_places import MAX_FILE_BYTES
+from eelgrasslock.exceptions import SettingsError
 from fake_config import DEPLOYMENT, folder
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
--- a/tests/test_gauges.py
+++ b/tests/test_gauges.py
@@ -1,8 +1,8 @@
 import asyncio
 
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.gauges import Gauge, Gauges
-from eelgrasslock.metrics import METRICS
+from eelgrasslock.telemetry.gauges import Gauge, Gauges
+from eelgrasslock.telemetry.metrics import METRICS
 
 
 class Collected:
--- a/tests/test_heartbeat.py
+++ b/tests/test_heartbeat.py
@@ -1,7 +1,7 @@
 import pytest
 
-from eelgrasslock.heartbeat import FailureDetector
-from eelgrasslock.relays import heartbeat_interval, watched_peers
+from eelgrasslock.peers.heartbeat import FailureDetector
+from eelgrasslock.peers.relays import heartbeat_interval, watched_peers
 from fake_link import member
 from test_members import table_of
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -1,6 +1,6 @@
-from eelgrasslock.exchange import Exchange, Request, RequestKind
-from eelgrasslock.homes import Home, HomeFilter, Homes
-from eelgrasslock.journal_records import ProgramEnded
+from eelgrasslock.programs.journal_records import ProgramEnded
+from eelgrasslock.requests.exchange import Exchange, Request, RequestKind
+from eelgrasslock.requests.homes import Home, HomeFilter, Homes
 
 
 class Holdings:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,8 +1,9 @@
 import pytest
 
-from eelgrasslock.history import extend_digest, history_digest
-from eelgrasslock.journal import Journal
-from eelgrasslock.journal_records import (
+from eelgrasslock.log.records import Positioned
+from eelgrasslock.programs.history import extend_digest, history_digest
+from eelgrasslock.programs.journal import Journal
+from eelgrasslock.programs.journal_records import (
     BudgetDrawn,
     BudgetSettled,
     Limits,
@@ -12,8 +13,7 @@
     ProgramSnapshot,
     TurnCommitted,
 )
-from eelgrasslock.program import encode_program
-from eelgrasslock.records import Positioned
+from eelgrasslock.programs.program import encode_program
 
 PROGRAM = "riga-a~a1~0"
 LIMITS = Limits(tokens=100, turns=3, age=10.0)
@@ -228,8 +228,8 @@
 
 class TestMemory:
     def test_ended_programs_leave_bounded_tombstones(self, monkeypatch):
-        monkeypatch.setattr("eelgrasslock.journal._TOMBSTONES_KEPT", 5)
-        monkeypatch.setattr("eelgrasslock.journal._VERDICTS_KEPT", 5)
+        monkeypatch.setattr("eelgrasslock.programs.journal._TOMBSTONES_KEPT", 5)
+        monkeypatch.setattr("eelgrasslock.programs.journal._VERDICTS_KEPT", 5)
         journal = Journal()
         for number in range(20):
             name = f"riga-a~a1~{number}"
--- a/tests/test_locate_filter.py
+++ b/tests/test_locate_filter.py
@@ -1,9 +1,9 @@
 import pytest
 
 from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable, Ran, Refusal
-from eelgrasslock.exchange import Exchange, Request, RequestKind
-from eelgrasslock.locate_filter import LocateFilter
-from eelgrasslock.records import MemberJoined
+from eelgrasslock.log.records import MemberJoined
+from eelgrasslock.requests.exchange import Exchange, Request, RequestKind
+from eelgrasslock.requests.locate_filter import LocateFilter
 
 
 def member(name):
--- a/tests/test_log_tail.py
+++ b/tests/test_log_tail.py
@@ -6,9 +6,9 @@
 
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import LogUnavailable
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.record_codec import encode_batch
-from eelgrasslock.stream_reader import RecentIds
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.record_codec import encode_batch
+from eelgrasslock.log.stream_reader import RecentIds
 from fake_log import FakeLog, drawn, settle
 
 STREAM = "journal.a"
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -5,8 +5,8 @@
 
 from eelgrasslock.clock import ManualClock, SystemClock
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
-from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.record_codec import decode_batch
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.log.record_codec import decode_batch
 from fake_log import FakeLog, drawn, settle
 
 STREAM = "journal.a"
@@ -183,7 +183,7 @@
         await writer.stop()
 
     async def test_full_queue_refuses(self, fake, clock, writer, monkeypatch):
-        monkeypatch.setattr("eelgrasslock.log_writer._QUEUE_LIMIT_RECORDS", 3)
+        monkeypatch.setattr("eelgrasslock.log.log_writer._QUEUE_LIMIT_RECORDS", 3)
         fake.refuse = True
         tasks = [
             asyncio.create_task(writer.append(STREAM, drawn(number)))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,17 +5,22 @@
 import capnp
 import pytest
 
-from eelgrasslock import membership as membership_module
-from eelgrasslock import peer_loads, retirement
 from eelgrasslock.clock import SystemClock
-from eelgrasslock.log_tail import LogTail
-from eelgrasslock.log_writer import LogWriter
-from eelgrasslock.membership import Membership
-from eelgrasslock.peer_link import LinkLost
-from eelgrasslock.peers import PeerLinks
-from eelgrasslock.record_codec import readable_records
-from eelgrasslock.records import MEMBERS_STREAM, DomainChallenged, MemberRetired, new_id
-from eelgrasslock.scheduling import PeerLoad
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.log.record_codec import readable_records
+from eelgrasslock.log.records import (
+    MEMBERS_STREAM,
+    DomainChallenged,
+    MemberRetired,
+    new_id,
+)
+from eelgrasslock.peers import membership as membership_module
+from eelgrasslock.peers import peer_loads, retirement
+from eelgrasslock.peers.links import PeerLinks
+from eelgrasslock.peers.membership import Membership
+from eelgrasslock.peers.peer_link import LinkLost
+from eelgrasslock.scheduling.calls import PeerLoad
 from fake_link import Relay, daemon_settings
 from fake_log import FakeLog
 
--- a/tests/test_memory_gate.py
+++ b/tests/test_memory_gate.py
@@ -1,12 +1,12 @@
 import pytest
 
 from decision_fakes import make_call, make_scheduler, peer_load, start
-from eelgrasslock.decisions import Decisions
+from eelgrasslock.configuration.settings import LimitSettings
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.live_contexts import IDLE_SECONDS
-from eelgrasslock.scheduling import CallEnd
-from eelgrasslock.settings import LimitSettings
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.calls import CallEnd
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.live_contexts import IDLE_SECONDS
 
 BLOCKS = 3_000
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -24,10 +24,10 @@
 )
 
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.journal import Journal
-from eelgrasslock.journal_records import Limits
-from eelgrasslock.record_codec import decode_batch
-from eelgrasslock.records import Positioned, journal_stream
+from eelgrasslock.log.record_codec import decode_batch
+from eelgrasslock.log.records import Positioned, journal_stream
+from eelgrasslock.programs.journal import Journal
+from eelgrasslock.programs.journal_records import Limits
 from fleet import DOMAIN, FakeEngine, Fleet, model_call, plain_call, user
 
 LIMITS = Limits(tokens=3_000, turns=40, age=1e6)
@@ -127,8 +127,8 @@
         self.loop = asyncio.new_event_loop()
         self.numbers = itertools.count(1)
         self.patches = [
-            mock.patch("eelgrasslock.records.uuid", Ids()),
-            mock.patch("eelgrasslock.program_ids.secrets", Ids()),
+            mock.patch("eelgrasslock.log.records.uuid", Ids()),
+            mock.patch("eelgrasslock.programs.program_ids.secrets", Ids()),
         ]
         for patch in self.patches:
             patch.start()
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -6,9 +6,9 @@
 from loguru import logger
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
 
-from eelgrasslock import logs, tracing
-from eelgrasslock.metrics import Metrics
-from eelgrasslock.settings import DaemonSettings
+from eelgrasslock.configuration.settings import DaemonSettings
+from eelgrasslock.telemetry import logs, tracing
+from eelgrasslock.telemetry.metrics import Metrics
 
 TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
 
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -2,8 +2,8 @@
 import pytest
 from loguru import logger
 
-from eelgrasslock.folder import load_configuration
-from eelgrasslock.operator_edits import (
+from eelgrasslock.configuration.folder import load_configuration
+from eelgrasslock.operators.operator_edits import (
     LEAVING_FILE,
     QUARANTINED_FILE,
     carry_over,
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from eelgrasslock.ownership import owner_of
-from eelgrasslock.program_ids import ProgramId
+from eelgrasslock.programs.ownership import owner_of
+from eelgrasslock.programs.program_ids import ProgramId
 from fake_link import member
 from test_members import retired, table_of
 
--- a/tests/test_parse_filter.py
+++ b/tests/test_parse_filter.py
@@ -3,10 +3,7 @@
 import pytest
 
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.exchange import CallClass, Exchange, Request, RequestKind
-from eelgrasslock.parse_filter import ParseFilter
-from eelgrasslock.settings import (
+from eelgrasslock.configuration.settings import (
     AliasSettings,
     Configuration,
     LimitSettings,
@@ -14,6 +11,9 @@
     ServiceKind,
     ServiceSettings,
 )
+from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.requests.exchange import CallClass, Exchange, Request, RequestKind
+from eelgrasslock.requests.parse_filter import ParseFilter
 
 CONFIGURATION = Configuration(
     deployment="riga",
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,13 +6,13 @@
 import pytest
 from loguru import logger
 
-from eelgrasslock import peer_link
-from eelgrasslock.beat import Beat
 from eelgrasslock.clock import SystemClock
 from eelgrasslock.exceptions import PeerUnavailable, Ran
-from eelgrasslock.exchange import Request
-from eelgrasslock.peers import PeerDenied, PeerGone, PeerLinks
-from eelgrasslock.scheduling import PeerLoad
+from eelgrasslock.peers import peer_link
+from eelgrasslock.peers.beat import Beat
+from eelgrasslock.peers.links import PeerDenied, PeerGone, PeerLinks
+from eelgrasslock.requests.exchange import Request
+from eelgrasslock.scheduling.calls import PeerLoad
 from fake_link import Relay, daemon_settings, member
 from fake_log import drawn
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,13 +1,17 @@
 import pytest
 
 from decision_fakes import make_call, make_configuration, make_scheduler, start
-from eelgrasslock.aliases import resolve_models
-from eelgrasslock.cache_estimate import CHUNK_TOKENS, CacheEstimate, chunk_keys
-from eelgrasslock.decisions import Decisions
-from eelgrasslock.placement import SMALL_POOL
-from eelgrasslock.scheduling import CacheEvent, CallEnd, LoadReport
-from eelgrasslock.settings import AliasSettings, ModelSettings
-from eelgrasslock.usage import Usage
+from eelgrasslock.configuration.settings import AliasSettings, ModelSettings
+from eelgrasslock.requests.aliases import resolve_models
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.cache_estimate import (
+    CHUNK_TOKENS,
+    CacheEstimate,
+    chunk_keys,
+)
+from eelgrasslock.scheduling.calls import CacheEvent, CallEnd, LoadReport
+from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.placement import SMALL_POOL
 
 
 def finish(scheduler, assignment):
--- a/tests/test_plain_methods.py
+++ b/tests/test_plain_methods.py
@@ -1,7 +1,11 @@
 import pytest
 
-from eelgrasslock.plain_methods import is_idempotent
-from eelgrasslock.settings import MethodSettings, ServiceKind, ServiceSettings
+from eelgrasslock.configuration.settings import (
+    MethodSettings,
+    ServiceKind,
+    ServiceSettings,
+)
+from eelgrasslock.requests.plain_methods import is_idempotent
 
 DESK = ServiceSettings(
     kind=ServiceKind.PLAIN,
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -3,9 +3,9 @@
 import pytest
 
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.held import HELD_PER_PROGRAM
-from eelgrasslock.history import history_digest, start_digest
-from eelgrasslock.journal_records import Limits
+from eelgrasslock.programs.held import HELD_PER_PROGRAM
+from eelgrasslock.programs.history import history_digest, start_digest
+from eelgrasslock.programs.journal_records import Limits
 from fleet import Fleet, refused, start
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,7 +2,7 @@
 
 from decision_fakes import make_call, make_scheduler, peer_load, start
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.scheduling import CallEnd
+from eelgrasslock.scheduling.calls import CallEnd
 
 
 def crash(scheduler, endpoint):
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -1,7 +1,7 @@
 from decision_fakes import make_call, make_scheduler, start
-from eelgrasslock.exchange import CallClass
-from eelgrasslock.queueing import ProgramService, ProgramTable, Ranking
-from eelgrasslock.scheduling import CallEnd
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.scheduling.calls import CallEnd
+from eelgrasslock.scheduling.queueing import ProgramService, ProgramTable, Ranking
 
 BACKGROUND = CallClass.BACKGROUND
 LOOKUP = CallClass.LOOKUP
@@ -99,7 +99,7 @@
 
 class TestProgramTable:
     def test_keeps_a_bounded_number(self, monkeypatch):
-        monkeypatch.setattr("eelgrasslock.queueing._PROGRAMS_KEPT", 3)
+        monkeypatch.setattr("eelgrasslock.scheduling.queueing._PROGRAMS_KEPT", 3)
         table = ProgramTable()
         for number in range(5):
             table.find(f"p{number}", float(number))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -3,8 +3,8 @@
 import pytest
 
 from eelgrasslock.exceptions import RecordError
-from eelgrasslock.journal_records import BudgetDrawn, Limits, ProgramCreated
-from eelgrasslock.record_codec import decode_batch, encode_batch
+from eelgrasslock.log.record_codec import decode_batch, encode_batch
+from eelgrasslock.programs.journal_records import BudgetDrawn, Limits, ProgramCreated
 
 
 class TestBatch:
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from eelgrasslock.endpoints.release import UNKNOWN_SAFE_SECONDS, ReleaseController
 from eelgrasslock.exceptions import EndpointError, Ran
-from eelgrasslock.release import UNKNOWN_SAFE_SECONDS, ReleaseController
 from fleet import Fleet, start
 
 URLS = {"engine-1": "http://e1", "engine-2": "http://e2"}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,8 +9,8 @@
     start,
 )
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.scheduling import CallEnd, LoadReport
-from eelgrasslock.usage import Usage
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import CallEnd, LoadReport
 
 
 class TestScheduler:
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -1,6 +1,6 @@
 import pytest
 
-from eelgrasslock.sse import ServerEvent, encode_event, read_events
+from eelgrasslock.requests.sse import ServerEvent, encode_event, read_events
 
 
 async def lines_of(text):
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -3,9 +3,9 @@
 import pytest
 
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.refusal_body import refusal_body, refusal_headers
-from eelgrasslock.scheduling import BLOCK_TOKENS
-from eelgrasslock.tokens import BYTES_PER_TOKEN, block_hashes, estimate_tokens
+from eelgrasslock.requests.refusal_body import refusal_body, refusal_headers
+from eelgrasslock.requests.tokens import BYTES_PER_TOKEN, block_hashes, estimate_tokens
+from eelgrasslock.scheduling.calls import BLOCK_TOKENS
 
 
 class TestTokens:
--- a/tests/test_tracked_responder.py
+++ b/tests/test_tracked_responder.py
@@ -3,7 +3,7 @@
 import pytest
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.tracked_responder import TrackedResponder
+from eelgrasslock.requests.tracked_responder import TrackedResponder
 
 REFUSAL = Refusal("busy", "Come back.", 503, retry_after=2.0)
 
