--- a/examples/processes.sh
+++ b/examples/processes.sh
@@ -60,7 +60,7 @@
     local folder="$logs/published"
     cp -r "$1" "$folder"
     for _ in $(seq 60); do
-        if "$PYTHON" -m eelgrasslock.cli publish "$folder" --daemon "$2" \
+        if "$PYTHON" -m eelgrasslock.operators.cli publish "$folder" --daemon "$2" \
             >"$logs/publish.out" 2>&1; then
             return 0
         fi
--- /dev/null
+++ b/src/eelgrasslock/allowances/account.py
@@ -0,0 +1,56 @@
+"""One program's allowance at this daemon."""
+
+import asyncio
+
+from attrs import define, field
+
+
+@define(eq=False)
+class Account:
+    """What this daemon may spend on a program, and what it has spent.
+
+    Attributes
+    ----------
+    program : str
+        The program.
+    budget : int
+        What all its turns may generate, by the program's own word.
+    drawn : int
+        What this daemon has drawn.
+    spent : int
+        What its finished turns have used.
+    reserved : int
+        The worst case of its turns in flight.
+    used_at : float
+        When a turn last began or ended, on the monotonic clock.
+    """
+
+    program: str
+    budget: int
+    drawn: int = 0
+    spent: int = 0
+    reserved: int = 0
+    used_at: float = 0.0
+    _settled: asyncio.Event = field(factory=asyncio.Event)
+
+    @property
+    def free(self) -> int:
+        """What may be reserved without another draw."""
+        return self.drawn - self.spent - self.reserved
+
+    def reserve(self, tokens: int, now: float) -> None:
+        """Set a turn's worst case aside."""
+        self.reserved += tokens
+        self.used_at = now
+
+    def settle(self, reserved: int, used: int, now: float) -> None:
+        """Note what a turn has used of what was set aside."""
+        self.reserved -= reserved
+        self.spent += used
+        self.used_at = now
+        self._settled.set()
+
+    async def settled(self) -> None:
+        """Wait until a turn in flight ends."""
+        self._settled.clear()
+        await self._settled.wait()
--- /dev/null
+++ b/src/eelgrasslock/allowances/draws.py
@@ -0,0 +1,140 @@
+"""Draws on programs' budgets, and their fold over a partition of the log.
+
+Each record carries the total that is drawn after it, so that a reader needs
+no record older than the log's retention. All appends are conditional, so the
+author of a record knew every record before it.
+"""
+
+import json
+
+from attrs import define, field, frozen
+
+from eelgrasslock.exceptions import RecordError
+
+_FORM = 1
+_IDS_KEPT = 64
+
+
+@frozen(kw_only=True)
+class Draw:
+    """Tokens that move between a program's budget and a daemon.
+
+    Attributes
+    ----------
+    program : str
+        The program.
+    id : str
+        Unique to the draw, so that a repeated append counts once.
+    holder : str
+        The incarnation that may spend them.
+    address : str
+        Where the holder listens for peers, or empty.
+    tokens : int
+        How many; below zero for what is given back.
+    total : int
+        What all daemons hold or have spent after it.
+    """
+
+    program: str
+    id: str
+    holder: str
+    address: str
+    tokens: int
+    total: int
+
+
+def encode(draw: Draw) -> bytes:
+    """Return a draw as the bytes of a log record."""
+    values = [
+        _FORM,
+        draw.program,
+        draw.id,
+        draw.holder,
+        draw.address,
+        draw.tokens,
+        draw.total,
+    ]
+    return json.dumps(values, separators=(",", ":")).encode()
+
+
+def decode(data: bytes) -> Draw:
+    """Return a log record as a draw.
+
+    Raises
+    ------
+    RecordError
+        If it is none.
+    """
+    try:
+        form, program, id, holder, address, tokens, total = json.loads(data)
+    except ValueError as error:
+        raise RecordError(f"No draw: {error}.") from error
+    texts = (program, id, holder, address)
+    counts = (tokens, total)
+    is_draw = form == _FORM and all(isinstance(one, str) for one in texts)
+    if not is_draw or not all(type(one) is int for one in counts):
+        raise RecordError("The record has other fields than a draw.")
+    return Draw(
+        program=program,
+        id=id,
+        holder=holder,
+        address=address,
+        tokens=tokens,
+        total=total,
+    )
+
+
+@define(eq=False)
+class DrawnBudget:
+    """What is drawn on one program's budget, as the log tells it.
+
+    Attributes
+    ----------
+    total : int
+        What all daemons hold or have spent.
+    held : dict of str to int
+        The same by incarnation, as far as the log still tells.
+    addresses : dict of str to str
+        Where these incarnations listen for peers.
+    ids : dict of str to None
+        The newest draws.
+    """
+
+    total: int = 0
+    held: dict[str, int] = field(factory=dict)
+    addresses: dict[str, str] = field(factory=dict)
+    ids: dict[str, None] = field(factory=dict)
+
+    def apply(self, draw: Draw) -> None:
+        """Take in the next draw."""
+        self.total = draw.total
+        self.held[draw.holder] = self.held.get(draw.holder, 0) + draw.tokens
+        self.addresses[draw.holder] = draw.address
+        self.ids[draw.id] = None
+        while len(self.ids) > _IDS_KEPT:
+            del self.ids[next(iter(self.ids))]
+
+
+@define(eq=False)
+class PartitionFold:
+    """The draws of one partition up to an offset.
+
+    Attributes
+    ----------
+    end : int
+        The offset after the last record that was taken in; a daemon that knows
+        nothing of a partition begins with 0, which only an empty one confirms.
+    budgets : dict of str to DrawnBudget
+        By program.
+    """
+
+    end: int = 0
+    budgets: dict[str, DrawnBudget] = field(factory=dict)
+
+    def budget(self, program: str) -> DrawnBudget:
+        """Return what is drawn on a program's budget."""
+        return self.budgets.get(program) or DrawnBudget()
+
+    def apply(self, draw: Draw) -> None:
+        """Take in a draw, whose record is the next one."""
+        self.budgets.setdefault(draw.program, DrawnBudget()).apply(draw)
--- /dev/null
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -0,0 +1,148 @@
+"""Keeps the turns of programs inside their budgets, over all daemons."""
+
+from collections import OrderedDict
+
+from attrs import frozen
+from loguru import logger
+
+from eelgrasslock.allowances.account import Account
+from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, Ran, Refusal
+
+ACCOUNTS_KEPT = 20_000
+UNAVAILABLE_RETRY_SECONDS = 1.0
+
+_log = logger.bind(part="allowances")
+
+
+@frozen(kw_only=True)
+class Reservation:
+    """A turn's worst case, set aside until the turn has ended.
+
+    Attributes
+    ----------
+    account : Account
+        The program's account.
+    tokens : int
+        The worst case.
+    """
+
+    account: Account
+    tokens: int
+
+
+class Allowances:
+    """The programs' accounts at this daemon.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        Draws on budgets.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(self, ledger: Ledger, clock: Clock) -> None:
+        self.ledger = ledger
+        self.clock = clock
+        self.accounts: OrderedDict[str, Account] = OrderedDict()
+
+    async def reserve(
+        self, program: str, budget: int, worst: int, request: str = ""
+    ) -> Reservation:
+        """Set a turn's worst case aside, drawing for it if need be.
+
+        Parameters
+        ----------
+        program : str
+            The program.
+        budget : int
+            What all its turns may generate.
+        worst : int
+            The most that this turn may generate.
+        request : str
+            The request's id, for the log.
+
+        Raises
+        ------
+        Refusal
+            402 if the budget is spent, 503 if that can't be told now.
+        """
+        account = self._account(program, budget)
+        while account.free < worst:
+            await self._draw(account, worst, request)
+        account.reserve(worst, self.clock.monotonic())
+        return Reservation(account=account, tokens=worst)
+
+    def settle(self, reservation: Reservation, used: int) -> None:
+        """Note what a turn has used."""
+        now = self.clock.monotonic()
+        reservation.account.settle(reservation.tokens, used, now)
+
+    async def give_back_all(self) -> None:
+        """Give back what no turn will spend here, before the daemon ends."""
+        for account in list(self.accounts.values()):
+            tokens = account.free
+            if tokens <= 0:
+                continue
+            account.drawn -= tokens
+            try:
+                await self.ledger.give_back(account.program, tokens)
+            except (LogUnavailable, AppendUnresolved) as error:
+                _log.info("{} tokens of {} stay drawn: {}", tokens, account, error)
+
+    async def _draw(self, account: Account, worst: int, request: str) -> None:
+        needed = worst - account.free
+        try:
+            tokens = await self.ledger.draw(
+                account.program, account.budget, needed, worst
+            )
+        except (LogUnavailable, AppendUnresolved) as error:
+            _log.info(
+                "Refused {} of {}: no draw of {} tokens: {}",
+                request,
+                account.program,
+                needed,
+                error,
+            )
+            raise _unavailable() from error
+        account.drawn += tokens
+        if not tokens:
+            _log.info(
+                "Refused {} of {}: {} of {} tokens are drawn here, {} spent, {} set"
+                " aside; a turn may use {}.",
+                request,
+                account.program,
+                account.drawn,
+                account.budget,
+                account.spent,
+                account.reserved,
+                worst,
+            )
+            raise _spent()
+
+    def _account(self, program: str, budget: int) -> Account:
+        account = self.accounts.get(program)
+        if account is None:
+            account = Account(program=program, budget=budget)
+            self.accounts[program] = account
+            if len(self.accounts) > ACCOUNTS_KEPT:
+                self.accounts.popitem(last=False)
+        self.accounts.move_to_end(program)
+        account.budget = budget
+        return account
+
+
+def _spent() -> Refusal:
+    return Refusal("budget_spent", "The program's token budget is spent.", 402, Ran.NO)
+
+
+def _unavailable() -> Refusal:
+    return Refusal(
+        "budget_unknown",
+        "It can't be told now whether the program's budget holds this turn.",
+        503,
+        Ran.NO,
+        UNAVAILABLE_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/src/eelgrasslock/allowances/ledger.py
@@ -0,0 +1,206 @@
+"""Appends draws to the log, each under the condition that nothing came between."""
+
+import asyncio
+import secrets
+
+import xxhash
+from attrs import define, field
+from loguru import logger
+
+from eelgrasslock.allowances.draws import Draw, PartitionFold, decode, encode
+from eelgrasslock.allowances.shares import tokens_to_draw
+from eelgrasslock.exceptions import (
+    AppendUnresolved,
+    LogUnavailable,
+    RecordError,
+    RecordsExpired,
+)
+from eelgrasslock.log.partitioned import EndMoved, PartitionedLog
+
+TOPICS = 80
+_TOPIC = "allowances-{}"
+_ID_BYTES = 8
+_TRIES = 6
+
+_log = logger.bind(part="ledger")
+
+
+@define(eq=False)
+class Partition:
+    """One partition, with one append in flight.
+
+    Attributes
+    ----------
+    topic : str
+        Its topic.
+    number : int
+        Its number in the topic.
+    fold : PartitionFold
+        What it holds, as far as it was read.
+    """
+
+    topic: str
+    number: int
+    fold: PartitionFold = field(factory=PartitionFold)
+    lock: asyncio.Lock = field(factory=asyncio.Lock)
+
+
+class Ledger:
+    """Draws on budgets for one daemon.
+
+    Parameters
+    ----------
+    log : PartitionedLog
+        Where draws are kept.
+    partitions : int
+        How many partitions a topic has.
+    holder, address : str
+        This daemon's incarnation, and where it listens for peers.
+    """
+
+    def __init__(
+        self, log: PartitionedLog, partitions: int, holder: str, address: str = ""
+    ) -> None:
+        self.log = log
+        self.partitions = partitions
+        self.holder = holder
+        self.address = address
+        self.known: dict[int, Partition] = {}
+
+    def partition(self, program: str) -> Partition:
+        """Return the partition that holds a program's draws."""
+        place = xxhash.xxh64_intdigest(program.encode()) % (TOPICS * self.partitions)
+        found = self.known.get(place)
+        if found is None:
+            topic, number = divmod(place, self.partitions)
+            found = Partition(_TOPIC.format(topic), number)
+            self.known[place] = found
+        return found
+
+    async def draw(self, program: str, budget: int, needed: int, worst: int) -> int:
+        """Draw for a turn; return the tokens, 0 if the budget can't give them.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log does not take the draw.
+        AppendUnresolved
+            If it can't be told whether it did; what it took is forfeited.
+        """
+        partition = self.partition(program)
+        async with partition.lock:
+            id = secrets.token_hex(_ID_BYTES)
+            return await self._draw(partition, program, id, budget, needed, worst)
+
+    async def give_back(self, program: str, tokens: int) -> None:
+        """Give back tokens that this daemon will not spend.
+
+        Raises
+        ------
+        LogUnavailable, AppendUnresolved
+            If the log did not take it; the tokens must not be spent either way.
+        """
+        partition = self.partition(program)
+        async with partition.lock:
+            id = secrets.token_hex(_ID_BYTES)
+            for _ in range(_TRIES):
+                draw = self._record(partition, program, id, -tokens)
+                if await self._append(partition, draw):
+                    return
+
+    async def _draw(
+        self,
+        partition: Partition,
+        program: str,
+        id: str,
+        budget: int,
+        needed: int,
+        worst: int,
+    ) -> int:
+        is_read = False
+        for _ in range(_TRIES):
+            drawn = partition.fold.budget(program).total
+            tokens = tokens_to_draw(budget, drawn, needed, worst)
+            if tokens == 0 and not is_read:
+                await self._read(partition)
+                is_read = True
+                continue
+            if tokens == 0:
+                return 0
+            draw = self._record(partition, program, id, tokens)
+            if await self._append(partition, draw):
+                return tokens
+        raise LogUnavailable(f"{_TRIES} appends met others' in between.")
+
+    def _record(self, partition: Partition, program: str, id: str, tokens: int) -> Draw:
+        return Draw(
+            program=program,
+            id=id,
+            holder=self.holder,
+            address=self.address,
+            tokens=tokens,
+            total=partition.fold.budget(program).total + tokens,
+        )
+
+    async def _append(self, partition: Partition, draw: Draw) -> bool:
+        """Append a draw once; return whether the partition holds it.
+
+        An append whose answer was lost can only be done late while nothing
+        else was appended, so that the same append, sent again, decides.
+        """
+        fold = partition.fold
+        data = encode(draw)
+        try:
+            end = await self.log.append_at(
+                partition.topic, partition.number, [data], fold.end
+            )
+        except EndMoved:
+            await self._read(partition)
+            return draw.id in fold.budget(draw.program).ids
+        except AppendUnresolved:
+            _log.info("The answer to the draw {} was lost; sending it again.", draw.id)
+            return await self._append_again(partition, draw, data)
+        fold.end = end
+        fold.apply(draw)
+        return True
+
+    async def _append_again(
+        self, partition: Partition, draw: Draw, data: bytes
+    ) -> bool:
+        fold = partition.fold
+        try:
+            end = await self.log.append_at(
+                partition.topic, partition.number, [data], fold.end
+            )
+        except EndMoved:
+            await self._read(partition)
+            return draw.id in fold.budget(draw.program).ids
+        except LogUnavailable as error:
+            raise AppendUnresolved(str(error)) from error
+        fold.end = end
+        fold.apply(draw)
+        return True
+
+    async def _read(self, partition: Partition) -> None:
+        """Take in what was appended since the last look."""
+        fold = partition.fold
+        while True:
+            try:
+                read = await self.log.read_from(
+                    partition.topic, partition.number, fold.end
+                )
+            except RecordsExpired as error:
+                fold.end = error.first
+                continue
+            for data in read.records:
+                self._apply(partition, data)
+            fold.end = read.offset
+            if not read.records or read.offset >= read.end:
+                return
+
+    def _apply(self, partition: Partition, data: bytes) -> None:
+        try:
+            partition.fold.apply(decode(data))
+        except RecordError as error:
+            place = f"{partition.topic}/{partition.number}"
+            _log.warning("Skipped a record of {}: {}", place, error)
--- /dev/null
+++ b/src/eelgrasslock/allowances/shares.py
@@ -0,0 +1,31 @@
+"""How much of a program's budget a daemon draws at a time.
+
+Answers the pattern of programs whose lines of turns meet several daemons: a
+draw takes a third of what is left, so that a program that keeps to one daemon
+needs few draws and goes on through an outage of the log, while several
+daemons together leave some of it for one more.
+"""
+
+SHARE = 1 / 3
+MOST_TURNS = 4
+
+
+def tokens_to_draw(budget: int, drawn: int, needed: int, worst: int) -> int:
+    """Return how many tokens to draw, 0 if the budget can't give what is needed.
+
+    Parameters
+    ----------
+    budget : int
+        The program's budget.
+    drawn : int
+        What all daemons have drawn.
+    needed : int
+        The least that helps.
+    worst : int
+        The most that one turn uses.
+    """
+    free = budget - drawn
+    if free < needed:
+        return 0
+    share = min(int(free * SHARE), MOST_TURNS * worst)
+    return max(needed, min(worst, free), share)
--- /dev/null
+++ b/src/eelgrasslock/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that are passed on by host and path, for callers of any protocol."""
--- /dev/null
+++ b/src/eelgrasslock/gateway/application.py
@@ -0,0 +1,249 @@
+"""The central object of a daemon that serves routes."""
+
+import asyncio
+import random
+import secrets
+from typing import Protocol
+
+from attrs import frozen
+from loguru import logger
+
+from eelgrasslock.allowances.keeper import Allowances
+from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.clock import Clock
+from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.gateway.attempts import Attempts
+from eelgrasslock.gateway.deployment import build_configuration
+from eelgrasslock.gateway.directory import EndpointDirectory
+from eelgrasslock.gateway.follower import KeyedFollower
+from eelgrasslock.gateway.forwarder import Forwarder
+from eelgrasslock.gateway.handler import GatewayHandler
+from eelgrasslock.gateway.interfaces import Dialect, KeyedLog, Records
+from eelgrasslock.gateway.listener import Listener, ReadyServer
+from eelgrasslock.gateway.routes import RequestLimits
+from eelgrasslock.gateway.routing import Endpoints, Routing
+from eelgrasslock.gateway.settings import GatewaySettings
+from eelgrasslock.http.pool import ConnectionPool
+from eelgrasslock.log.partitioned import PartitionedLog
+from eelgrasslock.periodic import run_periodically
+from eelgrasslock.scheduling.dispatch import Dispatcher
+from eelgrasslock.scheduling.scheduler import Scheduler
+
+CONFIGURATION_WAIT_SECONDS = 1.5
+CONFIGURATION_PAUSE_SECONDS = 0.05
+ENDPOINTS_WAIT_SECONDS = 1.5
+ENDPOINTS_PAUSE_SECONDS = 0.3
+TICK_SECONDS = 0.1
+BALANCER_SECONDS = 2.5
+LAST_SECONDS = 1.0
+
+_INCARNATION_BYTES = 6
+_log = logger.bind(part="daemon")
+
+
+class GatewayLog(KeyedLog, PartitionedLog, Protocol):
+    """What the gateway keeps on, and reads from, the platform's log."""
+
+
+@frozen(kw_only=True)
+class Platform:
+    """The platform's side of the seams.
+
+    Attributes
+    ----------
+    log : GatewayLog
+        Its log.
+    records : Records
+        Reads what the platform and its operators write there.
+    dialect : Dialect
+        Translates requests and answers.
+    """
+
+    log: GatewayLog
+    records: Records
+    dialect: Dialect
+
+
+class GatewayApplication:
+    """One start of one daemon, from its settings to its end.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        What the process was started with.
+    platform : Platform
+        The platform's side of the seams.
+    pool : ConnectionPool
+        Connections to endpoints and to the log.
+    clock : Clock
+        The time.
+    rng : random.Random
+        The generator for jitter and sampling.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        platform: Platform,
+        pool: ConnectionPool,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.platform = platform
+        self.pool = pool
+        self.clock = clock
+        self.rng = rng
+        self.incarnation = f"{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}"
+        self.draining = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._make_decisions()
+        self._make_state()
+        self._make_passes()
+        self._make_servers()
+
+    def _make_decisions(self) -> None:
+        empty = Configuration(deployment="", domains=[self.settings.domain])
+        self.scheduler = Scheduler(self.clock, self.rng, empty, self.settings.domain)
+        self.dispatcher = Dispatcher(self.scheduler, self.clock)
+
+    def _make_state(self) -> None:
+        platform = self.platform
+        self.directory = EndpointDirectory(self.clock)
+        self.routing = Routing(platform.records, self._configuration_changed)
+        self.endpoints = Endpoints(
+            platform.records, self.directory, self._changed, self._reborn
+        )
+        topics = platform.records.topics
+        self.followers = [
+            KeyedFollower(
+                platform.log,
+                topics.configuration,
+                self.routing,
+                self.clock,
+                self.rng,
+                CONFIGURATION_WAIT_SECONDS,
+                CONFIGURATION_PAUSE_SECONDS,
+            ),
+            KeyedFollower(
+                platform.log,
+                topics.endpoints,
+                self.endpoints,
+                self.clock,
+                self.rng,
+                ENDPOINTS_WAIT_SECONDS,
+                ENDPOINTS_PAUSE_SECONDS,
+            ),
+        ]
+        ledger = Ledger(
+            platform.log,
+            self.settings.store_partitions,
+            self.incarnation,
+            self.settings.peer_address,
+        )
+        self.allowances = Allowances(ledger, self.clock)
+
+    def _make_passes(self) -> None:
+        attempts = Attempts(
+            self.pool, self.directory, self.platform.dialect, self.clock
+        )
+        forwarder = Forwarder(self.dispatcher, self.scheduler, attempts, self.clock)
+        self.handler = GatewayHandler(
+            self.routing,
+            self.allowances,
+            forwarder,
+            self.platform.dialect,
+            self.clock,
+            self.rng,
+        )
+
+    def _make_servers(self) -> None:
+        dialect = self.platform.dialect
+        self.listener = Listener(
+            self.settings.front_address,
+            self.handler.handle,
+            dialect,
+            self._limits,
+            self.clock,
+        )
+        self.ready_server = ReadyServer(
+            self.settings.ready_address, dialect.ready_path, self.is_ready
+        )
+
+    # --- what the parts ask of each other -------------------------------------
+
+    def is_ready(self) -> bool:
+        """Return whether new connections may come."""
+        has_endpoints = bool(self.directory.entries)
+        return not self.draining and self.routing.current is not None and has_endpoints
+
+    def _limits(self) -> RequestLimits:
+        current = self.routing.current
+        return current.limits if current is not None else RequestLimits()
+
+    def _configuration_changed(self) -> None:
+        self.listener.limits_changed()
+        self._changed()
+
+    def _changed(self) -> None:
+        current = self.routing.current
+        if current is None:
+            return
+        entries = self.directory.entries.values()
+        domains = sorted({entry.domain for entry in entries})
+        self.scheduler.configure(build_configuration(current, entries, domains))
+        self.dispatcher.kick()
+
+    def _reborn(self, endpoint: str) -> None:
+        self.scheduler.cache.forget(endpoint)
+
+    async def _tick(self) -> None:
+        self.endpoints.sweep()
+        self.scheduler.age_loads()
+        self.dispatcher.kick()
+
+    # --- life cycle -------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start all parts, the servers last."""
+        await self.pool.start()
+        await self.dispatcher.start()
+        runs = [follower.run() for follower in self.followers]
+        runs.append(run_periodically(self.clock, lambda: TICK_SECONDS, self._tick))
+        self._tasks = [asyncio.create_task(run) for run in runs]
+        await self.ready_server.start()
+        await self.listener.start()
+        _log.info("Started as incarnation {}.", self.incarnation)
+
+    async def drain(self) -> None:
+        """Take no new connections and finish what is in flight."""
+        self.draining = True
+        self.listener.closing = True
+        count = self.handler.in_flight.count
+        _log.info("Draining, {} requests in flight.", count)
+        try:
+            async with asyncio.timeout(self.settings.drain_seconds - LAST_SECONDS):
+                await self.clock.sleep(BALANCER_SECONDS)
+                await self.listener.close_idle()
+                await self.handler.in_flight.none_left()
+        except TimeoutError:
+            count = self.handler.in_flight.count
+            _log.warning("{} requests outlast the drain.", count)
+        await self._give_back()
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+        for task in self._tasks:
+            task.cancel()
+        await self.listener.stop()
+        await self.ready_server.stop()
+        await self.dispatcher.stop()
+        await self.pool.stop()
+        _log.info("Stopped.")
+
+    async def _give_back(self) -> None:
+        try:
+            async with asyncio.timeout(LAST_SECONDS / 2):
+                await self.allowances.give_back_all()
+        except TimeoutError:
+            _log.info("The log did not take back all allowances in time.")
--- /dev/null
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -0,0 +1,161 @@
+"""One attempt to have a request run by an endpoint."""
+
+import enum
+
+from attrs import frozen
+from loguru import logger
+
+from eelgrasslock.clock import Clock
+from eelgrasslock.gateway.directory import EndpointDirectory, EndpointRecord
+from eelgrasslock.gateway.interfaces import Dialect
+from eelgrasslock.gateway.messages import EndpointAnswer
+from eelgrasslock.gateway.passage import Passage
+from eelgrasslock.gateway.responder import AnswerCut
+from eelgrasslock.gateway.routes import RouteKind
+from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.pool import IDLE_SECONDS, ConnectFailed, ConnectionPool
+
+FRESH_SECONDS = 1.0
+WHOLE_BODY_BYTES = 65_536
+_SUCCESS = range(200, 300)
+
+_log = logger.bind(part="attempts")
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt ended."""
+
+    SERVED = "served"
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    BROKEN = "broken"
+    UNSOUND = "unsound"
+
+
+@frozen(kw_only=True)
+class AttemptResult:
+    """What an attempt came to.
+
+    Attributes
+    ----------
+    end : AttemptEnd
+        How it ended.
+    answer : EndpointAnswer or None
+        The head of the endpoint's answer, if one came.
+    reset : bool
+        Whether the endpoint reset the connection.
+    """
+
+    end: AttemptEnd
+    answer: EndpointAnswer | None = None
+    reset: bool = False
+
+
+class Attempts:
+    """Sends requests to endpoints and hands their answers on.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Keeps the connections.
+    directory : EndpointDirectory
+        Knows the endpoints' addresses.
+    dialect : Dialect
+        Writes requests and reads answers.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        directory: EndpointDirectory,
+        dialect: Dialect,
+        clock: Clock,
+    ) -> None:
+        self.pool = pool
+        self.directory = directory
+        self.dialect = dialect
+        self.clock = clock
+
+    async def run(self, passage: Passage, endpoint: str) -> AttemptResult:
+        """Send a request to an endpoint and hand a final answer on.
+
+        Raises
+        ------
+        AnswerCut
+            If the answer broke off after its beginning was handed on.
+        """
+        record = self.directory.entries.get(endpoint)
+        if record is None or record.leaving:
+            return AttemptResult(end=AttemptEnd.NOT_SENT)
+        idle = IDLE_SECONDS if passage.route.may_run_again else FRESH_SECONDS
+        try:
+            connection = await self.pool.acquire(record.address, idle)
+        except ConnectFailed as error:
+            _log.info("{}: {}", passage.request.id, error)
+            return AttemptResult(end=AttemptEnd.NOT_SENT)
+        try:
+            result = await self._exchange(passage, record, connection)
+        except BaseException:
+            connection.close()
+            raise
+        keep = result.answer.keep_seconds if result.answer is not None else None
+        self.pool.release(record.address, connection, keep)
+        return result
+
+    async def _exchange(
+        self, passage: Passage, record: EndpointRecord, connection: HTTPConnection
+    ) -> AttemptResult:
+        seconds = passage.ends_at - self.clock.monotonic()
+        outgoing = self.dialect.encode_request(passage.request, record.id, seconds)
+        passage.sent += 1
+        try:
+            head = await connection.send(outgoing)
+        except ConnectionBroken as error:
+            return self._broken(passage, record, error)
+        answer = self.dialect.decode_answer(head)
+        if answer.not_run:
+            passage.sent -= 1
+            await _skip_body(connection)
+            return AttemptResult(end=AttemptEnd.NOT_RUN, answer=answer)
+        if answer.status in _SUCCESS and not answer.sound:
+            connection.close()
+            return AttemptResult(end=AttemptEnd.UNSOUND, answer=answer)
+        try:
+            await self._hand_on(passage, answer, connection)
+        except ConnectionBroken as error:
+            result = self._broken(passage, record, error)
+            if passage.responder.started:
+                raise AnswerCut(str(error)) from error
+            return result
+        return AttemptResult(end=AttemptEnd.SERVED, answer=answer)
+
+    async def _hand_on(
+        self, passage: Passage, answer: EndpointAnswer, connection: HTTPConnection
+    ) -> None:
+        responder = passage.responder
+        is_stream = passage.route.kind is RouteKind.STREAM
+        is_short = answer.body_bytes is None or answer.body_bytes <= WHOLE_BODY_BYTES
+        if not is_stream and is_short:
+            body = await connection.read_all()
+            await responder.send(answer.status, answer.headers, body)
+            return
+        await responder.start(answer.status, answer.headers, answer.body_bytes)
+        while (chunk := await connection.read()) is not None:
+            passage.counter.feed(chunk)
+            await responder.write(chunk)
+        await responder.finish()
+
+    def _broken(
+        self, passage: Passage, record: EndpointRecord, error: ConnectionBroken
+    ) -> AttemptResult:
+        _log.info("{}: {} broke off: {}", passage.request.id, record.id, error)
+        return AttemptResult(end=AttemptEnd.BROKEN, reset=error.reset)
+
+
+async def _skip_body(connection: HTTPConnection) -> None:
+    try:
+        await connection.read_all()
+    except ConnectionBroken:
+        connection.close()
--- /dev/null
+++ b/src/eelgrasslock/gateway/deployment.py
@@ -0,0 +1,75 @@
+"""The scheduler's view of a routing configuration and the registered endpoints."""
+
+from collections.abc import Iterable
+
+from eelgrasslock.configuration.settings import (
+    Configuration,
+    EndpointSettings,
+    LimitSettings,
+    ModelSettings,
+    ServiceKind,
+    ServiceSettings,
+)
+from eelgrasslock.gateway.directory import EndpointRecord
+from eelgrasslock.gateway.routes import RoutingConfiguration, ServiceSpec
+
+PREFILL_TOKENS_PER_SECOND = 150_000.0
+DECODE_TOKENS_PER_SECOND = 600.0
+LOOKUP_WAIT_SECONDS = 0.4
+CALLER_WAIT_SECONDS = 1.2
+
+LIMITS = LimitSettings(
+    lookup_wait_seconds=LOOKUP_WAIT_SECONDS,
+    caller_wait_seconds=CALLER_WAIT_SECONDS,
+    background_wait_seconds=CALLER_WAIT_SECONDS,
+    retries_per_call=2,
+    retry_ratio=0.2,
+)
+
+
+def build_configuration(
+    routing: RoutingConfiguration,
+    endpoints: Iterable[EndpointRecord],
+    domains: list[str],
+) -> Configuration:
+    """Return what the scheduler needs to know.
+
+    Each service of model engines stands for one model of the same name.
+    """
+    known = routing.services
+    return Configuration(
+        deployment="routes",
+        domains=domains,
+        services={name: _service(spec) for name, spec in known.items()},
+        models={
+            name: ModelSettings(service=name)
+            for name, spec in known.items()
+            if spec.engine is not None
+        },
+        endpoints={
+            record.id: _endpoint(record, known[record.service])
+            for record in endpoints
+            if record.service in known
+        },
+        limits=LIMITS,
+    )
+
+
+def _service(spec: ServiceSpec) -> ServiceSettings:
+    if spec.engine is None:
+        return ServiceSettings(kind=ServiceKind.PLAIN)
+    return ServiceSettings(kind=ServiceKind.ENGINE)
+
+
+def _endpoint(record: EndpointRecord, spec: ServiceSpec) -> EndpointSettings:
+    cache_tokens = spec.engine.cache_tokens if spec.engine is not None else 0
+    return EndpointSettings(
+        service=record.service,
+        domain=record.domain,
+        url=record.address,
+        batch_limit=max(1, record.slots),
+        cache_tokens=max(1, cache_tokens),
+        prefill_tokens_per_second=PREFILL_TOKENS_PER_SECOND,
+        decode_tokens_per_second=DECODE_TOKENS_PER_SECOND,
+        leaving=record.leaving,
+    )
--- /dev/null
+++ b/src/eelgrasslock/gateway/follower.py
@@ -0,0 +1,116 @@
+"""Follows a keyed topic: first what is there, then what comes."""
+
+import random
+from typing import Protocol
+
+from loguru import logger
+
+from eelgrasslock.backoff import Backoff
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import LogUnavailable, RecordsExpired
+from eelgrasslock.gateway.interfaces import KeyedLog, KeyedRecord
+
+_FIRST_WAIT_SECONDS = 0.05
+_LONGEST_WAIT_SECONDS = 0.5
+
+_log = logger.bind(part="follower")
+
+
+class KeyedState(Protocol):
+    """What a topic's records are applied to."""
+
+    def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Take in the newest record of each key."""
+
+    def apply(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Take in later records, in order."""
+
+    def note_log(self, away: bool) -> None:
+        """Take in whether the log answers."""
+
+
+class KeyedFollower:
+    """Keeps a state up to date with a keyed topic.
+
+    Parameters
+    ----------
+    log : KeyedLog
+        Where the topic is.
+    topic : str
+        Its name.
+    state : KeyedState
+        Told of each record.
+    clock : Clock
+        The time.
+    rng : random.Random
+        Spreads the retries.
+    wait_seconds : float
+        How long a read waits for a first record.
+    pause_seconds : float
+        How long to gather records between two reads.
+    """
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        topic: str,
+        state: KeyedState,
+        clock: Clock,
+        rng: random.Random,
+        wait_seconds: float,
+        pause_seconds: float,
+    ) -> None:
+        self.log = log
+        self.topic = topic
+        self.state = state
+        self.clock = clock
+        self.backoff = Backoff(rng, _FIRST_WAIT_SECONDS, _LONGEST_WAIT_SECONDS)
+        self.wait_seconds = wait_seconds
+        self.pause_seconds = pause_seconds
+        self.offset: int | None = None
+        self.away = False
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except LogUnavailable as error:
+                self._note(away=True, reason=str(error))
+                await self.clock.sleep(self.backoff.next())
+            except RecordsExpired as error:
+                _log.info("Read {} anew: {}", self.topic, error)
+                self.offset = None
+            else:
+                self._note(away=False)
+                self.backoff.reset()
+                await self.clock.sleep(self.pause_seconds)
+
+    async def step(self) -> None:
+        """Read once.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log gave no answer.
+        RecordsExpired
+            If the topic must be read anew.
+        """
+        if self.offset is None:
+            snapshot = await self.log.snapshot(self.topic)
+            self._note(away=False)
+            self.state.replace_all(snapshot.records)
+            self.offset = snapshot.end
+            return
+        changes = await self.log.changes(self.topic, self.offset, self.wait_seconds)
+        self._note(away=False)
+        self.offset = changes.end
+        if changes.records:
+            self.state.apply(changes.records)
+
+    def _note(self, away: bool, reason: str = "") -> None:
+        if away != self.away:
+            self.away = away
+            word = "lost" if away else "regained"
+            _log.info("The log of {} is {}. {}", self.topic, word, reason)
+        self.state.note_log(away)
--- /dev/null
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -0,0 +1,187 @@
+"""Has a request run by one endpoint after another, as far as that is allowed."""
+
+import asyncio
+
+import xxhash
+from loguru import logger
+
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import Ran, Refusal
+from eelgrasslock.gateway.attempts import AttemptEnd, AttemptResult, Attempts
+from eelgrasslock.gateway.passage import Passage
+from eelgrasslock.gateway.prompts import prompt_keys
+from eelgrasslock.gateway.responder import AnswerCut
+from eelgrasslock.gateway.routes import RouteKind
+from eelgrasslock.requests.exchange import CallClass
+from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.calls import Assignment, Call, CallEnd, LoadReport
+from eelgrasslock.scheduling.dispatch import Dispatcher
+from eelgrasslock.scheduling.scheduler import Scheduler
+
+MOST_REFUSALS = 4
+FULL_ENDPOINT_SECONDS = 0.1
+RETRY_SECONDS = 0.25
+
+_log = logger.bind(part="forwarder")
+
+_CALL_ENDS = {
+    AttemptEnd.SERVED: CallEnd.DONE,
+    AttemptEnd.NOT_SENT: CallEnd.NOT_SENT,
+    AttemptEnd.NOT_RUN: CallEnd.REFUSED,
+    AttemptEnd.BROKEN: CallEnd.BROKEN,
+    AttemptEnd.UNSOUND: CallEnd.BROKEN,
+}
+
+
+class Forwarder:
+    """Chooses endpoints through the scheduler and makes the attempts.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Waits for the scheduler's decisions.
+    scheduler : Scheduler
+        Decides.
+    attempts : Attempts
+        Sends.
+    clock : Clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        scheduler: Scheduler,
+        attempts: Attempts,
+        clock: Clock,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.scheduler = scheduler
+        self.attempts = attempts
+        self.clock = clock
+
+    async def forward(self, passage: Passage) -> None:
+        """Have a request run and its answer handed on.
+
+        Raises
+        ------
+        Refusal
+            If no endpoint gave a final answer.
+        AnswerCut
+            If an answer broke off.
+        """
+        seconds = passage.ends_at - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._forward(passage)
+        except TimeoutError as error:
+            if passage.responder.started:
+                raise AnswerCut("The time for the answer was over.") from error
+            raise _too_late(passage) from error
+
+    async def _forward(self, passage: Passage) -> None:
+        refusals = 0
+        while True:
+            call = _call(passage, refusals + passage.sent)
+            assignment = await self.dispatcher.acquire(call)
+            passage.endpoint = assignment.endpoint
+            result = await self._attempt(passage, assignment)
+            if result.end is AttemptEnd.SERVED:
+                return
+            passage.offered.add(assignment.endpoint)
+            if result.end in (AttemptEnd.NOT_RUN, AttemptEnd.NOT_SENT):
+                refusals += 1
+                if refusals >= MOST_REFUSALS:
+                    raise _refused_by_all(passage)
+            elif not _may_go_on(passage):
+                raise _unknown(result)
+
+    async def _attempt(self, passage: Passage, assignment: Assignment) -> AttemptResult:
+        call = assignment.call
+        end = CallEnd.CANCELLED
+        usage = Usage()
+        retry_seconds = None
+        try:
+            result = await self.attempts.run(passage, assignment.endpoint)
+            end = _CALL_ENDS[result.end]
+            usage = Usage(
+                prompt_tokens=call.prompt_tokens,
+                completion_tokens=passage.tokens_used,
+                cached_tokens=assignment.cached_tokens,
+            )
+            if result.end is AttemptEnd.NOT_RUN:
+                retry_seconds = FULL_ENDPOINT_SECONDS
+            self._note_load(assignment.endpoint, result)
+            return result
+        except AnswerCut:
+            end = CallEnd.BROKEN
+            raise
+        finally:
+            self.dispatcher.finish(call, end, usage, retry_seconds)
+            _log.debug(
+                "{} {} at {}: {} after {} tokens. {}",
+                passage.request.id,
+                passage.route.name,
+                assignment.endpoint,
+                end.value,
+                passage.tokens_used,
+                assignment.reason,
+            )
+
+    def _note_load(self, endpoint: str, result: AttemptResult) -> None:
+        answer = result.answer
+        if answer is None or answer.load is None:
+            return
+        report = LoadReport(
+            running=answer.load.running,
+            queued=answer.load.waiting,
+            time=self.clock.now(),
+        )
+        self.scheduler.observe_load(endpoint, report)
+
+
+def _call(passage: Passage, attempt: int) -> Call:
+    request = passage.request
+    route = passage.route
+    is_lookup = route.kind is RouteKind.SAFE
+    return Call(
+        id=f"{request.id}.{attempt}.{id(passage):x}",
+        program=request.program or request.id,
+        service=passage.service.name,
+        model=passage.service.name if passage.service.engine else "",
+        call_class=CallClass.LOOKUP if is_lookup else CallClass.CALLER_WAITING,
+        keys=prompt_keys(request.parts),
+        prompt_tokens=request.prompt_tokens,
+        max_tokens=request.output_tokens,
+        deadline=passage.ends_at,
+        digest=_digest(passage),
+        excluded=frozenset(passage.offered),
+    )
+
+
+def _digest(passage: Passage) -> str:
+    request = passage.request
+    text = f"{request.method} {request.target} {request.program}".encode()
+    return xxhash.xxh64_hexdigest(text + request.body)
+
+
+def _may_go_on(passage: Passage) -> bool:
+    route = passage.route
+    return route.may_run_again and passage.sent < route.most_endpoints
+
+
+def _refused_by_all(passage: Passage) -> Refusal:
+    ran = Ran.NO if passage.sent == 0 else Ran.UNKNOWN
+    status = 503 if ran is Ran.NO else 502
+    sentence = "No endpoint took the request."
+    return Refusal("no_endpoint", sentence, status, ran, RETRY_SECONDS)
+
+
+def _unknown(result: AttemptResult) -> Refusal:
+    sentence = f"The endpoint's answer was lost: {result.end.value}."
+    return Refusal("answer_lost", sentence, 502, Ran.UNKNOWN)
+
+
+def _too_late(passage: Passage) -> Refusal:
+    ran = Ran.NO if passage.sent == 0 else Ran.UNKNOWN
+    return Refusal("too_late", "No answer came in time.", 504, ran)
--- /dev/null
+++ b/src/eelgrasslock/gateway/handler.py
@@ -0,0 +1,148 @@
+"""Serves one request after another through a pipeline of passes."""
+
+import random
+
+import xxhash
+from loguru import logger
+
+from eelgrasslock.allowances.keeper import Allowances, Reservation
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import EelgrassError, Ran, Refusal
+from eelgrasslock.gateway.forwarder import Forwarder
+from eelgrasslock.gateway.interfaces import Dialect
+from eelgrasslock.gateway.messages import GatewayRequest
+from eelgrasslock.gateway.passage import Passage
+from eelgrasslock.gateway.responder import AnswerCut, CallerResponder
+from eelgrasslock.gateway.routes import Route, ServiceSpec
+from eelgrasslock.gateway.routing import Routing
+from eelgrasslock.requests.in_flight import InFlight
+
+UNKNOWN_ROUTES_RETRY_SECONDS = 0.5
+_HASH_RANGE = 2.0**64
+
+_log = logger.bind(part="requests")
+
+
+class GatewayHandler:
+    """Gives each request its one final answer.
+
+    Parameters
+    ----------
+    routing : Routing
+        The configuration in force.
+    allowances : Allowances
+        Keeps turns inside their programs' budgets.
+    forwarder : Forwarder
+        Has requests run.
+    dialect : Dialect
+        Says what our own answers carry.
+    clock : Clock
+        The time.
+    rng : random.Random
+        Splits the requests of routes with several services.
+    """
+
+    def __init__(
+        self,
+        routing: Routing,
+        allowances: Allowances,
+        forwarder: Forwarder,
+        dialect: Dialect,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.routing = routing
+        self.allowances = allowances
+        self.forwarder = forwarder
+        self.dialect = dialect
+        self.clock = clock
+        self.rng = rng
+        self.in_flight = InFlight()
+
+    async def handle(self, request: GatewayRequest, responder: CallerResponder) -> None:
+        """Serve one request to its end.
+
+        Raises
+        ------
+        AnswerCut
+            If its connection must be closed.
+        """
+        with self.in_flight.enter():
+            try:
+                await self._serve(request, responder)
+            except Refusal as refusal:
+                await self._refuse(request, responder, refusal)
+            except EelgrassError as error:
+                _log.opt(exception=error).error("{} failed.", request.id)
+                sentence = "The request failed inside the daemon."
+                failure = Refusal("internal_error", sentence, 500, Ran.UNKNOWN)
+                await self._refuse(request, responder, failure)
+
+    async def _serve(self, request: GatewayRequest, responder: CallerResponder) -> None:
+        route = self._route(request)
+        service = self._service(request, route)
+        patience = route.timeout_seconds
+        if request.patience_seconds is not None:
+            patience = min(patience, request.patience_seconds)
+        passage = Passage(
+            request=request,
+            responder=responder,
+            route=route,
+            service=service,
+            ends_at=request.received + patience,
+        )
+        reservation = await self._reserve(passage)
+        try:
+            await self.forwarder.forward(passage)
+        finally:
+            if reservation is not None:
+                self.allowances.settle(reservation, passage.tokens_used)
+
+    def _route(self, request: GatewayRequest) -> Route:
+        if self.routing.current is None:
+            sentence = "This daemon has no configuration yet."
+            raise Refusal(
+                "no_configuration",
+                sentence,
+                503,
+                retry_after=UNKNOWN_ROUTES_RETRY_SECONDS,
+            )
+        route = self.routing.table.find(request.host, request.path)
+        if route is None:
+            raise Refusal("no_route", "No route serves this host and path.", 404)
+        return route
+
+    def _service(self, request: GatewayRequest, route: Route) -> ServiceSpec:
+        """Return the route's service; a program's turns keep to one."""
+        point = self.rng.random()
+        if request.program:
+            point = xxhash.xxh64_intdigest(request.program.encode()) / _HASH_RANGE
+        name = route.service_for(point)
+        assert self.routing.current is not None
+        spec = self.routing.current.services.get(name)
+        return spec if spec is not None else ServiceSpec(name=name)
+
+    async def _reserve(self, passage: Passage) -> Reservation | None:
+        request = passage.request
+        if not passage.route.is_turn or request.budget_tokens is None:
+            return None
+        return await self.allowances.reserve(
+            request.program, request.budget_tokens, passage.worst_tokens, request.id
+        )
+
+    async def _refuse(
+        self, request: GatewayRequest, responder: CallerResponder, refusal: Refusal
+    ) -> None:
+        _log.info(
+            "Refused {} of program {}: {} {} {}",
+            request.id,
+            request.program or "-",
+            refusal.status,
+            refusal.code,
+            refusal.sentence,
+        )
+        try:
+            await responder.refuse(refusal, self.dialect.refusal_headers(request.id))
+        except AnswerCut:
+            _log.info("Cut the answer to {}.", request.id)
+            raise
--- /dev/null
+++ b/src/eelgrasslock/gateway/listener.py
@@ -0,0 +1,201 @@
+"""The HTTP servers of the gateway, towards callers and the balancer."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from loguru import logger
+
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import Refusal
+from eelgrasslock.gateway.interfaces import Dialect
+from eelgrasslock.gateway.messages import GatewayRequest
+from eelgrasslock.gateway.responder import AnswerCut, CallerResponder
+from eelgrasslock.gateway.routes import RequestLimits
+
+BACKLOG = 1_024
+
+_log = logger.bind(part="listener")
+
+Handle = Callable[[GatewayRequest, CallerResponder], Awaitable[None]]
+
+
+class Listener:
+    """Listens for callers.
+
+    Parameters
+    ----------
+    address : str
+        Where, as ``ip:port``.
+    handle : callable
+        Serves one request.
+    dialect : Dialect
+        Reads requests.
+    limits : callable
+        Returns what callers may send now.
+    clock : Clock
+        The time.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether connections end after the next answer.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handle: Handle,
+        dialect: Dialect,
+        limits: Callable[[], RequestLimits],
+        clock: Clock,
+    ) -> None:
+        self.address = address
+        self.handle = handle
+        self.dialect = dialect
+        self.limits = limits
+        self.clock = clock
+        self.closing = False
+        self._servers: list[web.Server] = []
+        self._listening: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._listening = await loop.create_server(
+            self._protocol, host, int(port), backlog=BACKLOG
+        )
+        _log.info("Listening for callers on {}.", self.address)
+
+    async def close_idle(self) -> None:
+        """Close the connections on which no request is served."""
+        for server in self._servers:
+            server.pre_shutdown()
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._listening is not None:
+            self._listening.close()
+            self._listening = None
+        for server in self._servers:
+            await server.shutdown(0.0)
+
+    def limits_changed(self) -> None:
+        """Serve new connections under other limits."""
+        self._servers = [one for one in self._servers if one.connections]
+        self._servers.append(self._server())
+
+    def _protocol(self) -> asyncio.Protocol:
+        if not self._servers:
+            self._servers.append(self._server())
+        return self._servers[-1]()
+
+    def _server(self) -> web.Server:
+        limits = self.limits()
+        return web.Server(
+            self._serve,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=limits.idle_seconds,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            auto_decompress=False,
+        )
+
+    def _make_request(
+        self,
+        message: Any,
+        payload: Any,
+        protocol: Any,
+        writer: Any,
+        task: "asyncio.Task[None]",
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self.limits().body_bytes,
+        )
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        received = self.clock.monotonic()
+        responder = CallerResponder(request, self.closing)
+        try:
+            body = await request.read()
+            decoded = self.dialect.decode_request(
+                request.method,
+                request.raw_path,
+                list(request.headers.items()),
+                body,
+                received,
+            )
+        except web.HTTPRequestEntityTooLarge:
+            refusal = Refusal("body_too_large", "The request body is too large.", 413)
+            await responder.refuse(refusal, [])
+        except Refusal as refusal:
+            _log.info("Refused a request: {}", refusal.sentence)
+            await responder.refuse(refusal, [])
+        else:
+            await self._handle(request, decoded, responder)
+        assert responder.response is not None
+        return responder.response
+
+    async def _handle(
+        self,
+        request: web.BaseRequest,
+        decoded: GatewayRequest,
+        responder: CallerResponder,
+    ) -> None:
+        try:
+            await self.handle(decoded, responder)
+        except AnswerCut:
+            # The server would end an answer that a handler leaves unfinished.
+            request.protocol.force_close()
+            raise asyncio.CancelledError from None
+
+
+class ReadyServer:
+    """Answers the balancer's probes.
+
+    Parameters
+    ----------
+    address : str
+        Where, as ``ip:port``.
+    path : str
+        What the balancer asks for.
+    is_ready : callable
+        Whether new connections may come.
+    """
+
+    def __init__(self, address: str, path: str, is_ready: Callable[[], bool]) -> None:
+        self.address = address
+        self.path = path
+        self.is_ready = is_ready
+        self._server: web.Server | None = None
+        self._listening: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        host, _, port = self.address.rpartition(":")
+        self._server = web.Server(self._serve, access_log=None)
+        loop = asyncio.get_running_loop()
+        self._listening = await loop.create_server(self._server, host, int(port))
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._listening is not None:
+            self._listening.close()
+            self._listening = None
+        if self._server is not None:
+            await self._server.shutdown(0.0)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != self.path:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.is_ready() else 503)
--- /dev/null
+++ b/src/eelgrasslock/gateway/passage.py
@@ -0,0 +1,60 @@
+"""One request on its way through the gateway."""
+
+from attrs import define, field
+
+from eelgrasslock.gateway.events import EventCounter
+from eelgrasslock.gateway.messages import GatewayRequest
+from eelgrasslock.gateway.responder import CallerResponder
+from eelgrasslock.gateway.routes import Route, ServiceSpec
+
+
+@define(eq=False)
+class Passage:
+    """A request, its route, and what became of it so far.
+
+    Attributes
+    ----------
+    request : GatewayRequest
+        The request.
+    responder : CallerResponder
+        The way of its answer.
+    route : Route
+        The route that it takes.
+    service : ServiceSpec
+        The service that the route chose for it.
+    ends_at : float
+        When its caller is no longer kept waiting, on the monotonic clock.
+    offered : set of str
+        Endpoints that it must not be sent to again.
+    sent : int
+        How many endpoints may have run it.
+    counter : EventCounter
+        Counts the events that the caller was given.
+    endpoint : str
+        The endpoint that was chosen last.
+    """
+
+    request: GatewayRequest
+    responder: CallerResponder
+    route: Route
+    service: ServiceSpec
+    ends_at: float
+    offered: set[str] = field(factory=set)
+    sent: int = 0
+    counter: EventCounter = field(factory=EventCounter)
+    endpoint: str = ""
+
+    @property
+    def tokens_used(self) -> int:
+        """What the caller was given, as it counts against a budget."""
+        engine = self.service.engine
+        return self.counter.begun * engine.tokens_per_event if engine else 0
+
+    @property
+    def worst_tokens(self) -> int:
+        """The most that it may generate, in whole events."""
+        engine = self.service.engine
+        if engine is None or not engine.tokens_per_event:
+            return self.request.output_tokens
+        events = -(-self.request.output_tokens // engine.tokens_per_event)
+        return events * engine.tokens_per_event
--- /dev/null
+++ b/src/eelgrasslock/http/connection.py
@@ -0,0 +1,277 @@
+"""One kept HTTP/1.1 connection, on which one request at a time is sent.
+
+An answer that does not echo the request's id belongs to an earlier request
+and is skipped. A connection with bytes that belong to no request is closed.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from typing import cast
+
+import httptools
+
+from eelgrasslock.exceptions import EelgrassError
+from eelgrasslock.http.messages import AnswerHead, Header, OutgoingRequest
+
+USER_TIMEOUT_MILLISECONDS = 2_500
+KEEPALIVE_IDLE_SECONDS = 2
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+PAUSE_BYTES = 131_072
+_NO_CONTENT = 204
+_NOT_MODIFIED = 304
+_FIRST_FINAL_STATUS = 200
+
+
+class ConnectionBroken(EelgrassError):
+    """A connection ended, or carried no HTTP, before the answer was whole.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    answered : bool
+        Whether any byte of an answer had come.
+    reset : bool
+        Whether the other end reset the connection.
+    """
+
+    def __init__(self, message: str, answered: bool, reset: bool = False) -> None:
+        super().__init__(message)
+        self.answered = answered
+        self.reset = reset
+
+
+class HTTPConnection(asyncio.Protocol):
+    """A connection; `send`, then `read` until it returns None.
+
+    Attributes
+    ----------
+    skipped : int
+        Answers to earlier requests that were dropped.
+    used_at : float
+        When the last exchange ended, set by the pool.
+    """
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.skipped = 0
+        self.used_at = 0.0
+        self.request: OutgoingRequest | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[Header] = []
+        self._head: asyncio.Future[AnswerHead] | None = None
+        self._chunks: deque[bytes] = deque()
+        self._buffered = 0
+        self._paused = False
+        self._wake: asyncio.Future[None] | None = None
+        self._skipping = False
+        self._answered = False
+        self._until_close = False
+        self._complete = True
+        self._usable = False
+        self._error: ConnectionBroken | None = None
+
+    # --- for callers --------------------------------------------------------
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent."""
+        return self._usable and self._complete and self._is_flushed()
+
+    async def send(self, request: OutgoingRequest) -> AnswerHead:
+        """Send a request and wait for the head of its answer.
+
+        Raises
+        ------
+        ConnectionBroken
+            If the connection ends first; the request may have been read.
+        """
+        if not self.reusable or self.transport is None:
+            raise ConnectionBroken("The connection was closed.", answered=False)
+        self.request = request
+        self._complete = False
+        self._answered = False
+        self._head = asyncio.get_running_loop().create_future()
+        self.transport.write(request.encode())
+        return await self._head
+
+    async def read(self) -> bytes | None:
+        """Return the next bytes of the answer's body, None at its end.
+
+        Raises
+        ------
+        ConnectionBroken
+            If the connection ends before the body does.
+        """
+        while not self._chunks:
+            if self._complete:
+                return None
+            if self._error is not None:
+                raise self._error
+            self._wake = asyncio.get_running_loop().create_future()
+            await self._wake
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self._buffered = 0
+        if self._paused and self.transport is not None:
+            self._paused = False
+            self.transport.resume_reading()
+        return data
+
+    async def read_all(self) -> bytes:
+        """Return the rest of the answer's body."""
+        parts = []
+        while (chunk := await self.read()) is not None:
+            parts.append(chunk)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        """Close the connection; an unfinished request is dropped there."""
+        self._usable = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    # --- asyncio.Protocol -------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport, and make silence on it noticeable."""
+        self.transport = cast(asyncio.Transport, transport)
+        self._usable = True
+        connected = transport.get_extra_info("socket")
+        if connected is not None:
+            set_socket_options(connected)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._break(f"The bytes are no answer: {error}.")
+        except httptools.HttpParserUpgrade:
+            self._break("The other end changed the protocol.")
+
+    def eof_received(self) -> bool:
+        """Take the end of the other side's bytes."""
+        if self._until_close and not self._complete:
+            self._finish()
+        self._usable = False
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take the end of the connection."""
+        self._usable = False
+        if not self._complete:
+            reset = isinstance(exc, ConnectionResetError)
+            self._fail("The connection ended early.", reset)
+
+    # --- httptools callbacks ----------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        self._headers = []
+        if self.request is None:
+            self._usable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Hand the head on, unless it answers an earlier request."""
+        status = self._parser.get_status_code()
+        request = self.request
+        self._skipping = True
+        if request is None or status < _FIRST_FINAL_STATUS:
+            return
+        head = AnswerHead(status=status, headers=tuple(self._headers))
+        if request.id_header and self._is_stray(request, head):
+            self.skipped += 1
+            return
+        self._skipping = False
+        self._answered = True
+        self._until_close = not _is_framed(head)
+        if self._head is not None and not self._head.done():
+            self._head.set_result(head)
+        if request.method == "HEAD":
+            self._usable = False
+            self._finish()
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if self._skipping or self._complete:
+            return
+        self._chunks.append(data)
+        self._buffered += len(data)
+        if self._buffered > PAUSE_BYTES and not self._paused:
+            self._paused = True
+            if self.transport is not None:
+                self.transport.pause_reading()
+        self._notify()
+
+    def on_message_complete(self) -> None:
+        """Take the end of an answer."""
+        if self._skipping:
+            self._skipping = False
+            return
+        if not self._parser.should_keep_alive():
+            self._usable = False
+        self._finish()
+
+    # --- helpers ----------------------------------------------------------------
+
+    def _is_stray(self, request: OutgoingRequest, head: AnswerHead) -> bool:
+        echoed = head.header(request.id_header)
+        return bool(echoed) and echoed != request.answer_id
+
+    def _is_flushed(self) -> bool:
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() == 0
+
+    def _finish(self) -> None:
+        self._complete = True
+        self._until_close = False
+        self.request = None
+        self._notify()
+
+    def _break(self, message: str) -> None:
+        self._usable = False
+        if not self._complete:
+            self._fail(message, reset=False)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _fail(self, message: str, reset: bool) -> None:
+        self._error = ConnectionBroken(message, self._answered, reset)
+        self.request = None
+        head = self._head
+        if head is not None and not head.done():
+            head.set_exception(self._error)
+            head.exception()
+        self._notify()
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+
+def set_socket_options(connected: socket.socket) -> None:
+    """Let a connection that went silent end within seconds."""
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    )
+    for level, name, value in options:
+        connected.setsockopt(level, name, value)
+
+
+def _is_framed(head: AnswerHead) -> bool:
+    if head.status in (_NO_CONTENT, _NOT_MODIFIED):
+        return True
+    coding = head.header("transfer-encoding").lower()
+    return bool(head.header("content-length")) or "chunked" in coding
--- /dev/null
+++ b/src/eelgrasslock/platform/records.py
@@ -0,0 +1,145 @@
+"""The records that the platform and its operators write."""
+
+import json
+from typing import Any
+
+from eelgrasslock.exceptions import RecordError
+from eelgrasslock.gateway.directory import EndpointRecord
+from eelgrasslock.gateway.interfaces import Topics
+from eelgrasslock.gateway.routes import (
+    EngineSpec,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    ServiceSpec,
+    WeightedService,
+)
+
+_CONFIGURATION_KEY = "config"
+_KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAM,
+}
+_STATES = {"ready": False, "draining": True}
+_UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
+
+
+class PlatformRecords:
+    """Reads the records of `keyed.servers` and `keyed.op`."""
+
+    topics = Topics(endpoints="keyed.servers", configuration="keyed.op")
+
+    def decode_endpoint(self, key: str, value: bytes) -> EndpointRecord:
+        """Return an endpoint's entry."""
+        try:
+            entry = json.loads(value)
+            return EndpointRecord(
+                id=key,
+                service=_text(entry, "service"),
+                address=_address(entry),
+                domain=_text(entry, "zone"),
+                slots=_count(entry, "slots"),
+                leaving=_STATES[entry["state"]],
+                cold_seconds=entry.get("coldLeftMs", 0) / 1_000,
+                born=int(entry.get("born", 0)),
+            )
+        except _UNREADABLE as error:
+            raise RecordError(f"The entry of {key} can't be read: {error!r}") from error
+
+    def decode_configuration(
+        self, key: str, value: bytes
+    ) -> RoutingConfiguration | None:
+        """Return a configuration, None for a record of something else."""
+        if key != _CONFIGURATION_KEY:
+            return None
+        try:
+            entry = json.loads(value)
+            services = [_service(one) for one in entry["services"]]
+            return RoutingConfiguration(
+                version=_count(entry, "version"),
+                routes=tuple(_route(one) for one in entry["routes"]),
+                services={one.name: one for one in services},
+                limits=_limits(entry.get("limits", {})),
+            )
+        except _UNREADABLE as error:
+            raise RecordError(f"The configuration can't be read: {error!r}") from error
+
+
+def _text(entry: dict[str, Any], name: str) -> str:
+    value = entry[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is no text.")
+    return value
+
+
+def _count(entry: dict[str, Any], name: str) -> int:
+    value = entry[name]
+    if type(value) is not int or value < 0:
+        raise ValueError(f"{name} is no count.")
+    return value
+
+
+def _address(entry: dict[str, Any]) -> str:
+    address = _text(entry, "address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("address is no IP and port.")
+    return address
+
+
+def _route(entry: dict[str, Any]) -> Route:
+    split = entry.get("trafficSplit")
+    if split:
+        services = tuple(
+            WeightedService(service=one["service"], weight=float(one["weight"]))
+            for one in split
+        )
+    else:
+        services = (WeightedService(service=_text(entry, "service"), weight=1.0),)
+    kind = _KINDS[entry["kind"]]
+    return Route(
+        name=_text(entry, "name"),
+        host=_text(entry, "host"),
+        prefix=_text(entry, "pathPrefix"),
+        kind=kind,
+        services=services,
+        timeout_seconds=entry["timeoutMs"] / 1_000,
+        target_seconds=entry.get("targetLatencyMs", entry["timeoutMs"]) / 1_000,
+        most_endpoints=int(entry.get("maxAttempts", 1)),
+        priority=int(entry.get("priority", 0)),
+        is_turn="retainsContext" in entry and kind is RouteKind.STREAM,
+        resumable=bool(entry.get("resumable", False)),
+        event_gap_seconds=entry.get("gapAimMs", 0) / 1_000,
+        retention_seconds=float(entry.get("retentionS", 0.0)),
+    )
+
+
+def _service(entry: dict[str, Any]) -> ServiceSpec:
+    engine = entry.get("engine")
+    return ServiceSpec(
+        name=_text(entry, "name"),
+        most_connections=int(entry.get("maxConns", 0)),
+        engine=None if engine is None else _engine(engine),
+    )
+
+
+def _engine(entry: dict[str, Any]) -> EngineSpec:
+    return EngineSpec(
+        slots=_count(entry, "slots"),
+        cache_tokens=int(entry.get("kvCapacityTokens", 0)),
+        tokens_per_event=int(entry.get("tokensPerEvent", 1)),
+    )
+
+
+def _limits(entry: dict[str, Any]) -> RequestLimits:
+    default = RequestLimits()
+    header_seconds = entry.get("headerTimeoutMs", default.header_seconds * 1_000)
+    idle_seconds = entry.get("idleTimeoutMs", default.idle_seconds * 1_000)
+    return RequestLimits(
+        header_bytes=int(entry.get("maxHeaderBytes", default.header_bytes)),
+        body_bytes=int(entry.get("maxBodyBytes", default.body_bytes)),
+        header_seconds=header_seconds / 1_000,
+        idle_seconds=idle_seconds / 1_000,
+    )
--- /dev/null
+++ b/src/eelgrasslock/platform/store.py
@@ -0,0 +1,187 @@
+"""The client of the platform's store: a log of topics and partitions."""
+
+import asyncio
+import base64
+import json
+import struct
+from typing import Any
+
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
+from eelgrasslock.gateway.interfaces import (
+    KeyedChanges,
+    KeyedRecord,
+    KeyedSnapshot,
+)
+from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.messages import OutgoingRequest
+from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
+from eelgrasslock.log.partitioned import EndMoved, PartitionRead
+
+ANSWER_SECONDS = 1.0
+READ_KILOBYTES = 1_024
+
+_APPEND = "/eelgrasslock/log-append"
+_READ = "/eelgrasslock/log-read"
+_NEWEST = "/eelgrasslock/log-newest"
+_LENGTH = struct.Struct(">I")
+_READ_HEAD = struct.Struct(">QQ")
+_OK = 200
+_GONE = 410
+_END_MOVED = 412
+_REFUSED = frozenset({429, 503, 507})
+
+
+class StoreAnswer:
+    """A whole answer of the store."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class PlatformStore:
+    """Calls the store; see `log.partitioned` and `gateway.interfaces`.
+
+    Parameters
+    ----------
+    address : str
+        Where it listens, as ``ip:port``.
+    partitions : int
+        How many partitions a topic has.
+    pool : ConnectionPool
+        Keeps the connections.
+
+    Attributes
+    ----------
+    calls : int
+        Counted since the start.
+    """
+
+    def __init__(self, address: str, partitions: int, pool: ConnectionPool) -> None:
+        self.address = address
+        self.partitions = partitions
+        self.pool = pool
+        self.calls = 0
+
+    async def snapshot(self, topic: str) -> KeyedSnapshot:
+        """Return the newest record of each key."""
+        records: list[KeyedRecord] = []
+        after = ""
+        end: int | None = None
+        while True:
+            target = f"{_NEWEST}?topic={topic}&part=0{after}"
+            answer = await self._get(target, 0.0)
+            page = answer.json()
+            end = page["end"] if end is None else end
+            records += [_keyed_item(item) for item in page["items"]]
+            if not page.get("hasMore") or not page["items"]:
+                return KeyedSnapshot(records=tuple(records), end=end)
+            after = f"&after={page['items'][-1]['key']}"
+
+    async def changes(
+        self, topic: str, offset: int, wait_seconds: float
+    ) -> KeyedChanges:
+        """Return what came from an offset on, waiting for a first record."""
+        answer = await self._read(topic, 0, offset, wait_seconds)
+        records = _split_records(answer.body[_READ_HEAD.size :])
+        keyed = tuple(one for one in map(_keyed_record, records) if one is not None)
+        return KeyedChanges(records=keyed, end=offset + len(records))
+
+    async def append_at(
+        self, topic: str, partition: int, records: list[bytes], expected_end: int
+    ) -> int:
+        """Append if the partition ends at an offset; return its new end."""
+        target = f"{_APPEND}?topic={topic}&part={partition}&asOf={expected_end}"
+        body = b"".join(_LENGTH.pack(len(one)) + one for one in records)
+        try:
+            answer = await self._call("POST", target, body, 0.0)
+        except ConnectFailed as error:
+            raise LogUnavailable(str(error)) from error
+        except (ConnectionBroken, TimeoutError) as error:
+            raise AppendUnresolved("The answer to an append was lost.") from error
+        if answer.status == _OK:
+            return answer.json()["end"]
+        if answer.status == _END_MOVED:
+            raise EndMoved(answer.json()["end"])
+        raise LogUnavailable(f"The store answered {answer.status}.")
+
+    async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
+        """Return records from an offset on."""
+        answer = await self._read(topic, partition, offset, 0.0)
+        end, _ = _READ_HEAD.unpack_from(answer.body)
+        records = tuple(_split_records(answer.body[_READ_HEAD.size :]))
+        return PartitionRead(records=records, offset=offset + len(records), end=end)
+
+    async def _read(
+        self, topic: str, partition: int, offset: int, wait_seconds: float
+    ) -> StoreAnswer:
+        target = f"{_READ}?topic={topic}&part={partition}&from={offset}"
+        target += f"&maxKb={READ_KILOBYTES}&waitMs={int(wait_seconds * 1_000)}"
+        return await self._get(target, wait_seconds)
+
+    async def _get(self, target: str, wait_seconds: float) -> StoreAnswer:
+        try:
+            answer = await self._call("GET", target, b"", wait_seconds)
+        except (ConnectFailed, ConnectionBroken, TimeoutError) as error:
+            name = type(error).__name__
+            raise LogUnavailable(f"No answer of the store: {name}.") from error
+        if answer.status == _GONE:
+            raise RecordsExpired(answer.json()["first"])
+        if answer.status != _OK:
+            raise LogUnavailable(f"The store answered {answer.status}.")
+        return answer
+
+    async def _call(
+        self, method: str, target: str, body: bytes, wait_seconds: float
+    ) -> StoreAnswer:
+        """Make one call; a connection whose answer did not come is closed."""
+        self.calls += 1
+        request = OutgoingRequest(
+            method=method,
+            target=target,
+            headers=(("Host", self.address),),
+            body=body,
+        )
+        connection = await self.pool.acquire(self.address)
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS + wait_seconds):
+                head = await connection.send(request)
+                whole = await connection.read_all()
+        except BaseException:
+            connection.close()
+            raise
+        self.pool.release(self.address, connection, None)
+        return StoreAnswer(head.status, whole)
+
+
+def _keyed_item(item: dict[str, Any]) -> KeyedRecord:
+    return KeyedRecord(key=item["key"], value=base64.b64decode(item["value"]))
+
+
+def _keyed_record(record: bytes) -> KeyedRecord | None:
+    """Return a record of a keyed topic, None if it can't be read."""
+    if not record or len(record) < 1 + record[0]:
+        return None
+    start = 1 + record[0]
+    try:
+        key = record[1:start].decode()
+    except UnicodeDecodeError:
+        return None
+    return KeyedRecord(key=key, value=record[start:])
+
+
+def _split_records(data: bytes) -> list[bytes]:
+    records = []
+    start = 0
+    while start + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, start)
+        start += _LENGTH.size
+        records.append(data[start : start + length])
+        start += length
+    return records
