Drain without losing a request that was read

Ruled out: requests lost in flight; each of them had its answer. Change: a daemon refuses new requests from 3 s after SIGTERM on, closes idle connections outright, and ends once no request has come for a moment.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -34,8 +34,11 @@
 ENDPOINTS_WAIT_SECONDS = 1.5
 ENDPOINTS_PAUSE_SECONDS = 0.3
 TICK_SECONDS = 0.1
-BALANCER_SECONDS = 2.5
-LAST_SECONDS = 1.0
+SERVING_SECONDS = 3.0
+LAST_SECONDS = 1.5
+GIVE_BACK_SECONDS = 0.5
+QUIET_SECONDS = 0.15
+MOST_QUIET_TRIES = 4
 
 _INCARNATION_BYTES = 6
 _log = logger.bind(part="daemon")
@@ -223,13 +226,15 @@
         _log.info("Draining, {} requests in flight.", count)
         try:
             async with asyncio.timeout(self.settings.drain_seconds - LAST_SECONDS):
-                await self.clock.sleep(BALANCER_SECONDS)
-                await self.listener.close_idle()
+                await self.clock.sleep(SERVING_SECONDS)
+                self.handler.closed = True
+                self.listener.close_idle()
                 await self.handler.in_flight.none_left()
         except TimeoutError:
             count = self.handler.in_flight.count
             _log.warning("{} requests outlast the drain.", count)
         await self._give_back()
+        await self._quiet()
 
     async def stop(self) -> None:
         """Stop all parts."""
@@ -241,9 +246,21 @@
         await self.pool.stop()
         _log.info("Stopped.")
 
+    async def _quiet(self) -> None:
+        """Wait until no caller has sent a request for a moment.
+
+        Until then each is refused, since a request that was read and then lost
+        its connection would be left without an answer.
+        """
+        for _ in range(MOST_QUIET_TRIES):
+            refused = self.handler.refused_closed
+            await self.clock.sleep(QUIET_SECONDS)
+            if self.handler.refused_closed == refused:
+                return
+
     async def _give_back(self) -> None:
         try:
-            async with asyncio.timeout(LAST_SECONDS / 2):
+            async with asyncio.timeout(GIVE_BACK_SECONDS):
                 await self.allowances.give_back_all()
         except TimeoutError:
             _log.info("The log did not take back all allowances in time.")
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -18,6 +18,7 @@
 from eelgrasslock.requests.in_flight import InFlight
 
 UNKNOWN_ROUTES_RETRY_SECONDS = 0.5
+LEAVING_RETRY_SECONDS = 0.05
 _HASH_RANGE = 2.0**64
 
 _log = logger.bind(part="requests")
@@ -40,6 +41,15 @@
         The time.
     rng : random.Random
         Splits the requests of routes with several services.
+
+    Attributes
+    ----------
+    in_flight : InFlight
+        The requests that are being served.
+    closed : bool
+        Whether new requests are refused, since the daemon is about to end.
+    refused_closed : int
+        How many were refused for that.
     """
 
     def __init__(
@@ -58,6 +68,8 @@
         self.clock = clock
         self.rng = rng
         self.in_flight = InFlight()
+        self.closed = False
+        self.refused_closed = 0
 
     async def handle(self, request: GatewayRequest, responder: CallerResponder) -> None:
         """Serve one request to its end.
@@ -67,6 +79,10 @@
         AnswerCut
             If its connection must be closed.
         """
+        if self.closed:
+            self.refused_closed += 1
+            await self._refuse(request, responder, _leaving())
+            return
         with self.in_flight.enter():
             try:
                 await self._serve(request, responder)
@@ -146,3 +162,8 @@
         except AnswerCut:
             _log.info("Cut the answer to {}.", request.id)
             raise
+
+
+def _leaving() -> Refusal:
+    sentence = "This daemon is stopping; another one takes the request."
+    return Refusal("daemon_leaving", sentence, 503, retry_after=LEAVING_RETRY_SECONDS)
--- a/src/eelgrasslock/gateway/listener.py
+++ b/src/eelgrasslock/gateway/listener.py
@@ -58,6 +58,7 @@
         self.clock = clock
         self.closing = False
         self._servers: list[web.Server] = []
+        self._busy: set[web.RequestHandler] = set()
         self._listening: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -69,16 +70,22 @@
         )
         _log.info("Listening for callers on {}.", self.address)
 
-    async def close_idle(self) -> None:
-        """Close the connections on which no request is served."""
+    def close_idle(self) -> None:
+        """Close the connections on which no request is served.
+
+        The server's own way of closing leaves idle ones open and unread.
+        """
         for server in self._servers:
-            server.pre_shutdown()
+            for connection in server.connections:
+                if connection not in self._busy:
+                    connection.force_close()
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self._listening is not None:
             self._listening.close()
             self._listening = None
+        self.close_idle()
         for server in self._servers:
             await server.shutdown(0.0)
 
@@ -124,6 +131,13 @@
         )
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._busy.add(request.protocol)
+        try:
+            return await self._answer(request)
+        finally:
+            self._busy.discard(request.protocol)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         received = self.clock.monotonic()
         responder = CallerResponder(request, self.closing)
         try:
