Test the platform's path against a stand-in of store and endpoints

Found by the tests: calls with the same digest were held back from running side by side, which delays lookups that are merely alike; a plain service was taken to need a second before anything was learnt of it, so that requests with a shorter time were refused; a record that is JSON but no list ended a fold. Change: requests without body have no digest, the first guess for plain services is 0.1 s, such records are skipped with a line. The stand-ins switch faults over a control path or a list.

--- a/src/eelgrasslock/allowances/draws.py
+++ b/src/eelgrasslock/allowances/draws.py
@@ -67,7 +67,7 @@
     """
     try:
         form, program, id, holder, address, tokens, total = json.loads(data)
-    except ValueError as error:
+    except (TypeError, ValueError) as error:
         raise RecordError(f"No draw: {error}.") from error
     texts = (program, id, holder, address)
     counts = (tokens, total)
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -160,7 +160,14 @@
 
 
 def _digest(passage: Passage) -> str:
+    """Return what tells a request that comes again, empty for those without body.
+
+    Requests of one digest are held back from running side by side, which would
+    delay lookups that are merely alike.
+    """
     request = passage.request
+    if not request.body:
+        return ""
     text = f"{request.method} {request.target} {request.program}".encode()
     return xxhash.xxh64_hexdigest(text + request.body)
 
--- a/src/eelgrasslock/scheduling/pool.py
+++ b/src/eelgrasslock/scheduling/pool.py
@@ -10,6 +10,8 @@
 
 REVIEW_SECONDS = 0.25
 _LEARNING_RATE = 0.05
+_FIRST_ENGINE_SECONDS = 1.0
+_FIRST_PLAIN_SECONDS = 0.1
 
 
 @define(eq=False)
@@ -72,7 +74,11 @@
     )
     review_at: float = 0.0
     slots: int = 0
-    service_seconds: float = 1.0
+    service_seconds: float = field()
+
+    @service_seconds.default
+    def _first_seconds(self) -> float:
+        return _FIRST_ENGINE_SECONDS if self.model else _FIRST_PLAIN_SECONDS
 
     def set_states(self, states: list[EndpointState]) -> None:
         """Put other endpoints in place of the former ones."""
--- /dev/null
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -0,0 +1,283 @@
+"""The stand-in for an endpoint of the platform, which can answer wrongly.
+
+It is a bare HTTP/1.1 server, since a proper one can't send what is no answer.
+"""
+
+import asyncio
+import enum
+import socket
+import struct
+from collections import deque
+
+from attrs import define, field
+
+EVENT_TOKENS = 22
+_RESET_SECONDS = 0.05
+_CHUNK_END = b"0\r\n\r\n"
+
+
+class Fault(enum.Enum):
+    """What an endpoint does with one request."""
+
+    NONE = "none"
+    FULL = "full"
+    ERROR = "error"
+    SILENT = "silent"
+    RESET_BEFORE = "reset_before"
+    LOST = "lost"
+    TRUNCATED = "truncated"
+    EXTRA = "extra"
+    LATE = "late"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed_reset"
+    GARBAGE = "garbage"
+    ENCODED = "encoded"
+    UNSIGNED = "unsigned"
+    EARLY = "early"
+
+
+@define(kw_only=True)
+class Run:
+    """A request that the endpoint received.
+
+    Attributes
+    ----------
+    method, target : str
+        The request line.
+    headers : dict of str to str
+        By lower-case name.
+    body : bytes
+        The body.
+    ran : bool
+        Whether work began.
+    finished : bool
+        Whether it was answered to the end.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes = b""
+    ran: bool = False
+    finished: bool = False
+
+    @property
+    def id(self) -> str:
+        """The request's id."""
+        return self.headers.get("request-id", "")
+
+
+@define(eq=False)
+class PlatformEngineStandin:
+    """One endpoint.
+
+    Attributes
+    ----------
+    id : str
+        Its id; a request that expects another one is turned away.
+    events : int
+        How many events a stream has; 0 for a plain answer.
+    event_seconds : float
+        The pause before each event.
+    work_seconds : float
+        How long a plain answer takes.
+    faults : deque of Fault
+        One is used up by each request.
+    runs : list of Run
+        What was received.
+    """
+
+    id: str
+    events: int = 0
+    event_seconds: float = 0.0
+    work_seconds: float = 0.0
+    faults: deque[Fault] = field(factory=deque)
+    runs: list[Run] = field(factory=list)
+    connections: int = 0
+    late: bytes = b""
+    address: str = ""
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(factory=set)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stop, and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            reset(writer)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a caller is connected."""
+        return bool(self._writers)
+
+    def ids(self) -> list[str]:
+        """Return the ids of the requests that ran."""
+        return [run.id for run in self.runs if run.ran]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        run = await _read_head(reader)
+        fault = self.faults.popleft() if self.faults else Fault.NONE
+        self.runs.append(run)
+        if fault is not Fault.EARLY:
+            await _read_body(reader, run)
+        expected = run.headers.get("expect-instance", self.id)
+        if expected != self.id:
+            writer.write(_whole(run, 421, b"", f"Instance-Id: {self.id}\r\n"))
+            return True
+        return await self._answer(run, fault, reader, writer)
+
+    async def _answer(
+        self,
+        run: Run,
+        fault: Fault,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        if fault is Fault.FULL:
+            writer.write(_whole(run, 503, b"", "Not-Run: 1\r\n"))
+            return True
+        if fault is Fault.RESET_BEFORE:
+            reset(writer)
+            return False
+        run.ran = True
+        if fault is Fault.SILENT:
+            await reader.read(1)
+            return False
+        if fault is Fault.EARLY:
+            writer.write(_whole(run, 413, b"too long", self._stamp()))
+            await _read_body(reader, run)
+            return True
+        if fault is Fault.LOST:
+            reset(writer)
+            return False
+        if fault is Fault.ERROR:
+            writer.write(_whole(run, 500, b"failed", self._stamp()))
+            return True
+        if self.events:
+            return await self._stream(run, fault, reader, writer)
+        await asyncio.sleep(self.work_seconds)
+        return self._plain(run, fault, writer)
+
+    def _plain(self, run: Run, fault: Fault, writer: asyncio.StreamWriter) -> bool:
+        body = f"answer to {run.id}".encode()
+        stamp = self._stamp()
+        if fault is Fault.UNSIGNED:
+            stamp = ""
+        if fault is Fault.ENCODED:
+            stamp += "Content-Encoding: gzip\r\n"
+        whole = _whole(run, 200, body, stamp)
+        if fault is Fault.GARBAGE:
+            writer.write(b"\x00\x01 no answer at all\r\n\r\n")
+            return False
+        if fault is Fault.TRUNCATED:
+            writer.write(whole[:-3])
+            return False
+        if fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
+            return self._unframed(run, fault, body, writer)
+        before, self.late = self.late, b""
+        writer.write(before + whole)
+        if fault is Fault.EXTRA:
+            writer.write(whole)
+        if fault is Fault.LATE:
+            self.late = whole
+        run.finished = True
+        return True
+
+    def _unframed(
+        self, run: Run, fault: Fault, body: bytes, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {run.id}\r\n{self._stamp()}\r\n"
+        if fault is Fault.UNFRAMED:
+            writer.write(head.encode() + body)
+        else:
+            writer.write(head.encode() + body[:5])
+            asyncio.get_running_loop().call_later(_RESET_SECONDS, reset, writer)
+            return True
+        return False
+
+    async def _stream(
+        self,
+        run: Run,
+        fault: Fault,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        head = (
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {run.id}\r\n{self._stamp()}"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(head.encode())
+        gone = asyncio.ensure_future(reader.read(1))
+        first = int(run.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
+            await asyncio.wait({gone}, timeout=self.event_seconds)
+            if gone.done():
+                return False
+            if fault is Fault.TRUNCATED and number > self.events // 2:
+                gone.cancel()
+                return False
+            writer.write(_chunk(f"id: {number}\ndata: {run.id}\n\n".encode()))
+        writer.write(_CHUNK_END)
+        gone.cancel()
+        run.finished = True
+        return False
+
+    def _stamp(self) -> str:
+        return f"Server-Stamp: {self.id}.stamp\r\n"
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, where a mere close would end it properly."""
+    connected = writer.get_extra_info("socket")
+    if connected is not None and not writer.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+async def _read_head(reader: asyncio.StreamReader) -> Run:
+    text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = text.strip().split("\r\n")
+    method, target, _ = first.split(" ")
+    pairs = [line.partition(":") for line in lines]
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    return Run(method=method, target=target, headers=headers)
+
+
+async def _read_body(reader: asyncio.StreamReader, run: Run) -> None:
+    run.body = await reader.readexactly(int(run.headers.get("content-length", "0")))
+
+
+def _whole(run: Run, status: int, body: bytes, more: str) -> bytes:
+    head = (
+        f"HTTP/1.1 {status} Status\r\nRequest-Id: {run.id}\r\n{more}"
+        f"Keep-Alive: timeout=5\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,237 @@
+"""Daemons, endpoints and the platform's store inside the test's own process."""
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+
+from aiohttp.test_utils import TestServer
+
+from eelgrasslock.clock import SystemClock
+from eelgrasslock.gateway.application import GatewayApplication, Platform
+from eelgrasslock.gateway.settings import GatewaySettings
+from eelgrasslock.http.messages import OutgoingRequest
+from eelgrasslock.http.pool import ConnectionPool
+from eelgrasslock.platform.headers import PlatformDialect
+from eelgrasslock.platform.records import PlatformRecords
+from eelgrasslock.platform.store import PlatformStore
+from eelgrasslock_standins.platform_engine import PlatformEngineStandin
+from eelgrasslock_standins.platform_store import PlatformStoreStandin
+
+HOST = "fleet.example"
+TURNS = "/turns/"
+LOOKUPS = "/lookups/"
+POSTS = "/posts/"
+WORST = 220
+
+
+def free_port() -> int:
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return one.getsockname()[1]
+
+
+async def until(condition, seconds=5.0):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(seconds):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+def route(name, prefix, kind, service, **more):
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 4_000,
+        "targetLatencyMs": 250,
+        "priority": 0,
+        "service": service,
+        "maxAttempts": 2,
+        **more,
+    }
+
+
+def configuration(version=1, routes=None, **more):
+    if routes is None:
+        routes = [
+            route(
+                "turns",
+                TURNS,
+                "streaming",
+                "models",
+                maxAttempts=1,
+                retainsContext=False,
+                retentionS=60.0,
+                resumable=True,
+                gapAimMs=400,
+            ),
+            route("lookups", LOOKUPS, "safe", "desk"),
+            route("posts", POSTS, "unsafe", "desk", maxAttempts=1),
+        ]
+    services = [
+        {
+            "name": "models",
+            "healthPath": "/healthz",
+            "maxConns": 100,
+            "engine": {"slots": 4, "kvCapacityTokens": 90_000, "tokensPerEvent": 22},
+        },
+        {"name": "desk", "healthPath": "/healthz", "maxConns": 100},
+    ]
+    limits = {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 100_000,
+        "headerTimeoutMs": 3_000,
+        "idleTimeoutMs": 15_000,
+        **more.pop("limits", {}),
+    }
+    document = {"version": version, "routes": routes, "services": services}
+    return {**document, "limits": limits, **more}
+
+
+class Daemon:
+    """A daemon, and its door to the store."""
+
+    def __init__(self, application, door, front, ready):
+        self.application = application
+        self.faults = door.faults
+        self.front = front
+        self.ready = ready
+
+
+class PlatformFleet:
+    """Starts stand-ins and daemons; leaving the context stops them."""
+
+    def __init__(self):
+        self.store = PlatformStoreStandin()
+        self.stack = contextlib.AsyncExitStack()
+        self.pool = ConnectionPool(SystemClock())
+        self.ids = iter(range(1, 1_000_000))
+        self.daemons = []
+
+    async def __aenter__(self):
+        await self.pool.start()
+        self.stack.push_async_callback(self.pool.stop)
+        self.configure()
+        return self
+
+    async def __aexit__(self, *details):
+        await self.stack.aclose()
+
+    def configure(self, **more):
+        self.configure_raw(json.dumps(configuration(**more)).encode())
+
+    def configure_raw(self, value):
+        self.store.put("keyed.op", "config", value)
+
+    async def endpoint(self, service="desk", id=None, **shape):
+        number = next(self.ids)
+        standin = PlatformEngineStandin(id=id or f"i-{number}", **shape)
+        await standin.start()
+        self.stack.push_async_callback(standin.stop)
+        self.register(standin, service)
+        return standin
+
+    def register(self, standin, service="desk", **more):
+        entry = {
+            "service": service,
+            "address": standin.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "born": 1,
+            **more,
+        }
+        self.store.put("keyed.servers", standin.id, json.dumps(entry).encode())
+
+    def unregister(self, standin):
+        self.store.put("keyed.servers", standin.id, b"")
+
+    async def daemon(self, name="a-1", **more):
+        door = self.store.door()
+        server = TestServer(door.application())
+        await server.start_server(shutdown_timeout=0.05)
+        self.stack.push_async_callback(server.close)
+        front, ready = free_port(), free_port()
+        settings = GatewaySettings(
+            name=name,
+            domain="a",
+            front_address=f"127.0.0.1:{front}",
+            ready_address=f"127.0.0.1:{ready}",
+            peer_address=f"127.0.0.1:{free_port()}",
+            store_address=f"127.0.0.1:{server.port}",
+            store_partitions=4,
+            store_retention_seconds=300.0,
+            **{"drain_seconds": 8.0, **more},
+        )
+        clock = SystemClock()
+        pool = ConnectionPool(clock)
+        store = PlatformStore(settings.store_address, 4, pool)
+        platform = Platform(
+            log=store, records=PlatformRecords(), dialect=PlatformDialect()
+        )
+        application = GatewayApplication(
+            settings, platform, pool, clock, random.Random(1)
+        )
+        await application.start()
+        self.stack.push_async_callback(application.stop)
+        daemon = Daemon(
+            application, door, settings.front_address, settings.ready_address
+        )
+        self.daemons.append(daemon)
+        return daemon
+
+    async def ready_daemon(self, endpoints, **more):
+        """Return a daemon that knows the configuration and some endpoints."""
+        daemon = await self.daemon(**more)
+        directory = daemon.application.directory
+        await until(lambda: all(one.id in directory.entries for one in endpoints))
+        await until(lambda: daemon.application.routing.current is not None)
+        return daemon
+
+    async def call(self, daemon, path, method="GET", body=b"", **headers):
+        """Send a request on a fresh connection; return status, headers and body."""
+        connection = await self.connect(daemon)
+        try:
+            return await self.send(connection, path, method, body, **headers)
+        finally:
+            connection.close()
+
+    async def connect(self, daemon):
+        return await self.pool.acquire(daemon.front)
+
+    async def send(self, connection, path, method="GET", body=b"", **headers):
+        head = await connection.send(self.request(path, method, body, **headers))
+        return head.status, head, await connection.read_all()
+
+    def request(self, path, method="GET", body=b"", **headers):
+        names = {name.replace("_", "-"): str(one) for name, one in headers.items()}
+        names = {
+            "Host": HOST,
+            "Request-Id": f"r{next(self.ids)}",
+            "Deadline-Ms": "3000",
+            **names,
+        }
+        return OutgoingRequest(
+            method=method, target=path, headers=tuple(names.items()), body=body
+        )
+
+    async def turn(self, daemon, program, budget=10 * WORST, worst=WORST, **headers):
+        """Run a turn of a program; return status and body."""
+        status, _, body = await self.call(
+            daemon,
+            f"{TURNS}x",
+            "POST",
+            b"prompt",
+            Program_Id=program,
+            Session_Id="s",
+            Token_Budget=budget,
+            Token_Usage=f"100,{worst}",
+            Prompt_Prefix="5c1e:90,91bd:10",
+            **headers,
+        )
+        return status, body
--- /dev/null
+++ b/tests/test_allowances.py
@@ -0,0 +1,279 @@
+"""A program's budget over several daemons, and the store's surprises."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from eelgrasslock.allowances.draws import Draw, PartitionFold, decode, encode
+from eelgrasslock.allowances.keeper import Allowances
+from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.allowances.shares import MOST_TURNS, tokens_to_draw
+from eelgrasslock.clock import ManualClock
+from eelgrasslock.exceptions import (
+    AppendUnresolved,
+    LogUnavailable,
+    RecordError,
+    RecordsExpired,
+    Refusal,
+)
+from eelgrasslock.log.partitioned import EndMoved, PartitionRead
+
+WORST = 100
+
+
+class MemoryLog:
+    """One log for several ledgers, with faults."""
+
+    def __init__(self):
+        self.partitions = {}
+        self.first = {}
+        self.up = True
+        self.lose_answers = 0
+        self.late = []
+        self.late_answers = 0
+        self.appends = 0
+        self.reads = 0
+
+    def records(self, topic, partition):
+        return self.partitions.setdefault((topic, partition), [])
+
+    def end(self, topic, partition):
+        first = self.first.get((topic, partition), 0)
+        return first + len(self.records(topic, partition))
+
+    async def append_at(self, topic, partition, records, expected_end):
+        self.appends += 1
+        await asyncio.sleep(0)
+        if not self.up:
+            raise LogUnavailable("down")
+        if self.late_answers:
+            self.late_answers -= 1
+            self.late.append((topic, partition, records, expected_end))
+            raise AppendUnresolved("lost")
+        if expected_end != self.end(topic, partition):
+            raise EndMoved(self.end(topic, partition))
+        self.records(topic, partition).extend(records)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise AppendUnresolved("lost")
+        return self.end(topic, partition)
+
+    def do_late(self):
+        for topic, partition, records, expected_end in self.late:
+            if expected_end == self.end(topic, partition):
+                self.records(topic, partition).extend(records)
+
+    async def read_from(self, topic, partition, offset):
+        self.reads += 1
+        if not self.up:
+            raise LogUnavailable("down")
+        first = self.first.get((topic, partition), 0)
+        if offset < first:
+            raise RecordsExpired(first)
+        records = tuple(self.records(topic, partition)[offset - first :])
+        end = self.end(topic, partition)
+        return PartitionRead(records=records, offset=end, end=end)
+
+    def forget(self):
+        for key, records in self.partitions.items():
+            self.first[key] = self.first.get(key, 0) + len(records)
+            records.clear()
+
+    def drawn(self):
+        return sum(
+            decode(one).tokens
+            for records in self.partitions.values()
+            for one in records
+        )
+
+
+@pytest.fixture
+def log():
+    return MemoryLog()
+
+
+def daemon(log, name):
+    return Allowances(Ledger(log, 4, name), ManualClock())
+
+
+async def run_turn(allowances, budget, used, program="p", worst=WORST):
+    reservation = await allowances.reserve(program, budget, worst)
+    allowances.settle(reservation, used)
+
+
+class TestShares:
+    def test_a_draw_takes_a_third_of_what_is_left(self):
+        assert tokens_to_draw(900, 0, WORST, WORST) == 300
+        assert tokens_to_draw(900, 300, WORST, WORST) == 200
+
+    def test_a_draw_holds_one_turn_at_least(self):
+        assert tokens_to_draw(200, 0, WORST, WORST) == WORST
+        assert tokens_to_draw(200, 0, 30, WORST) == WORST
+
+    def test_a_draw_holds_a_few_turns_at_most(self):
+        assert tokens_to_draw(10**6, 0, WORST, WORST) == MOST_TURNS * WORST
+
+    def test_the_last_tokens_are_drawn_if_they_suffice(self):
+        assert tokens_to_draw(1_000, 950, 40, WORST) == 50
+
+    def test_nothing_is_drawn_that_does_not_suffice(self):
+        assert tokens_to_draw(1_000, 950, 60, WORST) == 0
+
+
+class TestDraws:
+    def test_a_draw_comes_back_as_it_was(self):
+        draw = Draw(program="p", id="1", holder="h", address="a", tokens=-3, total=7)
+        assert decode(encode(draw)) == draw
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"\xff", b"[]", b"{}", b"[1,2,3,4,5,6,7]", b"7", b"null"]
+    )
+    def test_other_records_are_told_from_draws(self, data):
+        with pytest.raises(RecordError):
+            decode(data)
+
+    def test_a_fold_needs_no_record_before_the_newest(self):
+        fold = PartitionFold()
+        fold.apply(
+            Draw(program="p", id="9", holder="h", address="", tokens=5, total=70)
+        )
+        assert fold.budget("p").total == 70
+
+
+class TestOneDaemon:
+    async def test_turns_are_served_until_the_budget_is_spent(self, log):
+        one = daemon(log, "one")
+        for _ in range(10):
+            await run_turn(one, 1_000, WORST)
+        with pytest.raises(Refusal) as refusal:
+            await run_turn(one, 1_000, WORST)
+        assert refusal.value.status == 402
+
+    async def test_what_a_turn_did_not_use_serves_later_turns(self, log):
+        one = daemon(log, "one")
+        for _ in range(19):
+            await run_turn(one, 1_000, 50)
+        with pytest.raises(Refusal):
+            await run_turn(one, 1_000, 50)
+
+    async def test_turns_in_flight_count_at_their_most(self, log):
+        one = daemon(log, "one")
+        held = [await one.reserve("p", 300, WORST) for _ in range(3)]
+        with pytest.raises(Refusal):
+            await one.reserve("p", 300, WORST)
+        one.settle(held[0], 0)
+        await one.reserve("p", 300, WORST)
+
+    async def test_few_appends_serve_a_program(self, log):
+        one = daemon(log, "one")
+        for _ in range(4):
+            await run_turn(one, 612, 45)
+        assert (log.appends, log.reads) == (2, 0)
+
+    async def test_concurrent_turns_never_draw_too_much(self, log):
+        one = daemon(log, "one")
+        turns = [one.reserve("p", 450, WORST) for _ in range(8)]
+        results = await asyncio.gather(*turns, return_exceptions=True)
+        served = [one for one in results if not isinstance(one, Refusal)]
+        assert len(served) == 4
+        assert log.drawn() <= 450
+
+
+class TestSeveralDaemons:
+    async def test_the_budget_holds_over_all(self, log):
+        daemons = [daemon(log, f"d{n}") for n in range(5)]
+        spent = 0
+        for turn in range(60):
+            with contextlib.suppress(Refusal):
+                await run_turn(daemons[turn % 5], 1_500, WORST)
+                spent += WORST
+        assert spent <= 1_500
+        assert log.drawn() <= 1_500
+
+    async def test_a_program_of_average_turns_meets_any_of_them(self, log):
+        """Budgets are 1.5 times the worst of all turns; turns use half of theirs."""
+        for turns in range(2, 24):
+            daemons = [daemon(log, f"{turns}d{n}") for n in range(3)]
+            for turn in range(turns):
+                allowances = daemons[turn % 3]
+                budget = int(1.5 * turns * WORST)
+                await run_turn(allowances, budget, 45, program=f"p{turns}")
+
+    async def test_the_budget_holds_over_the_death_of_all(self, log):
+        spent = 0
+        for generation in range(6):
+            one = daemon(log, f"g{generation}")
+            for _ in range(3):
+                try:
+                    await run_turn(one, 1_000, WORST)
+                except Refusal:
+                    continue
+                spent += WORST
+        assert spent <= 1_000
+
+    async def test_a_daemon_that_ends_gives_back(self, log):
+        one, two = daemon(log, "one"), daemon(log, "two")
+        await run_turn(one, 600, 20)
+        assert log.drawn() == 200
+        await one.give_back_all()
+        assert log.drawn() == 20
+        await run_turn(two, 600, 20)
+
+
+class TestStore:
+    async def test_a_program_goes_on_while_the_log_is_away(self, log):
+        one = daemon(log, "one")
+        await run_turn(one, 900, 45)
+        log.up = False
+        for _ in range(3):
+            await run_turn(one, 900, 45)
+
+    async def test_an_unknown_program_is_refused_while_the_log_is_away(self, log):
+        log.up = False
+        with pytest.raises(Refusal) as refusal:
+            await run_turn(daemon(log, "one"), 900, 45)
+        assert refusal.value.status == 503
+        assert refusal.value.retry_after > 0
+
+    async def test_a_lost_answer_counts_once(self, log):
+        log.lose_answers = 1
+        one = daemon(log, "one")
+        await run_turn(one, 300, WORST)
+        assert log.drawn() == WORST
+        for _ in range(2):
+            await run_turn(one, 300, WORST)
+        with pytest.raises(Refusal):
+            await run_turn(one, 300, WORST)
+
+    async def test_an_append_that_is_done_late_counts_once(self, log):
+        log.late_answers = 1
+        one = daemon(log, "one")
+        await run_turn(one, 300, WORST)
+        log.do_late()
+        assert log.drawn() == WORST
+
+    async def test_an_append_of_unknown_fate_counts_as_made(self, log):
+        log.late_answers = 2
+        one = daemon(log, "one")
+        with pytest.raises(Refusal) as refusal:
+            await run_turn(one, 150, WORST)
+        assert refusal.value.status == 503
+        log.do_late()
+        with pytest.raises(Refusal) as refusal:
+            await run_turn(one, 150, WORST)
+        assert refusal.value.status == 402
+
+    async def test_expired_records_are_passed_over(self, log):
+        one, two = daemon(log, "one"), daemon(log, "two")
+        await run_turn(one, 900, 45)
+        log.forget()
+        await run_turn(two, 900, 45)
+
+    async def test_garbage_in_a_partition_is_passed_over(self, log):
+        one, two = daemon(log, "one"), daemon(log, "two")
+        await run_turn(one, 900, 45)
+        for records in log.partitions.values():
+            records.append(b"no draw")
+        await run_turn(two, 900, 45)
+        assert two.ledger.partition("p").fold.budget("p").total == 500
--- /dev/null
+++ b/tests/test_gateway_answers.py
@@ -0,0 +1,244 @@
+"""Whole answers to the right callers, whatever endpoints send."""
+
+import asyncio
+
+import pytest
+
+from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock_standins.platform_engine import Fault
+from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet, until
+
+
+@pytest.fixture
+async def fleet():
+    async with PlatformFleet() as fleet:
+        yield fleet
+
+
+class TestPlainAnswers:
+    async def test_a_request_is_passed_on_unchanged(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        path = f"{POSTS}a%2Fb//c?d=%20e&&f"
+        status, head, body = await fleet.call(
+            daemon, path, "POST", b"fee", Request_Id="one", X_More="kept"
+        )
+        run = engine.runs[0]
+        assert (status, body) == (200, b"answer to one")
+        assert head.header("server-stamp") == f"{engine.id}.stamp"
+        assert head.header("request-id") == "one"
+        assert (run.method, run.target, run.body) == ("POST", path, b"fee")
+        assert run.headers["x-more"] == "kept"
+        assert run.headers["expect-instance"] == engine.id
+        assert 0 < int(run.headers["deadline-ms"]) <= 3_000
+
+    async def test_headers_that_only_the_system_sets_are_dropped(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        await fleet.call(
+            daemon,
+            f"{LOOKUPS}x",
+            Hold="h",
+            Pin_Ms="9",
+            Kv_Backup="1.2.3.4:5",
+            Kv_From="1.2.3.4:5/x",
+            Kv_Fetch="1.2.3.4:5",
+            Expect_Instance="other",
+            Connection="X-Hop",
+            X_Hop="1",
+        )
+        names = set(engine.runs[0].headers)
+        assert not names & {
+            "hold",
+            "pin-ms",
+            "kv-backup",
+            "kv-from",
+            "kv-fetch",
+            "x-hop",
+        }
+        assert engine.runs[0].headers["expect-instance"] == engine.id
+
+    async def test_an_endpoints_failure_is_handed_on(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.ERROR)
+        status, head, body = await fleet.call(daemon, f"{POSTS}x", "POST")
+        assert (status, body) == (500, b"failed")
+        assert head.header("server-stamp")
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            Fault.TRUNCATED,
+            Fault.GARBAGE,
+            Fault.ENCODED,
+            Fault.UNSIGNED,
+            Fault.LOST,
+            Fault.UNFRAMED_RESET,
+        ],
+    )
+    async def test_a_post_whose_answer_is_lost_runs_once(self, fleet, fault):
+        engines = [await fleet.endpoint() for _ in range(2)]
+        daemon = await fleet.ready_daemon(engines)
+        for engine in engines:
+            engine.faults.append(fault)
+        status, head, _ = await fleet.call(daemon, f"{POSTS}x", "POST")
+        assert status == 502
+        assert not head.header("server-stamp")
+        assert sum(len(engine.ids()) for engine in engines) == 1
+
+    @pytest.mark.parametrize(
+        "fault", [Fault.TRUNCATED, Fault.GARBAGE, Fault.ENCODED, Fault.LOST]
+    )
+    async def test_a_lookup_whose_answer_is_lost_is_asked_again(self, fleet, fault):
+        engines = [await fleet.endpoint() for _ in range(2)]
+        daemon = await fleet.ready_daemon(engines)
+        for engine in engines:
+            engine.faults.append(fault)
+        engines[0].faults.clear()
+        for _ in range(4):
+            status, _, body = await fleet.call(
+                daemon, f"{LOOKUPS}x", Request_Id="again"
+            )
+            assert (status, body) == (200, b"answer to again")
+
+    async def test_a_lookup_goes_to_no_more_endpoints_than_its_route_says(self, fleet):
+        engines = [await fleet.endpoint() for _ in range(3)]
+        daemon = await fleet.ready_daemon(engines)
+        for engine in engines:
+            engine.faults.append(Fault.LOST)
+        status, _, _ = await fleet.call(daemon, f"{LOOKUPS}x")
+        assert status == 502
+        assert sum(len(engine.ids()) for engine in engines) == 2
+
+    async def test_an_answer_without_length_that_ends_cleanly_is_whole(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.UNFRAMED)
+        status, _, body = await fleet.call(
+            daemon, f"{POSTS}x", "POST", Request_Id="one"
+        )
+        assert (status, body) == (200, b"answer to one")
+
+
+class TestStrayAnswers:
+    async def test_a_second_answer_is_not_given_to_the_next_caller(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.EXTRA)
+        for name in ("one", "two", "three"):
+            _, _, body = await fleet.call(daemon, f"{LOOKUPS}x", Request_Id=name)
+            assert body == f"answer to {name}".encode()
+
+    async def test_a_late_answer_is_skipped_on_the_same_connection(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.LATE)
+        for name in ("one", "two", "three"):
+            _, _, body = await fleet.call(daemon, f"{POSTS}x", "POST", Request_Id=name)
+            assert body == f"answer to {name}".encode()
+        assert engine.ids() == ["one", "two", "three"]
+        assert engine.connections == 1
+
+    async def test_an_early_answer_leaves_the_body_whole(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.EARLY)
+        status, _, _ = await fleet.call(daemon, f"{POSTS}x", "POST", b"z" * 50_000)
+        assert status == 413
+        status, _, body = await fleet.call(
+            daemon, f"{POSTS}x", "POST", b"y", Request_Id="two"
+        )
+        assert (status, body) == (200, b"answer to two")
+        assert engine.runs[0].body == b"z" * 50_000
+        assert engine.runs[1].body == b"y"
+
+
+class TestNotRun:
+    async def test_a_full_endpoint_is_passed_over(self, fleet):
+        engines = [await fleet.endpoint() for _ in range(2)]
+        daemon = await fleet.ready_daemon(engines)
+        engines[0].faults.append(Fault.FULL)
+        for _ in range(3):
+            status, _, _ = await fleet.call(daemon, f"{POSTS}x", "POST")
+            assert status == 200
+
+    async def test_a_request_that_none_ran_is_refused_with_a_time(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults += [Fault.FULL] * 8
+        status, head, _ = await fleet.call(daemon, f"{POSTS}x", "POST")
+        assert status in (429, 503)
+        assert float(head.header("retry-after")) > 0
+        assert engine.ids() == []
+
+    async def test_another_engine_at_the_address_is_not_asked_to_run(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.id = "i-another"
+        status, _, _ = await fleet.call(daemon, f"{POSTS}x", "POST")
+        assert status in (429, 503)
+        assert engine.ids() == []
+
+    async def test_a_dead_endpoint_is_passed_over(self, fleet):
+        engines = [await fleet.endpoint() for _ in range(2)]
+        daemon = await fleet.ready_daemon(engines)
+        await engines[0].stop()
+        for _ in range(3):
+            status, _, _ = await fleet.call(daemon, f"{POSTS}x", "POST")
+            assert status == 200
+
+
+class TestStreams:
+    async def test_events_are_handed_on_as_they_come(self, fleet):
+        engine = await fleet.endpoint("models", events=5, event_seconds=0.02)
+        daemon = await fleet.ready_daemon([engine])
+        status, body = await fleet.turn(daemon, "p")
+        assert status == 200
+        assert body.count(b"\n\n") == 5
+
+    async def test_a_broken_stream_is_cut_and_not_ended(self, fleet):
+        engine = await fleet.endpoint("models", events=6)
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.TRUNCATED)
+        with pytest.raises(ConnectionBroken):
+            await fleet.turn(daemon, "p")
+
+    async def test_a_resumed_stream_goes_on_where_the_caller_says(self, fleet):
+        engine = await fleet.endpoint("models", events=6)
+        daemon = await fleet.ready_daemon([engine])
+        status, body = await fleet.turn(daemon, "p", Last_Event_Id=4)
+        assert status == 200
+        assert body.startswith(b"id: 5\n")
+
+
+class TestCallersThatLeave:
+    async def test_their_stream_is_cancelled_at_once(self, fleet):
+        engine = await fleet.endpoint("models", events=200, event_seconds=0.05)
+        daemon = await fleet.ready_daemon([engine])
+        connection = await fleet.connect(daemon)
+        request = fleet.request(f"{TURNS}x", "POST", b"prompt")
+        await connection.send(request)
+        await connection.read()
+        connection.close()
+        await until(lambda: not engine.busy, 0.5)
+        assert daemon.application.scheduler.fleet.in_flight() == {}
+
+    async def test_their_waiting_request_is_not_sent(self, fleet):
+        engine = await fleet.endpoint(work_seconds=0.3)
+        daemon = await fleet.ready_daemon([engine])
+        first = [
+            asyncio.create_task(fleet.call(daemon, f"{POSTS}x", "POST"))
+            for _ in range(4)
+        ]
+        await until(lambda: len(engine.ids()) == 4)
+        connection = await fleet.connect(daemon)
+        late = asyncio.create_task(
+            connection.send(fleet.request(f"{POSTS}late", "POST"))
+        )
+        await asyncio.sleep(0.05)
+        connection.close()
+        await asyncio.gather(late, return_exceptions=True)
+        await asyncio.gather(*first)
+        await asyncio.sleep(0.1)
+        assert not [run for run in engine.runs if "late" in run.target]
