Keep serving a plain service after one of its endpoints has gone

Ruled out: a late record of the endpoint; its entry was whole. Change: an endpoint without a known cache is left alone. Measured: the new test failed before and passes now.

--- a/src/eelgrasslock/scheduling/cache_estimate.py
+++ b/src/eelgrasslock/scheduling/cache_estimate.py
@@ -43,10 +43,15 @@
         self.held.setdefault(endpoint, OrderedDict())
 
     def forget(self, endpoint: str) -> None:
-        """Drop what is known of an endpoint, such as after a crash."""
-        for key in self.held.get(endpoint, ()):
+        """Drop what is known of an endpoint, such as after a crash.
+
+        One that has no cache, such as a plain service, is not known.
+        """
+        if endpoint not in self.held:
+            return
+        for key in self.held[endpoint]:
             self._drop_holder(endpoint, key)
-        self.chunks -= len(self.held.get(endpoint, ()))
+        self.chunks -= len(self.held[endpoint])
         self.held[endpoint] = OrderedDict()
         self.last_event.pop(endpoint, None)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -181,3 +181,13 @@
             loop=AliasSettings(models=["loop"]),
         )
         assert resolve_models(configuration, name) == models
+
+
+class TestCacheOfPlainServices:
+    def test_an_endpoint_without_cache_is_forgotten_and_used_again(self):
+        """It took no calls any more: its chunks were counted without a size."""
+        cache = CacheEstimate()
+        cache.forget("plain")
+        cache.store("plain", ())
+        cache.store("plain", (1, 2))
+        assert cache.cached_chunks("plain", (1, 2)) == 0
