Have peers make the log's calls for a daemon that it turns away

Ruled out: longer waits for the store; its answers were refusals. Change: daemons register in a keyed topic; a daemon that is turned away gives its conditional appends and reads to a peer, first one of its own domain; a daemon whose draw finds nothing asks the other holders to give up theirs. Result: kept; in a zone that is cut off nobody reaches the store still.

--- a/src/eelgrasslock/allowances/account.py
+++ b/src/eelgrasslock/allowances/account.py
@@ -23,6 +23,8 @@
         The worst case of its turns in flight.
     used_at : float
         When a turn last began or ended, on the monotonic clock.
+    reclaimed_at : float
+        When other daemons were last asked to give up what they hold.
     """
 
     program: str
@@ -31,6 +33,7 @@
     spent: int = 0
     reserved: int = 0
     used_at: float = 0.0
+    reclaimed_at: float = float("-inf")
     _settled: asyncio.Event = field(factory=asyncio.Event)
 
     @property
--- a/src/eelgrasslock/allowances/draws.py
+++ b/src/eelgrasslock/allowances/draws.py
@@ -27,8 +27,6 @@
         Unique to the draw, so that a repeated append counts once.
     holder : str
         The incarnation that may spend them.
-    address : str
-        Where the holder listens for peers, or empty.
     tokens : int
         How many; below zero for what is given back.
     total : int
@@ -38,7 +36,6 @@
     program: str
     id: str
     holder: str
-    address: str
     tokens: int
     total: int
 
@@ -50,7 +47,6 @@
         draw.program,
         draw.id,
         draw.holder,
-        draw.address,
         draw.tokens,
         draw.total,
     ]
@@ -66,10 +62,10 @@
         If it is none.
     """
     try:
-        form, program, id, holder, address, tokens, total = json.loads(data)
+        form, program, id, holder, tokens, total = json.loads(data)
     except (TypeError, ValueError) as error:
         raise RecordError(f"No draw: {error}.") from error
-    texts = (program, id, holder, address)
+    texts = (program, id, holder)
     counts = (tokens, total)
     is_draw = form == _FORM and all(isinstance(one, str) for one in texts)
     if not is_draw or not all(type(one) is int for one in counts):
@@ -78,7 +74,6 @@
         program=program,
         id=id,
         holder=holder,
-        address=address,
         tokens=tokens,
         total=total,
     )
@@ -94,22 +89,18 @@
         What all daemons hold or have spent.
     held : dict of str to int
         The same by incarnation, as far as the log still tells.
-    addresses : dict of str to str
-        Where these incarnations listen for peers.
     ids : dict of str to None
         The newest draws.
     """
 
     total: int = 0
     held: dict[str, int] = field(factory=dict)
-    addresses: dict[str, str] = field(factory=dict)
     ids: dict[str, None] = field(factory=dict)
 
     def apply(self, draw: Draw) -> None:
         """Take in the next draw."""
         self.total = draw.total
         self.held[draw.holder] = self.held.get(draw.holder, 0) + draw.tokens
-        self.addresses[draw.holder] = draw.address
         self.ids[draw.id] = None
         while len(self.ids) > _IDS_KEPT:
             del self.ids[next(iter(self.ids))]
--- a/src/eelgrasslock/allowances/keeper.py
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -1,6 +1,7 @@
 """Keeps the turns of programs inside their budgets, over all daemons."""
 
 from collections import OrderedDict
+from collections.abc import Awaitable, Callable
 
 from attrs import frozen
 from loguru import logger
@@ -8,10 +9,19 @@
 from eelgrasslock.allowances.account import Account
 from eelgrasslock.allowances.ledger import Ledger
 from eelgrasslock.clock import Clock
-from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, Ran, Refusal
+from eelgrasslock.exceptions import (
+    AppendUnresolved,
+    LogUnavailable,
+    PeerUnavailable,
+    Ran,
+    Refusal,
+)
 
 ACCOUNTS_KEPT = 20_000
 UNAVAILABLE_RETRY_SECONDS = 1.0
+RECLAIM_PAUSE_SECONDS = 1.0
+
+AskHolder = Callable[[str, str], Awaitable[int]]
 
 _log = logger.bind(part="allowances")
 
@@ -32,6 +42,10 @@
     tokens: int
 
 
+async def _ask_nobody(holder: str, program: str) -> int:
+    raise PeerUnavailable(f"{holder} can't be asked.")
+
+
 class Allowances:
     """The programs' accounts at this daemon.
 
@@ -41,11 +55,17 @@
         Draws on budgets.
     clock : Clock
         The time.
+    ask_holder : callable
+        Asks another daemon to give up what it has not spent on a program, and
+        returns how much that is; raises `PeerUnavailable`.
     """
 
-    def __init__(self, ledger: Ledger, clock: Clock) -> None:
+    def __init__(
+        self, ledger: Ledger, clock: Clock, ask_holder: AskHolder = _ask_nobody
+    ) -> None:
         self.ledger = ledger
         self.clock = clock
+        self.ask_holder = ask_holder
         self.accounts: OrderedDict[str, Account] = OrderedDict()
 
     async def reserve(
@@ -80,6 +100,20 @@
         now = self.clock.monotonic()
         reservation.account.settle(reservation.tokens, used, now)
 
+    def release(self, program: str) -> int:
+        """Give up what is not spent or set aside of a program's budget.
+
+        The daemon that asked records it, so the tokens are its own from now on.
+        """
+        account = self.accounts.get(program)
+        if account is None:
+            return 0
+        tokens = max(0, account.free)
+        account.drawn -= tokens
+        if tokens:
+            _log.info("Released {} tokens of {} to a peer.", tokens, program)
+        return tokens
+
     async def give_back_all(self) -> None:
         """Give back what no turn will spend here, before the daemon ends."""
         for account in list(self.accounts.values()):
@@ -108,7 +142,7 @@
             )
             raise _unavailable() from error
         account.drawn += tokens
-        if not tokens:
+        if not tokens and not await self._reclaim(account):
             _log.info(
                 "Refused {} of {}: {} of {} tokens are drawn here, {} spent, {} set"
                 " aside; a turn may use {}.",
@@ -122,6 +156,27 @@
             )
             raise _spent()
 
+    async def _reclaim(self, account: Account) -> bool:
+        """Take back what other daemons hold unspent; return whether that helped."""
+        now = self.clock.monotonic()
+        if now < account.reclaimed_at + RECLAIM_PAUSE_SECONDS:
+            return False
+        account.reclaimed_at = now
+        found = 0
+        for holder in self.ledger.other_holders(account.program):
+            try:
+                tokens = await self.ask_holder(holder, account.program)
+                if tokens:
+                    await self.ledger.take_back(account.program, holder, tokens)
+            except PeerUnavailable as error:
+                _log.info("{} of {} stays drawn: {}", holder, account.program, error)
+                continue
+            except (LogUnavailable, AppendUnresolved) as error:
+                _log.info("Tokens of {} are lost: {}", account.program, error)
+                continue
+            found += tokens
+        return found > 0
+
     def _account(self, program: str, budget: int) -> Account:
         account = self.accounts.get(program)
         if account is None:
--- a/src/eelgrasslock/allowances/ledger.py
+++ b/src/eelgrasslock/allowances/ledger.py
@@ -54,17 +54,14 @@
         Where draws are kept.
     partitions : int
         How many partitions a topic has.
-    holder, address : str
-        This daemon's incarnation, and where it listens for peers.
+    holder : str
+        This daemon's incarnation.
     """
 
-    def __init__(
-        self, log: PartitionedLog, partitions: int, holder: str, address: str = ""
-    ) -> None:
+    def __init__(self, log: PartitionedLog, partitions: int, holder: str) -> None:
         self.log = log
         self.partitions = partitions
         self.holder = holder
-        self.address = address
         self.known: dict[int, Partition] = {}
 
     def partition(self, program: str) -> Partition:
@@ -102,11 +99,34 @@
         """
         partition = self.partition(program)
         async with partition.lock:
-            id = secrets.token_hex(_ID_BYTES)
-            for _ in range(_TRIES):
-                draw = self._record(partition, program, id, -tokens)
-                if await self._append(partition, draw):
-                    return
+            await self._return(partition, program, self.holder, tokens)
+
+    def other_holders(self, program: str) -> list[str]:
+        """Return the incarnations that hold, or have spent, of a budget."""
+        held = self.partition(program).fold.budget(program).held
+        return [one for one, tokens in held.items() if tokens and one != self.holder]
+
+    async def take_back(self, program: str, holder: str, tokens: int) -> None:
+        """Record that another daemon has given tokens up.
+
+        Raises
+        ------
+        LogUnavailable, AppendUnresolved
+            If the log did not take it; the tokens are lost to the program.
+        """
+        partition = self.partition(program)
+        async with partition.lock:
+            await self._return(partition, program, holder, tokens)
+
+    async def _return(
+        self, partition: Partition, program: str, holder: str, tokens: int
+    ) -> None:
+        id = secrets.token_hex(_ID_BYTES)
+        for _ in range(_TRIES):
+            draw = self._record(partition, program, id, -tokens, holder)
+            if await self._append(partition, draw):
+                return
+        raise LogUnavailable(f"{_TRIES} appends met others' in between.")
 
     async def _draw(
         self,
@@ -127,17 +147,18 @@
                 continue
             if tokens == 0:
                 return 0
-            draw = self._record(partition, program, id, tokens)
+            draw = self._record(partition, program, id, tokens, self.holder)
             if await self._append(partition, draw):
                 return tokens
         raise LogUnavailable(f"{_TRIES} appends met others' in between.")
 
-    def _record(self, partition: Partition, program: str, id: str, tokens: int) -> Draw:
+    def _record(
+        self, partition: Partition, program: str, id: str, tokens: int, holder: str
+    ) -> Draw:
         return Draw(
             program=program,
             id=id,
-            holder=self.holder,
-            address=self.address,
+            holder=holder,
             tokens=tokens,
             total=partition.fold.budget(program).total + tokens,
         )
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -3,28 +3,35 @@
 import asyncio
 import random
 import secrets
-from typing import Protocol
+from typing import Any, Protocol
 
 from attrs import frozen
 from loguru import logger
 
 from eelgrasslock.allowances.keeper import Allowances
 from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.backoff import Backoff
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable
 from eelgrasslock.gateway.attempts import Attempts
 from eelgrasslock.gateway.deployment import build_configuration
 from eelgrasslock.gateway.directory import EndpointDirectory
-from eelgrasslock.gateway.follower import KeyedFollower
 from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.handler import GatewayHandler
-from eelgrasslock.gateway.interfaces import Dialect, KeyedLog, Records
+from eelgrasslock.gateway.interfaces import Dialect, Records
 from eelgrasslock.gateway.listener import Listener, ReadyServer
 from eelgrasslock.gateway.routes import RequestLimits
 from eelgrasslock.gateway.routing import Endpoints, Routing
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.http.pool import ConnectionPool
+from eelgrasslock.log.keyed import KeyedLog
+from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
 from eelgrasslock.log.partitioned import PartitionedLog
+from eelgrasslock.peers import roster
+from eelgrasslock.peers.mesh import PeerMesh
+from eelgrasslock.peers.relayed_log import RelayedLog
+from eelgrasslock.peers.roster import Roster, RosterEntry
 from eelgrasslock.periodic import run_periodically
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
@@ -33,6 +40,8 @@
 CONFIGURATION_PAUSE_SECONDS = 0.05
 ENDPOINTS_WAIT_SECONDS = 1.5
 ENDPOINTS_PAUSE_SECONDS = 0.3
+ROSTER_WAIT_SECONDS = 8.0
+ROSTER_PAUSE_SECONDS = 0.2
 TICK_SECONDS = 0.1
 SERVING_SECONDS = 3.0
 LAST_SECONDS = 1.5
@@ -101,6 +110,7 @@
         self.draining = False
         self._tasks: list[asyncio.Task[None]] = []
         self._make_decisions()
+        self._make_peers()
         self._make_state()
         self._make_passes()
         self._make_servers()
@@ -110,6 +120,17 @@
         self.scheduler = Scheduler(self.clock, self.rng, empty, self.settings.domain)
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
 
+    def _make_peers(self) -> None:
+        settings = self.settings
+        self.entry = RosterEntry(
+            name=settings.name,
+            incarnation=self.incarnation,
+            domain=settings.domain,
+            address=settings.peer_address,
+        )
+        self.roster = Roster(self.entry, self.rng)
+        self.mesh = PeerMesh(settings.peer_address, self.incarnation, self.clock)
+
     def _make_state(self) -> None:
         platform = self.platform
         self.directory = EndpointDirectory(self.clock)
@@ -119,32 +140,40 @@
         )
         topics = platform.records.topics
         self.followers = [
-            KeyedFollower(
-                platform.log,
+            self._follower(
                 topics.configuration,
                 self.routing,
-                self.clock,
-                self.rng,
                 CONFIGURATION_WAIT_SECONDS,
                 CONFIGURATION_PAUSE_SECONDS,
             ),
-            KeyedFollower(
-                platform.log,
+            self._follower(
                 topics.endpoints,
                 self.endpoints,
-                self.clock,
-                self.rng,
                 ENDPOINTS_WAIT_SECONDS,
                 ENDPOINTS_PAUSE_SECONDS,
             ),
+            self._follower(
+                roster.TOPIC, self.roster, ROSTER_WAIT_SECONDS, ROSTER_PAUSE_SECONDS
+            ),
         ]
-        ledger = Ledger(
-            platform.log,
-            self.settings.store_partitions,
-            self.incarnation,
-            self.settings.peer_address,
+        self.log = RelayedLog(platform.log, self.mesh, self.roster, self.clock)
+        ledger = Ledger(self.log, self.settings.store_partitions, self.incarnation)
+        self.allowances = Allowances(ledger, self.clock, self._ask_holder)
+        self.mesh.callbacks.log = platform.log
+        self.mesh.callbacks.release_allowance = self.allowances.release
+
+    def _follower(
+        self, topic: str, state: KeyedState, wait_seconds: float, pause_seconds: float
+    ) -> KeyedFollower:
+        return KeyedFollower(
+            self.platform.log,
+            topic,
+            state,
+            self.clock,
+            self.rng,
+            wait_seconds,
+            pause_seconds,
         )
-        self.allowances = Allowances(ledger, self.clock)
 
     def _make_passes(self) -> None:
         attempts = Attempts(
@@ -200,6 +229,31 @@
     def _reborn(self, endpoint: str) -> None:
         self.scheduler.cache.forget(endpoint)
 
+    async def _ask_holder(self, holder: str, program: str) -> int:
+        """Ask another daemon to give up what it has not spent on a program."""
+        entry = self.roster.find(holder)
+        if entry is None:
+            raise PeerUnavailable(f"{holder} is gone.")
+
+        async def ask(peer: Any) -> int:
+            return (await peer.release(program=program)).tokens
+
+        return await self.mesh.ask(entry, ask)
+
+    async def _register(self) -> None:
+        """Register in the log until it takes the entry."""
+        backoff = Backoff(self.rng)
+        while True:
+            try:
+                await self.platform.log.put(
+                    roster.TOPIC, self.settings.name, self.entry.encode()
+                )
+            except LogUnavailable as error:
+                _log.info("Not registered yet: {}", error)
+                await self.clock.sleep(backoff.next())
+            else:
+                return
+
     async def _tick(self) -> None:
         self.endpoints.sweep()
         self.scheduler.age_loads()
@@ -211,7 +265,9 @@
         """Start all parts, the servers last."""
         await self.pool.start()
         await self.dispatcher.start()
+        await self.mesh.start()
         runs = [follower.run() for follower in self.followers]
+        runs.append(self._register())
         runs.append(run_periodically(self.clock, lambda: TICK_SECONDS, self._tick))
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.ready_server.start()
@@ -243,6 +299,7 @@
         await self.listener.stop()
         await self.ready_server.stop()
         await self.dispatcher.stop()
+        await self.mesh.stop()
         await self.pool.stop()
         _log.info("Stopped.")
 
--- a/src/eelgrasslock/gateway/routing.py
+++ b/src/eelgrasslock/gateway/routing.py
@@ -6,8 +6,9 @@
 
 from eelgrasslock.exceptions import RecordError
 from eelgrasslock.gateway.directory import EndpointDirectory, EndpointRecord
-from eelgrasslock.gateway.interfaces import KeyedRecord, Records
+from eelgrasslock.gateway.interfaces import Records
 from eelgrasslock.gateway.routes import RouteTable, RoutingConfiguration
+from eelgrasslock.log.keyed import KeyedRecord
 
 _log = logger.bind(part="routing")
 
--- a/src/eelgrasslock/gateway/run.py
+++ b/src/eelgrasslock/gateway/run.py
@@ -5,6 +5,8 @@
 import random
 import signal
 
+import capnp
+
 from eelgrasslock.clock import SystemClock
 from eelgrasslock.gateway.application import GatewayApplication, Platform
 from eelgrasslock.gateway.settings import GatewaySettings, load_gateway_settings
@@ -42,9 +44,10 @@
         dialect=PlatformDialect(),
     )
     application = GatewayApplication(settings, platform, pool, clock, random.Random())
-    try:
-        await application.start()
-        await stop.wait()
-        await application.drain()
-    finally:
-        await application.stop()
+    async with capnp.kj_loop():
+        try:
+            await application.start()
+            await stop.wait()
+            await application.drain()
+        finally:
+            await application.stop()
--- a/src/eelgrasslock/gateway/follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -8,7 +8,7 @@
 from eelgrasslock.backoff import Backoff
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogUnavailable, RecordsExpired
-from eelgrasslock.gateway.interfaces import KeyedLog, KeyedRecord
+from eelgrasslock.log.keyed import KeyedLog, KeyedRecord
 
 _FIRST_WAIT_SECONDS = 0.05
 _LONGEST_WAIT_SECONDS = 0.5
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -29,6 +29,13 @@
   breakers @8 :List(Text);
 }
 
+enum Outcome {
+  done @0;
+  moved @1;        # the partition ends elsewhere, or keeps only what is from `end` on
+  unavailable @2;  # nothing was done
+  unresolved @3;   # it may have been done, or may be done later
+}
+
 interface Gate {
   hello @0 (nonce :Data, incarnation :Text) -> (nonce :Data, incarnation :Text, proofs :List(Data));
   login @1 (proof :Data) -> (peer :Peer);
@@ -50,4 +57,7 @@
   config @6 () -> (data :Data);
   members @7 () -> (data :Data);
   reach @8 (incarnation :Text) -> (reached :Bool);
+  appendAt @9 (topic :Text, partition :UInt32, records :List(Data), expectedEnd :Int64) -> (outcome :Outcome, end :Int64);
+  readFrom @10 (topic :Text, partition :UInt32, offset :Int64) -> (outcome :Outcome, records :List(Data), offset :Int64, end :Int64);
+  release @11 (program :Text) -> (tokens :Int64);  # what the receiver will no longer spend on it
 }
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from eelgrasslock.log.partitioned import PartitionedLog
 from eelgrasslock.log.records import Record
 from eelgrasslock.peers.beat import Beat
 from eelgrasslock.requests.exchange import Request, Responder
@@ -24,6 +25,10 @@
         Gives the encoded member table.
     reach_member : callable
         Tells whether a member answers a heartbeat from here.
+    log : PartitionedLog or None
+        Where a peer's appends and reads go that the log turns away from it.
+    release_allowance : callable
+        Gives up what is not spent of a program's budget, and returns it.
     """
 
     def __init__(self) -> None:
@@ -35,6 +40,8 @@
         self.beat_received: Callable[[Beat], Beat] = lambda beat: beat
         self.members_offer: Callable[[], bytes] = lambda: b""
         self.reach_member: Callable[[str], Awaitable[bool]] = _reach_nobody
+        self.log: PartitionedLog | None = None
+        self.release_allowance: Callable[[str], int] = lambda program: 0
 
 
 async def _serve_nothing(request: Request, responder: Responder) -> None:
--- a/src/eelgrasslock/peers/peer_servant.py
+++ b/src/eelgrasslock/peers/peer_servant.py
@@ -8,6 +8,7 @@
 
 from eelgrasslock.log.record_codec import encode_batch, readable_records
 from eelgrasslock.peers.beat import BeatDecoder, BeatEncoder
+from eelgrasslock.peers.log_relay import append_for_peer, read_for_peer
 from eelgrasslock.peers.peer_auth import Handshake, new_nonce
 from eelgrasslock.peers.peer_schema import fields, from_fields, schema
 from eelgrasslock.requests.exchange import Request
@@ -120,6 +121,45 @@
 
         await self.connection.run(work())
 
+    async def appendAt(  # noqa: N802
+        self,
+        topic: str,
+        partition: int,
+        records: Any,
+        expectedEnd: int,  # noqa: N803
+        _context: Any,
+        **_: Any,
+    ) -> None:
+        """Append to the log for a peer that it turns away."""
+        data = [bytes(one) for one in records]
+
+        async def work() -> None:
+            found = await append_for_peer(
+                self.callbacks.log, topic, partition, data, expectedEnd
+            )
+            _context.results.outcome = found.outcome
+            _context.results.end = found.end
+
+        await self.connection.run(work())
+
+    async def readFrom(  # noqa: N802
+        self, topic: str, partition: int, offset: int, _context: Any, **_: Any
+    ) -> None:
+        """Read the log for a peer that it turns away."""
+
+        async def work() -> None:
+            found = await read_for_peer(self.callbacks.log, topic, partition, offset)
+            _context.results.outcome = found.outcome
+            _context.results.records = list(found.records)
+            _context.results.offset = found.offset
+            _context.results.end = found.end
+
+        await self.connection.run(work())
+
+    async def release(self, program: str, _context: Any, **_: Any) -> None:
+        """Give up what is not spent of a program's budget."""
+        _context.results.tokens = self.callbacks.release_allowance(program)
+
 
 class SinkResponder:
     """A `Responder` that writes to the daemon that forwarded the request."""
--- a/src/eelgrasslock/platform/store.py
+++ b/src/eelgrasslock/platform/store.py
@@ -7,14 +7,10 @@
 from typing import Any
 
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
-from eelgrasslock.gateway.interfaces import (
-    KeyedChanges,
-    KeyedRecord,
-    KeyedSnapshot,
-)
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
+from eelgrasslock.log.keyed import KeyedChanges, KeyedRecord, KeyedSnapshot
 from eelgrasslock.log.partitioned import EndMoved, PartitionRead
 
 ANSWER_SECONDS = 1.0
@@ -93,14 +89,25 @@
         keyed = tuple(one for one in map(_keyed_record, records) if one is not None)
         return KeyedChanges(records=keyed, end=offset + len(records))
 
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write the newest record of a key; an empty value drops the key."""
+        name = key.encode()
+        record = bytes([len(name)]) + name + value
+        target = f"{_APPEND}?topic={topic}&part=0"
+        try:
+            answer = await self._call("POST", target, _framed([record]), 0.0)
+        except (ConnectFailed, ConnectionBroken, TimeoutError) as error:
+            raise LogUnavailable(f"No answer of the store: {error!r}.") from error
+        if answer.status != _OK:
+            raise LogUnavailable(f"The store answered {answer.status}.")
+
     async def append_at(
         self, topic: str, partition: int, records: list[bytes], expected_end: int
     ) -> int:
         """Append if the partition ends at an offset; return its new end."""
         target = f"{_APPEND}?topic={topic}&part={partition}&asOf={expected_end}"
-        body = b"".join(_LENGTH.pack(len(one)) + one for one in records)
         try:
-            answer = await self._call("POST", target, body, 0.0)
+            answer = await self._call("POST", target, _framed(records), 0.0)
         except ConnectFailed as error:
             raise LogUnavailable(str(error)) from error
         except (ConnectionBroken, TimeoutError) as error:
@@ -109,7 +116,9 @@
             return answer.json()["end"]
         if answer.status == _END_MOVED:
             raise EndMoved(answer.json()["end"])
-        raise LogUnavailable(f"The store answered {answer.status}.")
+        if answer.status in _REFUSED:
+            raise LogUnavailable(f"The store answered {answer.status}.")
+        raise AppendUnresolved(f"The store answered {answer.status}.")
 
     async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
         """Return records from an offset on."""
@@ -176,6 +185,10 @@
     return KeyedRecord(key=key, value=record[start:])
 
 
+def _framed(records: list[bytes]) -> bytes:
+    return b"".join(_LENGTH.pack(len(one)) + one for one in records)
+
+
 def _split_records(data: bytes) -> list[bytes]:
     records = []
     start = 0
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -6,6 +6,7 @@
 import random
 import socket
 
+import capnp
 from aiohttp.test_utils import TestServer
 
 from eelgrasslock.clock import SystemClock
@@ -112,6 +113,7 @@
         self.daemons = []
 
     async def __aenter__(self):
+        await self.stack.enter_async_context(capnp.kj_loop())
         await self.pool.start()
         self.stack.push_async_callback(self.pool.stop)
         self.configure()
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -123,11 +123,11 @@
 
 class TestDraws:
     def test_a_draw_comes_back_as_it_was(self):
-        draw = Draw(program="p", id="1", holder="h", address="a", tokens=-3, total=7)
+        draw = Draw(program="p", id="1", holder="h", tokens=-3, total=7)
         assert decode(encode(draw)) == draw
 
     @pytest.mark.parametrize(
-        "data", [b"", b"\xff", b"[]", b"{}", b"[1,2,3,4,5,6,7]", b"7", b"null"]
+        "data", [b"", b"\xff", b"[]", b"{}", b"[1,2,3,4,5,6]", b"7", b"null"]
     )
     def test_other_records_are_told_from_draws(self, data):
         with pytest.raises(RecordError):
@@ -135,9 +135,7 @@
 
     def test_a_fold_needs_no_record_before_the_newest(self):
         fold = PartitionFold()
-        fold.apply(
-            Draw(program="p", id="9", holder="h", address="", tokens=5, total=70)
-        )
+        fold.apply(Draw(program="p", id="9", holder="h", tokens=5, total=70))
         assert fold.budget("p").total == 70
 
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -298,6 +298,60 @@
     async def test_the_store_is_asked_once_for_a_short_program(self, fleet):
         engine = await fleet.endpoint("models", events=5)
         daemon = await fleet.ready_daemon([engine])
+        await until(lambda: "keyed.daemons" in fleet.store.newest)
+        before = fleet.store.calls["log-append"]
         for _ in range(3):
             assert (await fleet.turn(daemon, "p", budget=1_500))[0] == 200
-        assert fleet.store.calls.get("log-append") == 1
+        assert fleet.store.calls["log-append"] == before + 1
+
+
+class TestPeers:
+    async def pair(self, fleet):
+        engine = await fleet.endpoint("models", events=10)
+        daemons = [await fleet.ready_daemon([engine], name=f"a-{n}") for n in range(2)]
+        rosters = [one.application.roster for one in daemons]
+        await until(lambda: all(len(one.entries) == 1 for one in rosters))
+        return daemons
+
+    @pytest.mark.parametrize("refusing", ["busy", "many", "reset"])
+    async def test_a_peer_appends_for_a_daemon_that_is_turned_away(
+        self, fleet, refusing
+    ):
+        one, two = await self.pair(fleet)
+        one.faults.refusing = refusing
+        for program in ("p", "q"):
+            assert (await fleet.turn(one, program))[0] == 200
+        assert one.application.log.relayed >= 2
+        one.faults.refusing = ""
+        totals = [daemon.application.allowances.ledger for daemon in (one, two)]
+        assert (await fleet.turn(two, "p"))[0] == 200
+        folds = [ledger.partition("p").fold.budget("p").total for ledger in totals]
+        assert folds[1] > folds[0] > 0
+
+    async def test_a_silent_log_is_passed_over_after_one_call(self, fleet, monkeypatch):
+        monkeypatch.setattr("eelgrasslock.platform.store.ANSWER_SECONDS", 0.2)
+        one, _ = await self.pair(fleet)
+        one.faults.refusing = "silent"
+        assert (await fleet.turn(one, "p"))[0] == 200
+        async with asyncio.timeout(0.2):
+            assert (await fleet.turn(one, "q"))[0] == 200
+
+    async def test_a_turn_is_refused_when_no_peer_reaches_the_log(self, fleet):
+        one, two = await self.pair(fleet)
+        one.faults.refusing = two.faults.refusing = "busy"
+        status, _ = await fleet.turn(one, "p")
+        assert status == 503
+
+    async def test_what_another_daemon_holds_unspent_is_taken_back(self, fleet):
+        one, two = await self.pair(fleet)
+        budget = 3 * 220
+        assert (await fleet.turn(one, "p", budget=budget, worst=220))[0] == 200
+        first = one.application.allowances.accounts["p"]
+        first.spent = 0
+        first.drawn = budget
+        ledger = one.application.allowances.ledger
+        await ledger.draw("p", budget, 440, 440)
+        assert (await fleet.turn(two, "p", budget=budget, worst=220))[0] == 200
+        assert first.drawn == 0
+        fold = two.application.allowances.ledger.partition("p").fold.budget("p")
+        assert fold.total <= budget
