--- a/src/eelgrasslock/http/pool.py
+++ b/src/eelgrasslock/http/pool.py
@@ -9,7 +9,7 @@
 from eelgrasslock.exceptions import EelgrassError
 from eelgrasslock.http.connection import HTTPConnection
 
-CONNECT_SECONDS = 0.4
+CONNECT_SECONDS = 0.25
 IDLE_SECONDS = 10.0
 UNSTATED_IDLE_SECONDS = 0.5
 IDLE_MARGIN_SECONDS = 0.3
--- a/src/eelgrasslock/peers/relayed_log.py
+++ b/src/eelgrasslock/peers/relayed_log.py
@@ -19,10 +19,10 @@
 from eelgrasslock.log.partitioned import PartitionedLog, PartitionRead
 from eelgrasslock.peers.log_relay import append_through, read_through
 from eelgrasslock.peers.mesh import PeerMesh
-from eelgrasslock.peers.roster import Roster
+from eelgrasslock.peers.roster import Roster, RosterEntry
 
 AVOID_SECONDS = 0.7
-RELAYS_TRIED = 2
+RELAYS_TRIED = 4
 NO_RELAY_SECONDS = 0.4
 
 _NO_WAY = "Neither the log nor a peer that reaches it answers."
@@ -49,6 +49,8 @@
     ----------
     avoid_until : float
         Until when the own way is not tried, on the monotonic clock.
+    preferred : str
+        The incarnation of the peer that made the last call.
     relayed : int
         Calls that peers made, counted since the start.
     """
@@ -62,6 +64,7 @@
         self.clock = clock
         self.avoid_until = float("-inf")
         self.no_relay_until = float("-inf")
+        self.preferred = ""
         self.relayed = 0
 
     async def append_at(
@@ -109,6 +112,12 @@
             _log.info("The log is regained.")
         self.avoid_until = float("-inf")
 
+    def _relays(self) -> list[RosterEntry]:
+        """Return the peers to ask, the one that answered last at the front."""
+        entries = self.roster.relays()
+        entries.sort(key=lambda one: one.incarnation != self.preferred)
+        return entries[:RELAYS_TRIED]
+
     async def _relay(
         self, call: Callable[[Any], Awaitable[_Answer]], is_append: bool
     ) -> _Answer:
@@ -120,7 +129,7 @@
         if self.clock.monotonic() < self.no_relay_until:
             raise LogUnavailable(_NO_WAY)
         may_be_done = False
-        for entry in self.roster.relays()[:RELAYS_TRIED]:
+        for entry in self._relays():
             try:
                 answer = await self.mesh.ask(entry, call)
             except LogUnavailable:
@@ -129,6 +138,7 @@
                 may_be_done = may_be_done or error.ran is not Ran.NO
                 continue
             self.relayed += 1
+            self.preferred = entry.incarnation
             return answer
         self.no_relay_until = self.clock.monotonic() + NO_RELAY_SECONDS
         if is_append and may_be_done:
--- a/src/eelgrasslock/scheduling/outcomes.py
+++ b/src/eelgrasslock/scheduling/outcomes.py
@@ -7,6 +7,7 @@
 from eelgrasslock.scheduling.cache_estimate import CacheEstimate
 from eelgrasslock.scheduling.calls import CallEnd
 from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.domain_watch import DomainWatch
 from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
 from eelgrasslock.scheduling.fleet import Fleet
 from eelgrasslock.scheduling.placement import expected_seconds
@@ -31,6 +32,8 @@
         Told of crashes.
     decisions : Decisions
         Which decisions are on.
+    domains : DomainWatch
+        Told which domains' endpoints answer.
     """
 
     def __init__(
@@ -40,7 +43,9 @@
         programs: ProgramTable,
         quarantine: Quarantine,
         decisions: Decisions,
+        domains: DomainWatch,
     ) -> None:
+        self.domains = domains
         self.fleet = fleet
         self.cache = cache
         self.programs = programs
@@ -54,6 +59,7 @@
         call = running.call
         seconds = now - running.started
         state.breaker.succeeded(call.id)
+        self.domains.reached(state.settings.domain)
         state.parked_until = min(state.parked_until, now)
         expected = 0.0
         if state.kind is ServiceKind.ENGINE:
@@ -86,6 +92,8 @@
             return
         if not self.decisions.breakers:
             return
+        if end in (CallEnd.NOT_SENT, CallEnd.SILENT):
+            self.domains.failed(state.settings.domain, state.name, now)
         crashed = end is CallEnd.CRASHED
         was_allowed = state.breaker.allows(now)
         state.breaker.failed(running.call.id, now, crashed)
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     PeerLoad,
 )
 from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.domain_watch import DomainWatch
 from eelgrasslock.scheduling.endpoint_state import EndpointState, EndpointView
 from eelgrasslock.scheduling.fleet import Fleet
 from eelgrasslock.scheduling.outcomes import Outcomes
@@ -74,11 +75,23 @@
         self.ranking = Ranking()
         self.fleet = Fleet(self.cache, rng)
         self.budgets = RetryBudgets(0.0, 0, rng)
+        self.domains = DomainWatch(domain)
         self.starter = Starter(
-            self.cache, self.slots, self.programs, self.suspects, rng, decisions
+            self.cache,
+            self.slots,
+            self.programs,
+            self.suspects,
+            rng,
+            decisions,
+            self.domains,
         )
         self.outcomes = Outcomes(
-            self.fleet, self.cache, self.programs, self.suspects, decisions
+            self.fleet,
+            self.cache,
+            self.programs,
+            self.suspects,
+            decisions,
+            self.domains,
         )
         self.admission = Admission(
             self.fleet, self.slots, self.suspects, configuration.limits, decisions
--- a/src/eelgrasslock/scheduling/starter.py
+++ b/src/eelgrasslock/scheduling/starter.py
@@ -7,6 +7,7 @@
 from eelgrasslock.scheduling.cache_estimate import CHUNK_TOKENS, CacheEstimate
 from eelgrasslock.scheduling.calls import Assignment
 from eelgrasslock.scheduling.decisions import Decisions
+from eelgrasslock.scheduling.domain_watch import DomainWatch
 from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
 from eelgrasslock.scheduling.live_contexts import LiveContexts
 from eelgrasslock.scheduling.placement import Candidate, Choice, Placement
@@ -39,6 +40,8 @@
         The source of chance.
     decisions : Decisions
         Which decisions are on.
+    domains : DomainWatch
+        Which domains seem to be cut off.
     """
 
     def __init__(
@@ -49,7 +52,9 @@
         quarantine: Quarantine,
         rng: random.Random,
         decisions: Decisions,
+        domains: DomainWatch,
     ) -> None:
+        self.domains = domains
         self.cache = cache
         self.slots = slots
         self.programs = programs
@@ -205,6 +210,8 @@
         for state in states:
             if state.name in call.excluded or not state.is_open(now):
                 continue
+            if not self.domains.allows(state.settings.domain, now):
+                continue
             if is_suspect and state.suspect:
                 continue
             if is_lookup and not self._has_slot(state, call.call_class, now):
