Serve programs that begin while the log is away, within a share

Change: a daemon asks all daemons in reach what they spent on the program without the log, and adds a turn if the sum stays within half of the budget (one turn for budgets of up to three), if what is known to be drawn allows it, and if it is of the one group of daemons that may decide. Recorded once the log is back.

--- a/src/eelgrasslock/allowances/account.py
+++ b/src/eelgrasslock/allowances/account.py
@@ -21,6 +21,10 @@
         What its finished turns have used.
     reserved : int
         The worst case of its turns in flight.
+    offline : int
+        What was added to `drawn` without the log, and is not recorded yet.
+    asked : int
+        What is about to be added so, while other daemons are asked.
     used_at : float
         When a turn last began or ended, on the monotonic clock.
     reclaimed_at : float
@@ -32,6 +36,8 @@
     drawn: int = 0
     spent: int = 0
     reserved: int = 0
+    offline: int = 0
+    asked: int = 0
     used_at: float = 0.0
     reclaimed_at: float = float("-inf")
     _settled: asyncio.Event = field(factory=asyncio.Event)
--- a/src/eelgrasslock/allowances/keeper.py
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -8,6 +8,11 @@
 
 from eelgrasslock.allowances.account import Account
 from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.allowances.offline import (
+    OfflineWord,
+    offline_limit,
+    offline_room,
+)
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import (
     AppendUnresolved,
@@ -22,6 +27,7 @@
 RECLAIM_PAUSE_SECONDS = 1.0
 
 AskHolder = Callable[[str, str], Awaitable[int]]
+AskOffline = Callable[[str], Awaitable[list[OfflineWord] | None]]
 
 _log = logger.bind(part="allowances")
 
@@ -46,6 +52,10 @@
     raise PeerUnavailable(f"{holder} can't be asked.")
 
 
+async def _offline_never(program: str) -> list[OfflineWord] | None:
+    return None
+
+
 class Allowances:
     """The programs' accounts at this daemon.
 
@@ -58,14 +68,22 @@
     ask_holder : callable
         Asks another daemon to give up what it has not spent on a program, and
         returns how much that is; raises `PeerUnavailable`.
+    ask_offline : callable
+        Asks the daemons in reach what they spent on a program without the log;
+        returns None if they may not decide.
     """
 
     def __init__(
-        self, ledger: Ledger, clock: Clock, ask_holder: AskHolder = _ask_nobody
+        self,
+        ledger: Ledger,
+        clock: Clock,
+        ask_holder: AskHolder = _ask_nobody,
+        ask_offline: AskOffline = _offline_never,
     ) -> None:
         self.ledger = ledger
         self.clock = clock
         self.ask_holder = ask_holder
+        self.ask_offline = ask_offline
         self.accounts: OrderedDict[str, Account] = OrderedDict()
 
     async def reserve(
@@ -133,6 +151,8 @@
                 account.program, account.budget, needed, worst
             )
         except (LogUnavailable, AppendUnresolved) as error:
+            if await self._spend_offline(account, needed, worst):
+                return
             _log.info(
                 "Refused {} of {}: no draw of {} tokens: {}",
                 request,
@@ -156,6 +176,69 @@
             )
             raise _spent()
 
+    async def _spend_offline(self, account: Account, needed: int, worst: int) -> bool:
+        """Add tokens without the log, if the daemons in reach allow it.
+
+        They count before the others are asked, so that of two daemons that ask
+        at once each sees the other's.
+        """
+        if needed > offline_limit(account.budget, worst):
+            return False
+        account.asked += needed
+        try:
+            words = await self.ask_offline(account.program)
+            if words is None:
+                return False
+            own = account.offline + account.asked
+            drawn = self.ledger.drawn(account.program)
+            room = offline_room(account.budget, worst, own, drawn, words)
+            if room < 0:
+                return False
+        finally:
+            account.asked -= needed
+        account.offline += needed
+        account.drawn += needed
+        _log.info(
+            "{} may use {} tokens without the log, {} of its share are left.",
+            account.program,
+            needed,
+            room,
+        )
+        return True
+
+    def offline_word(self, program: str) -> tuple[int, int]:
+        """Return what was spent here without the log, and what is drawn.
+
+        What is left of it is given up, since another daemon needs some now.
+        """
+        account = self.accounts.get(program)
+        if account is None:
+            return 0, self.ledger.drawn(program)
+        unused = max(0, min(account.offline, account.free))
+        account.offline -= unused
+        account.drawn -= unused
+        return account.offline + account.asked, self.ledger.drawn(program)
+
+    async def record_offline(self) -> None:
+        """Record what was spent without the log, once it answers.
+
+        Raises
+        ------
+        LogUnavailable, AppendUnresolved
+            If it does not take all of it; the rest is tried again later.
+        """
+        for account in list(self.accounts.values()):
+            tokens = account.offline
+            if not tokens:
+                continue
+            account.offline = 0
+            try:
+                await self.ledger.record(account.program, tokens)
+            except LogUnavailable:
+                account.offline += tokens
+                raise
+            _log.info("Recorded {} tokens of {}.", tokens, account.program)
+
     async def _reclaim(self, account: Account) -> bool:
         """Take back what other daemons hold unspent; return whether that helped."""
         now = self.clock.monotonic()
--- a/src/eelgrasslock/allowances/ledger.py
+++ b/src/eelgrasslock/allowances/ledger.py
@@ -101,6 +101,22 @@
         async with partition.lock:
             await self._return(partition, program, self.holder, tokens)
 
+    def drawn(self, program: str) -> int:
+        """Return what all daemons have drawn, as far as it is known here."""
+        return self.partition(program).fold.budget(program).total
+
+    async def record(self, program: str, tokens: int) -> None:
+        """Record what was spent without the log, even beyond the budget.
+
+        Raises
+        ------
+        LogUnavailable, AppendUnresolved
+            If the log did not take it.
+        """
+        partition = self.partition(program)
+        async with partition.lock:
+            await self._return(partition, program, self.holder, -tokens)
+
     def other_holders(self, program: str) -> list[str]:
         """Return the incarnations that hold, or have spent, of a budget."""
         held = self.partition(program).fold.budget(program).held
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -10,10 +10,11 @@
 
 from eelgrasslock.allowances.keeper import Allowances
 from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.allowances.offline import OfflineWord, may_spend_offline
 from eelgrasslock.backoff import Backoff
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
-from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, PeerUnavailable
 from eelgrasslock.gateway.attempts import Attempts
 from eelgrasslock.gateway.deployment import build_configuration
 from eelgrasslock.gateway.directory import EndpointDirectory
@@ -43,6 +44,7 @@
 ROSTER_WAIT_SECONDS = 8.0
 ROSTER_PAUSE_SECONDS = 0.2
 TICK_SECONDS = 0.1
+RECORD_SECONDS = 0.4
 SERVING_SECONDS = 3.0
 LAST_SECONDS = 1.5
 GIVE_BACK_SECONDS = 0.5
@@ -158,7 +160,10 @@
         ]
         self.log = RelayedLog(platform.log, self.mesh, self.roster, self.clock)
         ledger = Ledger(self.log, self.settings.store_partitions, self.incarnation)
-        self.allowances = Allowances(ledger, self.clock, self._ask_holder)
+        self.allowances = Allowances(
+            ledger, self.clock, self._ask_holder, self._ask_offline
+        )
+        self.mesh.callbacks.offline_word = self.allowances.offline_word
         self.mesh.callbacks.log = platform.log
         self.mesh.callbacks.release_allowance = self.allowances.release
 
@@ -240,6 +245,36 @@
 
         return await self.mesh.ask(entry, ask)
 
+    async def _ask_offline(self, program: str) -> list[OfflineWord] | None:
+        """Ask all daemons in reach what they spent on a program without the log."""
+        entries = list(self.roster.entries.values())
+
+        async def ask(entry: RosterEntry) -> OfflineWord | None:
+            async def call(peer: Any) -> Any:
+                return await peer.offline(program=program)
+
+            try:
+                answer = await self.mesh.ask(entry, call)
+            except PeerUnavailable:
+                return None
+            return OfflineWord(
+                domain=entry.domain, spent=answer.spent, drawn=answer.drawn
+            )
+
+        answers = await asyncio.gather(*(ask(entry) for entry in entries))
+        words = [word for word in answers if word is not None]
+        members = [entry.domain for entry in entries]
+        answered = [word.domain for word in words]
+        if not may_spend_offline(self.settings.domain, members, answered):
+            return None
+        return words
+
+    async def _record_offline(self) -> None:
+        try:
+            await self.allowances.record_offline()
+        except (LogUnavailable, AppendUnresolved) as error:
+            _log.info("What was spent without the log is not recorded yet: {}", error)
+
     async def _register(self) -> None:
         """Register in the log until it takes the entry."""
         backoff = Backoff(self.rng)
@@ -269,6 +304,9 @@
         runs = [follower.run() for follower in self.followers]
         runs.append(self._register())
         runs.append(run_periodically(self.clock, lambda: TICK_SECONDS, self._tick))
+        runs.append(
+            run_periodically(self.clock, lambda: RECORD_SECONDS, self._record_offline)
+        )
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.ready_server.start()
         await self.listener.start()
@@ -316,6 +354,7 @@
                 return
 
     async def _give_back(self) -> None:
+        await self._record_offline()
         try:
             async with asyncio.timeout(GIVE_BACK_SECONDS):
                 await self.allowances.give_back_all()
--- a/src/eelgrasslock/peers/mesh.py
+++ b/src/eelgrasslock/peers/mesh.py
@@ -12,7 +12,8 @@
 from eelgrasslock.peers.peer_server import PeerServer
 from eelgrasslock.peers.roster import RosterEntry
 
-CALL_SECONDS = 0.5
+CALL_SECONDS = 0.4
+AVOID_SECONDS = 1.0
 
 _Answer = TypeVar("_Answer")
 
@@ -33,6 +34,8 @@
     ----------
     callbacks : PeerCallbacks
         What the calls of peers end in.
+    avoid_until : dict of str to float
+        By incarnation, until when one that gave no answer is not asked again.
     """
 
     def __init__(self, address: str, incarnation: str, clock: Clock) -> None:
@@ -41,6 +44,7 @@
         self.clock = clock
         self.callbacks = PeerCallbacks()
         self.server = PeerServer([], lambda: incarnation, self.callbacks, clock)
+        self.avoid_until: dict[str, float] = {}
         self._links: dict[str, PeerLink] = {}
         self._connecting: dict[str, asyncio.Task[PeerLink]] = {}
 
@@ -73,6 +77,8 @@
             have been made.
         """
         ran = Ran.NO
+        if self.clock.monotonic() < self.avoid_until.get(entry.incarnation, 0.0):
+            raise PeerUnavailable(f"{entry.name} gave no answer lately.", ran)
         try:
             async with asyncio.timeout(seconds):
                 link = await self._link(entry)
@@ -80,6 +86,8 @@
                 return await link.ask(ask, seconds)
         except (LinkLost, PeerRefused, TimeoutError) as error:
             self._drop(entry.incarnation)
+            until = self.clock.monotonic() + AVOID_SECONDS
+            self.avoid_until[entry.incarnation] = until
             raise PeerUnavailable(f"{entry.name} gave no answer.", ran) from error
 
     async def _link(self, entry: RosterEntry) -> PeerLink:
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -59,5 +59,6 @@
   reach @8 (incarnation :Text) -> (reached :Bool);
   appendAt @9 (topic :Text, partition :UInt32, records :List(Data), expectedEnd :Int64) -> (outcome :Outcome, end :Int64);
   readFrom @10 (topic :Text, partition :UInt32, offset :Int64) -> (outcome :Outcome, records :List(Data), offset :Int64, end :Int64);
+  offline @12 (program :Text) -> (spent :Int64, drawn :Int64);  # without the log; in all, as known
   release @11 (program :Text) -> (tokens :Int64);  # what the receiver will no longer spend on it
 }
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -29,6 +29,8 @@
         Where a peer's appends and reads go that the log turns away from it.
     release_allowance : callable
         Gives up what is not spent of a program's budget, and returns it.
+    offline_word : callable
+        Tells what was spent on a program without the log, and what is drawn.
     """
 
     def __init__(self) -> None:
@@ -42,6 +44,7 @@
         self.reach_member: Callable[[str], Awaitable[bool]] = _reach_nobody
         self.log: PartitionedLog | None = None
         self.release_allowance: Callable[[str], int] = lambda program: 0
+        self.offline_word: Callable[[str], tuple[int, int]] = lambda program: (0, 0)
 
 
 async def _serve_nothing(request: Request, responder: Responder) -> None:
--- a/src/eelgrasslock/peers/peer_servant.py
+++ b/src/eelgrasslock/peers/peer_servant.py
@@ -160,6 +160,12 @@
         """Give up what is not spent of a program's budget."""
         _context.results.tokens = self.callbacks.release_allowance(program)
 
+    async def offline(self, program: str, _context: Any, **_: Any) -> None:
+        """Tell what was spent on a program without the log."""
+        spent, drawn = self.callbacks.offline_word(program)
+        _context.results.spent = spent
+        _context.results.drawn = drawn
+
 
 class SinkResponder:
     """A `Responder` that writes to the daemon that forwarded the request."""
--- /dev/null
+++ b/tests/test_offline_allowances.py
@@ -0,0 +1,171 @@
+"""Programs that begin while the log is away."""
+
+import asyncio
+import random
+
+import pytest
+
+from eelgrasslock.allowances.keeper import Allowances
+from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.allowances.offline import (
+    OfflineWord,
+    may_spend_offline,
+    offline_limit,
+    offline_room,
+)
+from eelgrasslock.clock import ManualClock
+from eelgrasslock.exceptions import Refusal
+from test_allowances import WORST, MemoryLog, run_turn
+
+
+class Group:
+    """Daemons that reach each other, with one log."""
+
+    def __init__(self, log, count):
+        self.log = log
+        self.may_decide = True
+        self.daemons = {}
+        for number in range(count):
+            self.add(f"d{number}")
+
+    def add(self, name):
+        async def ask_offline(program):
+            if not self.may_decide:
+                return None
+            await asyncio.sleep(0)
+            others = [one for key, one in self.daemons.items() if key != name]
+            words = [one.offline_word(program) for one in others]
+            return [
+                OfflineWord(domain="a", spent=spent, drawn=drawn)
+                for spent, drawn in words
+            ]
+
+        ledger = Ledger(self.log, 4, name)
+        self.daemons[name] = Allowances(ledger, ManualClock(), ask_offline=ask_offline)
+
+    def accounts(self, program):
+        everyone = self.daemons.values()
+        return [one.accounts[program] for one in everyone if program in one.accounts]
+
+    def __getitem__(self, number):
+        return list(self.daemons.values())[number]
+
+
+@pytest.fixture
+def log():
+    return MemoryLog()
+
+
+async def turns_until_refused(group, budget, used, program="p", most=100):
+    """Run turns on the daemons by turns; return the tokens that were spent."""
+    spent = 0
+    for turn in range(most):
+        try:
+            await run_turn(group[turn % len(group.daemons)], budget, used, program)
+        except Refusal:
+            return spent
+        spent += used
+    return spent
+
+
+class TestLimits:
+    def test_a_small_budget_gets_one_turn(self):
+        assert offline_limit(2 * WORST, WORST) == WORST
+        assert offline_limit(3 * WORST, WORST) == WORST
+
+    def test_a_larger_one_gets_half(self):
+        assert offline_limit(8 * WORST, WORST) == 4 * WORST
+
+    def test_what_is_known_to_be_drawn_counts(self):
+        word = OfflineWord(domain="a", spent=0, drawn=750)
+        assert offline_room(800, WORST, 50, 0, [word]) == 0
+
+    @pytest.mark.parametrize(
+        ("answered", "allowed"),
+        [
+            ("aabbcc", True),
+            ("abc", True),
+            ("aa", True),
+            ("", False),
+            ("bbcc", False),
+            ("ab", False),
+            ("aabb", False),
+        ],
+    )
+    def test_only_one_group_of_daemons_may_decide(self, answered, allowed):
+        assert may_spend_offline("a", "aabbcc", answered) is allowed
+
+
+class TestOutage:
+    async def test_a_program_that_begins_in_it_is_served(self, log):
+        group = Group(log, 3)
+        log.up = False
+        for turns in range(2, 12):
+            budget = int(1.55 * turns * WORST)
+            for turn in range(turns):
+                program = f"p{turns}"
+                await run_turn(group[turn % 2], budget, 45, program)
+
+    async def test_its_share_holds_over_all_daemons_in_reach(self, log):
+        group = Group(log, 3)
+        log.up = False
+        spent = await turns_until_refused(group, 1_000, WORST)
+        assert spent == 500
+
+    async def test_what_it_spent_is_recorded_afterwards(self, log):
+        group = Group(log, 3)
+        log.up = False
+        spent = await turns_until_refused(group, 1_000, WORST)
+        log.up = True
+        for one in group.daemons.values():
+            await one.record_offline()
+        assert log.drawn() == spent
+        spent += await turns_until_refused(group, 1_000, WORST)
+        assert spent <= log.drawn() <= 1_000
+
+    async def test_a_daemon_alone_serves_only_what_it_drew(self, log):
+        group = Group(log, 1)
+        group.may_decide = False
+        log.up = False
+        with pytest.raises(Refusal):
+            await run_turn(group[0], 1_000, 45)
+
+    async def test_a_program_that_had_spent_its_budget_gets_nothing(self, log):
+        group = Group(log, 2)
+        await turns_until_refused(group, 1_000, WORST)
+        log.up = False
+        assert await turns_until_refused(group, 1_000, WORST) == 0
+
+    @pytest.mark.parametrize("turns", [2, 3])
+    async def test_a_looping_program_stays_within_a_turn_of_its_budget(
+        self, log, turns
+    ):
+        """All daemons die in the outage, before anything could be recorded."""
+        budget = turns * WORST
+        log.up = False
+        spent = await turns_until_refused(Group(log, 4), budget, WORST)
+        log.up = True
+        spent += await turns_until_refused(Group(log, 4), budget, WORST)
+        assert spent <= budget + WORST
+
+    async def test_turns_that_ask_at_once_count_each_other(self, log):
+        """A looping program started 113 turns at once on nine daemons."""
+        group = Group(log, 5)
+        online = await group[0].reserve("p", 220, 20)
+        group[0].settle(online, 0)
+        log.up = False
+        rng = random.Random(3)
+
+        async def turn(number):
+            try:
+                await run_turn(group[number % 5], 220, 100, worst=110)
+            except Refusal:
+                return 0
+            return 100
+
+        spent = 0
+        for _ in range(20):
+            numbers = [rng.randrange(5) for _ in range(8)]
+            spent += sum(await asyncio.gather(*map(turn, numbers)))
+        assert all(account.offline >= 0 for account in group.accounts("p"))
+        assert spent <= 110
