Write one structured line for each request, and show metrics

Cause: the on-call engineers have only logs and metrics, and most lines were sentences without the inputs of the decision. Change: one line a request (outcome, reason, route, version, endpoint, waits, tokens), lines with what each allowance decision rests on; a bounded queue and a thread write them, so that the loop never waits; counters and histograms by prometheus_client on port 9464.

--- a/src/eelgrasslock/allowances/keeper.py
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from attrs import frozen
 from loguru import logger
@@ -22,11 +23,15 @@
     Refusal,
 )
 
+if TYPE_CHECKING:
+    from loguru import Logger
+
 ACCOUNTS_KEPT = 20_000
 UNAVAILABLE_RETRY_SECONDS = 1.0
 RECLAIM_PAUSE_SECONDS = 1.0
 
 AskHolder = Callable[[str, str], Awaitable[int]]
+CountTokens = Callable[[str, int], None]
 AskOffline = Callable[[str], Awaitable[OfflineAnswers | None]]
 
 _log = logger.bind(part="allowances")
@@ -56,6 +61,10 @@
     return None
 
 
+def _count_nothing(action: str, tokens: int) -> None:
+    """Drop what nobody counts."""
+
+
 class Allowances:
     """The programs' accounts at this daemon.
 
@@ -71,6 +80,8 @@
     ask_offline : callable
         Asks the daemons in reach what they spent on a program without the log;
         returns None if they may not decide.
+    on_tokens : callable
+        Told what became of tokens, in a word, and how many.
     """
 
     def __init__(
@@ -79,7 +90,9 @@
         clock: Clock,
         ask_holder: AskHolder = _ask_nobody,
         ask_offline: AskOffline = _offline_never,
+        on_tokens: CountTokens = _count_nothing,
     ) -> None:
+        self.on_tokens = on_tokens
         self.ledger = ledger
         self.clock = clock
         self.ask_holder = ask_holder
@@ -129,7 +142,8 @@
         tokens = max(0, account.free)
         account.drawn -= tokens
         if tokens:
-            _log.info("Released {} tokens of {} to a peer.", tokens, program)
+            self.on_tokens("released", tokens)
+            _log.bind(program=program).info("Released {} tokens to a peer.", tokens)
         return tokens
 
     async def give_back_all(self) -> None:
@@ -142,7 +156,9 @@
             try:
                 await self.ledger.give_back(account.program, tokens)
             except (LogUnavailable, AppendUnresolved) as error:
-                _log.info("{} tokens of {} stay drawn: {}", tokens, account, error)
+                _log.bind(program=account.program).info(
+                    "{} tokens stay drawn: {}", tokens, error
+                )
 
     async def _draw(self, account: Account, worst: int, request: str) -> None:
         needed = worst - account.free
@@ -151,32 +167,21 @@
                 account.program, account.budget, needed, worst
             )
         except (LogUnavailable, AppendUnresolved) as error:
-            if await self._spend_offline(account, needed, worst):
+            if await self._spend_offline(account, needed, worst, request):
                 return
-            _log.info(
-                "Refused {} of {}: no draw of {} tokens: {}",
-                request,
-                account.program,
-                needed,
-                error,
-            )
+            self._describe(account, request, worst).info("No draw: {}", error)
+            self.on_tokens("refused_unknown", worst)
             raise _unavailable() from error
         account.drawn += tokens
+        self.on_tokens("drawn", tokens)
         if not tokens and not await self._reclaim(account):
-            _log.info(
-                "Refused {} of {}: {} of {} tokens are drawn here, {} spent, {} set"
-                " aside; a turn may use {}.",
-                request,
-                account.program,
-                account.drawn,
-                account.budget,
-                account.spent,
-                account.reserved,
-                worst,
-            )
+            self._describe(account, request, worst).info("The budget is spent.")
+            self.on_tokens("refused_spent", worst)
             raise _spent()
 
-    async def _spend_offline(self, account: Account, needed: int, worst: int) -> bool:
+    async def _spend_offline(
+        self, account: Account, needed: int, worst: int, request: str
+    ) -> bool:
         """Add tokens without the log, if the daemons in reach allow it.
 
         They count before the others are asked, so that of two daemons that ask
@@ -200,11 +205,14 @@
             account.asked -= needed
         account.offline += needed
         account.drawn += needed
-        _log.info(
-            "{} may use {} tokens without the log, {} of its share are left.",
-            account.program,
+        self.on_tokens("offline", needed)
+        self._describe(account, request, worst).info(
+            "{} tokens may be used without the log, {} of the share are left;"
+            " {} daemons answered, {} did not.",
             needed,
             room,
+            len(answers.words),
+            answers.missing,
         )
         return True
 
@@ -236,7 +244,7 @@
                 continue
             await self.ledger.record(account.program, tokens)
             account.offline = max(0, account.offline - tokens)
-            _log.info("Recorded {} tokens of {}.", tokens, account.program)
+            _log.bind(program=account.program).info("Recorded {} tokens.", tokens)
 
     async def _reclaim(self, account: Account) -> bool:
         """Take back what other daemons hold unspent; return whether that helped."""
@@ -244,6 +252,7 @@
         if now < account.reclaimed_at + RECLAIM_PAUSE_SECONDS:
             return False
         account.reclaimed_at = now
+        log = _log.bind(program=account.program)
         found = 0
         for holder in self.ledger.other_holders(account.program):
             try:
@@ -251,14 +260,27 @@
                 if tokens:
                     await self.ledger.take_back(account.program, holder, tokens)
             except PeerUnavailable as error:
-                _log.info("{} of {} stays drawn: {}", holder, account.program, error)
+                log.info("What {} holds stays drawn: {}", holder, error)
                 continue
             except (LogUnavailable, AppendUnresolved) as error:
-                _log.info("Tokens of {} are lost: {}", account.program, error)
+                log.info("Tokens of {} are lost: {}", holder, error)
                 continue
             found += tokens
         return found > 0
 
+    def _describe(self, account: Account, request: str, worst: int) -> "Logger":
+        """Return a log that tells what a decision rests on."""
+        return _log.bind(
+            request=request,
+            program=account.program,
+            budget=account.budget,
+            worst=worst,
+            drawn_here=account.drawn,
+            spent_here=account.spent,
+            set_aside=account.reserved,
+            drawn_by_all=self.ledger.drawn(account.program),
+        )
+
     def _account(self, program: str, budget: int) -> Account:
         account = self.accounts.get(program)
         if account is None:
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -26,7 +26,8 @@
 from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.interfaces import Dialect, Records
-from eelgrasslock.gateway.listener import Listener, ReadyServer
+from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadyServer
+from eelgrasslock.gateway.reports import Reporter
 from eelgrasslock.gateway.routes import RequestLimits
 from eelgrasslock.gateway.routing import Endpoints, Routing
 from eelgrasslock.gateway.settings import GatewaySettings
@@ -42,6 +43,7 @@
 from eelgrasslock.periodic import run_periodically
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
+from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics, peak_memory_bytes
 
 CONFIGURATION_WAIT_SECONDS = 1.5
 CONFIGURATION_PAUSE_SECONDS = 0.05
@@ -114,8 +116,10 @@
         self.pool = pool
         self.clock = clock
         self.rng = rng
+        self.metrics = GatewayMetrics()
         self.incarnation = f"{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}"
         self.draining = False
+        self._ticked = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self._make_decisions()
         self._make_peers()
@@ -168,7 +172,11 @@
         self.log = RelayedLog(platform.log, self.mesh, self.roster, self.clock)
         ledger = Ledger(self.log, self.settings.store_partitions, self.incarnation)
         self.allowances = Allowances(
-            ledger, self.clock, self._ask_holder, self._ask_offline
+            ledger,
+            self.clock,
+            self._ask_holder,
+            self._ask_offline,
+            self.metrics.tokens_moved,
         )
         self.mesh.callbacks.offline_word = self.allowances.offline_word
         self.mesh.callbacks.log = platform.log
@@ -189,9 +197,15 @@
 
     def _make_passes(self) -> None:
         attempts = Attempts(
-            self.pool, self.directory, self.platform.dialect, self.clock
+            self.pool,
+            self.directory,
+            self.platform.dialect,
+            self.clock,
+            self.metrics,
+        )
+        forwarder = Forwarder(
+            self.dispatcher, self.scheduler, attempts, self.clock, self.metrics
         )
-        forwarder = Forwarder(self.dispatcher, self.scheduler, attempts, self.clock)
         self.handler = GatewayHandler(
             self.routing,
             self.allowances,
@@ -199,6 +213,7 @@
             self.platform.dialect,
             self.clock,
             self.rng,
+            Reporter(self.metrics, self.clock),
         )
 
     def _make_servers(self) -> None:
@@ -213,6 +228,33 @@
         self.ready_server = ReadyServer(
             self.settings.ready_address, dialect.ready_path, self.is_ready
         )
+        self.metrics_server = MetricsServer(
+            self.settings.metrics_address, self.metrics.text
+        )
+        self._watch_gauges()
+
+    def _watch_gauges(self) -> None:
+        watch = self.metrics.watch
+        watch("in_flight", "Requests in flight.", lambda: self.handler.in_flight.count)
+        watch("waiting", "Calls that wait.", lambda: len(self.dispatcher.waiting))
+        watch("endpoints", "Endpoints known.", lambda: len(self.directory.entries))
+        watch("endpoints_out", "Endpoints left out.", self._endpoints_out)
+        watch("peers", "Peers heard of late.", lambda: len(self.loads.heard))
+        watch("configuration_version", "The version in force.", self._version)
+        watch("relayed_calls", "Log calls by peers.", lambda: self.log.relayed)
+        watch("connections_opened", "Connections opened.", lambda: self.pool.opened)
+        watch("connections_reused", "Connections reused.", lambda: self.pool.reused)
+        watch("accounts", "Programs with an account.", self._accounts)
+        watch("peak_memory_bytes", "The most memory held.", peak_memory_bytes)
+
+    def _endpoints_out(self) -> float:
+        return len(self.scheduler.fleet.open_breakers())
+
+    def _version(self) -> float:
+        return self.routing.current.version if self.routing.current else 0
+
+    def _accounts(self) -> float:
+        return len(self.allowances.accounts)
 
     # --- what the parts ask of each other -------------------------------------
 
@@ -297,6 +339,11 @@
                 return
 
     async def _tick(self) -> None:
+        now = self.clock.monotonic()
+        if self._ticked:
+            lag = max(0.0, now - self._ticked - TICK_SECONDS)
+            self.metrics.lag_seconds.observe(lag)
+        self._ticked = now
         self.endpoints.sweep()
         self.scheduler.age_loads()
         self.dispatcher.kick()
@@ -319,6 +366,7 @@
         )
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.ready_server.start()
+        await self.metrics_server.start()
         await self.listener.start()
         _log.info("Started as incarnation {}.", self.incarnation)
 
@@ -346,6 +394,7 @@
             task.cancel()
         await self.listener.stop()
         await self.ready_server.stop()
+        await self.metrics_server.stop()
         await self.dispatcher.stop()
         await self.mesh.stop()
         await self.pool.stop()
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -14,6 +14,7 @@
 from eelgrasslock.gateway.routes import RouteKind
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.pool import IDLE_SECONDS, ConnectFailed, ConnectionPool
+from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 FRESH_SECONDS = 1.0
 WHOLE_BODY_BYTES = 65_536
@@ -64,6 +65,8 @@
         Writes requests and reads answers.
     clock : Clock
         The time.
+    metrics : GatewayMetrics
+        Times first bytes.
     """
 
     def __init__(
@@ -72,7 +75,9 @@
         directory: EndpointDirectory,
         dialect: Dialect,
         clock: Clock,
+        metrics: GatewayMetrics,
     ) -> None:
+        self.metrics = metrics
         self.pool = pool
         self.directory = directory
         self.dialect = dialect
@@ -93,7 +98,7 @@
         try:
             connection = await self.pool.acquire(record.address, idle)
         except ConnectFailed as error:
-            _log.info("{}: {}", passage.request.id, error)
+            _log.bind(request=passage.request.id, endpoint=endpoint).info("{}", error)
             return AttemptResult(end=AttemptEnd.NOT_SENT)
         try:
             result = await self._exchange(passage, record, connection)
@@ -111,7 +116,10 @@
         outgoing = self.dialect.encode_request(passage.request, record.id, seconds)
         passage.sent += 1
         try:
+            sent = self.clock.monotonic()
             head = await connection.send(outgoing)
+            seconds = self.clock.monotonic() - sent
+            self.metrics.first_byte_seconds.labels(passage.kind).observe(seconds)
         except ConnectionBroken as error:
             return self._broken(passage, record, error)
         answer = self.dialect.decode_answer(head)
@@ -139,8 +147,10 @@
         is_short = answer.body_bytes is None or answer.body_bytes <= WHOLE_BODY_BYTES
         if not is_stream and is_short:
             body = await connection.read_all()
+            passage.status = answer.status
             await responder.send(answer.status, answer.headers, body)
             return
+        passage.status = answer.status
         await responder.start(answer.status, answer.headers, answer.body_bytes)
         while (chunk := await connection.read()) is not None:
             passage.counter.feed(chunk)
@@ -150,7 +160,9 @@
     def _broken(
         self, passage: Passage, record: EndpointRecord, error: ConnectionBroken
     ) -> AttemptResult:
-        _log.info("{}: {} broke off: {}", passage.request.id, record.id, error)
+        _log.bind(request=passage.request.id, endpoint=record.id).info(
+            "The answer broke off: {}", error
+        )
         return AttemptResult(end=AttemptEnd.BROKEN, reset=error.reset)
 
 
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -17,6 +17,7 @@
 from eelgrasslock.scheduling.calls import Assignment, Call, CallEnd, LoadReport
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
+from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 MOST_REFUSALS = 4
 FULL_ENDPOINT_SECONDS = 0.1
@@ -46,6 +47,8 @@
         Sends.
     clock : Clock
         The time.
+    metrics : GatewayMetrics
+        Counts attempts and times waits.
     """
 
     def __init__(
@@ -54,7 +57,9 @@
         scheduler: Scheduler,
         attempts: Attempts,
         clock: Clock,
+        metrics: GatewayMetrics,
     ) -> None:
+        self.metrics = metrics
         self.dispatcher = dispatcher
         self.scheduler = scheduler
         self.attempts = attempts
@@ -83,7 +88,11 @@
         refusals = 0
         while True:
             call = _call(passage, refusals + passage.sent)
+            asked = self.clock.monotonic()
             assignment = await self.dispatcher.acquire(call)
+            waited = self.clock.monotonic() - asked
+            passage.waited_seconds += waited
+            self.metrics.queue_seconds.labels(passage.kind).observe(waited)
             passage.endpoint = assignment.endpoint
             result = await self._attempt(passage, assignment)
             if result.end is AttemptEnd.SERVED:
@@ -118,15 +127,21 @@
             raise
         finally:
             self.dispatcher.finish(call, end, usage, retry_seconds)
-            _log.debug(
-                "{} {} at {}: {} after {} tokens. {}",
-                passage.request.id,
-                passage.route.name,
-                assignment.endpoint,
-                end.value,
-                passage.tokens_used,
-                assignment.reason,
-            )
+            self.metrics.attempts.labels(end.value).inc()
+            if end is not CallEnd.DONE:
+                self._log_attempt(passage, assignment, end)
+
+    def _log_attempt(
+        self, passage: Passage, assignment: Assignment, end: CallEnd
+    ) -> None:
+        _log.bind(
+            request=passage.request.id,
+            program=passage.request.program,
+            endpoint=assignment.endpoint,
+            end=end.value,
+            sent=passage.sent,
+            tokens=passage.tokens_used,
+        ).info("The attempt ended without an answer. {}", assignment.reason)
 
     def _note_load(self, endpoint: str, result: AttemptResult) -> None:
         answer = result.answer
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -12,6 +12,7 @@
 from eelgrasslock.gateway.interfaces import Dialect
 from eelgrasslock.gateway.messages import GatewayRequest
 from eelgrasslock.gateway.passage import Passage
+from eelgrasslock.gateway.reports import Report, Reporter
 from eelgrasslock.gateway.responder import AnswerCut, CallerResponder
 from eelgrasslock.gateway.routes import Route, ServiceSpec
 from eelgrasslock.gateway.routing import Routing
@@ -41,6 +42,8 @@
         The time.
     rng : random.Random
         Splits the requests of routes with several services.
+    reporter : Reporter
+        Writes down what became of each request.
 
     Attributes
     ----------
@@ -60,7 +63,9 @@
         dialect: Dialect,
         clock: Clock,
         rng: random.Random,
+        reporter: Reporter,
     ) -> None:
+        self.reporter = reporter
         self.routing = routing
         self.allowances = allowances
         self.forwarder = forwarder
@@ -79,34 +84,51 @@
         AnswerCut
             If its connection must be closed.
         """
-        if self.closed:
-            self.refused_closed += 1
-            await self._refuse(request, responder, _leaving())
-            return
-        with self.in_flight.enter():
-            try:
-                await self._serve(request, responder)
-            except Refusal as refusal:
-                await self._refuse(request, responder, refusal)
-            except EelgrassError as error:
-                _log.opt(exception=error).error("{} failed.", request.id)
-                sentence = "The request failed inside the daemon."
-                failure = Refusal("internal_error", sentence, 500, Ran.UNKNOWN)
-                await self._refuse(request, responder, failure)
-
-    async def _serve(self, request: GatewayRequest, responder: CallerResponder) -> None:
+        report = Report(request)
+        try:
+            with self.in_flight.enter():
+                await self._answer(request, responder, report)
+        finally:
+            self.reporter.write(report)
+
+    async def _answer(
+        self, request: GatewayRequest, responder: CallerResponder, report: Report
+    ) -> None:
+        try:
+            if self.closed:
+                self.refused_closed += 1
+                raise _leaving()
+            await self._serve(request, responder, report)
+            report.served()
+        except Refusal as refusal:
+            await self._refuse(request, responder, refusal, report)
+        except AnswerCut as cut:
+            report.cut(None, str(cut))
+            raise
+        except EelgrassError as error:
+            _log.opt(exception=error).error("{} failed.", request.id)
+            sentence = "The request failed inside the daemon."
+            failure = Refusal("internal_error", sentence, 500, Ran.UNKNOWN)
+            await self._refuse(request, responder, failure, report)
+
+    async def _serve(
+        self, request: GatewayRequest, responder: CallerResponder, report: Report
+    ) -> None:
         route = self._route(request)
         service = self._service(request, route)
         patience = route.timeout_seconds
         if request.patience_seconds is not None:
             patience = min(patience, request.patience_seconds)
+        assert self.routing.current is not None
         passage = Passage(
             request=request,
             responder=responder,
             route=route,
             service=service,
             ends_at=request.received + patience,
+            version=self.routing.current.version,
         )
+        report.passage = passage
         reservation = await self._reserve(passage)
         try:
             await self.forwarder.forward(passage)
@@ -147,21 +169,17 @@
         )
 
     async def _refuse(
-        self, request: GatewayRequest, responder: CallerResponder, refusal: Refusal
+        self,
+        request: GatewayRequest,
+        responder: CallerResponder,
+        refusal: Refusal,
+        report: Report,
     ) -> None:
-        _log.info(
-            "Refused {} of program {}: {} {} {}",
-            request.id,
-            request.program or "-",
-            refusal.status,
-            refusal.code,
-            refusal.sentence,
-        )
-        try:
-            await responder.refuse(refusal, self.dialect.refusal_headers(request.id))
-        except AnswerCut:
-            _log.info("Cut the answer to {}.", request.id)
-            raise
+        if responder.started:
+            report.cut(refusal, refusal.sentence)
+        else:
+            report.refused(refusal)
+        await responder.refuse(refusal, self.dialect.refusal_headers(request.id))
 
 
 def _leaving() -> Refusal:
--- a/src/eelgrasslock/gateway/listener.py
+++ b/src/eelgrasslock/gateway/listener.py
@@ -15,6 +15,7 @@
 from eelgrasslock.gateway.routes import RequestLimits
 
 BACKLOG = 1_024
+METRICS_PATH = "/metrics"
 
 _log = logger.bind(part="listener")
 
@@ -174,30 +175,26 @@
             raise asyncio.CancelledError from None
 
 
-class ReadyServer:
-    """Answers the balancer's probes.
+class SmallServer:
+    """An HTTP server for one path, for the platform's own callers.
 
     Parameters
     ----------
     address : str
-        Where, as ``ip:port``.
-    path : str
-        What the balancer asks for.
-    is_ready : callable
-        Whether new connections may come.
+        Where to listen, as ``ip:port``; nowhere if it is empty.
     """
 
-    def __init__(self, address: str, path: str, is_ready: Callable[[], bool]) -> None:
+    def __init__(self, address: str) -> None:
         self.address = address
-        self.path = path
-        self.is_ready = is_ready
         self._server: web.Server | None = None
         self._listening: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Begin to listen."""
+        if not self.address:
+            return
         host, _, port = self.address.rpartition(":")
-        self._server = web.Server(self._serve, access_log=None)
+        self._server = web.Server(self.serve, access_log=None)
         loop = asyncio.get_running_loop()
         self._listening = await loop.create_server(self._server, host, int(port))
 
@@ -209,7 +206,53 @@
         if self._server is not None:
             await self._server.shutdown(0.0)
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        raise NotImplementedError
+
+
+class ReadyServer(SmallServer):
+    """Answers the balancer's probes.
+
+    Parameters
+    ----------
+    address : str
+        Where to listen.
+    path : str
+        What the balancer asks for.
+    is_ready : callable
+        Whether new connections may come.
+    """
+
+    def __init__(self, address: str, path: str, is_ready: Callable[[], bool]) -> None:
+        super().__init__(address)
+        self.path = path
+        self.is_ready = is_ready
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer 200 if new connections may come, else 503."""
         if request.path != self.path:
             return web.Response(status=404)
         return web.Response(status=200 if self.is_ready() else 503)
+
+
+class MetricsServer(SmallServer):
+    """Shows the metrics.
+
+    Parameters
+    ----------
+    address : str
+        Where to listen.
+    text : callable
+        Returns the metrics in the usual text format.
+    """
+
+    def __init__(self, address: str, text: Callable[[], bytes]) -> None:
+        super().__init__(address)
+        self.text = text
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer with all metrics."""
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(body=self.text(), content_type="text/plain")
--- a/src/eelgrasslock/gateway/passage.py
+++ b/src/eelgrasslock/gateway/passage.py
@@ -32,6 +32,12 @@
         Counts the events that the caller was given.
     endpoint : str
         The endpoint that was chosen last.
+    waited_seconds : float
+        How long it waited for endpoints in all.
+    status : int
+        The status that the caller was given, 0 before.
+    version : int
+        The version of the configuration that chose the route.
     """
 
     request: GatewayRequest
@@ -43,6 +49,14 @@
     sent: int = 0
     counter: EventCounter = field(factory=EventCounter)
     endpoint: str = ""
+    waited_seconds: float = 0.0
+    status: int = 0
+    version: int = 0
+
+    @property
+    def kind(self) -> str:
+        """The route's kind, as a label."""
+        return self.route.kind.value
 
     @property
     def tokens_used(self) -> int:
--- a/src/eelgrasslock/gateway/run.py
+++ b/src/eelgrasslock/gateway/run.py
@@ -6,6 +6,7 @@
 import signal
 
 import capnp
+from loguru import logger
 
 from eelgrasslock.clock import SystemClock
 from eelgrasslock.gateway.application import GatewayApplication, Platform
@@ -15,6 +16,9 @@
 from eelgrasslock.platform.records import PlatformRecords
 from eelgrasslock.platform.store import PlatformStore
 from eelgrasslock.telemetry import logs
+from eelgrasslock.telemetry.log_sink import LogSink
+
+_log = logger.bind(part="daemon")
 
 
 def run_gateway(path: pathlib.Path) -> None:
@@ -26,24 +30,32 @@
         If its settings have findings.
     """
     settings = load_gateway_settings(path)
-    logs.setup_json(settings.name, settings.log_level)
-    asyncio.run(_run(settings))
+    sink = logs.setup_json(settings.name, settings.log_level)
+    try:
+        asyncio.run(_run(settings, sink))
+    finally:
+        sink.close()
 
 
-async def _run(settings: GatewaySettings) -> None:
+async def _run(settings: GatewaySettings, sink: LogSink) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
     clock = SystemClock()
     pool = ConnectionPool(clock)
+    store = PlatformStore(settings.store_address, settings.store_partitions, pool)
     platform = Platform(
-        log=PlatformStore(settings.store_address, settings.store_partitions, pool),
+        log=store,
         records=PlatformRecords(),
         dialect=PlatformDialect(),
     )
     application = GatewayApplication(settings, platform, pool, clock, random.Random())
+    store.on_call = application.metrics.store_called
+    application.metrics.watch(
+        "log_lines_left_out", "Log lines left out.", lambda: sink.left_out
+    )
     async with capnp.kj_loop():
         try:
             await application.start()
@@ -51,3 +63,8 @@
             await application.drain()
         finally:
             await application.stop()
+
+
+def _note_reload() -> None:
+    """Go on with the settings in force; each of them needs another start."""
+    _log.info("SIGHUP came; the settings in force stay until the next start.")
--- a/src/eelgrasslock/platform/store.py
+++ b/src/eelgrasslock/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import struct
+from collections.abc import Callable
 from typing import Any
 
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
@@ -57,6 +58,8 @@
     ----------
     calls : int
         Counted since the start.
+    on_call : callable
+        Told the name, the result and the seconds of each call.
     """
 
     def __init__(self, address: str, partitions: int, pool: ConnectionPool) -> None:
@@ -64,6 +67,7 @@
         self.partitions = partitions
         self.pool = pool
         self.calls = 0
+        self.on_call: Callable[[str, str, float], None] = _tell_nobody
 
     async def snapshot(self, topic: str) -> KeyedSnapshot:
         """Return the newest record of each key."""
@@ -151,6 +155,20 @@
     ) -> StoreAnswer:
         """Make one call; a connection whose answer did not come is closed."""
         self.calls += 1
+        clock = self.pool.clock
+        started = clock.monotonic()
+        name = target.partition("?")[0].rpartition("/")[2]
+        result = "lost"
+        try:
+            answer = await self._exchange(method, target, body, wait_seconds)
+            result = str(answer.status)
+            return answer
+        finally:
+            self.on_call(name, result, clock.monotonic() - started)
+
+    async def _exchange(
+        self, method: str, target: str, body: bytes, wait_seconds: float
+    ) -> StoreAnswer:
         request = OutgoingRequest(
             method=method,
             target=target,
@@ -169,6 +187,10 @@
         return StoreAnswer(head.status, whole)
 
 
+def _tell_nobody(name: str, result: str, seconds: float) -> None:
+    """Drop what nobody counts."""
+
+
 def _keyed_item(item: dict[str, Any]) -> KeyedRecord:
     return KeyedRecord(key=item["key"], value=base64.b64decode(item["value"]))
 
--- a/src/eelgrasslock/telemetry/logs.py
+++ b/src/eelgrasslock/telemetry/logs.py
@@ -7,6 +7,8 @@
 
 from loguru import logger
 
+from eelgrasslock.telemetry.log_sink import LogSink
+
 if TYPE_CHECKING:
     from loguru import Message
 
@@ -16,6 +18,7 @@
 _HIDDEN = "<hidden>"
 _BEARER = re.compile(r"(?i)\b(bearer\s+)[^\s'\",}]+")
 _SHORTEST_SECRET = 4
+_URGENT_LEVEL = 30
 
 _secrets: set[str] = set()
 
@@ -64,9 +67,11 @@
     )
 
 
-def setup_json(name: str, level: str, output: TextIO | None = None) -> None:
+def setup_json(name: str, level: str, output: TextIO | None = None) -> LogSink:
     """Send log lines to standard output, one JSON object each.
 
+    What is bound to a line besides its part stands in it as fields of its own.
+
     Parameters
     ----------
     name : str
@@ -76,15 +81,16 @@
     output : file or None
         Where lines go instead of standard output.
     """
-    sink = output or sys.stdout
+    sink = LogSink(output or sys.stdout)
 
     def write(message: "Message") -> None:
-        sink.write(redact(_json_line(message)))
-        sink.flush()
+        is_urgent = message.record["level"].no >= _URGENT_LEVEL
+        sink.put(redact(_json_line(message)), is_urgent)
 
     logger.remove()
     logger.configure(extra={"part": "daemon", "daemon": name})
     logger.add(write, format="{message}", level=level, backtrace=False, diagnose=False)
+    return sink
 
 
 def _json_line(message: "Message") -> str:
@@ -96,6 +102,7 @@
         "daemon": record["extra"].get("daemon", ""),
         "message": record["message"],
     }
+    line |= {key: value for key, value in record["extra"].items() if key not in line}
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
     return json.dumps(line) + "\n"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -25,6 +25,7 @@
 LOOKUPS = "/lookups/"
 POSTS = "/posts/"
 WORST = 220
+SLOTS = 4
 
 
 def free_port() -> int:
@@ -142,7 +143,7 @@
             "address": standin.address,
             "zone": "a",
             "version": "v1",
-            "slots": 4,
+            "slots": SLOTS,
             "state": "ready",
             "coldLeftMs": 0,
             "born": 1,
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from eelgrasslock.gateway.deployment import PLAIN_PLACES
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock_standins.platform_engine import Fault
-from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet, until
+from platform_fleet import LOOKUPS, POSTS, SLOTS, TURNS, PlatformFleet, until
 
 
 @pytest.fixture
@@ -227,11 +228,12 @@
     async def test_their_waiting_request_is_not_sent(self, fleet):
         engine = await fleet.endpoint(work_seconds=0.3)
         daemon = await fleet.ready_daemon([engine])
+        places = int(SLOTS * PLAIN_PLACES)
         first = [
             asyncio.create_task(fleet.call(daemon, f"{POSTS}x", "POST"))
-            for _ in range(4)
+            for _ in range(places)
         ]
-        await until(lambda: len(engine.ids()) == 4)
+        await until(lambda: len(engine.ids()) == places)
         connection = await fleet.connect(daemon)
         late = asyncio.create_task(
             connection.send(fleet.request(f"{POSTS}late", "POST"))
