Break the four circles of imports

Cause: action_sweep/guard, append_queue/log_writer, engine_call/engine_client and peer_servant/peer_server imported each other for type checks. Change: the inner module of each pair states what it needs as a Protocol; the token bucket stands beside the clock, since the log and the scheduler use it. Result: no behaviour changes.

--- a/src/eelgrasslock/actions/action_sweep.py
+++ b/src/eelgrasslock/actions/action_sweep.py
@@ -1,7 +1,7 @@
 """Periodic work on actions: retention, forgetting, and services' own word."""
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 import xxhash
 from attrs import evolve, frozen
@@ -12,14 +12,13 @@
     ActionOutcome,
     ActionResult,
 )
-from eelgrasslock.actions.action_table import ActionEntry
+from eelgrasslock.actions.action_table import ActionEntry, ActionTable
+from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError
+from eelgrasslock.log.log_gate import Writer
 from eelgrasslock.log.records import actions_stream, new_id
 from eelgrasslock.periodic import run_periodically
 
-if TYPE_CHECKING:
-    from eelgrasslock.actions.guard import Actions
-
 REMEMBER_SECONDS = 604_800.0
 REPEAT_SECONDS = 1_800.0
 STATUS_GRACE_SECONDS = 60.0
@@ -54,18 +53,36 @@
 StatusCall = Callable[[str, str], Awaitable[StatusAnswer]]
 
 
+class SweptActions(Protocol):
+    """The part of the guard that the sweep works on."""
+
+    incarnation: str
+    clock: Clock
+    writer: Writer
+    tables: list[ActionTable]
+
+    def unresolved(self) -> list[Any]:
+        """Return the actions whose outcome nobody knows."""
+
+    def find(self, service: str, action: str) -> ActionEntry | None:
+        """Return what is known of an action."""
+
+    def record_answer(self, intent: ActionIntended, answer: StatusAnswer) -> None:
+        """Record a service's own word on an action."""
+
+
 class ActionSweep:
     """Keeps the table of actions right as time goes by.
 
     Parameters
     ----------
-    actions : Actions
+    actions : SweptActions
         The guard that it works for.
     status_call : callable or None
         Asks a service what became of an action.
     """
 
-    def __init__(self, actions: "Actions", status_call: StatusCall | None) -> None:
+    def __init__(self, actions: SweptActions, status_call: StatusCall | None) -> None:
         self.actions = actions
         self.status_call = status_call
 
--- a/src/eelgrasslock/endpoints/engine_call.py
+++ b/src/eelgrasslock/endpoints/engine_call.py
@@ -4,20 +4,20 @@
 import contextlib
 import json
 from collections.abc import AsyncGenerator
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 from urllib.parse import quote
 
 import aiohttp
 from loguru import logger
 
+from eelgrasslock.clock import Clock
+from eelgrasslock.configuration.settings import LimitSettings
 from eelgrasslock.endpoints.endpoint_failure import EndpointFailure, refused
+from eelgrasslock.endpoints.engine_messages import EndpointLoad
 from eelgrasslock.exceptions import EndpointError, Ran
 from eelgrasslock.requests.sse import DONE, read_events
 from eelgrasslock.scheduling.calls import CallEnd
 
-if TYPE_CHECKING:
-    from eelgrasslock.endpoints.engine_client import EngineClient
-
 STREAM_HEADER = "X-Stream-Id"
 
 _RESUMES_WITHOUT_PROGRESS = 2
@@ -35,12 +35,43 @@
 _CUT = (aiohttp.ClientError, TimeoutError, OSError, StreamCut)
 
 
+class CallClient(Protocol):
+    """What a call needs of the client that makes it."""
+
+    clock: Clock
+    resumed: int
+
+    @property
+    def limits(self) -> LimitSettings:
+        """The limits in force."""
+
+    @property
+    def kept(self) -> aiohttp.ClientSession:
+        """Connections that are kept."""
+
+    @property
+    def fresh(self) -> aiohttp.ClientSession:
+        """Connections for one request each."""
+
+    def epoch(self, url: str) -> str:
+        """Return the epoch that an engine gave last."""
+
+    def note_epoch(self, url: str, response: aiohttp.ClientResponse) -> str:
+        """Remember and return the epoch that came with a response."""
+
+    def cancel(self, url: str, stream_id: str) -> None:
+        """Cancel a stream in the background."""
+
+    async def load(self, url: str) -> EndpointLoad:
+        """Return an endpoint's load report."""
+
+
 class EngineCall:
     """Follows one stream over as many connections as it takes.
 
     Parameters
     ----------
-    client : EngineClient
+    client : CallClient
         Gives the connections.
     url : str
         The engine.
@@ -54,7 +85,7 @@
 
     def __init__(
         self,
-        client: "EngineClient",
+        client: CallClient,
         url: str,
         body: dict[str, Any],
         headers: dict[str, str],
--- a/src/eelgrasslock/log/append_queue.py
+++ b/src/eelgrasslock/log/append_queue.py
@@ -1,25 +1,26 @@
 """The records that wait for their place in one stream."""
 
 import asyncio
+import random
 from collections import deque
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
 from attrs import define, field
 from loguru import logger
 
 from eelgrasslock.backoff import Backoff
+from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import (
     AppendUnresolved,
     LogError,
     LogUnavailable,
     RecordsExpired,
 )
-from eelgrasslock.log.entries import Entry
+from eelgrasslock.log.entries import Entry, Log
 from eelgrasslock.log.record_codec import encode_batch, readable_records
 from eelgrasslock.log.records import Record
-
-if TYPE_CHECKING:
-    from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.rate import TokenBucket
 
 _ENTRY_LIMIT_RECORDS = 512
 _ENTRY_LIMIT_BYTES = 1_048_576
@@ -79,18 +80,39 @@
             self.future.set_exception(LogUnavailable("The log took nothing in time."))
 
 
+class QueueOwner(Protocol):
+    """What a queue needs of the writer that it belongs to."""
+
+    log: Log
+    clock: Clock
+    rng: random.Random
+    linger: float
+    available: bool
+    bucket: TokenBucket
+    position_source: Callable[[str], int]
+
+    def note_success(self) -> None:
+        """Note that the log answered."""
+
+    def note_failure(self, stream: str, error: LogError) -> None:
+        """Note that the log refused, or that an answer was lost."""
+
+    async def append_entry(self, stream: str, data: bytes, records: int) -> int:
+        """Append one entry."""
+
+
 class AppendQueue:
     """One stream's queue, with one append in flight.
 
     Parameters
     ----------
-    writer : LogWriter
+    writer : QueueOwner
         Gives log, clock, rate and counters.
     stream : str
         The stream.
     """
 
-    def __init__(self, writer: "LogWriter", stream: str) -> None:
+    def __init__(self, writer: QueueOwner, stream: str) -> None:
         self.writer = writer
         self.stream = stream
         self.backoff = Backoff(writer.rng)
--- a/src/eelgrasslock/log/log_writer.py
+++ b/src/eelgrasslock/log/log_writer.py
@@ -12,7 +12,7 @@
 from eelgrasslock.log.entries import Log
 from eelgrasslock.log.record_codec import encode_batch
 from eelgrasslock.log.records import Record
-from eelgrasslock.scheduling.rate import TokenBucket
+from eelgrasslock.rate import TokenBucket
 
 _QUEUE_LIMIT_RECORDS = 20_000
 _RECORD_LIMIT_BYTES = 16_777_216
--- a/src/eelgrasslock/peers/peer_servant.py
+++ b/src/eelgrasslock/peers/peer_servant.py
@@ -1,28 +1,52 @@
 """The capabilities that a peer's connection is given."""
 
-from collections.abc import Awaitable
-from typing import TYPE_CHECKING, Any
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
 
 import capnp
 from loguru import logger
 
+from eelgrasslock.clock import Clock
 from eelgrasslock.log.record_codec import encode_batch, readable_records
 from eelgrasslock.peers.beat import BeatDecoder, BeatEncoder
+from eelgrasslock.peers.forward_ids import ForwardIds
 from eelgrasslock.peers.log_relay import append_for_peer, read_for_peer
 from eelgrasslock.peers.peer_auth import Handshake, new_nonce
+from eelgrasslock.peers.peer_callbacks import PeerCallbacks
 from eelgrasslock.peers.peer_schema import fields, from_fields, schema
 from eelgrasslock.requests.exchange import Request
 
-if TYPE_CHECKING:
-    from eelgrasslock.peers.peer_server import Connection
-
 log = logger.bind(part="peers")
 
 
+class ServantServer(Protocol):
+    """What a connection's capabilities need of the server."""
+
+    keys: list[str]
+    own: Callable[[], str]
+    callbacks: PeerCallbacks
+    clock: Clock
+    forwards: ForwardIds
+
+
+class ServantConnection(Protocol):
+    """What a connection's capabilities need of it."""
+
+    peer: str
+    used_at: float
+
+    @property
+    def server(self) -> ServantServer:
+        """The server that took the connection."""
+
+    async def run(self, work: Awaitable[None]) -> None:
+        """Run one call."""
+
+
 class GateServer(schema.Gate.Server):
     """Lets a peer in that proves to hold a shared key."""
 
-    def __init__(self, connection: "Connection") -> None:
+    def __init__(self, connection: ServantConnection) -> None:
         self.connection = connection
         self.handshake: Handshake | None = None
 
@@ -57,7 +81,7 @@
 class PeerServant(schema.Peer.Server):
     """The calls that a peer may make once it is let in."""
 
-    def __init__(self, connection: "Connection") -> None:
+    def __init__(self, connection: ServantConnection) -> None:
         self.connection = connection
         self.callbacks = connection.server.callbacks
         self.decoder = BeatDecoder(connection.peer)
