--- a/src/eelgrasslock/operators/cli.py
+++ b/src/eelgrasslock/operators/cli.py
@@ -4,7 +4,7 @@
 from click.shell_completion import get_completion_class
 
 from eelgrasslock import __version__
-from eelgrasslock.operators import cli_fleet, cli_settings
+from eelgrasslock.operators import cli_fleet, cli_logs, cli_routes, cli_settings
 
 _NAME = "eelgrasslock"
 _COMPLETE_VARIABLE = "_EELGRASSLOCK_COMPLETE"
@@ -71,6 +71,9 @@
     cli_fleet.suspects,
     cli_fleet.quarantine,
     cli_fleet.release,
+    cli_logs.logs,
+    cli_routes.check_node,
+    cli_routes.check_routes,
 ):
     main.add_command(_command)
 
--- a/src/eelgrasslock/platform/records.py
+++ b/src/eelgrasslock/platform/records.py
@@ -1,9 +1,11 @@
 """The records that the platform and its operators write."""
 
 import json
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
-from eelgrasslock.exceptions import RecordError
+from eelgrasslock.exceptions import Finding, RecordError
 from eelgrasslock.gateway.directory import EndpointRecord
 from eelgrasslock.gateway.interfaces import Topics
 from eelgrasslock.gateway.routes import (
@@ -67,6 +69,38 @@
             raise RecordError(f"The configuration can't be read: {error!r}") from error
 
 
+def configuration_findings(file: str, value: bytes) -> list[Finding]:
+    """Return all that is wrong with a configuration document, with its place."""
+    try:
+        entry = json.loads(value)
+    except ValueError as error:
+        return [Finding(f"The file is no JSON: {error}.", file)]
+    if not isinstance(entry, dict):
+        return [Finding("The document is no object.", file)]
+    findings = [
+        *_findings(file, "version", lambda: _count(entry, "version")),
+        *_findings(file, "limits", lambda: _limits(entry.get("limits", {}))),
+    ]
+    for name, read in (("routes", _route), ("services", _service)):
+        items = entry.get(name)
+        if not isinstance(items, list):
+            findings.append(Finding(f"{name} is missing, or no list.", file, 0, name))
+            continue
+        for place, item in enumerate(items):
+            findings += _findings(file, f"{name}.{place}", partial(read, item))
+    return findings
+
+
+def _findings(file: str, path: str, read: Callable[[], object]) -> list[Finding]:
+    try:
+        read()
+    except KeyError as error:
+        return [Finding(f"{error.args[0]!r} is missing or not known.", file, 0, path)]
+    except _UNREADABLE as error:
+        return [Finding(f"It can't be read: {error}", file, 0, path)]
+    return []
+
+
 def _text(entry: dict[str, Any], name: str) -> str:
     value = entry[name]
     if not isinstance(value, str) or not value:
