Tell crashes from lost answers, and keep calls to their own domain

Cause: an endpoint that crashed counted like one that lost an answer, so that a request that crashes its endpoints was never refused; turns went to other domains for nothing, and bytes between domains are paid for. Change: after an answer broke off, a new connection is tried: refused means a crash; suspects are refused 503 after two crashes. A call to another domain costs 30 ms of latency for an engine, 3 ms for a plain service. Kept connections serve non-idempotent requests for 2.5 s. Heads over the limit are refused; an endpoint that starts anew has a closed breaker.

--- a/src/eelgrasslock/configuration/settings.py
+++ b/src/eelgrasslock/configuration/settings.py
@@ -186,10 +186,15 @@
     ----------
     latency, wasted_cache : float
         Relative weights of program latency and recomputed prompt tokens.
+    far_engine_seconds, far_plain_seconds : float
+        What a call to an engine, or a plain service, of another failure domain
+        costs, as seconds of latency.
     """
 
     latency: float = 1.0
     wasted_cache: float = 1.0
+    far_engine_seconds: float = 0.0
+    far_plain_seconds: float = 0.0
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -282,7 +282,7 @@
         self.dispatcher.kick()
 
     def _reborn(self, endpoint: str) -> None:
-        self.scheduler.cache.forget(endpoint)
+        self.scheduler.restarted(endpoint)
 
     async def _ask_holder(self, holder: str, program: str) -> int:
         """Ask another daemon to give up what it has not spent on a program."""
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -16,7 +16,7 @@
 from eelgrasslock.http.pool import IDLE_SECONDS, ConnectFailed, ConnectionPool
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
-FRESH_SECONDS = 1.0
+FRESH_SECONDS = 2.5
 WHOLE_BODY_BYTES = 65_536
 _SUCCESS = range(200, 300)
 
@@ -30,6 +30,7 @@
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     BROKEN = "broken"
+    CRASHED = "crashed"
     UNSOUND = "unsound"
 
 
@@ -43,13 +44,10 @@
         How it ended.
     answer : EndpointAnswer or None
         The head of the endpoint's answer, if one came.
-    reset : bool
-        Whether the endpoint reset the connection.
     """
 
     end: AttemptEnd
     answer: EndpointAnswer | None = None
-    reset: bool = False
 
 
 class Attempts:
@@ -121,7 +119,7 @@
             seconds = self.clock.monotonic() - sent
             self.metrics.first_byte_seconds.labels(passage.kind).observe(seconds)
         except ConnectionBroken as error:
-            return self._broken(passage, record, error)
+            return await self._broken(passage, record, error)
         answer = self.dialect.decode_answer(head)
         if answer.not_run:
             passage.sent -= 1
@@ -133,8 +131,9 @@
         try:
             await self._hand_on(passage, answer, connection)
         except ConnectionBroken as error:
-            result = self._broken(passage, record, error)
+            result = await self._broken(passage, record, error)
             if passage.responder.started:
+                passage.endpoint_crashed = result.end is AttemptEnd.CRASHED
                 raise AnswerCut(str(error)) from error
             return result
         return AttemptResult(end=AttemptEnd.SERVED, answer=answer)
@@ -157,13 +156,26 @@
             await responder.write(chunk)
         await responder.finish()
 
-    def _broken(
+    async def _broken(
         self, passage: Passage, record: EndpointRecord, error: ConnectionBroken
     ) -> AttemptResult:
-        _log.bind(request=passage.request.id, endpoint=record.id).info(
+        """Find out whether an endpoint crashed, or just lost an answer.
+
+        One that crashed takes no connection now. One that lives has a new
+        connection, which is kept for the next request.
+        """
+        try:
+            connection = await self.pool.acquire(record.address, 0.0)
+        except ConnectFailed:
+            end = AttemptEnd.CRASHED
+            self.pool.drop(record.address)
+        else:
+            end = AttemptEnd.BROKEN
+            self.pool.release(record.address, connection, None)
+        _log.bind(request=passage.request.id, endpoint=record.id, end=end.value).info(
             "The answer broke off: {}", error
         )
-        return AttemptResult(end=AttemptEnd.BROKEN, reset=error.reset)
+        return AttemptResult(end=end)
 
 
 async def _skip_body(connection: HTTPConnection) -> None:
--- a/src/eelgrasslock/gateway/deployment.py
+++ b/src/eelgrasslock/gateway/deployment.py
@@ -9,6 +9,7 @@
     ModelSettings,
     ServiceKind,
     ServiceSettings,
+    WeightSettings,
 )
 from eelgrasslock.gateway.directory import EndpointRecord
 from eelgrasslock.gateway.routes import RoutingConfiguration, ServiceSpec
@@ -22,6 +23,8 @@
 LOOKUP_WAIT_SECONDS = 0.4
 CALLER_WAIT_SECONDS = 1.2
 
+# Bytes between domains are paid for; a turn carries its whole prompt.
+WEIGHTS = WeightSettings(far_engine_seconds=0.03, far_plain_seconds=0.003)
 LIMITS = LimitSettings(
     lookup_wait_seconds=LOOKUP_WAIT_SECONDS,
     caller_wait_seconds=CALLER_WAIT_SECONDS,
@@ -55,6 +58,7 @@
             for record in endpoints
             if record.service in known
         },
+        weights=WEIGHTS,
         limits=LIMITS,
     )
 
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -22,6 +22,8 @@
 MOST_REFUSALS = 4
 FULL_ENDPOINT_SECONDS = 0.1
 RETRY_SECONDS = 0.25
+QUARANTINED = "quarantined"
+QUARANTINE_RETRY_SECONDS = 2.0
 
 _log = logger.bind(part="forwarder")
 
@@ -30,6 +32,7 @@
     AttemptEnd.NOT_SENT: CallEnd.NOT_SENT,
     AttemptEnd.NOT_RUN: CallEnd.REFUSED,
     AttemptEnd.BROKEN: CallEnd.BROKEN,
+    AttemptEnd.CRASHED: CallEnd.CRASHED,
     AttemptEnd.UNSOUND: CallEnd.BROKEN,
 }
 
@@ -89,7 +92,7 @@
         while True:
             call = _call(passage, refusals + passage.sent)
             asked = self.clock.monotonic()
-            assignment = await self.dispatcher.acquire(call)
+            assignment = await self._acquire(call)
             waited = self.clock.monotonic() - asked
             passage.waited_seconds += waited
             self.metrics.queue_seconds.labels(passage.kind).observe(waited)
@@ -105,6 +108,21 @@
             elif not _may_go_on(passage):
                 raise _unknown(result)
 
+    async def _acquire(self, call: Call) -> Assignment:
+        """Wait for an endpoint.
+
+        A request that crashes endpoints may come back: one that was merely in
+        flight at two crashes is cleared later.
+        """
+        try:
+            return await self.dispatcher.acquire(call)
+        except Refusal as refusal:
+            if refusal.code != QUARANTINED or refusal.ran is not Ran.NO:
+                raise
+            raise Refusal(
+                QUARANTINED, refusal.sentence, 503, Ran.NO, QUARANTINE_RETRY_SECONDS
+            ) from refusal
+
     async def _attempt(self, passage: Passage, assignment: Assignment) -> AttemptResult:
         call = assignment.call
         end = CallEnd.CANCELLED
@@ -123,7 +141,7 @@
             self._note_load(assignment.endpoint, result)
             return result
         except AnswerCut:
-            end = CallEnd.BROKEN
+            end = CallEnd.CRASHED if passage.endpoint_crashed else CallEnd.BROKEN
             raise
         finally:
             self.dispatcher.finish(call, end, usage, retry_seconds)
--- a/src/eelgrasslock/gateway/listener.py
+++ b/src/eelgrasslock/gateway/listener.py
@@ -142,6 +142,7 @@
         received = self.clock.monotonic()
         responder = CallerResponder(request, self.closing)
         try:
+            self._check_head(request)
             body = await request.read()
             decoded = self.dialect.decode_request(
                 request.method,
@@ -161,6 +162,13 @@
         assert responder.response is not None
         return responder.response
 
+    def _check_head(self, request: web.BaseRequest) -> None:
+        """Refuse a head that is too large as a whole."""
+        size = len(request.raw_path)
+        size += sum(len(name) + len(value) for name, value in request.raw_headers)
+        if size > self.limits().header_bytes:
+            raise Refusal("head_too_large", "The request's head is too large.", 431)
+
     async def _handle(
         self,
         request: web.BaseRequest,
--- a/src/eelgrasslock/gateway/passage.py
+++ b/src/eelgrasslock/gateway/passage.py
@@ -36,6 +36,8 @@
         How long it waited for endpoints in all.
     status : int
         The status that the caller was given, 0 before.
+    endpoint_crashed : bool
+        Whether the endpoint crashed in the middle of its answer.
     version : int
         The version of the configuration that chose the route.
     """
@@ -51,6 +53,7 @@
     endpoint: str = ""
     waited_seconds: float = 0.0
     status: int = 0
+    endpoint_crashed: bool = False
     version: int = 0
 
     @property
--- a/src/eelgrasslock/scheduling/placement.py
+++ b/src/eelgrasslock/scheduling/placement.py
@@ -153,6 +153,7 @@
         self.rng = rng
         self.decisions = decisions
         self.weights = WeightSettings()
+        self.domain = ""
 
     def sample(
         self,
@@ -202,6 +203,8 @@
         crowding = state.load(self.decisions.correction) / state.settings.batch_limit
         tie = 1e-6 * self.rng.random()
         cost = wait + run * (1.0 + crowding) + tie
+        if state.settings.domain != self.domain:
+            cost += self.weights.far_plain_seconds
         return Choice(state, 0, 0, wait, run, cost)
 
     def _engine_choice(
@@ -231,6 +234,8 @@
         cost = self.weights.latency * (wait + run + stall)
         cost += self.weights.wasted_cache * wasted / prefill_speed
         cost += 1e-6 * self.rng.random()
+        if settings.domain != self.domain:
+            cost += self.weights.far_engine_seconds
         import_from = source.state.name if imported else ""
         return Choice(state, cached, uncached, wait, run, cost, import_from)
 
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 from eelgrasslock.exceptions import Ran
 from eelgrasslock.requests.usage import Usage
 from eelgrasslock.scheduling.admission import Admission, Expired, quarantined
+from eelgrasslock.scheduling.breaker import Breaker
 from eelgrasslock.scheduling.cache_estimate import CacheEstimate, chunk_keys
 from eelgrasslock.scheduling.calls import (
     Assignment,
@@ -106,6 +107,7 @@
         self.configuration = configuration
         self.fleet.configure(configuration)
         self.starter.placement.weights = configuration.weights
+        self.starter.placement.domain = self.domain
         self.admission.limits = configuration.limits
         self.budgets.ratio = configuration.limits.retry_ratio
         self.budgets.retries_per_call = configuration.limits.retries_per_call
@@ -254,6 +256,14 @@
         for event in events:
             self.cache.observe(endpoint, event)
 
+    def restarted(self, endpoint: str) -> None:
+        """Note that an endpoint has started anew: it holds nothing and is well."""
+        self.cache.forget(endpoint)
+        state = self.fleet.states.get(endpoint)
+        if state is not None:
+            state.breaker = Breaker(self.rng)
+            self.fleet.changed(endpoint)
+
     def observe_peer(self, load: PeerLoad) -> None:
         """Take in a peer's word."""
         self.slots.hear_peer(load.incarnation, load.waiting)
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -81,6 +81,8 @@
         The pause before each event.
     work_seconds : float
         How long a plain answer takes.
+    crashes_on : bytes
+        A body that ends the endpoint, empty for none.
     faults : deque of Fault
         One is used up by each request.
     runs : list of Run
@@ -91,6 +93,7 @@
     events: int = 0
     event_seconds: float = 0.0
     work_seconds: float = 0.0
+    crashes_on: bytes = b""
     faults: deque[Fault] = field(factory=deque)
     runs: list[Run] = field(factory=list)
     connections: int = 0
@@ -163,6 +166,9 @@
             reset(writer)
             return False
         run.ran = True
+        if self.crashes_on and run.body == self.crashes_on:
+            await self.stop()
+            return False
         if fault is Fault.SILENT:
             await reader.read(1)
             return False
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -244,3 +244,35 @@
         await asyncio.gather(*first)
         await asyncio.sleep(0.1)
         assert not [run for run in engine.runs if "late" in run.target]
+
+
+class TestCrashes:
+    async def test_a_request_that_crashes_its_endpoints_is_soon_refused(self, fleet):
+        """It comes again and again, with the same path, caller and body."""
+        engines = [await fleet.endpoint() for _ in range(6)]
+        daemon = await fleet.ready_daemon(engines)
+        for engine in engines:
+            engine.crashes_on = b"poison"
+        statuses = []
+        for _ in range(6):
+            status, _, _ = await fleet.call(daemon, f"{POSTS}x", "POST", b"poison")
+            statuses.append(status)
+        assert statuses[-1] == 503
+        assert sum(len(engine.ids()) for engine in engines) <= 3
+
+    async def test_an_endpoint_that_lost_an_answer_has_not_crashed(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.LOST)
+        assert (await fleet.call(daemon, f"{POSTS}x", "POST", b"fee"))[0] == 502
+        assert (await fleet.call(daemon, f"{POSTS}x", "POST", b"fee"))[0] == 200
+
+
+class TestHeads:
+    async def test_a_head_that_is_too_large_is_refused(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        many = {f"X_{number}": "z" * 1_000 for number in range(20)}
+        status, _, _ = await fleet.call(daemon, f"{LOOKUPS}x", **many)
+        assert status == 431
+        assert engine.runs == []
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,7 +1,12 @@
 import pytest
+from attrs import evolve
 
 from decision_fakes import make_call, make_configuration, make_scheduler, start
-from eelgrasslock.configuration.settings import AliasSettings, ModelSettings
+from eelgrasslock.configuration.settings import (
+    AliasSettings,
+    ModelSettings,
+    WeightSettings,
+)
 from eelgrasslock.requests.aliases import resolve_models
 from eelgrasslock.requests.usage import Usage
 from eelgrasslock.scheduling.cache_estimate import (
@@ -191,3 +196,26 @@
         cache.store("plain", ())
         cache.store("plain", (1, 2))
         assert cache.cached_chunks("plain", (1, 2)) == 0
+
+
+class TestOtherDomains:
+    """Turns that carry a whole prompt, where bytes between domains cost."""
+
+    def scheduler(self, seconds):
+        scheduler, _ = make_scheduler(engines=4, batch_limit=8)
+        weights = WeightSettings(far_engine_seconds=seconds)
+        scheduler.configure(evolve(scheduler.configuration, weights=weights))
+        for name in ("e0", "e1"):
+            state = scheduler.fleet.states[name]
+            state.settings = evolve(state.settings, domain="far")
+        return scheduler
+
+    def test_a_call_keeps_to_its_domain_while_it_can(self):
+        scheduler = self.scheduler(seconds=1.0)
+        used = {start(scheduler, make_call(f"p{n}")).endpoint for n in range(4)}
+        assert used <= {"e2", "e3"}
+
+    def test_a_much_better_place_is_worth_its_price(self):
+        scheduler = self.scheduler(seconds=0.001)
+        used = {start(scheduler, make_call(f"p{n}")).endpoint for n in range(8)}
+        assert used & {"e0", "e1"}
