--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -203,6 +203,8 @@
             self.platform.dialect,
             self.clock,
             self.metrics,
+            self.settings.domain,
+            self.scheduler.domains.is_suspect,
         )
         forwarder = Forwarder(
             self.dispatcher, self.scheduler, attempts, self.clock, self.metrics
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -1,6 +1,8 @@
 """One attempt to have a request run by an endpoint."""
 
+import asyncio
 import enum
+from collections.abc import Callable
 
 from attrs import frozen
 from loguru import logger
@@ -10,9 +12,11 @@
 from eelgrasslock.gateway.interfaces import Dialect
 from eelgrasslock.gateway.messages import EndpointAnswer
 from eelgrasslock.gateway.passage import Passage
+from eelgrasslock.gateway.patience import Silence, first_wait, gives_up
 from eelgrasslock.gateway.responder import AnswerCut
 from eelgrasslock.gateway.routes import RouteKind
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.messages import AnswerHead, OutgoingRequest
 from eelgrasslock.http.pool import IDLE_SECONDS, ConnectFailed, ConnectionPool
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
@@ -31,6 +35,7 @@
     NOT_RUN = "not_run"
     BROKEN = "broken"
     CRASHED = "crashed"
+    SILENT = "silent"
     UNSOUND = "unsound"
 
 
@@ -65,6 +70,10 @@
         The time.
     metrics : GatewayMetrics
         Times first bytes.
+    domain : str
+        The daemon's failure domain.
+    is_suspect : callable
+        Whether a domain seems to be cut off.
     """
 
     def __init__(
@@ -74,7 +83,11 @@
         dialect: Dialect,
         clock: Clock,
         metrics: GatewayMetrics,
+        domain: str,
+        is_suspect: Callable[[str], bool],
     ) -> None:
+        self.domain = domain
+        self.is_suspect = is_suspect
         self.metrics = metrics
         self.pool = pool
         self.directory = directory
@@ -115,7 +128,10 @@
         passage.sent += 1
         try:
             sent = self.clock.monotonic()
-            head = await connection.send(outgoing)
+            head = await self._head(passage, record, connection, outgoing)
+            if head is None:
+                connection.close()
+                return AttemptResult(end=AttemptEnd.SILENT)
             seconds = self.clock.monotonic() - sent
             self.metrics.first_byte_seconds.labels(passage.kind).observe(seconds)
         except ConnectionBroken as error:
@@ -138,6 +154,36 @@
             return result
         return AttemptResult(end=AttemptEnd.SERVED, answer=answer)
 
+    async def _head(
+        self,
+        passage: Passage,
+        record: EndpointRecord,
+        connection: HTTPConnection,
+        outgoing: OutgoingRequest,
+    ) -> AnswerHead | None:
+        """Send a request; return its answer's head, None if it was given up on."""
+        is_far = record.domain != self.domain
+        seconds = first_wait(passage.route, is_far)
+        waiting = asyncio.ensure_future(connection.send(outgoing))
+        try:
+            while seconds is not None:
+                done, _ = await asyncio.wait({waiting}, timeout=seconds)
+                if done:
+                    break
+                silence = Silence(
+                    is_far=is_far,
+                    is_domain_suspect=self.is_suspect(record.domain),
+                    sent=passage.sent,
+                )
+                if gives_up(passage.route, silence):
+                    _log.bind(request=passage.request.id, endpoint=record.id).info(
+                        "No answer for {} s; another endpoint is tried.", seconds
+                    )
+                    return None
+            return await waiting
+        finally:
+            waiting.cancel()
+
     async def _hand_on(
         self, passage: Passage, answer: EndpointAnswer, connection: HTTPConnection
     ) -> None:
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -34,6 +34,7 @@
     AttemptEnd.BROKEN: CallEnd.BROKEN,
     AttemptEnd.CRASHED: CallEnd.CRASHED,
     AttemptEnd.UNSOUND: CallEnd.BROKEN,
+    AttemptEnd.SILENT: CallEnd.SILENT,
 }
 
 
@@ -105,7 +106,7 @@
                 refusals += 1
                 if refusals >= MOST_REFUSALS:
                     raise _refused_by_all(passage)
-            elif not _may_go_on(passage):
+            elif not _may_go_on(passage, result):
                 raise _unknown(result)
 
     async def _acquire(self, call: Call) -> Assignment:
@@ -205,8 +206,10 @@
     return xxhash.xxh64_hexdigest(text + request.body)
 
 
-def _may_go_on(passage: Passage) -> bool:
+def _may_go_on(passage: Passage, result: AttemptResult) -> bool:
     route = passage.route
+    if result.end is AttemptEnd.SILENT:
+        return True
     return route.may_run_again and passage.sent < route.most_endpoints
 
 
--- a/src/eelgrasslock/scheduling/domain_watch.py
+++ b/src/eelgrasslock/scheduling/domain_watch.py
@@ -58,6 +58,11 @@
         state = self.domains.get(domain)
         return state is None or now >= state.avoid_until
 
+    def is_suspect(self, domain: str) -> bool:
+        """Return whether a domain was left out since any endpoint of it answered."""
+        state = self.domains.get(domain)
+        return state is not None and state.is_suspect
+
     def sent(self, domain: str, now: float) -> None:
         """Note a call that is sent to a domain.
 
