--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -48,7 +48,7 @@
 CONFIGURATION_WAIT_SECONDS = 1.5
 CONFIGURATION_PAUSE_SECONDS = 0.05
 ENDPOINTS_WAIT_SECONDS = 1.5
-ENDPOINTS_PAUSE_SECONDS = 0.3
+ENDPOINTS_PAUSE_SECONDS = 0.45
 ROSTER_WAIT_SECONDS = 8.0
 ROSTER_PAUSE_SECONDS = 0.2
 TICK_SECONDS = 0.1
@@ -121,6 +121,7 @@
         self.incarnation = f"{settings.name}-{secrets.token_hex(_INCARNATION_BYTES)}"
         self.draining = False
         self._ticked = 0.0
+        self._daemons = 1
         self._tasks: list[asyncio.Task[None]] = []
         self._make_decisions()
         self._make_peers()
@@ -280,7 +281,10 @@
             return
         entries = self.directory.entries.values()
         domains = sorted({entry.domain for entry in entries})
-        self.scheduler.configure(build_configuration(current, entries, domains))
+        self._daemons = 1 + len(self.roster.entries)
+        self.scheduler.configure(
+            build_configuration(current, entries, domains, self._daemons)
+        )
         self.dispatcher.kick()
 
     def _reborn(self, endpoint: str) -> None:
@@ -353,6 +357,8 @@
             lag = max(0.0, now - self._ticked - TICK_SECONDS)
             self.metrics.lag_seconds.observe(lag)
         self._ticked = now
+        if self._daemons != 1 + len(self.roster.entries):
+            self._changed()
         self.endpoints.sweep()
         self.scheduler.age_loads()
         self.dispatcher.kick()
--- a/src/eelgrasslock/gateway/deployment.py
+++ b/src/eelgrasslock/gateway/deployment.py
@@ -20,6 +20,7 @@
 # here costs idle slots, since daemons hear of each other late.
 ENGINE_PLACES = 1.5
 PLAIN_PLACES = 4.0
+FEW_DAEMONS = 12
 LOOKUP_WAIT_SECONDS = 0.4
 CALLER_WAIT_SECONDS = 1.2
 
@@ -38,12 +39,16 @@
     routing: RoutingConfiguration,
     endpoints: Iterable[EndpointRecord],
     domains: list[str],
+    daemons: int = 1,
 ) -> Configuration:
     """Return what the scheduler needs to know.
 
-    Each service of model engines stands for one model of the same name.
+    Each service of model engines stands for one model of the same name. With
+    many daemons, each sends an endpoint less than one call at a time and hears
+    of the others late, so that more is left to the endpoint's own queue.
     """
     known = routing.services
+    crowd = max(1.0, daemons / FEW_DAEMONS)
     return Configuration(
         deployment="routes",
         domains=domains,
@@ -54,7 +59,7 @@
             if spec.engine is not None
         },
         endpoints={
-            record.id: _endpoint(record, known[record.service])
+            record.id: _endpoint(record, known[record.service], crowd)
             for record in endpoints
             if record.service in known
         },
@@ -69,7 +74,9 @@
     return ServiceSettings(kind=ServiceKind.ENGINE)
 
 
-def _endpoint(record: EndpointRecord, spec: ServiceSpec) -> EndpointSettings:
+def _endpoint(
+    record: EndpointRecord, spec: ServiceSpec, crowd: float
+) -> EndpointSettings:
     engine = spec.engine
     cache_tokens = engine.cache_tokens if engine is not None else 0
     places = ENGINE_PLACES if engine is not None else PLAIN_PLACES
@@ -77,7 +84,7 @@
         service=record.service,
         domain=record.domain,
         url=record.address,
-        batch_limit=max(1, int(record.slots * places)),
+        batch_limit=max(1, int(record.slots * places * crowd)),
         cache_tokens=max(1, cache_tokens),
         prefill_tokens_per_second=PREFILL_TOKENS_PER_SECOND,
         decode_tokens_per_second=DECODE_TOKENS_PER_SECOND,
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -6,11 +6,13 @@
 import pytest
 
 from eelgrasslock.clock import ManualClock
+from eelgrasslock.gateway.deployment import build_configuration
 from eelgrasslock.gateway.directory import (
     LAPSE_GRACE_SECONDS,
     EndpointDirectory,
     EndpointRecord,
 )
+from eelgrasslock.platform.records import PlatformRecords
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import LOOKUPS, POSTS, PlatformFleet, configuration, route, until
 
@@ -403,3 +405,17 @@
         one.faults.refusing = two.faults.refusing = "busy"
         status, _ = await fleet.turn(one, "p", budget=220)
         assert status == 200
+
+
+class TestManyDaemons:
+    """82 daemons before 22 engines: each hears of the others seconds late."""
+
+    def test_more_is_left_to_the_endpoints_own_queues(self):
+        routing = PlatformRecords().decode_configuration(
+            "config", json.dumps(configuration()).encode()
+        )
+        entries = [record(id="i", service="models", slots=8)]
+        few = build_configuration(routing, entries, ["a"], daemons=10)
+        many = build_configuration(routing, entries, ["a"], daemons=82)
+        assert few.endpoints["i"].batch_limit == 12
+        assert many.endpoints["i"].batch_limit >= 82
