Repeat draws before the log drops them, and forget programs that are gone

Cause: a program that lives longer than the log keeps records (300 s) would seem to have spent nothing to a daemon that is new to it; and accounts and folds were never forgotten. Change: a draw older than half of the retention is repeated with its total; accounts, folds and the registration of a daemon that ends go; what libraries log becomes lines of ours.

--- a/src/eelgrasslock/allowances/draws.py
+++ b/src/eelgrasslock/allowances/draws.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from collections import OrderedDict
 
 from attrs import define, field, frozen
 
@@ -91,14 +92,18 @@
         The same by incarnation, as far as the log still tells.
     ids : dict of str to None
         The newest draws.
+    seen_at : float
+        When the newest one was taken in, on the monotonic clock.
     """
 
     total: int = 0
     held: dict[str, int] = field(factory=dict)
     ids: dict[str, None] = field(factory=dict)
+    seen_at: float = 0.0
 
-    def apply(self, draw: Draw) -> None:
+    def apply(self, draw: Draw, now: float) -> None:
         """Take in the next draw."""
+        self.seen_at = now
         self.total = draw.total
         self.held[draw.holder] = self.held.get(draw.holder, 0) + draw.tokens
         self.ids[draw.id] = None
@@ -115,17 +120,23 @@
     end : int
         The offset after the last record that was taken in; a daemon that knows
         nothing of a partition begins with 0, which only an empty one confirms.
-    budgets : dict of str to DrawnBudget
-        By program.
+    budgets : OrderedDict of str to DrawnBudget
+        By program, in the order of their newest draws.
     """
 
     end: int = 0
-    budgets: dict[str, DrawnBudget] = field(factory=dict)
+    budgets: OrderedDict[str, DrawnBudget] = field(factory=OrderedDict)
 
     def budget(self, program: str) -> DrawnBudget:
         """Return what is drawn on a program's budget."""
         return self.budgets.get(program) or DrawnBudget()
 
-    def apply(self, draw: Draw) -> None:
+    def apply(self, draw: Draw, now: float) -> None:
         """Take in a draw, whose record is the next one."""
-        self.budgets.setdefault(draw.program, DrawnBudget()).apply(draw)
+        self.budgets.setdefault(draw.program, DrawnBudget()).apply(draw, now)
+        self.budgets.move_to_end(draw.program)
+
+    def forget(self, oldest: float) -> None:
+        """Drop the programs whose draws the log no longer holds either."""
+        while self.budgets and next(iter(self.budgets.values())).seen_at < oldest:
+            self.budgets.popitem(last=False)
--- a/src/eelgrasslock/allowances/keeper.py
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -246,6 +246,25 @@
             account.offline = max(0, account.offline - tokens)
             _log.bind(program=account.program).info("Recorded {} tokens.", tokens)
 
+    async def keep(self) -> None:
+        """Repeat what the log would soon drop, and forget what nobody asks for.
+
+        A program that lives longer than the log keeps records would seem to
+        have spent nothing to a daemon that is new to it.
+
+        Raises
+        ------
+        LogUnavailable, AppendUnresolved
+            If the log did not take a repeat; it is tried again later.
+        """
+        oldest = self.clock.monotonic() - self.ledger.retention_seconds
+        for account in list(self.accounts.values()):
+            if account.used_at < oldest and not account.reserved:
+                del self.accounts[account.program]
+            elif self.ledger.is_due(account.program):
+                await self.ledger.record(account.program, 0)
+        self.ledger.forget()
+
     async def _reclaim(self, account: Account) -> bool:
         """Take back what other daemons hold unspent; return whether that helped."""
         now = self.clock.monotonic()
--- a/src/eelgrasslock/allowances/ledger.py
+++ b/src/eelgrasslock/allowances/ledger.py
@@ -9,6 +9,7 @@
 
 from eelgrasslock.allowances.draws import Draw, PartitionFold, decode, encode
 from eelgrasslock.allowances.shares import tokens_to_draw
+from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import (
     AppendUnresolved,
     LogUnavailable,
@@ -21,6 +22,7 @@
 _TOPIC = "allowances-{}"
 _ID_BYTES = 8
 _TRIES = 6
+REPEAT_SHARE = 0.5
 
 _log = logger.bind(part="ledger")
 
@@ -56,9 +58,22 @@
         How many partitions a topic has.
     holder : str
         This daemon's incarnation.
+    clock : Clock
+        The time.
+    retention_seconds : float
+        How long the log keeps records.
     """
 
-    def __init__(self, log: PartitionedLog, partitions: int, holder: str) -> None:
+    def __init__(
+        self,
+        log: PartitionedLog,
+        partitions: int,
+        holder: str,
+        clock: Clock,
+        retention_seconds: float,
+    ) -> None:
+        self.clock = clock
+        self.retention_seconds = retention_seconds
         self.log = log
         self.partitions = partitions
         self.holder = holder
@@ -101,6 +116,18 @@
         async with partition.lock:
             await self._return(partition, program, self.holder, tokens)
 
+    def is_due(self, program: str) -> bool:
+        """Return whether the log would soon drop what is drawn for a program."""
+        budget = self.partition(program).fold.budgets.get(program)
+        age = REPEAT_SHARE * self.retention_seconds
+        return budget is not None and budget.seen_at < self.clock.monotonic() - age
+
+    def forget(self) -> None:
+        """Drop what the log no longer holds either."""
+        oldest = self.clock.monotonic() - self.retention_seconds
+        for partition in self.known.values():
+            partition.fold.forget(oldest)
+
     def drawn(self, program: str) -> int:
         """Return what all daemons have drawn, as far as it is known here."""
         return self.partition(program).fold.budget(program).total
@@ -198,7 +225,7 @@
             _log.info("The answer to the draw {} was lost; sending it again.", draw.id)
             return await self._append_again(partition, draw, data)
         fold.end = end
-        fold.apply(draw)
+        fold.apply(draw, self.clock.monotonic())
         return True
 
     async def _append_again(
@@ -215,7 +242,7 @@
         except LogUnavailable as error:
             raise AppendUnresolved(str(error)) from error
         fold.end = end
-        fold.apply(draw)
+        fold.apply(draw, self.clock.monotonic())
         return True
 
     async def _read(self, partition: Partition) -> None:
@@ -237,7 +264,7 @@
 
     def _apply(self, partition: Partition, data: bytes) -> None:
         try:
-            partition.fold.apply(decode(data))
+            partition.fold.apply(decode(data), self.clock.monotonic())
         except RecordError as error:
             place = f"{partition.topic}/{partition.number}"
             _log.warning("Skipped a record of {}: {}", place, error)
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -53,6 +53,7 @@
 ROSTER_PAUSE_SECONDS = 0.2
 TICK_SECONDS = 0.1
 RECORD_SECONDS = 0.4
+KEEP_SECONDS = 20.0
 SILENT_SECONDS = 3.0
 SERVING_SECONDS = 3.0
 LAST_SECONDS = 1.5
@@ -172,7 +173,13 @@
             ),
         ]
         self.log = RelayedLog(platform.log, self.mesh, self.roster, self.clock)
-        ledger = Ledger(self.log, self.settings.store_partitions, self.incarnation)
+        ledger = Ledger(
+            self.log,
+            self.settings.store_partitions,
+            self.incarnation,
+            self.clock,
+            self.settings.store_retention_seconds,
+        )
         self.allowances = Allowances(
             ledger,
             self.clock,
@@ -337,6 +344,12 @@
         except (LogUnavailable, AppendUnresolved) as error:
             _log.info("What was spent without the log is not recorded yet: {}", error)
 
+    async def _keep_allowances(self) -> None:
+        try:
+            await self.allowances.keep()
+        except (LogUnavailable, AppendUnresolved) as error:
+            _log.info("Draws are not repeated yet: {}", error)
+
     async def _register(self) -> None:
         """Register in the log until it takes the entry."""
         backoff = Backoff(self.rng)
@@ -379,6 +392,9 @@
         runs.append(
             run_periodically(self.clock, lambda: RECORD_SECONDS, self._record_offline)
         )
+        runs.append(
+            run_periodically(self.clock, lambda: KEEP_SECONDS, self._keep_allowances)
+        )
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.ready_server.start()
         await self.metrics_server.start()
@@ -432,5 +448,8 @@
         try:
             async with asyncio.timeout(GIVE_BACK_SECONDS):
                 await self.allowances.give_back_all()
+                await self.platform.log.put(roster.TOPIC, self.settings.name, b"")
         except TimeoutError:
             _log.info("The log did not take back all allowances in time.")
+        except LogUnavailable as error:
+            _log.info("The log did not take the end of the registration: {}", error)
--- a/src/eelgrasslock/telemetry/logs.py
+++ b/src/eelgrasslock/telemetry/logs.py
@@ -1,6 +1,7 @@
 """Log set-up: one line a message, with a fixed prefix for each part."""
 
 import json
+import logging
 import re
 import sys
 from typing import TYPE_CHECKING, TextIO
@@ -90,9 +91,20 @@
     logger.remove()
     logger.configure(extra={"part": "daemon", "daemon": name})
     logger.add(write, format="{message}", level=level, backtrace=False, diagnose=False)
+    logging.basicConfig(handlers=[_LoguruHandler()], level=logging.WARNING, force=True)
     return sink
 
 
+class _LoguruHandler(logging.Handler):
+    """Hands on what libraries log by the standard module."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record as a line of the part `library`."""
+        error = record.exc_info[1] if record.exc_info else None
+        log = logger.bind(part="library", library=record.name).opt(exception=error)
+        log.log(record.levelname, "{}", record.getMessage())
+
+
 def _json_line(message: "Message") -> str:
     record = message.record
     line = {
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -20,6 +20,7 @@
 from eelgrasslock.log.partitioned import EndMoved, PartitionRead
 
 WORST = 100
+RETENTION = 300.0
 
 
 class MemoryLog:
@@ -33,6 +34,8 @@
         self.late = []
         self.late_answers = 0
         self.hangs = None
+        self.times = {}
+        self.time = 1_000.0
         self.appends = 0
         self.reads = 0
 
@@ -57,6 +60,8 @@
         if expected_end != self.end(topic, partition):
             raise EndMoved(self.end(topic, partition))
         self.records(topic, partition).extend(records)
+        times = self.times.setdefault((topic, partition), [])
+        times.extend([self.time] * len(records))
         if self.lose_answers:
             self.lose_answers -= 1
             raise AppendUnresolved("lost")
@@ -83,6 +88,14 @@
             self.first[key] = self.first.get(key, 0) + len(records)
             records.clear()
 
+    def forget_before(self, oldest):
+        for key, records in self.partitions.items():
+            times = self.times.get(key, [])
+            while records and times and times[0] < oldest:
+                records.pop(0)
+                times.pop(0)
+                self.first[key] = self.first.get(key, 0) + 1
+
     def drawn(self):
         return sum(
             decode(one).tokens
@@ -96,8 +109,9 @@
     return MemoryLog()
 
 
-def daemon(log, name):
-    return Allowances(Ledger(log, 4, name), ManualClock())
+def daemon(log, name, clock=None):
+    clock = clock or ManualClock()
+    return Allowances(Ledger(log, 4, name, clock, RETENTION), clock)
 
 
 async def run_turn(allowances, budget, used, program="p", worst=WORST):
@@ -138,7 +152,7 @@
 
     def test_a_fold_needs_no_record_before_the_newest(self):
         fold = PartitionFold()
-        fold.apply(Draw(program="p", id="9", holder="h", tokens=5, total=70))
+        fold.apply(Draw(program="p", id="9", holder="h", tokens=5, total=70), 0.0)
         assert fold.budget("p").total == 70
 
 
@@ -278,3 +292,32 @@
             records.append(b"no draw")
         await run_turn(two, 900, 45)
         assert two.ledger.partition("p").fold.budget("p").total == 500
+
+
+class TestRetention:
+    async def test_a_program_that_outlives_the_logs_records_keeps_its_budget(self, log):
+        clock = ManualClock()
+        one = daemon(log, "one", clock)
+        for _ in range(8):
+            await run_turn(one, 1_000, WORST)
+            log.forget_before(clock.monotonic() - RETENTION)
+            clock.advance(RETENTION * 0.4)
+            log.time = clock.monotonic()
+            await one.keep()
+        log.forget_before(clock.monotonic() - RETENTION)
+        served = 0
+        for _ in range(3):
+            with contextlib.suppress(Refusal):
+                await run_turn(daemon(log, "two", clock), 1_000, WORST)
+                served += 1
+        assert served <= 2
+
+    async def test_programs_that_are_gone_are_forgotten(self, log):
+        clock = ManualClock()
+        one = daemon(log, "one", clock)
+        for number in range(50):
+            await run_turn(one, 1_000, WORST, program=f"p{number}")
+        clock.advance(RETENTION * 1.1)
+        await one.keep()
+        assert not one.accounts
+        assert not any(one.fold.budgets for one in one.ledger.known.values())
--- a/tests/test_offline_allowances.py
+++ b/tests/test_offline_allowances.py
@@ -18,7 +18,7 @@
 )
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import AppendUnresolved, Refusal
-from test_allowances import WORST, MemoryLog, run_turn
+from test_allowances import RETENTION, WORST, MemoryLog, run_turn
 
 
 class Group:
@@ -45,7 +45,7 @@
             ]
             return OfflineAnswers(words=words, missing=self.missing)
 
-        ledger = Ledger(self.log, 4, name)
+        ledger = Ledger(self.log, 4, name, ManualClock(), RETENTION)
         self.daemons[name] = Allowances(ledger, ManualClock(), ask_offline=ask_offline)
 
     def accounts(self, program):
