--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -164,6 +164,7 @@
         """Send a request; return its answer's head, None if it was given up on."""
         is_far = record.domain != self.domain
         seconds = first_wait(passage.route, is_far)
+        started = self.clock.monotonic()
         waiting = asyncio.ensure_future(connection.send(outgoing))
         try:
             while seconds is not None:
@@ -174,6 +175,7 @@
                     is_far=is_far,
                     is_domain_suspect=self.is_suspect(record.domain),
                     sent=passage.sent,
+                    seconds=self.clock.monotonic() - started,
                 )
                 if gives_up(passage.route, silence):
                     _log.bind(request=passage.request.id, endpoint=record.id).info(
--- a/src/eelgrasslock/gateway/patience.py
+++ b/src/eelgrasslock/gateway/patience.py
@@ -25,11 +25,14 @@
         Whether its domain seems to be cut off.
     sent : int
         How many endpoints the request was sent to, this one included.
+    seconds : float
+        How long it has been silent.
     """
 
     is_far: bool
     is_domain_suspect: bool
     sent: int
+    seconds: float
 
 
 def first_wait(route: Route, is_far: bool) -> float | None:
@@ -48,8 +51,12 @@
     """Return whether another endpoint is tried in a silent one's place.
 
     A stream goes on elsewhere only if its endpoint seems to be cut off, which
-    does not count against the endpoints that a request may be sent to.
+    does not count against the endpoints that a request may be sent to. An
+    idempotent call is patient with an endpoint that may just be busy: sending
+    it to another one as well would add to the load.
     """
-    if route.kind is RouteKind.SAFE:
-        return silence.sent < route.most_endpoints
-    return silence.is_far and silence.is_domain_suspect
+    is_cut_off = silence.is_far and silence.is_domain_suspect
+    if route.kind is not RouteKind.SAFE:
+        return is_cut_off
+    is_long = silence.seconds >= OWN_SECONDS
+    return silence.sent < route.most_endpoints and (is_cut_off or is_long)
--- a/tests/test_gateway_patience.py
+++ b/tests/test_gateway_patience.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from eelgrasslock.gateway.patience import Silence, first_wait, gives_up
+from eelgrasslock.gateway.patience import (
+    FAR_SECONDS,
+    OWN_SECONDS,
+    Silence,
+    first_wait,
+    gives_up,
+)
 from eelgrasslock.gateway.routes import Route, RouteKind
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet
@@ -14,7 +20,7 @@
 
 
 def silence(**more):
-    values = {"is_far": True, "is_domain_suspect": True, "sent": 1}
+    values = {"is_far": True, "is_domain_suspect": True, "sent": 1, "seconds": 0.4}
     return Silence(**{**values, **more})
 
 
@@ -32,6 +38,13 @@
         route = make_route(RouteKind.SAFE, most_endpoints=2)
         assert gives_up(route, silence(sent=sent)) is expected
 
+    def test_a_busy_endpoint_is_waited_for(self):
+        """Two of three endpoints lost answers in a burst, the third was full."""
+        route = make_route(RouteKind.SAFE, most_endpoints=2)
+        busy = {"is_domain_suspect": False}
+        assert not gives_up(route, silence(seconds=FAR_SECONDS, **busy))
+        assert gives_up(route, silence(seconds=OWN_SECONDS, **busy))
+
     @pytest.mark.parametrize(
         ("more", "expected"),
         [({}, True), ({"is_domain_suspect": False}, False), ({"is_far": False}, False)],
