--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -3,30 +3,26 @@
 import asyncio
 import random
 import secrets
-from typing import Any, Protocol
+from typing import Protocol
 
 from attrs import frozen
 from loguru import logger
 
 from eelgrasslock.allowances.keeper import Allowances
 from eelgrasslock.allowances.ledger import Ledger
-from eelgrasslock.allowances.offline import (
-    OfflineAnswers,
-    OfflineWord,
-    may_spend_offline,
-    missing_members,
-)
-from eelgrasslock.backoff import Backoff
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
-from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, PeerUnavailable
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
 from eelgrasslock.gateway.attempts import Attempts
 from eelgrasslock.gateway.deployment import build_configuration
 from eelgrasslock.gateway.directory import EndpointDirectory
+from eelgrasslock.gateway.drainer import Drainer
 from eelgrasslock.gateway.forwarder import Forwarder
+from eelgrasslock.gateway.gauges import watch_gauges
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.interfaces import Dialect, Records
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadyServer
+from eelgrasslock.gateway.peering import Peering
 from eelgrasslock.gateway.reports import Reporter
 from eelgrasslock.gateway.routes import RequestLimits
 from eelgrasslock.gateway.routing import Endpoints, Routing
@@ -36,14 +32,11 @@
 from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
 from eelgrasslock.log.partitioned import PartitionedLog
 from eelgrasslock.peers import roster
-from eelgrasslock.peers.load_exchange import LoadExchange
-from eelgrasslock.peers.mesh import PeerMesh
-from eelgrasslock.peers.relayed_log import RelayedLog
-from eelgrasslock.peers.roster import Roster, RosterEntry
+from eelgrasslock.peers.roster import RosterEntry
 from eelgrasslock.periodic import run_periodically
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
-from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics, peak_memory_bytes
+from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 CONFIGURATION_WAIT_SECONDS = 1.5
 CONFIGURATION_PAUSE_SECONDS = 0.05
@@ -54,12 +47,6 @@
 TICK_SECONDS = 0.1
 RECORD_SECONDS = 0.4
 KEEP_SECONDS = 20.0
-SILENT_SECONDS = 3.0
-SERVING_SECONDS = 3.0
-LAST_SECONDS = 1.5
-GIVE_BACK_SECONDS = 0.5
-QUIET_SECONDS = 0.15
-MOST_QUIET_TRIES = 4
 
 _INCARNATION_BYTES = 6
 _log = logger.bind(part="daemon")
@@ -137,15 +124,19 @@
 
     def _make_peers(self) -> None:
         settings = self.settings
-        self.entry = RosterEntry(
+        entry = RosterEntry(
             name=settings.name,
             incarnation=self.incarnation,
             domain=settings.domain,
             address=settings.peer_address,
         )
-        self.roster = Roster(self.entry, self.rng)
-        self.mesh = PeerMesh(settings.peer_address, self.incarnation, self.clock)
-        self.loads = LoadExchange(self.mesh, self.roster, self.scheduler, self.clock)
+        self.peering = Peering(
+            entry, self.platform.log, self.scheduler, self.clock, self.rng
+        )
+        self.mesh = self.peering.mesh
+        self.roster = self.peering.roster
+        self.loads = self.peering.loads
+        self.log = self.peering.log
 
     def _make_state(self) -> None:
         platform = self.platform
@@ -172,7 +163,6 @@
                 roster.TOPIC, self.roster, ROSTER_WAIT_SECONDS, ROSTER_PAUSE_SECONDS
             ),
         ]
-        self.log = RelayedLog(platform.log, self.mesh, self.roster, self.clock)
         ledger = Ledger(
             self.log,
             self.settings.store_partitions,
@@ -183,13 +173,11 @@
         self.allowances = Allowances(
             ledger,
             self.clock,
-            self._ask_holder,
-            self._ask_offline,
+            self.peering.ask_holder,
+            self.peering.ask_offline,
             self.metrics.tokens_moved,
         )
-        self.mesh.callbacks.offline_word = self.allowances.offline_word
-        self.mesh.callbacks.log = platform.log
-        self.mesh.callbacks.release_allowance = self.allowances.release
+        self.peering.serve(self.allowances)
 
     def _follower(
         self, topic: str, state: KeyedState, wait_seconds: float, pause_seconds: float
@@ -242,30 +230,10 @@
         self.metrics_server = MetricsServer(
             self.settings.metrics_address, self.metrics.text
         )
-        self._watch_gauges()
-
-    def _watch_gauges(self) -> None:
-        watch = self.metrics.watch
-        watch("in_flight", "Requests in flight.", lambda: self.handler.in_flight.count)
-        watch("waiting", "Calls that wait.", lambda: len(self.dispatcher.waiting))
-        watch("endpoints", "Endpoints known.", lambda: len(self.directory.entries))
-        watch("endpoints_out", "Endpoints left out.", self._endpoints_out)
-        watch("peers", "Peers heard of late.", lambda: len(self.loads.heard))
-        watch("configuration_version", "The version in force.", self._version)
-        watch("relayed_calls", "Log calls by peers.", lambda: self.log.relayed)
-        watch("connections_opened", "Connections opened.", lambda: self.pool.opened)
-        watch("connections_reused", "Connections reused.", lambda: self.pool.reused)
-        watch("accounts", "Programs with an account.", self._accounts)
-        watch("peak_memory_bytes", "The most memory held.", peak_memory_bytes)
-
-    def _endpoints_out(self) -> float:
-        return len(self.scheduler.fleet.open_breakers())
-
-    def _version(self) -> float:
-        return self.routing.current.version if self.routing.current else 0
-
-    def _accounts(self) -> float:
-        return len(self.allowances.accounts)
+        self.drainer = Drainer(
+            self.handler, self.listener, self.allowances, self.peering, self.settings
+        )
+        watch_gauges(self)
 
     # --- what the parts ask of each other -------------------------------------
 
@@ -297,47 +265,6 @@
     def _reborn(self, endpoint: str) -> None:
         self.scheduler.restarted(endpoint)
 
-    async def _ask_holder(self, holder: str, program: str) -> int:
-        """Ask another daemon to give up what it has not spent on a program."""
-        entry = self.roster.find(holder)
-        if entry is None:
-            raise PeerUnavailable(f"{holder} is gone.")
-
-        async def ask(peer: Any) -> int:
-            return (await peer.release(program=program)).tokens
-
-        return await self.mesh.ask(entry, ask)
-
-    async def _ask_offline(self, program: str) -> OfflineAnswers | None:
-        """Ask all daemons in reach what they spent on a program without the log."""
-        silence = max(SILENT_SECONDS, 2 * self.loads.interval())
-        since = self.log.lost_at - silence
-        entries = [
-            entry
-            for entry in self.roster.entries.values()
-            if self.loads.may_have_lived(entry, since)
-        ]
-
-        async def ask(entry: RosterEntry) -> OfflineWord | None:
-            async def call(peer: Any) -> Any:
-                return await peer.offline(program=program)
-
-            try:
-                answer = await self.mesh.ask(entry, call)
-            except PeerUnavailable:
-                return None
-            return OfflineWord(
-                domain=entry.domain, spent=answer.spent, drawn=answer.drawn
-            )
-
-        answers = await asyncio.gather(*(ask(entry) for entry in entries))
-        words = [word for word in answers if word is not None]
-        members = [entry.domain for entry in entries]
-        answered = [word.domain for word in words]
-        if not may_spend_offline(self.settings.domain, members, answered):
-            return None
-        return OfflineAnswers(words=words, missing=missing_members(members, answered))
-
     async def _record_offline(self) -> None:
         try:
             await self.allowances.record_offline()
@@ -350,20 +277,6 @@
         except (LogUnavailable, AppendUnresolved) as error:
             _log.info("Draws are not repeated yet: {}", error)
 
-    async def _register(self) -> None:
-        """Register in the log until it takes the entry."""
-        backoff = Backoff(self.rng)
-        while True:
-            try:
-                await self.platform.log.put(
-                    roster.TOPIC, self.settings.name, self.entry.encode()
-                )
-            except LogUnavailable as error:
-                _log.info("Not registered yet: {}", error)
-                await self.clock.sleep(backoff.next())
-            else:
-                return
-
     async def _tick(self) -> None:
         now = self.clock.monotonic()
         if self._ticked:
@@ -384,7 +297,7 @@
         await self.dispatcher.start()
         await self.mesh.start()
         runs = [follower.run() for follower in self.followers]
-        runs.append(self._register())
+        runs.append(self.peering.register())
         runs.append(run_periodically(self.clock, lambda: TICK_SECONDS, self._tick))
         runs.append(
             run_periodically(self.clock, self.loads.interval, self.loads.exchange)
@@ -402,22 +315,9 @@
         _log.info("Started as incarnation {}.", self.incarnation)
 
     async def drain(self) -> None:
-        """Take no new connections and finish what is in flight."""
+        """Take no new connections, finish what is in flight, and give back."""
         self.draining = True
-        self.listener.closing = True
-        count = self.handler.in_flight.count
-        _log.info("Draining, {} requests in flight.", count)
-        try:
-            async with asyncio.timeout(self.settings.drain_seconds - LAST_SECONDS):
-                await self.clock.sleep(SERVING_SECONDS)
-                self.handler.closed = True
-                self.listener.close_idle()
-                await self.handler.in_flight.none_left()
-        except TimeoutError:
-            count = self.handler.in_flight.count
-            _log.warning("{} requests outlast the drain.", count)
-        await self._give_back()
-        await self._quiet()
+        await self.drainer.run()
 
     async def stop(self) -> None:
         """Stop all parts."""
@@ -430,26 +330,3 @@
         await self.mesh.stop()
         await self.pool.stop()
         _log.info("Stopped.")
-
-    async def _quiet(self) -> None:
-        """Wait until no caller has sent a request for a moment.
-
-        Until then each is refused, since a request that was read and then lost
-        its connection would be left without an answer.
-        """
-        for _ in range(MOST_QUIET_TRIES):
-            refused = self.handler.refused_closed
-            await self.clock.sleep(QUIET_SECONDS)
-            if self.handler.refused_closed == refused:
-                return
-
-    async def _give_back(self) -> None:
-        await self._record_offline()
-        try:
-            async with asyncio.timeout(GIVE_BACK_SECONDS):
-                await self.allowances.give_back_all()
-                await self.platform.log.put(roster.TOPIC, self.settings.name, b"")
-        except TimeoutError:
-            _log.info("The log did not take back all allowances in time.")
-        except LogUnavailable as error:
-            _log.info("The log did not take the end of the registration: {}", error)
--- /dev/null
+++ b/src/eelgrasslock/gateway/peering.py
@@ -0,0 +1,162 @@
+"""What a daemon that serves routes asks of the other daemons."""
+
+import asyncio
+import random
+from typing import Any, Protocol
+
+from loguru import logger
+
+from eelgrasslock.allowances.keeper import Allowances
+from eelgrasslock.allowances.offline import (
+    OfflineAnswers,
+    OfflineWord,
+    may_spend_offline,
+    missing_members,
+)
+from eelgrasslock.backoff import Backoff
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import LogUnavailable, PeerUnavailable
+from eelgrasslock.log.keyed import KeyedLog
+from eelgrasslock.log.partitioned import PartitionedLog
+from eelgrasslock.peers import roster
+from eelgrasslock.peers.load_exchange import LoadExchange, LoadScheduler
+from eelgrasslock.peers.mesh import PeerMesh
+from eelgrasslock.peers.relayed_log import RelayedLog
+from eelgrasslock.peers.roster import Roster, RosterEntry
+
+SILENT_SECONDS = 3.0
+
+_log = logger.bind(part="peers")
+
+
+class PeeringLog(KeyedLog, PartitionedLog, Protocol):
+    """The log in which daemons register, and which they call for each other."""
+
+
+class Peering:
+    """The other daemons: who they are, how loaded, and what they hold.
+
+    Parameters
+    ----------
+    entry : RosterEntry
+        This daemon.
+    log : PeeringLog
+        The own way to the log.
+    scheduler : LoadScheduler
+        Exchanges loads.
+    clock : Clock
+        The time.
+    rng : random.Random
+        Chooses among peers and spreads retries.
+
+    Attributes
+    ----------
+    roster, mesh, loads : Roster, PeerMesh, LoadExchange
+        The registered daemons, the connections to them, and their loads.
+    log : RelayedLog
+        The log, through a peer if need be.
+    """
+
+    def __init__(
+        self,
+        entry: RosterEntry,
+        log: PeeringLog,
+        scheduler: LoadScheduler,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.entry = entry
+        self.own_log = log
+        self.clock = clock
+        self.rng = rng
+        self.roster = Roster(entry, rng)
+        self.mesh = PeerMesh(entry.address, entry.incarnation, clock)
+        self.loads = LoadExchange(self.mesh, self.roster, scheduler, clock)
+        self.log = RelayedLog(log, self.mesh, self.roster, clock)
+
+    def serve(self, allowances: Allowances) -> None:
+        """Answer the peers' calls from these allowances and the own log."""
+        callbacks = self.mesh.callbacks
+        callbacks.log = self.own_log
+        callbacks.release_allowance = allowances.release
+        callbacks.offline_word = allowances.offline_word
+
+    async def register(self) -> None:
+        """Register in the log until it takes the entry."""
+        backoff = Backoff(self.rng)
+        while True:
+            try:
+                await self.own_log.put(
+                    roster.TOPIC, self.entry.name, self.entry.encode()
+                )
+            except LogUnavailable as error:
+                _log.info("Not registered yet: {}", error)
+                await self.clock.sleep(backoff.next())
+            else:
+                return
+
+    async def deregister(self) -> None:
+        """Remove the entry, before the daemon ends.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log gave no answer.
+        """
+        await self.own_log.put(roster.TOPIC, self.entry.name, b"")
+
+    async def ask_holder(self, holder: str, program: str) -> int:
+        """Ask another daemon to give up what it has not spent on a program.
+
+        Raises
+        ------
+        PeerUnavailable
+            If it is gone or gave no answer.
+        """
+        entry = self.roster.find(holder)
+        if entry is None:
+            raise PeerUnavailable(f"{holder} is gone.")
+
+        async def ask(peer: Any) -> int:
+            return (await peer.release(program=program)).tokens
+
+        return await self.mesh.ask(entry, ask)
+
+    async def ask_offline(self, program: str) -> OfflineAnswers | None:
+        """Ask all daemons in reach what they spent on a program without the log.
+
+        Returns
+        -------
+        OfflineAnswers or None
+            None if the daemons in reach may not decide.
+        """
+        entries = self._living()
+        answers = await asyncio.gather(
+            *(self._ask_offline(entry, program) for entry in entries)
+        )
+        words = [word for word in answers if word is not None]
+        members = [entry.domain for entry in entries]
+        answered = [word.domain for word in words]
+        if not may_spend_offline(self.entry.domain, members, answered):
+            return None
+        return OfflineAnswers(words=words, missing=missing_members(members, answered))
+
+    async def _ask_offline(
+        self, entry: RosterEntry, program: str
+    ) -> OfflineWord | None:
+        async def call(peer: Any) -> Any:
+            return await peer.offline(program=program)
+
+        try:
+            answer = await self.mesh.ask(entry, call)
+        except PeerUnavailable:
+            # It counts as missing, which the decision's line tells.
+            return None
+        return OfflineWord(domain=entry.domain, spent=answer.spent, drawn=answer.drawn)
+
+    def _living(self) -> list[RosterEntry]:
+        """Return the daemons that may have served since the log was lost."""
+        silence = max(SILENT_SECONDS, 2 * self.loads.interval())
+        since = self.log.lost_at - silence
+        entries = self.roster.entries.values()
+        return [one for one in entries if self.loads.may_have_lived(one, since)]
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -225,7 +225,7 @@
 
 class TestDrain:
     async def drain(self, daemon, monkeypatch, serving=0.2):
-        module = "eelgrasslock.gateway.application"
+        module = "eelgrasslock.gateway.drainer"
         monkeypatch.setattr(f"{module}.SERVING_SECONDS", serving)
         return asyncio.create_task(daemon.application.drain())
 
@@ -393,7 +393,7 @@
         self, fleet, monkeypatch
     ):
         """Of ten machines one was replaced at another address before the outage."""
-        monkeypatch.setattr("eelgrasslock.gateway.application.SILENT_SECONDS", 0.1)
+        monkeypatch.setattr("eelgrasslock.gateway.peering.SILENT_SECONDS", 0.1)
         engine = await fleet.endpoint("models", events=5)
         names = ("a-1", "a-2", "a-3")
         daemons = [await fleet.ready_daemon([engine], name=name) for name in names]
