Send a doubtful append again by one loop

Cause: the first and the second try stood as two functions of the same shape. Change: one loop; the second try's failure counts as unknown, as before. Result: no behaviour changes.

--- a/src/eelgrasslock/allowances/ledger.py
+++ b/src/eelgrasslock/allowances/ledger.py
@@ -207,43 +207,36 @@
         )
 
     async def _append(self, partition: Partition, draw: Draw) -> bool:
-        """Append a draw once; return whether the partition holds it.
+        """Append a draw; return whether the partition holds it.
 
         An append whose answer was lost can only be done late while nothing
         else was appended, so that the same append, sent again, decides.
         """
         fold = partition.fold
         data = encode(draw)
-        try:
-            end = await self.log.append_at(
-                partition.topic, partition.number, [data], fold.end
-            )
-        except EndMoved:
-            await self._read(partition)
-            return draw.id in fold.budget(draw.program).ids
-        except AppendUnresolved:
-            _log.info("The answer to the draw {} was lost; sending it again.", draw.id)
-            return await self._append_again(partition, draw, data)
-        fold.end = end
-        fold.apply(draw, self.clock.monotonic())
-        return True
-
-    async def _append_again(
-        self, partition: Partition, draw: Draw, data: bytes
-    ) -> bool:
-        fold = partition.fold
-        try:
-            end = await self.log.append_at(
-                partition.topic, partition.number, [data], fold.end
-            )
-        except EndMoved:
-            await self._read(partition)
-            return draw.id in fold.budget(draw.program).ids
-        except LogUnavailable as error:
-            raise AppendUnresolved(str(error)) from error
-        fold.end = end
-        fold.apply(draw, self.clock.monotonic())
-        return True
+        for is_second in (False, True):
+            try:
+                end = await self.log.append_at(
+                    partition.topic, partition.number, [data], fold.end
+                )
+            except EndMoved:
+                await self._read(partition)
+                return draw.id in fold.budget(draw.program).ids
+            except AppendUnresolved:
+                if is_second:
+                    raise
+                _log.bind(program=draw.program, draw=draw.id).info(
+                    "The answer to a draw was lost; it is sent again."
+                )
+            except LogUnavailable as error:
+                if is_second:
+                    raise AppendUnresolved(str(error)) from error
+                raise
+            else:
+                fold.end = end
+                fold.apply(draw, self.clock.monotonic())
+                return True
+        raise AssertionError("The second try always decides.")
 
     async def _read(self, partition: Partition) -> None:
         """Take in what was appended since the last look."""
