Tell cuts from crashes, and wait for a silent log once

Change: endpoints that become unreachable together have not crashed; a peer that has lost the log says so at once; a peer is left out for a second only if it takes no connection; the store's answer is waited for 0.6 s.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -21,6 +21,8 @@
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 FRESH_SECONDS = 2.5
+TOGETHER_SECONDS = 0.05
+LATELY_SECONDS = 0.5
 WHOLE_BODY_BYTES = 65_536
 _SUCCESS = range(200, 300)
 
@@ -86,6 +88,7 @@
         domain: str,
         is_suspect: Callable[[str], bool],
     ) -> None:
+        self.unreachable: dict[str, float] = {}
         self.domain = domain
         self.is_suspect = is_suspect
         self.metrics = metrics
@@ -109,6 +112,7 @@
         try:
             connection = await self.pool.acquire(record.address, idle)
         except ConnectFailed as error:
+            self.unreachable[record.id] = self.clock.monotonic()
             _log.bind(request=passage.request.id, endpoint=endpoint).info("{}", error)
             return AttemptResult(end=AttemptEnd.NOT_SENT)
         try:
@@ -215,8 +219,9 @@
         try:
             connection = await self.pool.acquire(record.address, 0.0)
         except ConnectFailed:
-            end = AttemptEnd.CRASHED
             self.pool.drop(record.address)
+            is_alone = await self._is_alone(record)
+            end = AttemptEnd.CRASHED if is_alone else AttemptEnd.BROKEN
         else:
             end = AttemptEnd.BROKEN
             self.pool.release(record.address, connection, None)
@@ -225,6 +230,18 @@
         )
         return AttemptResult(end=end)
 
+    async def _is_alone(self, record: EndpointRecord) -> bool:
+        """Return whether no other endpoint became unreachable just now.
+
+        Several at once are cut off from this daemon, and have not crashed.
+        """
+        self.unreachable[record.id] = self.clock.monotonic()
+        await self.clock.sleep(TOGETHER_SECONDS)
+        oldest = self.clock.monotonic() - LATELY_SECONDS
+        lately = {one for one, time in self.unreachable.items() if time >= oldest}
+        self.unreachable = {one: self.unreachable[one] for one in lately}
+        return lately <= {record.id}
+
 
 async def _skip_body(connection: HTTPConnection) -> None:
     try:
--- a/src/eelgrasslock/gateway/peering.py
+++ b/src/eelgrasslock/gateway/peering.py
@@ -77,7 +77,7 @@
     def serve(self, allowances: Allowances) -> None:
         """Answer the peers' calls from these allowances and the own log."""
         callbacks = self.mesh.callbacks
-        callbacks.log = self.own_log
+        callbacks.log = self.log.for_peers()
         callbacks.release_allowance = allowances.release
         callbacks.offline_word = allowances.offline_word
 
--- a/src/eelgrasslock/peers/mesh.py
+++ b/src/eelgrasslock/peers/mesh.py
@@ -13,7 +13,7 @@
 from eelgrasslock.peers.peer_server import PeerServer
 from eelgrasslock.peers.roster import RosterEntry
 
-CALL_SECONDS = 0.4
+CALL_SECONDS = 0.3
 AVOID_SECONDS = 1.0
 
 _Answer = TypeVar("_Answer")
@@ -36,7 +36,7 @@
     callbacks : PeerCallbacks
         What the calls of peers end in.
     avoid_until : dict of str to float
-        By incarnation, until when one that gave no answer is not asked again.
+        By incarnation, until when one that took no connection is not asked.
     """
 
     def __init__(self, address: str, incarnation: str, clock: Clock) -> None:
@@ -109,8 +109,9 @@
                 return await call(link)
         except (LinkLost, PeerRefused, TimeoutError) as error:
             self._drop(entry.incarnation)
-            until = self.clock.monotonic() + AVOID_SECONDS
-            self.avoid_until[entry.incarnation] = until
+            if ran is Ran.NO:
+                until = self.clock.monotonic() + AVOID_SECONDS
+                self.avoid_until[entry.incarnation] = until
             raise PeerUnavailable(f"{entry.name} gave no answer.", ran) from error
 
     async def _link(self, entry: RosterEntry) -> PeerLink:
--- a/src/eelgrasslock/peers/relayed_log.py
+++ b/src/eelgrasslock/peers/relayed_log.py
@@ -22,7 +22,7 @@
 from eelgrasslock.peers.roster import Roster, RosterEntry
 
 AVOID_SECONDS = 0.7
-RELAYS_TRIED = 4
+RELAYS_TRIED = 3
 NO_RELAY_SECONDS = 0.4
 
 _NO_WAY = "Neither the log nor a peer that reaches it answers."
@@ -75,7 +75,7 @@
     ) -> int:
         """Append; see `log.partitioned.PartitionedLog.append_at`."""
         arguments = (topic, partition, records, expected_end)
-        if self._uses_own:
+        if self.uses_own:
             try:
                 end = await self.own.append_at(*arguments)
             except LogUnavailable as error:
@@ -91,7 +91,7 @@
     async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
         """Read; see `log.partitioned.PartitionedLog.read_from`."""
         arguments = (topic, partition, offset)
-        if self._uses_own:
+        if self.uses_own:
             try:
                 read = await self.own.read_from(*arguments)
             except LogUnavailable as error:
@@ -101,8 +101,13 @@
                 return read
         return await self._relay(lambda peer: read_through(peer, *arguments), False)
 
+    def for_peers(self) -> "OwnWay":
+        """Return the own way to the log, for the calls of peers."""
+        return OwnWay(self)
+
     @property
-    def _uses_own(self) -> bool:
+    def uses_own(self) -> bool:
+        """Whether the own way is tried."""
         return self.clock.monotonic() >= self.avoid_until
 
     def _note_lost(self, error: Exception) -> None:
@@ -148,3 +153,29 @@
         if is_append and may_be_done:
             raise AppendUnresolved(_NO_WAY)
         raise LogUnavailable(_NO_WAY)
+
+
+class OwnWay:
+    """A `PartitionedLog` that gives up at once while the own way is lost.
+
+    A peer that asks would else wait for the same silence, and blame us.
+    """
+
+    def __init__(self, relayed: RelayedLog) -> None:
+        self.relayed = relayed
+
+    async def append_at(
+        self, topic: str, partition: int, records: list[bytes], expected_end: int
+    ) -> int:
+        """Append; see `log.partitioned.PartitionedLog.append_at`."""
+        own = self._own()
+        return await own.append_at(topic, partition, records, expected_end)
+
+    async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
+        """Read; see `log.partitioned.PartitionedLog.read_from`."""
+        return await self._own().read_from(topic, partition, offset)
+
+    def _own(self) -> PartitionedLog:
+        if not self.relayed.uses_own:
+            raise LogUnavailable("This daemon has lost the log as well.")
+        return self.relayed.own
--- a/src/eelgrasslock/platform/store.py
+++ b/src/eelgrasslock/platform/store.py
@@ -14,7 +14,7 @@
 from eelgrasslock.log.keyed import KeyedChanges, KeyedRecord, KeyedSnapshot
 from eelgrasslock.log.partitioned import EndMoved, PartitionRead
 
-ANSWER_SECONDS = 1.0
+ANSWER_SECONDS = 0.6
 READ_KILOBYTES = 1_024
 
 _APPEND = "/eelgrasslock/log-append"
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrasslock.gateway.attempts import LATELY_SECONDS
 from eelgrasslock.gateway.deployment import PLAIN_PLACES
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock_standins.platform_engine import Fault
@@ -255,11 +256,30 @@
             engine.crashes_on = b"poison"
         statuses = []
         for _ in range(6):
+            await asyncio.sleep(LATELY_SECONDS * 1.2)
             status, _, _ = await fleet.call(daemon, f"{POSTS}x", "POST", b"poison")
             statuses.append(status)
         assert statuses[-1] == 503
         assert sum(len(engine.ids()) for engine in engines) <= 3
 
+    async def test_endpoints_that_are_cut_off_together_have_not_crashed(self, fleet):
+        """A turn was refused as one that crashes, after two cuts by reset."""
+        engines = [await fleet.endpoint(work_seconds=5.0) for _ in range(4)]
+        daemon = await fleet.ready_daemon(engines)
+        calls = [
+            asyncio.create_task(
+                fleet.call(daemon, f"{POSTS}x", "POST", f"fee {number}".encode())
+            )
+            for number in range(8)
+        ]
+        await until(lambda: sum(len(one.ids()) for one in engines) == 8)
+        for engine in engines:
+            await engine.stop()
+        statuses = [status for status, _, _ in await asyncio.gather(*calls)]
+        assert set(statuses) == {502}
+        suspects = daemon.application.scheduler.suspects
+        assert not suspects.told(daemon.application.clock.monotonic())
+
     async def test_an_endpoint_that_lost_an_answer_has_not_crashed(self, fleet):
         engine = await fleet.endpoint()
         daemon = await fleet.ready_daemon([engine])
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -436,3 +436,19 @@
                     Prompt_Prefix=f"{number:x}:14000",
                 )
                 assert status == 200
+
+
+class TestSilentLog:
+    async def test_turns_do_not_wait_for_a_silent_log_again_and_again(self, fleet):
+        """A turn stood still for 1.9 s of its 2 s when its domain was cut off."""
+        engine = await fleet.endpoint("models", events=5)
+        daemons = [await fleet.ready_daemon([engine], name=f"a-{n}") for n in range(3)]
+        rosters = [one.application.roster for one in daemons]
+        await until(lambda: all(len(one.entries) == 2 for one in rosters))
+        await until(lambda: len(daemons[0].application.loads.last_heard) == 2)
+        for daemon in daemons:
+            daemon.faults.refusing = "silent"
+        async with asyncio.timeout(1.9):
+            assert (await fleet.turn(daemons[0], "p"))[0] == 200
+        async with asyncio.timeout(0.9):
+            assert (await fleet.turn(daemons[0], "q"))[0] == 200
