--- /dev/null
+++ b/tests/test_gateway_soak.py
@@ -0,0 +1,136 @@
+"""Random faults on everything at once, for a while; `make soak` runs it."""
+
+import asyncio
+import os
+import random
+
+import pytest
+
+from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.pool import ConnectFailed
+from eelgrasslock_standins.platform_engine import Fault
+from eelgrasslock_standins.platform_store import Refusing
+from platform_fleet import LOOKUPS, POSTS, PlatformFleet
+
+SECONDS = 60.0
+CALLERS = 12
+BUDGET = 1_320
+WORST = 220
+NOT_RUN = {402, 429, 503}
+ENDPOINT_FAULTS = [
+    Fault.FULL,
+    Fault.ERROR,
+    Fault.LOST,
+    Fault.TRUNCATED,
+    Fault.EXTRA,
+    Fault.LATE,
+    Fault.UNSIGNED,
+    Fault.GARBAGE,
+    Fault.RESET_BEFORE,
+]
+
+
+class Soak:
+    """Callers, faults, and what was seen."""
+
+    def __init__(self, fleet, engines, desks, daemons, seed):
+        self.fleet = fleet
+        self.engines = engines
+        self.desks = desks
+        self.daemons = daemons
+        self.rng = random.Random(seed)
+        self.tokens = {}
+        self.refused = set()
+        self.served = 0
+        self.wrong = []
+
+    async def run(self, seconds):
+        workers = [asyncio.create_task(self.call_on(n)) for n in range(CALLERS)]
+        workers.append(asyncio.create_task(self.break_on()))
+        await asyncio.sleep(seconds)
+        for worker in workers:
+            worker.cancel()
+        results = await asyncio.gather(*workers, return_exceptions=True)
+        errors = [one for one in results if not isinstance(one, asyncio.CancelledError)]
+        assert errors == []
+
+    async def break_on(self):
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.05, 0.4))
+            faults = self.rng.choice(self.daemons).faults
+            choice = self.rng.random()
+            if choice < 0.3:
+                faults.refusing = self.rng.choice(list(Refusing))
+            elif choice < 0.4:
+                faults.lose_answers += 1
+            elif choice < 0.5:
+                faults.late_answers += 1
+            elif choice < 0.9:
+                one = self.rng.choice(self.engines + self.desks)
+                one.faults.append(self.rng.choice(ENDPOINT_FAULTS))
+            else:
+                for daemon in self.daemons:
+                    daemon.faults.refusing = ""
+
+    async def call_on(self, number):
+        while True:
+            id = f"s{next(self.fleet.ids)}"
+            daemon = self.rng.choice(self.daemons)
+            try:
+                await self.rng.choice([self.turn, self.post, self.lookup])(daemon, id)
+            except (ConnectionBroken, ConnectFailed):
+                # A cut answer is one of the outcomes that callers must bear.
+                await asyncio.sleep(0.02)
+
+    async def turn(self, daemon, id):
+        program = f"p{self.rng.randrange(40)}"
+        status, body = await self.fleet.turn(
+            daemon, program, budget=BUDGET, worst=WORST, Request_Id=id
+        )
+        if status == 200:
+            self.served += 1
+            tokens = body.count(b"\n\n") * 22
+            self.tokens[program] = self.tokens.get(program, 0) + tokens
+            if id.encode() not in body:
+                self.wrong.append(id)
+        elif status in NOT_RUN:
+            self.refused.add(id)
+
+    async def post(self, daemon, id):
+        await self.plain(daemon, id, f"{POSTS}x", "POST")
+
+    async def lookup(self, daemon, id):
+        await self.plain(daemon, id, f"{LOOKUPS}x", "GET")
+
+    async def plain(self, daemon, id, path, method):
+        body = id.encode() if method == "POST" else b""
+        status, _, answer = await self.fleet.call(
+            daemon, path, method, body, Request_Id=id
+        )
+        if status == 200:
+            self.served += 1
+            if answer != f"answer to {id}".encode():
+                self.wrong.append(id)
+        elif status in NOT_RUN:
+            self.refused.add(id)
+
+
+@pytest.mark.soak
+@pytest.mark.timeout(300)
+async def test_every_promise_holds_under_random_faults():
+    seed = int(os.environ.get("EELGRASSLOCK_SOAK_SEED", "1"))
+    async with PlatformFleet() as fleet:
+        engines = [await fleet.endpoint("models", events=5) for _ in range(3)]
+        desks = [await fleet.endpoint() for _ in range(3)]
+        daemons = [
+            await fleet.ready_daemon(engines + desks, name=f"a-{n}") for n in range(3)
+        ]
+        soak = Soak(fleet, engines, desks, daemons, seed)
+        await soak.run(SECONDS)
+        ran = [run for one in engines + desks for run in one.runs if run.ran]
+        posts = [run.id for run in ran if run.target.startswith(POSTS)]
+        assert soak.served > 100
+        assert soak.wrong == []
+        assert len(posts) == len(set(posts))
+        assert not soak.refused & {run.id for run in ran}
+        assert max(soak.tokens.values()) <= BUDGET + WORST
