Let a domain that fell silent as a whole count as one that may decide

Two ways lead to such a sum, found by reading: a domain is cut off, and more than 3 s later the log is lost for the others, who took the silent domain for gone and decided beside it; and a daemon that died in a cut before a neighbour needed the log was not counted as missing, since its silence was measured from that need and not from the log's last answer. Ruled out by tests: turns that ask at once, records that hang or are of unknown fate, draws. Change: the domains of all registered daemons count; a daemon counts as living if it was heard after the log's last answer, less 3 s.

--- a/src/eelgrasslock/allowances/offline.py
+++ b/src/eelgrasslock/allowances/offline.py
@@ -71,7 +71,8 @@
     own : str
         This daemon's domain.
     members, answered : iterable of str
-        The domains of all other daemons, and of those that answered.
+        The domains of all other registered daemons, and of those that
+        answered.
 
     Returns
     -------
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -185,6 +185,7 @@
             self.metrics.tokens_moved,
         )
         self.peering.serve(self.allowances)
+        self.peering.log_answered_at = self._log_answered_at
 
     def _follower(
         self, topic: str, state: KeyedState, wait_seconds: float, pause_seconds: float
@@ -272,6 +273,9 @@
     def _reborn(self, endpoint: str) -> None:
         self.scheduler.restarted(endpoint)
 
+    def _log_answered_at(self) -> float:
+        return max(follower.answered_at for follower in self.followers)
+
     async def _record_offline(self) -> None:
         try:
             await self.allowances.record_offline()
--- a/src/eelgrasslock/gateway/peering.py
+++ b/src/eelgrasslock/gateway/peering.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from loguru import logger
@@ -55,6 +56,8 @@
         The registered daemons, the connections to them, and their loads.
     log : RelayedLog
         The log, through a peer if need be.
+    log_answered_at : callable
+        When the log last answered this daemon, on the monotonic clock.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
+        self.log_answered_at: Callable[[], float] = clock.monotonic
         self.entry = entry
         self.own_log = log
         self.clock = clock
@@ -130,16 +134,19 @@
         OfflineAnswers or None
             None if the daemons in reach may not decide.
         """
-        entries = self._living()
+        everyone = list(self.roster.entries.values())
+        entries = self._living(everyone)
         answers = await asyncio.gather(
             *(self._ask_offline(entry, program) for entry in entries)
         )
         words = [word for word in answers if word is not None]
-        members = [entry.domain for entry in entries]
         answered = [word.domain for word in words]
-        if not may_spend_offline(self.entry.domain, members, answered):
+        # A domain that fell silent as a whole may be cut off, and decide as well.
+        domains = [entry.domain for entry in everyone]
+        if not may_spend_offline(self.entry.domain, domains, answered):
             return None
-        return OfflineAnswers(words=words, missing=missing_members(members, answered))
+        living = [entry.domain for entry in entries]
+        return OfflineAnswers(words=words, missing=missing_members(living, answered))
 
     async def _ask_offline(
         self, entry: RosterEntry, program: str
@@ -154,9 +161,12 @@
             return None
         return OfflineWord(domain=entry.domain, spent=answer.spent, drawn=answer.drawn)
 
-    def _living(self) -> list[RosterEntry]:
-        """Return the daemons that may have served since the log was lost."""
+    def _living(self, entries: list[RosterEntry]) -> list[RosterEntry]:
+        """Return the daemons that may have served since the log was lost.
+
+        It was lost after its last answer, which may be long before this daemon
+        needed it again.
+        """
         silence = max(SILENT_SECONDS, 2 * self.loads.interval())
-        since = self.log.lost_at - silence
-        entries = self.roster.entries.values()
+        since = min(self.log.lost_at, self.log_answered_at()) - silence
         return [one for one in entries if self.loads.may_have_lived(one, since)]
--- a/src/eelgrasslock/log/keyed_follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -48,6 +48,11 @@
         How long a read waits for a first record.
     pause_seconds : float
         How long to gather records between two reads.
+
+    Attributes
+    ----------
+    answered_at : float
+        When the log last answered, on the monotonic clock.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         self.backoff = Backoff(rng, _FIRST_WAIT_SECONDS, _LONGEST_WAIT_SECONDS)
         self.wait_seconds = wait_seconds
         self.pause_seconds = pause_seconds
+        self.answered_at = clock.monotonic()
         self.offset: int | None = None
         self.away = False
 
@@ -99,11 +105,13 @@
         if self.offset is None:
             snapshot = await self.log.snapshot(self.topic)
             self._note(away=False)
+            self.answered_at = self.clock.monotonic()
             self.state.replace_all(snapshot.records)
             self.offset = snapshot.end
             return
         changes = await self.log.changes(self.topic, self.offset, self.wait_seconds)
         self._note(away=False)
+        self.answered_at = self.clock.monotonic()
         self.offset = changes.end
         if changes.records:
             self.state.apply(changes.records)
