Keep a domain from deciding that was cut off in an outage of the log

Change: a domain on its own decides only if no other domain was heard after the first sign that the log is lost: a failed call, or a peer's question. Measured: the new test failed before.

--- a/src/eelgrasslock/gateway/peering.py
+++ b/src/eelgrasslock/gateway/peering.py
@@ -26,6 +26,8 @@
 from eelgrasslock.peers.roster import Roster, RosterEntry
 
 SILENT_SECONDS = 3.0
+SPLIT_SECONDS = 0.3
+OVER_SECONDS = 2.0
 
 _log = logger.bind(part="peers")
 
@@ -56,6 +58,9 @@
         The registered daemons, the connections to them, and their loads.
     log : RelayedLog
         The log, through a peer if need be.
+    asked_at : float
+        When a peer first asked about turns without the log, on the monotonic
+        clock.
     log_answered_at : callable
         When the log last answered this daemon, on the monotonic clock.
     """
@@ -69,6 +74,8 @@
         rng: random.Random,
     ) -> None:
         self.log_answered_at: Callable[[], float] = clock.monotonic
+        self.allowances: Allowances | None = None
+        self.asked_at = float("inf")
         self.entry = entry
         self.own_log = log
         self.clock = clock
@@ -80,10 +87,11 @@
 
     def serve(self, allowances: Allowances) -> None:
         """Answer the peers' calls from these allowances and the own log."""
+        self.allowances = allowances
         callbacks = self.mesh.callbacks
         callbacks.log = self.log.for_peers()
         callbacks.release_allowance = allowances.release
-        callbacks.offline_word = allowances.offline_word
+        callbacks.offline_word = self._offline_word
 
     async def register(self) -> None:
         """Register in the log until it takes the entry."""
@@ -145,6 +153,8 @@
         domains = [entry.domain for entry in everyone]
         if not may_spend_offline(self.entry.domain, domains, answered):
             return None
+        if self._was_split(everyone, answered):
+            return None
         living = [entry.domain for entry in entries]
         return OfflineAnswers(words=words, missing=missing_members(living, answered))
 
@@ -161,6 +171,38 @@
             return None
         return OfflineWord(domain=entry.domain, spent=answer.spent, drawn=answer.drawn)
 
+    def _was_split(self, entries: list[RosterEntry], answered: list[str]) -> bool:
+        """Return whether other domains went only after the log had been lost.
+
+        All domains together may have decided in between, and nobody in reach
+        knows what the others spent then.
+        """
+        own = self.entry.domain
+        far = [entry for entry in entries if entry.domain != own]
+        if not far or any(domain != own for domain in answered):
+            return False
+        heard = max(self.loads.last_heard.get(one.incarnation, 0.0) for one in far)
+        return heard > self._trouble_at() + SPLIT_SECONDS
+
+    def _trouble_at(self) -> float:
+        """Return the first sign that the log is lost, on the monotonic clock.
+
+        A sign is a call of ours that failed, or a peer's question about turns
+        without the log; one that the log answered after is over.
+        """
+        oldest = self.log_answered_at() - OVER_SECONDS
+        signs = [self.log.lost_at, self.asked_at, self.clock.monotonic()]
+        return min(sign for sign in signs if sign >= oldest)
+
+    def _offline_word(self, program: str) -> tuple[int, int]:
+        """Answer a peer that has lost the log."""
+        now = self.clock.monotonic()
+        if self.asked_at < self.log_answered_at() - OVER_SECONDS:
+            self.asked_at = now
+        self.asked_at = min(self.asked_at, now)
+        assert self.allowances is not None
+        return self.allowances.offline_word(program)
+
     def _living(self, entries: list[RosterEntry]) -> list[RosterEntry]:
         """Return the daemons that may have served since the log was lost.
 
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -263,3 +263,33 @@
         peering.log_answered_at = lambda: now
         answers = await peering.ask_offline("p")
         assert answers.missing == 0
+
+    async def test_a_domain_that_is_cut_off_in_an_outage_does_not_decide(
+        self, peering, monkeypatch
+    ):
+        """A looping program got 2,266 of 1,144 tokens.
+
+        The log was lost at 31.9 s for all, who served it together; at 33.5 s a
+        domain was cut off, and served it once more.
+        """
+        now = peering.clock.monotonic()
+        self.enter(peering, "a-2", "a", now)
+        self.enter(peering, "b-1", "b", now - 1.0)
+        peering.log_answered_at = lambda: now - 3.0
+        self.answering(peering, monkeypatch, {"a-2"})
+        peering.log.lost_at = now - 2.6
+        assert await peering.ask_offline("p") is None
+        peering.log.lost_at = now - 0.9
+        assert await peering.ask_offline("p") is not None
+        peering.asked_at = now - 2.5
+        assert await peering.ask_offline("p") is None
+
+    async def test_an_outage_that_is_over_does_not_count(self, peering, monkeypatch):
+        now = peering.clock.monotonic()
+        self.enter(peering, "a-2", "a", now)
+        self.enter(peering, "b-1", "b", now - 1.0)
+        peering.log_answered_at = lambda: now - 1.5
+        self.answering(peering, monkeypatch, {"a-2"})
+        peering.log.lost_at = now - 20.0
+        peering.asked_at = now - 20.0
+        assert await peering.ask_offline("p") is not None
