Let a daemon be ready only once its peers know of it

A daemon said that it was ready before its peers had read its record in the members' stream, so that a crash in the first 0.2 s of its life was told to nobody. Ruled out: a crash not seen as one (both are in the log), a heartbeat that overtakes a newer one (none was sent), the one second that telling may take. Change: `Acquaintance` exchanges heartbeats with the peers once our own record was read back, until their answers say that they have read as far; after 1 s the daemon is ready without, since the log or a peer may be down. The membership tests wait for it too: a connection under way would escape being severed.

--- a/src/eelgrasslock/application.py
+++ b/src/eelgrasslock/application.py
@@ -242,6 +242,8 @@
             reasons.append("retired")
         if self.configuration.current is None:
             reasons.append("no configuration")
+        if not self.membership.acquaintance.is_made:
+            reasons.append("not known to the peers yet")
         return reasons
 
     def _gauges(self) -> list[Gauge]:
--- a/src/eelgrasslock/peers/membership.py
+++ b/src/eelgrasslock/peers/membership.py
@@ -1,6 +1,7 @@
 """Joins the fleet, follows who belongs to it, and leaves it."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 
@@ -20,6 +21,7 @@
     Positioned,
     new_id,
 )
+from eelgrasslock.peers.acquaintance import Acquaintance
 from eelgrasslock.peers.beat import Beat
 from eelgrasslock.peers.gossip import Gossip
 from eelgrasslock.peers.links import PeerLinks
@@ -105,6 +107,10 @@
         self.gossip = Gossip(
             peers, self.table, tail, clock, self._notice_own_retirement
         )
+        self.acquaintance = Acquaintance(
+            self.table, self._watched, self.watch.beat, clock
+        )
+        self._joined = asyncio.Event()
         self._retired_callbacks: list[Callable[[], None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.retired = False
@@ -122,6 +128,7 @@
         """Join, and begin to watch the peers."""
         self.own = self.retirement.own = self._describe(self.incarnation)
         self._spawn(self._join())
+        self._spawn(self.acquaintance.make(self._joined))
         self._spawn(self._tick())
         self._spawn(self._refresh())
         self._spawn(self.gossip.learn(self._addresses))
@@ -193,6 +200,7 @@
         return self.make_beat(beat.load.incarnation)
 
     def _take_answer(self, member: MemberJoined, beat: Beat) -> None:
+        self.acquaintance.heard(member.incarnation, beat.members_offset)
         self.loads.take(beat.load)
         self.gossip.compare(member, beat)
 
@@ -212,6 +220,8 @@
             self._note_retirement(record)
         elif isinstance(record, MemberJoined):
             self.watch.detector.joined(peer_key(record), record.incarnation)
+            if record.incarnation == self.incarnation:
+                self._joined.set()
         elif isinstance(record, DomainChallenged):
             self._answer(record)
         self.table.apply(positioned)
@@ -239,7 +249,9 @@
         await self.tail.caught_up(MEMBERS_STREAM)
         while not self.retired and self.table.find(self.incarnation) is None:
             await self._append(self.own)
-            await self.clock.sleep(_REJOIN_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_REJOIN_SECONDS):
+                    await self._joined.wait()
 
     async def _refresh(self) -> None:
         while True:
@@ -260,12 +272,15 @@
 
     async def _tick(self) -> None:
         while True:
-            watched = watched_peers(self.own, self.table)
+            watched = self._watched()
             self.watch.watch(watched)
             self.loads.sweep(self.table, heartbeat_interval(len(watched)))
             self.peers.keep({member.incarnation for member in self.table.live()})
             await self.clock.sleep(_TICK_SECONDS)
 
+    def _watched(self) -> list[MemberJoined]:
+        return watched_peers(self.own, self.table)
+
     async def _addresses(self) -> list[str]:
         try:
             return [*self.settings.seeds, *await self.seed_source()]
--- /dev/null
+++ b/tests/test_acquaintance.py
@@ -0,0 +1,86 @@
+"""A new member, and peers that have not read of it yet."""
+
+import asyncio
+
+import pytest
+
+from eelgrasslock.clock import SystemClock
+from eelgrasslock.log.records import MemberJoined
+from eelgrasslock.peers import acquaintance as acquaintance_module
+from eelgrasslock.peers.acquaintance import Acquaintance
+from eelgrasslock.peers.members import MemberTable
+
+OWN_OFFSET = 7
+
+
+class Peers:
+    """Peers that have read the members' stream up to a given offset."""
+
+    def __init__(self):
+        self.table = MemberTable()
+        self.table.offset = OWN_OFFSET
+        self.offset = OWN_OFFSET - 1
+        self.answers = True
+        self.beats = 0
+        self.told = asyncio.Semaphore(0)
+        self.joined = asyncio.Event()
+        self.acquaintance = Acquaintance(
+            self.table, lambda: [self.member], self.beat, SystemClock()
+        )
+        self.member = MemberJoined(
+            author="d1-x",
+            time=0.0,
+            incarnation="d1-x",
+            name="d1",
+            domain="a",
+            peer_address="127.0.0.1:1",
+            http_address="127.0.0.1:2",
+        )
+
+    async def beat(self, member):
+        self.beats += 1
+        self.told.release()
+        if self.answers:
+            self.acquaintance.heard(member.incarnation, self.offset)
+        return self.answers
+
+    async def settle(self):
+        async with asyncio.timeout(10.0):
+            for _ in range(3):
+                await self.told.acquire()
+
+
+@pytest.fixture
+def peers(monkeypatch):
+    monkeypatch.setattr(acquaintance_module, "MEETING_SECONDS", 30.0)
+    return Peers()
+
+
+class TestAcquaintance:
+    async def test_waits_for_a_peer_that_has_not_read_our_record(self, peers):
+        peers.joined.set()
+        making = asyncio.create_task(peers.acquaintance.make(peers.joined))
+        await peers.settle()
+        assert not peers.acquaintance.is_made
+        peers.offset = OWN_OFFSET
+        await making
+        assert peers.acquaintance.is_made
+
+    async def test_waits_for_our_own_record(self, peers):
+        peers.offset = OWN_OFFSET
+        making = asyncio.create_task(peers.acquaintance.make(peers.joined))
+        await asyncio.sleep(0.05)
+        assert not peers.acquaintance.is_made
+        assert peers.beats == 0
+        peers.joined.set()
+        await making
+        assert peers.acquaintance.is_made
+
+    @pytest.mark.parametrize("lost", ["the log", "the peer"])
+    async def test_ends_without_what_is_lost(self, peers, lost, monkeypatch):
+        monkeypatch.setattr(acquaintance_module, "MEETING_SECONDS", 0.1)
+        peers.answers = lost != "the peer"
+        if lost != "the log":
+            peers.joined.set()
+        await peers.acquaintance.make(peers.joined)
+        assert peers.acquaintance.is_made
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -60,6 +60,9 @@
         await self.writer.stop()
         await self.peers.stop()
 
+    def is_known(self):
+        return self.membership.acquaintance.is_made
+
     def sees(self):
         return {one.name for one in self.table.live()}
 
@@ -104,6 +107,8 @@
             stack.push_async_callback(daemon.stop)
         wanted = set(names)
         await until(lambda: all(one.sees() == wanted for one in daemons.values()))
+        # A connection under way would escape being severed.
+        await until(lambda: all(one.is_known() for one in daemons.values()))
         yield daemons
 
 
