Take a time that is over for a program, and drop a dead setting

Cause: a `Finish-Ms` below zero was answered 400, which ends a program at once, though it only says that the program is late; and nothing read the setting `memory_megabytes`. Change: the time left may be negative.

--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -31,8 +31,6 @@
         How long the store keeps the records of a topic without keys.
     drain_seconds : float
         How long the platform waits after SIGTERM before it kills.
-    memory_megabytes : float
-        The most memory that the process may use.
     log_level : str
         The least level that is logged.
     """
@@ -46,7 +44,6 @@
     store_partitions: int
     store_retention_seconds: float
     drain_seconds: float
-    memory_megabytes: float = 0.0
     metrics_address: str = ""
     log_level: str = "INFO"
 
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -75,7 +75,7 @@
             patience_seconds=_milliseconds(values, _DEADLINE),
             program=values.get(_PROGRAM, ""),
             session=values.get(_SESSION, ""),
-            finish_seconds=_milliseconds(values, _FINISH),
+            finish_seconds=_time_left(values, _FINISH),
             budget_tokens=_whole(values, _BUDGET),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
@@ -132,6 +132,15 @@
     return None if number is None else number / 1_000
 
 
+def _time_left(values: dict[str, str], name: str) -> float | None:
+    """Return seconds that are left, negative where the time is over."""
+    text = values.get(name, "")
+    if not text.startswith("-"):
+        return _milliseconds(values, name)
+    seconds = _milliseconds({name: text.removeprefix("-")}, name)
+    return None if seconds is None else -seconds
+
+
 def _whole(values: dict[str, str], name: str) -> int | None:
     text = values.get(name)
     if text is None:
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -296,3 +296,13 @@
         status, _, _ = await fleet.call(daemon, f"{LOOKUPS}x", **many)
         assert status == 431
         assert engine.runs == []
+
+
+class TestLateProgram:
+    async def test_a_time_that_is_over_is_no_bad_request(self, fleet):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        status, _, _ = await fleet.call(daemon, f"{LOOKUPS}x", Finish_Ms="-250")
+        assert status == 200
+        status, _, _ = await fleet.call(daemon, f"{LOOKUPS}x", Finish_Ms="-")
+        assert status == 400
