--- a/src/eelgrasslock/configuration/check_tables.py
+++ b/src/eelgrasslock/configuration/check_tables.py
@@ -92,7 +92,6 @@
         "url": (_URL,),
         "models": (_ANY_LENGTH,),
         "batch_limit": (Bound(1, 100_000),),
-        "slots": (Bound(0, 100_000),),
         "cache_tokens": (Bound(0, 10_000_000_000),),
         "prefill_tokens_per_second": (Bound(1, 100_000_000),),
         "decode_tokens_per_second": (Bound(0.1, 1_000_000),),
--- a/src/eelgrasslock/configuration/settings.py
+++ b/src/eelgrasslock/configuration/settings.py
@@ -148,9 +148,7 @@
     models : list of str
         For engines, the models that it can run; empty means all of its service.
     batch_limit : int
-        How many calls it is sent at once.
-    slots : int
-        How many of them it runs side by side; the others wait there. 0 for all.
+        For engines, how many calls it runs at once.
     cache_tokens : int
         For engines, the size of its prefix cache.
     prefill_tokens_per_second, decode_tokens_per_second : float
@@ -171,7 +169,6 @@
     url: str
     models: list[str] = field(factory=list)
     batch_limit: int = 16
-    slots: int = 0
     cache_tokens: int = 200_000
     prefill_tokens_per_second: float = 8_000.0
     decode_tokens_per_second: float = 40.0
@@ -180,11 +177,6 @@
     credential_env: str = ""
     leaving: bool = False
 
-    @property
-    def lanes(self) -> int:
-        """How many calls run side by side; more of them wait."""
-        return self.slots or self.batch_limit
-
 
 @frozen(kw_only=True)
 class WeightSettings:
--- a/src/eelgrasslock/gateway/deployment.py
+++ b/src/eelgrasslock/gateway/deployment.py
@@ -85,7 +85,6 @@
         domain=record.domain,
         url=record.address,
         batch_limit=max(1, int(record.slots * places * crowd)),
-        slots=record.slots,
         cache_tokens=max(1, cache_tokens),
         prefill_tokens_per_second=PREFILL_TOKENS_PER_SECOND,
         decode_tokens_per_second=DECODE_TOKENS_PER_SECOND,
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -188,21 +188,11 @@
         prompt_tokens=request.prompt_tokens,
         max_tokens=request.output_tokens,
         deadline=passage.ends_at,
-        finish_at=_finish_at(passage),
-        is_urgent=passage.is_urgent,
-        has_home=bool(request.program) and passage.route.is_turn,
         digest=_digest(passage),
         excluded=frozenset(passage.offered),
     )
 
 
-def _finish_at(passage: Passage) -> float | None:
-    request = passage.request
-    if request.finish_seconds is None:
-        return None
-    return request.received + request.finish_seconds
-
-
 def _digest(passage: Passage) -> str:
     """Return what tells a request that comes again, empty for those without body.
 
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -127,7 +127,6 @@
             service=service,
             ends_at=request.received + patience,
             version=self.routing.current.version,
-            is_urgent=self.routing.table.is_urgent(route, service.name),
         )
         report.passage = passage
         reservation = await self._reserve(passage)
--- a/src/eelgrasslock/gateway/passage.py
+++ b/src/eelgrasslock/gateway/passage.py
@@ -40,8 +40,6 @@
         Whether the endpoint crashed in the middle of its answer.
     version : int
         The version of the configuration that chose the route.
-    is_urgent : bool
-        Whether no other turns of its service go before those of its route.
     """
 
     request: GatewayRequest
@@ -57,7 +55,6 @@
     status: int = 0
     endpoint_crashed: bool = False
     version: int = 0
-    is_urgent: bool = True
 
     @property
     def kind(self) -> str:
--- a/src/eelgrasslock/scheduling/admission.py
+++ b/src/eelgrasslock/scheduling/admission.py
@@ -8,7 +8,6 @@
 from eelgrasslock.scheduling.calls import Call
 from eelgrasslock.scheduling.decisions import Decisions
 from eelgrasslock.scheduling.fleet import Fleet
-from eelgrasslock.scheduling.overload import check_late
 from eelgrasslock.scheduling.pool import Pool
 from eelgrasslock.scheduling.quarantine import Quarantine
 from eelgrasslock.scheduling.queueing import ProgramService
@@ -114,8 +113,6 @@
         if self.quarantine.holds(call.digest):
             raise quarantined(Ran.NO)
         pool = self._open_pool(call, now)
-        if self.decisions.late_yields:
-            check_late(call, pool, now, self.slots.rng)
         if self.decisions.admission:
             self._check_wait(call, program, pool, output_tokens, waiting, now)
         return pool
--- a/src/eelgrasslock/scheduling/calls.py
+++ b/src/eelgrasslock/scheduling/calls.py
@@ -34,13 +34,6 @@
         The prompt's length and the answer's limit.
     deadline : float or None
         On the monotonic clock, in seconds.
-    finish_at : float or None
-        When its program should be finished, on the monotonic clock, in seconds.
-    is_urgent : bool
-        Whether no other kind of program goes before its own.
-    has_home : bool
-        Whether other daemons may have sent its program's earlier calls, so that
-        all send them to the engine that they agree on.
     digest : str
         Digest of the request, for poison detection.
     excluded : frozenset of str
@@ -57,9 +50,6 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     deadline: float | None = None
-    finish_at: float | None = None
-    is_urgent: bool = True
-    has_home: bool = False
     digest: str = ""
     excluded: frozenset[str] = frozenset()
 
--- a/src/eelgrasslock/scheduling/decisions.py
+++ b/src/eelgrasslock/scheduling/decisions.py
@@ -27,10 +27,6 @@
         The speed of endpoints is learnt from finished calls.
     breakers : bool
         Failing endpoints are left out for a time.
-    homes : bool
-        Daemons agree on an engine for each program.
-    late_yields : bool
-        Late programs' calls are refused while endpoints can't keep up.
     """
 
     cache: bool = True
@@ -42,5 +38,3 @@
     memory: bool = True
     learning: bool = True
     breakers: bool = True
-    homes: bool = True
-    late_yields: bool = True
--- a/src/eelgrasslock/scheduling/placement.py
+++ b/src/eelgrasslock/scheduling/placement.py
@@ -111,8 +111,8 @@
         Other calls in the batch.
     """
     prefill = queued_prefill_tokens + uncached_tokens
-    others = min(batch, settings.lanes - 1)
-    fill = others / max(1, settings.lanes - 1)
+    others = min(batch, settings.batch_limit - 1)
+    fill = others / max(1, settings.batch_limit - 1)
     decode = output_tokens / settings.decode_tokens_per_second
     decode *= 1.0 + _BATCH_SLOWDOWN * fill
     return prefill / settings.prefill_tokens_per_second + decode
@@ -229,7 +229,7 @@
             moved = cached - candidate.cached_tokens
             wasted += moved * min(1.0, state.live_tokens / settings.cache_tokens)
         prefill_speed = settings.prefill_tokens_per_second
-        stalled = min(load, settings.lanes) * _STALL_SHARE
+        stalled = min(load, settings.batch_limit) * _STALL_SHARE
         stall = uncached / prefill_speed * stalled
         cost = self.weights.latency * (wait + run + stall)
         cost += self.weights.wasted_cache * wasted / prefill_speed
@@ -257,11 +257,11 @@
     def _wait(self, candidate: Candidate) -> float:
         """Return the expected seconds until a slot is free."""
         state = candidate.state
-        lanes = state.settings.lanes
-        beyond = state.load(self.decisions.correction) + candidate.ahead + 1 - lanes
+        limit = state.settings.batch_limit
+        beyond = state.load(self.decisions.correction) + candidate.ahead + 1 - limit
         if beyond <= 0:
             return 0.0
-        return beyond * state.service_seconds / lanes
+        return beyond * state.service_seconds / limit
 
     def _pushed_out(self, state: EndpointState, call: Call, cached: int) -> float:
         """Return how many tokens of live programs a placement would evict."""
--- a/src/eelgrasslock/scheduling/starter.py
+++ b/src/eelgrasslock/scheduling/starter.py
@@ -5,11 +5,10 @@
 
 from eelgrasslock.requests.exchange import CallClass
 from eelgrasslock.scheduling.cache_estimate import CHUNK_TOKENS, CacheEstimate
-from eelgrasslock.scheduling.calls import Assignment, Call
+from eelgrasslock.scheduling.calls import Assignment
 from eelgrasslock.scheduling.decisions import Decisions
 from eelgrasslock.scheduling.domain_watch import DomainWatch
 from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
-from eelgrasslock.scheduling.homes import home_of
 from eelgrasslock.scheduling.live_contexts import LiveContexts
 from eelgrasslock.scheduling.placement import Candidate, Choice, Placement
 from eelgrasslock.scheduling.pool import REVIEW_SECONDS, Pool
@@ -190,26 +189,18 @@
         call = waiting.call
         if self.digests[call.digest] >= CRASHES_TO_QUARANTINE:
             return None
-        home = self._home(pool, call, now)
+        home = self.live.home(call.program)
         states = self.placement.sample(pool.states, pool.members, waiting.keys, home)
-        candidates = self._candidates(pool, waiting, states, home, now)
+        candidates = self._candidates(pool, waiting, states, now)
         if not candidates and len(states) < len(pool.states):
-            candidates = self._candidates(pool, waiting, pool.states, home, now)
+            candidates = self._candidates(pool, waiting, pool.states, now)
         return self.placement.choose(call, waiting.output_tokens, candidates)
 
-    def _home(self, pool: Pool, call: Call, now: float) -> str:
-        """Return the engine that is thought to hold a program's context."""
-        if not (call.has_home and self.decisions.homes):
-            return self.live.home(call.program)
-        state = home_of(call, pool.states, self.placement.domain, now)
-        return state.name if state is not None else ""
-
     def _candidates(
         self,
         pool: Pool,
         waiting: WaitingCall,
         states: list[EndpointState],
-        home: str,
         now: float,
     ) -> list[Candidate]:
         call = waiting.call
@@ -226,8 +217,6 @@
             if is_lookup and not self._has_slot(state, call.call_class, now):
                 continue
             cached = self._cached_tokens(state, waiting.keys)
-            if call.has_home and state.name == home:
-                cached = max(cached, call.prompt_tokens)
             ahead = 0 if is_lookup else pool.parked_counts.get(state.name, 0)
             candidates.append(Candidate(state, cached, ahead))
         return candidates
