Split the membership tests

Cause: one file of 378 lines held the daemons under test, how members are retired and how they join. Change: the daemons moved into `member_fleet`, joining and gossip into `test_joining`; no test was changed.

--- /dev/null
+++ b/tests/member_fleet.py
@@ -0,0 +1,151 @@
+"""Daemons that are members of a fleet, over a log that can be cut."""
+
+import asyncio
+import contextlib
+import random
+
+import capnp
+
+from eelgrasslock.clock import SystemClock
+from eelgrasslock.log.log_tail import LogTail
+from eelgrasslock.log.log_writer import LogWriter
+from eelgrasslock.log.record_codec import readable_records
+from eelgrasslock.log.records import (
+    MEMBERS_STREAM,
+    DomainChallenged,
+    MemberRetired,
+    new_id,
+)
+from eelgrasslock.peers.links import PeerLinks
+from eelgrasslock.peers.membership import Membership
+from eelgrasslock.peers.peer_link import LinkLost
+from fake_link import daemon_settings
+from fake_log import FakeLog
+
+WAIT_SECONDS = 30.0
+
+
+class Daemon:
+    """The parts of a daemon that keep its membership."""
+
+    def __init__(self, name, domain, log, address="127.0.0.1:0", seeds=()):
+        clock, rng = SystemClock(), random.Random(name)
+        settings = daemon_settings(name, domain, address, seeds=list(seeds))
+        incarnation = f"{name}-{new_id()[:8]}"
+        self.log = log
+        self.writer = LogWriter(log, clock, rng, appends_per_second=100.0)
+        self.tail = LogTail(log, clock, rng, poll_seconds=0.05)
+        self.peers = PeerLinks(settings, incarnation, clock, rng)
+        self.membership = Membership(
+            settings, incarnation, self.writer, self.tail, self.peers, clock, rng
+        )
+        self.table = self.membership.table
+
+    @property
+    def incarnation(self):
+        return self.membership.incarnation
+
+    async def start(self):
+        await self.peers.start()
+        await self.writer.start()
+        await self.tail.start()
+        await self.membership.start()
+        return self
+
+    async def stop(self):
+        await self.membership.stop()
+        await self.tail.stop()
+        await self.writer.stop()
+        await self.peers.stop()
+
+    def is_known(self):
+        return self.membership.acquaintance.is_made
+
+    def sees(self):
+        return {one.name for one in self.table.live()}
+
+
+class CutLog:
+    """One daemon's way to the log, which can be cut."""
+
+    def __init__(self, log):
+        self.log = log
+        self.own = FakeLog(SystemClock())
+        self.reachable = asyncio.Event()
+        self.reachable.set()
+
+    async def append(self, stream, data):
+        await self.reachable.wait()
+        log = self.own if self.own.down else self.log
+        return await log.append(stream, data)
+
+    async def read(self, stream, offset, limit):
+        await self.reachable.wait()
+        log = self.own if self.own.down else self.log
+        return await log.read(stream, offset, limit)
+
+
+async def until(condition, seconds=WAIT_SECONDS):
+    async with asyncio.timeout(seconds):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def fleet(*names, log=None):
+    """Daemons by name; the name's first letter is the domain."""
+    log = log or FakeLog(SystemClock())
+    async with capnp.kj_loop(), contextlib.AsyncExitStack() as stack:
+        daemons = {}
+        for name in names:
+            daemon = daemons[name] = Daemon(name, name[0], CutLog(log))
+            await daemon.start()
+            stack.push_async_callback(daemon.stop)
+        wanted = set(names)
+        await until(lambda: all(one.sees() == wanted for one in daemons.values()))
+        # A connection under way would escape being severed.
+        await until(lambda: all(one.is_known() for one in daemons.values()))
+        yield daemons
+
+
+def retired_records(log):
+    records = [
+        record
+        for entry in log.streams[MEMBERS_STREAM]
+        for record in readable_records(entry.data)
+    ]
+    return [one for one in records if isinstance(one, MemberRetired)]
+
+
+def retirements(log):
+    return [one.reason for one in retired_records(log)]
+
+
+def challenges(log):
+    return [
+        record
+        for entry in log.streams[MEMBERS_STREAM]
+        for record in readable_records(entry.data)
+        if isinstance(record, DomainChallenged)
+    ]
+
+
+def retired_names(log, daemons):
+    names = {one.incarnation: name for name, one in daemons.items()}
+    return [names[one.incarnation] for one in retired_records(log)]
+
+
+def sever(daemon, is_cut):
+    """Cut a daemon's connections to some addresses, for good."""
+    connect = daemon.peers._connect
+
+    async def cut(address, expected):
+        if is_cut(address):
+            raise LinkLost("cut")
+        return await connect(address, expected)
+
+    daemon.peers._connect = cut
+    for link in daemon.peers._links.values():
+        link.close()
--- /dev/null
+++ b/tests/test_joining.py
@@ -0,0 +1,82 @@
+"""Members that join, and what they hear of each other."""
+
+import pytest
+
+from eelgrasslock.clock import SystemClock
+from eelgrasslock.log.records import (
+    MEMBERS_STREAM,
+)
+from eelgrasslock.peers import membership as membership_module
+from eelgrasslock.peers import peer_loads
+from eelgrasslock.scheduling.calls import PeerLoad
+from fake_log import FakeLog
+from member_fleet import CutLog, Daemon, fleet, until
+
+
+@pytest.fixture
+def log():
+    return FakeLog(SystemClock())
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(membership_module, "_TICK_SECONDS", 0.1)
+    monkeypatch.setattr(membership_module, "_REJOIN_SECONDS", 0.5)
+
+
+class TestStart:
+    async def test_learns_the_members_from_a_seed_while_the_log_is_down(self, log):
+        async with fleet("a1", "a2", log=log) as daemons:
+            own_log = CutLog(log)
+            own_log.own.down = True
+            seeds = ["127.0.0.1:1", daemons["a1"].peers.address]
+            fresh = await Daemon("a3", "a", own_log, seeds=seeds).start()
+            await until(lambda: fresh.sees() == {"a1", "a2"})
+            own_log.own.down = False
+            await until(lambda: "a3" in daemons["a1"].sees())
+            await fresh.stop()
+
+    async def test_join_is_appended_again_before_retention(self, log, monkeypatch):
+        monkeypatch.setattr(membership_module, "_REFRESH_SECONDS", 0.3)
+        async with fleet("a1", log=log) as daemons:
+            log.retention = 2
+            first = log.streams[MEMBERS_STREAM][0].offset
+            await until(lambda: log.streams[MEMBERS_STREAM][0].offset > first + 1)
+            late = await Daemon("a2", "a", log).start()
+            await until(lambda: late.sees() == {"a1", "a2"})
+            assert late.table.find(daemons["a1"].incarnation)
+            await late.stop()
+
+
+class TestGossip:
+    async def test_loads_are_heard_until_the_peer_is_gone(self, log, monkeypatch):
+        monkeypatch.setattr(peer_loads, "_KEPT_SECONDS", 3.0)
+        async with fleet("a1", "a2", log=log) as daemons:
+            heard, gone = {}, []
+            one, other = daemons["a1"].membership, daemons["a2"].membership
+            one.on_peer_load(lambda load: heard.update({load.incarnation: load}))
+            one.on_peer_gone(gone.append)
+            other.load_source = lambda: PeerLoad(
+                incarnation="", in_flight={"e": 3}, waiting=2, open_breakers=("f",)
+            )
+            await until(lambda: heard and heard[other.incarnation].waiting == 2)
+            load = heard[other.incarnation]
+            assert (load.in_flight, load.open_breakers) == ({"e": 3}, ("f",))
+            log.down = True
+            await daemons["a2"].stop()
+            await until(lambda: gone == [other.incarnation])
+            assert not daemons["a1"].table.is_retired(other.incarnation)
+
+    async def test_newer_configuration_spreads_over_domains(self, log):
+        names = ("a1", "a2", "a3", "b1", "b2", "b3")
+        async with fleet(*names, log=log) as daemons:
+            versions = dict.fromkeys(names, 1)
+            for name, daemon in daemons.items():
+                daemon.peers.config_version = lambda name=name: versions[name]
+                daemon.peers.config_offer = lambda name=name: b"%d" % versions[name]
+                daemon.peers.config_accept = lambda data, name=name: versions.update(
+                    {name: max(versions[name], int(data))}
+                )
+            log.down = True
+            versions["a2"] = 2
+            await until(lambda: set(versions.values()) == {2}, 18.0)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,156 +1,26 @@
+"""Members that are retired, and what they do then."""
+
 import asyncio
 import contextlib
-import random
 
 import capnp
 import pytest
 
 from eelgrasslock.clock import SystemClock
-from eelgrasslock.log.log_tail import LogTail
-from eelgrasslock.log.log_writer import LogWriter
-from eelgrasslock.log.record_codec import readable_records
-from eelgrasslock.log.records import (
-    MEMBERS_STREAM,
-    DomainChallenged,
-    MemberRetired,
-    new_id,
-)
 from eelgrasslock.peers import membership as membership_module
-from eelgrasslock.peers import peer_loads, retirement
-from eelgrasslock.peers.links import PeerLinks
-from eelgrasslock.peers.membership import Membership
-from eelgrasslock.peers.peer_link import LinkLost
-from eelgrasslock.scheduling.calls import PeerLoad
-from fake_link import Relay, daemon_settings
+from eelgrasslock.peers import retirement
+from fake_link import Relay
 from fake_log import FakeLog
-
-WAIT_SECONDS = 30.0
-
-
-class Daemon:
-    """The parts of a daemon that keep its membership."""
-
-    def __init__(self, name, domain, log, address="127.0.0.1:0", seeds=()):
-        clock, rng = SystemClock(), random.Random(name)
-        settings = daemon_settings(name, domain, address, seeds=list(seeds))
-        incarnation = f"{name}-{new_id()[:8]}"
-        self.log = log
-        self.writer = LogWriter(log, clock, rng, appends_per_second=100.0)
-        self.tail = LogTail(log, clock, rng, poll_seconds=0.05)
-        self.peers = PeerLinks(settings, incarnation, clock, rng)
-        self.membership = Membership(
-            settings, incarnation, self.writer, self.tail, self.peers, clock, rng
-        )
-        self.table = self.membership.table
-
-    @property
-    def incarnation(self):
-        return self.membership.incarnation
-
-    async def start(self):
-        await self.peers.start()
-        await self.writer.start()
-        await self.tail.start()
-        await self.membership.start()
-        return self
-
-    async def stop(self):
-        await self.membership.stop()
-        await self.tail.stop()
-        await self.writer.stop()
-        await self.peers.stop()
-
-    def is_known(self):
-        return self.membership.acquaintance.is_made
-
-    def sees(self):
-        return {one.name for one in self.table.live()}
-
-
-class CutLog:
-    """One daemon's way to the log, which can be cut."""
-
-    def __init__(self, log):
-        self.log = log
-        self.own = FakeLog(SystemClock())
-        self.reachable = asyncio.Event()
-        self.reachable.set()
-
-    async def append(self, stream, data):
-        await self.reachable.wait()
-        log = self.own if self.own.down else self.log
-        return await log.append(stream, data)
-
-    async def read(self, stream, offset, limit):
-        await self.reachable.wait()
-        log = self.own if self.own.down else self.log
-        return await log.read(stream, offset, limit)
-
-
-async def until(condition, seconds=WAIT_SECONDS):
-    async with asyncio.timeout(seconds):
-        while True:
-            if condition():
-                return
-            await asyncio.sleep(0.02)
-
-
-@contextlib.asynccontextmanager
-async def fleet(*names, log=None):
-    """Daemons by name; the name's first letter is the domain."""
-    log = log or FakeLog(SystemClock())
-    async with capnp.kj_loop(), contextlib.AsyncExitStack() as stack:
-        daemons = {}
-        for name in names:
-            daemon = daemons[name] = Daemon(name, name[0], CutLog(log))
-            await daemon.start()
-            stack.push_async_callback(daemon.stop)
-        wanted = set(names)
-        await until(lambda: all(one.sees() == wanted for one in daemons.values()))
-        # A connection under way would escape being severed.
-        await until(lambda: all(one.is_known() for one in daemons.values()))
-        yield daemons
-
-
-def retired_records(log):
-    records = [
-        record
-        for entry in log.streams[MEMBERS_STREAM]
-        for record in readable_records(entry.data)
-    ]
-    return [one for one in records if isinstance(one, MemberRetired)]
-
-
-def retirements(log):
-    return [one.reason for one in retired_records(log)]
-
-
-def challenges(log):
-    return [
-        record
-        for entry in log.streams[MEMBERS_STREAM]
-        for record in readable_records(entry.data)
-        if isinstance(record, DomainChallenged)
-    ]
-
-
-def retired_names(log, daemons):
-    names = {one.incarnation: name for name, one in daemons.items()}
-    return [names[one.incarnation] for one in retired_records(log)]
-
-
-def sever(daemon, is_cut):
-    """Cut a daemon's connections to some addresses, for good."""
-    connect = daemon.peers._connect
-
-    async def cut(address, expected):
-        if is_cut(address):
-            raise LinkLost("cut")
-        return await connect(address, expected)
-
-    daemon.peers._connect = cut
-    for link in daemon.peers._links.values():
-        link.close()
+from member_fleet import (
+    WAIT_SECONDS,
+    Daemon,
+    challenges,
+    fleet,
+    retired_names,
+    retirements,
+    sever,
+    until,
+)
 
 
 @pytest.fixture
@@ -318,61 +188,3 @@
             await until(lambda: again.table.find(again.incarnation))
             assert set(retirements(log)) == {"replaced"}
             await again.stop()
-
-
-class TestStart:
-    async def test_learns_the_members_from_a_seed_while_the_log_is_down(self, log):
-        async with fleet("a1", "a2", log=log) as daemons:
-            own_log = CutLog(log)
-            own_log.own.down = True
-            seeds = ["127.0.0.1:1", daemons["a1"].peers.address]
-            fresh = await Daemon("a3", "a", own_log, seeds=seeds).start()
-            await until(lambda: fresh.sees() == {"a1", "a2"})
-            own_log.own.down = False
-            await until(lambda: "a3" in daemons["a1"].sees())
-            await fresh.stop()
-
-    async def test_join_is_appended_again_before_retention(self, log, monkeypatch):
-        monkeypatch.setattr(membership_module, "_REFRESH_SECONDS", 0.3)
-        async with fleet("a1", log=log) as daemons:
-            log.retention = 2
-            first = log.streams[MEMBERS_STREAM][0].offset
-            await until(lambda: log.streams[MEMBERS_STREAM][0].offset > first + 1)
-            late = await Daemon("a2", "a", log).start()
-            await until(lambda: late.sees() == {"a1", "a2"})
-            assert late.table.find(daemons["a1"].incarnation)
-            await late.stop()
-
-
-class TestGossip:
-    async def test_loads_are_heard_until_the_peer_is_gone(self, log, monkeypatch):
-        monkeypatch.setattr(peer_loads, "_KEPT_SECONDS", 3.0)
-        async with fleet("a1", "a2", log=log) as daemons:
-            heard, gone = {}, []
-            one, other = daemons["a1"].membership, daemons["a2"].membership
-            one.on_peer_load(lambda load: heard.update({load.incarnation: load}))
-            one.on_peer_gone(gone.append)
-            other.load_source = lambda: PeerLoad(
-                incarnation="", in_flight={"e": 3}, waiting=2, open_breakers=("f",)
-            )
-            await until(lambda: heard and heard[other.incarnation].waiting == 2)
-            load = heard[other.incarnation]
-            assert (load.in_flight, load.open_breakers) == ({"e": 3}, ("f",))
-            log.down = True
-            await daemons["a2"].stop()
-            await until(lambda: gone == [other.incarnation])
-            assert not daemons["a1"].table.is_retired(other.incarnation)
-
-    async def test_newer_configuration_spreads_over_domains(self, log):
-        names = ("a1", "a2", "a3", "b1", "b2", "b3")
-        async with fleet(*names, log=log) as daemons:
-            versions = dict.fromkeys(names, 1)
-            for name, daemon in daemons.items():
-                daemon.peers.config_version = lambda name=name: versions[name]
-                daemon.peers.config_offer = lambda name=name: b"%d" % versions[name]
-                daemon.peers.config_accept = lambda data, name=name: versions.update(
-                    {name: max(versions[name], int(data))}
-                )
-            log.down = True
-            versions["a2"] = 2
-            await until(lambda: set(versions.values()) == {2}, 18.0)
