Limit the questions about turns without the log

Change: a daemon asks 150 others a second at most, more than ten daemons need (about 90); beyond that a turn is refused at once as `budget_unknown`, with a line that says so. `TokenBucket` takes several at once.

--- a/src/eelgrasslock/gateway/peering.py
+++ b/src/eelgrasslock/gateway/peering.py
@@ -24,10 +24,14 @@
 from eelgrasslock.peers.mesh import PeerMesh
 from eelgrasslock.peers.relayed_log import RelayedLog
 from eelgrasslock.peers.roster import Roster, RosterEntry
+from eelgrasslock.rate import TokenBucket
 
 SILENT_SECONDS = 3.0
 SPLIT_SECONDS = 0.3
 OVER_SECONDS = 2.0
+# A turn without the log asks all daemons in reach. Ten daemons ask far less than
+# this; 82 of them would spend their machines on asking.
+OFFLINE_ASKS_PER_SECOND = 150.0
 
 _log = logger.bind(part="peers")
 
@@ -80,6 +84,9 @@
         self.own_log = log
         self.clock = clock
         self.rng = rng
+        self.offline_asks = TokenBucket(
+            clock, OFFLINE_ASKS_PER_SECOND, OFFLINE_ASKS_PER_SECOND
+        )
         self.roster = Roster(entry, rng)
         self.mesh = PeerMesh(entry.address, entry.incarnation, clock)
         self.loads = LoadExchange(self.mesh, self.roster, scheduler, clock)
@@ -140,10 +147,14 @@
         Returns
         -------
         OfflineAnswers or None
-            None if the daemons in reach may not decide.
+            None if the daemons in reach may not decide, or if too many were
+            asked lately.
         """
         everyone = list(self.roster.entries.values())
         entries = self._living(everyone)
+        if not self.offline_asks.take_now(len(entries)):
+            _log.info("{} daemons are not asked about {}.", len(entries), program)
+            return None
         answers = await asyncio.gather(
             *(self._ask_offline(entry, program) for entry in entries)
         )
--- a/src/eelgrasslock/rate.py
+++ b/src/eelgrasslock/rate.py
@@ -35,6 +35,17 @@
                 self._fill()
             self._tokens -= 1.0
 
+    def take_now(self, count: int) -> bool:
+        """Take several calls if they fit the share now, and return whether.
+
+        More than the burst are taken at its most, and paid for afterwards.
+        """
+        self._fill()
+        if self._tokens < min(count, self.burst):
+            return False
+        self._tokens -= count
+        return True
+
     def _fill(self) -> None:
         now = self.clock.monotonic()
         gained = (now - self._filled) * self.per_second
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -6,14 +6,17 @@
 
 import pytest
 
+from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import PeerUnavailable
 from eelgrasslock.gateway.application import CONFIGURATION_WAIT_SECONDS
 from eelgrasslock.gateway.deployment import build_configuration
 from eelgrasslock.gateway.directory import (
     EndpointRecord,
 )
+from eelgrasslock.gateway.peering import OFFLINE_ASKS_PER_SECOND
 from eelgrasslock.peers.roster import RosterEntry
 from eelgrasslock.platform.records import PlatformRecords
+from eelgrasslock.rate import TokenBucket
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import POSTS, PlatformFleet, configuration, until
 
@@ -293,3 +296,37 @@
         peering.log.lost_at = now - 20.0
         peering.asked_at = now - 20.0
         assert await peering.ask_offline("p") is not None
+
+
+class TestOutageOfManyDaemons:
+    """82 daemons asked each other 29,000 questions a second in an outage."""
+
+    async def test_questions_without_the_log_are_limited(self, fleet, monkeypatch):
+        engine = await fleet.endpoint("models", events=1)
+        daemon = await fleet.ready_daemon([engine])
+        peering = daemon.application.peering
+        asked = []
+
+        async def ask(entry, call, seconds=0.0):
+            asked.append(entry.name)
+            return SimpleNamespace(spent=0, drawn=0)
+
+        now = peering.clock.monotonic()
+        for number in range(81):
+            entry = RosterEntry(
+                name=f"a-{number}",
+                incarnation=f"a-{number}",
+                domain="a",
+                address="127.0.0.1:1",
+            )
+            peering.roster.entries[entry.name] = entry
+            peering.loads.last_heard[entry.name] = now
+        peering.log.lost_at = now
+        monkeypatch.setattr(peering.mesh, "ask", ask)
+        bucket = TokenBucket(ManualClock(), OFFLINE_ASKS_PER_SECOND, 100.0)
+        monkeypatch.setattr(peering, "offline_asks", bucket)
+        assert await peering.ask_offline("p") is not None
+        assert await peering.ask_offline("q") is None
+        assert len(asked) == 81
+        bucket.clock.advance(1.0)
+        assert await peering.ask_offline("q") is not None
