Split the tests of the configuration

Cause: one file of 516 lines held the daemon under test, what is in force, and how operators publish; another test file imported it. Change: the daemon and the versions moved into `configuration_daemon`, publishing into `test_publishing`; no test was changed.

--- a/tests/fake_application.py
+++ b/tests/fake_application.py
@@ -7,12 +7,12 @@
 
 from aiohttp import web
 
+from configuration_daemon import Daemon
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.log.records import MemberJoined
 from eelgrasslock.operators.operator_api import OperatorAPI
 from eelgrasslock.scheduling.quarantine import Quarantine
 from fake_config import FakeStream
-from test_configuration import Daemon
 
 KEYS = ["new-operator-key-1", "old-operator-key-1"]
 HOME = "a~a-1-x~0f"
