Import without collections and certificates, and less of it

Change: modules are imported with collections off and frozen afterwards, no certificates are read since daemons speak no TLS, and the codec is imported by the calls that need it.

--- a/src/eelgrasslock/daemon.py
+++ b/src/eelgrasslock/daemon.py
@@ -11,6 +11,7 @@
 import click
 
 from eelgrasslock.exceptions import SettingsError
+from eelgrasslock.imports import quick_imports
 
 SETTINGS_VARIABLE = "EELGRASSLOCK_SETTINGS"
 EXIT_FINDINGS = 1
@@ -43,7 +44,8 @@
 
 def _run(folder: pathlib.Path | None, named: pathlib.Path) -> None:
     if folder is None:
-        from eelgrasslock.gateway.run import run_gateway
+        with quick_imports():
+            from eelgrasslock.gateway.run import run_gateway
 
         run_gateway(named)
     else:
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -1,12 +1,17 @@
 """What the calls of peers end in."""
 
+from __future__ import annotations
+
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from eelgrasslock.log.partitioned import PartitionedLog
-from eelgrasslock.log.records import Record
 from eelgrasslock.peers.beat import Beat
 from eelgrasslock.requests.exchange import Request, Responder
 
+if TYPE_CHECKING:
+    from eelgrasslock.log.records import Record
+
 
 class PeerCallbacks:
     """Callbacks for the calls of peers; the application sets them.
--- a/src/eelgrasslock/peers/peer_servant.py
+++ b/src/eelgrasslock/peers/peer_servant.py
@@ -7,7 +7,6 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.log.record_codec import encode_batch, readable_records
 from eelgrasslock.peers.beat import BeatDecoder, BeatEncoder
 from eelgrasslock.peers.forward_ids import ForwardIds
 from eelgrasslock.peers.log_relay import append_for_peer, read_for_peer
@@ -114,6 +113,8 @@
 
     async def hold(self, stream: str, records: bytes, **_: Any) -> None:
         """Keep records for a peer that can't append them now."""
+        # Daemons without journals never need the codec, nor its import.
+        from eelgrasslock.log.record_codec import readable_records
 
         async def work() -> None:
             self.callbacks.hold_records(stream, readable_records(bytes(records)))
@@ -122,6 +123,7 @@
 
     async def held(self, stream: str, _context: Any, **_: Any) -> None:
         """Give the records that are held."""
+        from eelgrasslock.log.record_codec import encode_batch
 
         async def work() -> None:
             held = self.callbacks.held_records(stream)
