Turn new programs away while the engines' own queues grow

Engines admit in order of arrival, so that everything admitted made everything else late. Change: each daemon takes the mean of what engines said with its own answers of the last 1.5 s; above 1.1 calls a place (1.35 for the most urgent route) a growing share of new programs is refused with a time to return. The log tells at the first draw whether a program is new, has been refused before, or is under way; what was drawn for a refused one is given back. An engine's word is now taken in with the head of its answer instead of at its end.

--- a/src/eelgrasslock/allowances/keeper.py
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -1,5 +1,6 @@
 """Keeps the turns of programs inside their budgets, over all daemons."""
 
+import asyncio
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
@@ -14,20 +15,19 @@
     offline_limit,
     offline_room,
 )
+from eelgrasslock.allowances.refusals import budget_spent, budget_unknown
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import (
     AppendUnresolved,
     LogUnavailable,
     PeerUnavailable,
-    Ran,
-    Refusal,
 )
+from eelgrasslock.scheduling.crowding import Standing
 
 if TYPE_CHECKING:
     from loguru import Logger
 
 ACCOUNTS_KEPT = 20_000
-UNAVAILABLE_RETRY_SECONDS = 1.0
 RECLAIM_PAUSE_SECONDS = 1.0
 
 AskHolder = Callable[[str, str], Awaitable[int]]
@@ -47,10 +47,13 @@
         The program's account.
     tokens : int
         The worst case.
+    standing : Standing
+        What was known of the program before.
     """
 
     account: Account
     tokens: int
+    standing: Standing = Standing.UNKNOWN
 
 
 async def _ask_nobody(holder: str, program: str) -> int:
@@ -98,6 +101,7 @@
         self.ask_holder = ask_holder
         self.ask_offline = ask_offline
         self.accounts: OrderedDict[str, Account] = OrderedDict()
+        self._giving_back: set[asyncio.Task[None]] = set()
 
     async def reserve(
         self, program: str, budget: int, worst: int, request: str = ""
@@ -121,16 +125,31 @@
             402 if the budget is spent, 503 if that can't be told now.
         """
         account = self._account(program, budget)
+        standing = Standing.UNDER_WAY
         while account.free < worst:
-            await self._draw(account, worst, request)
+            standing = await self._draw(account, worst, request)
         account.reserve(worst, self.clock.monotonic())
-        return Reservation(account=account, tokens=worst)
+        return Reservation(account=account, tokens=worst, standing=standing)
 
     def settle(self, reservation: Reservation, used: int) -> None:
         """Note what a turn has used."""
         now = self.clock.monotonic()
         reservation.account.settle(reservation.tokens, used, now)
 
+    def give_up(self, reservation: Reservation) -> None:
+        """Give back what was drawn for a turn that is not to run.
+
+        The program's next daemon then finds its budget whole, and that it has
+        been turned away before.
+        """
+        account = reservation.account
+        self.settle(reservation, 0)
+        if account.reserved or account.spent or account.offline:
+            return
+        task = asyncio.create_task(self._give_back(account))
+        self._giving_back.add(task)
+        task.add_done_callback(self._giving_back.discard)
+
     def release(self, program: str) -> int:
         """Give up what is not spent or set aside of a program's budget.
 
@@ -149,35 +168,39 @@
     async def give_back_all(self) -> None:
         """Give back what no turn will spend here, before the daemon ends."""
         for account in list(self.accounts.values()):
-            tokens = account.free
-            if tokens <= 0:
-                continue
-            account.drawn -= tokens
-            try:
-                await self.ledger.give_back(account.program, tokens)
-            except (LogUnavailable, AppendUnresolved) as error:
-                _log.bind(program=account.program).info(
-                    "{} tokens stay drawn: {}", tokens, error
-                )
+            await self._give_back(account)
 
-    async def _draw(self, account: Account, worst: int, request: str) -> None:
+    async def _give_back(self, account: Account) -> None:
+        tokens = account.free
+        if tokens <= 0:
+            return
+        account.drawn -= tokens
+        try:
+            await self.ledger.give_back(account.program, tokens)
+        except (LogUnavailable, AppendUnresolved) as error:
+            _log.bind(program=account.program).info(
+                "{} tokens stay drawn: {}", tokens, error
+            )
+
+    async def _draw(self, account: Account, worst: int, request: str) -> Standing:
         needed = worst - account.free
         try:
-            tokens = await self.ledger.draw(
+            drawn = await self.ledger.draw(
                 account.program, account.budget, needed, worst
             )
         except (LogUnavailable, AppendUnresolved) as error:
             if await self._spend_offline(account, needed, worst, request):
-                return
+                return Standing.UNKNOWN
             self._describe(account, request, worst).info("No draw: {}", error)
             self.on_tokens("refused_unknown", worst)
-            raise _unavailable() from error
-        account.drawn += tokens
-        self.on_tokens("drawn", tokens)
-        if not tokens and not await self._reclaim(account):
+            raise budget_unknown() from error
+        account.drawn += drawn.tokens
+        self.on_tokens("drawn", drawn.tokens)
+        if not drawn.tokens and not await self._reclaim(account):
             self._describe(account, request, worst).info("The budget is spent.")
             self.on_tokens("refused_spent", worst)
-            raise _spent()
+            raise budget_spent()
+        return drawn.standing
 
     async def _spend_offline(
         self, account: Account, needed: int, worst: int, request: str
@@ -310,17 +333,3 @@
         self.accounts.move_to_end(program)
         account.budget = budget
         return account
-
-
-def _spent() -> Refusal:
-    return Refusal("budget_spent", "The program's token budget is spent.", 402, Ran.NO)
-
-
-def _unavailable() -> Refusal:
-    return Refusal(
-        "budget_unknown",
-        "It can't be told now whether the program's budget holds this turn.",
-        503,
-        Ran.NO,
-        UNAVAILABLE_RETRY_SECONDS,
-    )
--- a/src/eelgrasslock/allowances/ledger.py
+++ b/src/eelgrasslock/allowances/ledger.py
@@ -4,10 +4,16 @@
 import secrets
 
 import xxhash
-from attrs import define, field
+from attrs import define, field, frozen
 from loguru import logger
 
-from eelgrasslock.allowances.draws import Draw, PartitionFold, decode, encode
+from eelgrasslock.allowances.draws import (
+    Draw,
+    DrawnBudget,
+    PartitionFold,
+    decode,
+    encode,
+)
 from eelgrasslock.allowances.shares import tokens_to_draw
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import (
@@ -17,6 +23,7 @@
     RecordsExpired,
 )
 from eelgrasslock.log.partitioned import EndMoved, PartitionedLog
+from eelgrasslock.scheduling.crowding import Standing
 
 TOPICS = 80
 _TOPIC = "allowances-{}"
@@ -47,6 +54,28 @@
     lock: asyncio.Lock = field(factory=asyncio.Lock)
 
 
+@frozen(kw_only=True)
+class Drawn:
+    """What a draw came to.
+
+    Attributes
+    ----------
+    tokens : int
+        What was drawn, 0 if the budget can't give what is needed.
+    standing : Standing
+        What the log told of the program before the draw.
+    """
+
+    tokens: int
+    standing: Standing
+
+
+def _standing(before: DrawnBudget) -> Standing:
+    if before.total > 0:
+        return Standing.UNDER_WAY
+    return Standing.RETURNED if before.ids else Standing.FRESH
+
+
 class Ledger:
     """Draws on budgets for one daemon.
 
@@ -89,8 +118,8 @@
             self.known[place] = found
         return found
 
-    async def draw(self, program: str, budget: int, needed: int, worst: int) -> int:
-        """Draw for a turn; return the tokens, 0 if the budget can't give them.
+    async def draw(self, program: str, budget: int, needed: int, worst: int) -> Drawn:
+        """Draw for a turn.
 
         Raises
         ------
@@ -179,20 +208,21 @@
         budget: int,
         needed: int,
         worst: int,
-    ) -> int:
+    ) -> Drawn:
         is_read = False
         for _ in range(_TRIES):
-            drawn = partition.fold.budget(program).total
-            tokens = tokens_to_draw(budget, drawn, needed, worst)
+            before = partition.fold.budget(program)
+            standing = _standing(before)
+            tokens = tokens_to_draw(budget, before.total, needed, worst)
             if tokens == 0 and not is_read:
                 await self._read(partition)
                 is_read = True
                 continue
             if tokens == 0:
-                return 0
+                return Drawn(tokens=0, standing=standing)
             draw = self._record(partition, program, id, tokens, self.holder)
             if await self._append(partition, draw):
-                return tokens
+                return Drawn(tokens=tokens, standing=standing)
         raise LogUnavailable(f"{_TRIES} appends met others' in between.")
 
     def _record(
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -10,9 +10,9 @@
 
 from eelgrasslock.allowances.keeper import Allowances
 from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.allowances.upkeep import upkeep_runs
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
-from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
 from eelgrasslock.gateway.attempts import Attempts
 from eelgrasslock.gateway.deployment import build_configuration
 from eelgrasslock.gateway.directory import EndpointDirectory
@@ -22,6 +22,7 @@
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.interfaces import Dialect, Records
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadyServer
+from eelgrasslock.gateway.messages import EndpointLoadWord
 from eelgrasslock.gateway.peering import Peering
 from eelgrasslock.gateway.reports import Reporter
 from eelgrasslock.gateway.routes import RequestLimits
@@ -34,6 +35,8 @@
 from eelgrasslock.peers import roster
 from eelgrasslock.peers.roster import RosterEntry
 from eelgrasslock.periodic import run_periodically
+from eelgrasslock.scheduling.calls import LoadReport
+from eelgrasslock.scheduling.crowding import NewProgramGate
 from eelgrasslock.scheduling.decisions import Decisions
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
@@ -46,8 +49,6 @@
 ROSTER_WAIT_SECONDS = 8.0
 ROSTER_PAUSE_SECONDS = 0.2
 TICK_SECONDS = 0.1
-RECORD_SECONDS = 0.4
-KEEP_SECONDS = 20.0
 
 # Nobody tells when a program has ended, so that its context would seem to fill
 # an engine for minutes; engines drop what was not used for longest.
@@ -128,6 +129,7 @@
             self.clock, self.rng, empty, self.settings.domain, DECISIONS
         )
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
+        self.gate = NewProgramGate(self.clock, self.rng)
 
     def _make_peers(self) -> None:
         settings = self.settings
@@ -209,6 +211,7 @@
             self.metrics,
             self.settings.domain,
             self.scheduler.domains.is_suspect,
+            self._note_load,
         )
         forwarder = Forwarder(
             self.dispatcher, self.scheduler, attempts, self.clock, self.metrics
@@ -221,6 +224,7 @@
             self.clock,
             self.rng,
             Reporter(self.metrics, self.clock),
+            self.gate,
         )
 
     def _make_servers(self) -> None:
@@ -273,21 +277,17 @@
     def _reborn(self, endpoint: str) -> None:
         self.scheduler.restarted(endpoint)
 
+    def _note_load(self, service: str, endpoint: str, word: EndpointLoadWord) -> None:
+        """Take in what an endpoint says with the head of an answer."""
+        self.gate.hear(service, word.running, word.waiting, word.slots)
+        report = LoadReport(
+            running=word.running, queued=word.waiting, time=self.clock.now()
+        )
+        self.scheduler.observe_load(endpoint, report)
+
     def _log_answered_at(self) -> float:
         return max(follower.answered_at for follower in self.followers)
 
-    async def _record_offline(self) -> None:
-        try:
-            await self.allowances.record_offline()
-        except (LogUnavailable, AppendUnresolved) as error:
-            _log.info("What was spent without the log is not recorded yet: {}", error)
-
-    async def _keep_allowances(self) -> None:
-        try:
-            await self.allowances.keep()
-        except (LogUnavailable, AppendUnresolved) as error:
-            _log.info("Draws are not repeated yet: {}", error)
-
     async def _tick(self) -> None:
         now = self.clock.monotonic()
         if self._ticked:
@@ -313,12 +313,7 @@
         runs.append(
             run_periodically(self.clock, self.loads.interval, self.loads.exchange)
         )
-        runs.append(
-            run_periodically(self.clock, lambda: RECORD_SECONDS, self._record_offline)
-        )
-        runs.append(
-            run_periodically(self.clock, lambda: KEEP_SECONDS, self._keep_allowances)
-        )
+        runs += upkeep_runs(self.allowances, self.clock)
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.ready_server.start()
         await self.metrics_server.start()
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -10,7 +10,7 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.directory import EndpointDirectory, EndpointRecord
 from eelgrasslock.gateway.interfaces import Dialect
-from eelgrasslock.gateway.messages import EndpointAnswer
+from eelgrasslock.gateway.messages import EndpointAnswer, EndpointLoadWord
 from eelgrasslock.gateway.passage import Passage
 from eelgrasslock.gateway.patience import Silence, first_wait, gives_up
 from eelgrasslock.gateway.responder import AnswerCut
@@ -57,6 +57,9 @@
     answer: EndpointAnswer | None = None
 
 
+NoteLoad = Callable[[str, str, EndpointLoadWord], None]
+
+
 class Attempts:
     """Sends requests to endpoints and hands their answers on.
 
@@ -76,6 +79,8 @@
         The daemon's failure domain.
     is_suspect : callable
         Whether a domain seems to be cut off.
+    on_load : callable
+        Told what an endpoint of a service says of its load.
     """
 
     def __init__(
@@ -87,7 +92,9 @@
         metrics: GatewayMetrics,
         domain: str,
         is_suspect: Callable[[str], bool],
+        on_load: NoteLoad,
     ) -> None:
+        self.on_load = on_load
         self.unreachable: dict[str, float] = {}
         self.domain = domain
         self.is_suspect = is_suspect
@@ -141,6 +148,8 @@
         except ConnectionBroken as error:
             return await self._broken(passage, record, error)
         answer = self.dialect.decode_answer(head)
+        if answer.load is not None:
+            self.on_load(passage.service.name, record.id, answer.load)
         if answer.not_run:
             passage.sent -= 1
             await _skip_body(connection)
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -14,7 +14,7 @@
 from eelgrasslock.gateway.routes import RouteKind
 from eelgrasslock.requests.exchange import CallClass
 from eelgrasslock.requests.usage import Usage
-from eelgrasslock.scheduling.calls import Assignment, Call, CallEnd, LoadReport
+from eelgrasslock.scheduling.calls import Assignment, Call, CallEnd
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
@@ -139,7 +139,6 @@
             )
             if result.end is AttemptEnd.NOT_RUN:
                 retry_seconds = FULL_ENDPOINT_SECONDS
-            self._note_load(assignment.endpoint, result)
             return result
         except AnswerCut:
             end = CallEnd.CRASHED if passage.endpoint_crashed else CallEnd.BROKEN
@@ -162,17 +161,6 @@
             tokens=passage.tokens_used,
         ).info("The attempt ended without an answer. {}", assignment.reason)
 
-    def _note_load(self, endpoint: str, result: AttemptResult) -> None:
-        answer = result.answer
-        if answer is None or answer.load is None:
-            return
-        report = LoadReport(
-            running=answer.load.running,
-            queued=answer.load.waiting,
-            time=self.clock.now(),
-        )
-        self.scheduler.observe_load(endpoint, report)
-
 
 def _call(passage: Passage, attempt: int) -> Call:
     request = passage.request
--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -8,6 +8,7 @@
 from eelgrasslock.gateway.peering import Peering
 from eelgrasslock.gateway.routing import Routing
 from eelgrasslock.http.pool import ConnectionPool
+from eelgrasslock.scheduling.crowding import NewProgramGate
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics, peak_memory_bytes
@@ -25,6 +26,7 @@
     routing: Routing
     pool: ConnectionPool
     allowances: Allowances
+    gate: NewProgramGate
 
 
 def watch_gauges(parts: Watched) -> None:
@@ -39,6 +41,7 @@
     watch("relayed_calls", "Log calls by peers.", lambda: parts.peering.log.relayed)
     watch("connections_opened", "Connections opened.", lambda: parts.pool.opened)
     watch("connections_reused", "Connections reused.", lambda: parts.pool.reused)
+    watch("crowding", "Most calls for each engine place.", parts.gate.most_crowded)
     watch("accounts", "Programs known.", lambda: len(parts.allowances.accounts))
     watch("peak_memory_bytes", "The most memory held.", peak_memory_bytes)
 
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -17,6 +17,7 @@
 from eelgrasslock.gateway.routes import Route, ServiceSpec
 from eelgrasslock.gateway.routing import Routing
 from eelgrasslock.requests.in_flight import InFlight
+from eelgrasslock.scheduling.crowding import NewProgramGate
 
 UNKNOWN_ROUTES_RETRY_SECONDS = 0.5
 LEAVING_RETRY_SECONDS = 0.05
@@ -44,6 +45,8 @@
         Splits the requests of routes with several services.
     reporter : Reporter
         Writes down what became of each request.
+    gate : NewProgramGate
+        Turns new programs away while engines are crowded.
 
     Attributes
     ----------
@@ -64,7 +67,9 @@
         clock: Clock,
         rng: random.Random,
         reporter: Reporter,
+        gate: NewProgramGate,
     ) -> None:
+        self.gate = gate
         self.reporter = reporter
         self.routing = routing
         self.allowances = allowances
@@ -130,11 +135,14 @@
         )
         report.passage = passage
         reservation = await self._reserve(passage)
+        if reservation is None:
+            await self.forwarder.forward(passage)
+            return
+        self._check_begin(passage, reservation)
         try:
             await self.forwarder.forward(passage)
         finally:
-            if reservation is not None:
-                self.allowances.settle(reservation, passage.tokens_used)
+            self.allowances.settle(reservation, passage.tokens_used)
 
     def _route(self, request: GatewayRequest) -> Route:
         if self.routing.current is None:
@@ -168,6 +176,17 @@
             request.program, request.budget_tokens, passage.worst_tokens, request.id
         )
 
+    def _check_begin(self, passage: Passage, reservation: Reservation) -> None:
+        """Refuse a new program that the engines are too crowded for."""
+        route = passage.route
+        service = passage.service.name
+        is_urgent = self.routing.table.is_urgent(route, service)
+        try:
+            self.gate.check(service, reservation.standing, is_urgent)
+        except Refusal:
+            self.allowances.give_up(reservation)
+            raise
+
     async def _refuse(
         self,
         request: GatewayRequest,
--- a/src/eelgrasslock/gateway/routes.py
+++ b/src/eelgrasslock/gateway/routes.py
@@ -180,8 +180,12 @@
 
     def __init__(self, routes: tuple[Route, ...]) -> None:
         self.by_host: dict[str, dict[str, Route]] = {}
+        self.first_priority: dict[str, int] = {}
         for route in routes:
             self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+            for one in route.services if route.is_turn else ():
+                first = self.first_priority.get(one.service, route.priority)
+                self.first_priority[one.service] = min(first, route.priority)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a host, with or without port, and a path."""
@@ -195,3 +199,7 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+    def is_urgent(self, route: Route, service: str) -> bool:
+        """Return whether no turns of a service go before those of a route."""
+        return route.priority <= self.first_priority.get(service, route.priority)
--- a/src/eelgrasslock/operators/log_stories.py
+++ b/src/eelgrasslock/operators/log_stories.py
@@ -19,6 +19,7 @@
     "no_route": "The configuration in force has no route for its host and path.",
     "overloaded": "More calls waited than would be served in time.",
     "queue_full": "Too many calls waited at the daemon.",
+    "engines_crowded": "The engines had too many calls for another new program.",
     "deadline_out_of_reach": "It would have ended after its deadline.",
     "deadline_passed": "Its deadline passed before an endpoint was free.",
     "no_endpoint": "No endpoint took it: they were full, leaving or out of reach.",
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -81,6 +81,8 @@
         The pause before each event.
     work_seconds : float
         How long a plain answer takes.
+    load : str
+        What it says of its load with each answer, empty for nothing.
     crashes_on : bytes
         A body that ends the endpoint, empty for none.
     faults : deque of Fault
@@ -93,6 +95,7 @@
     events: int = 0
     event_seconds: float = 0.0
     work_seconds: float = 0.0
+    load: str = ""
     crashes_on: bytes = b""
     faults: deque[Fault] = field(factory=deque)
     runs: list[Run] = field(factory=list)
@@ -252,7 +255,8 @@
         return False
 
     def _stamp(self) -> str:
-        return f"Server-Stamp: {self.id}.stamp\r\n"
+        load = f"Server-Load: {self.load}\r\n" if self.load else ""
+        return f"Server-Stamp: {self.id}.stamp\r\n{load}"
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -18,6 +18,7 @@
     Refusal,
 )
 from eelgrasslock.log.partitioned import EndMoved, PartitionRead
+from eelgrasslock.scheduling.crowding import Standing
 
 WORST = 100
 RETENTION = 300.0
@@ -119,6 +120,12 @@
     allowances.settle(reservation, used)
 
 
+async def nothing_drawn(log):
+    async with asyncio.timeout(5.0):
+        while log.drawn():  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+
+
 class TestShares:
     def test_a_draw_takes_a_third_of_what_is_left(self):
         assert tokens_to_draw(900, 0, WORST, WORST) == 300
@@ -236,6 +243,47 @@
         await run_turn(two, 600, 20)
 
 
+class TestStanding:
+    """What the log tells of a program before a draw."""
+
+    async def test_a_program_that_nobody_drew_for_is_fresh(self, log):
+        reservation = await daemon(log, "one").reserve("p", 600, WORST)
+        assert reservation.standing is Standing.FRESH
+
+    async def test_one_with_draws_of_any_daemon_is_under_way(self, log):
+        one, two = daemon(log, "one"), daemon(log, "two")
+        await run_turn(one, 900, 20)
+        assert (await one.reserve("p", 900, WORST)).standing is Standing.UNDER_WAY
+        assert (await two.reserve("p", 900, WORST)).standing is Standing.UNDER_WAY
+
+    async def test_one_that_was_given_up_has_returned(self, log):
+        one, two = daemon(log, "one"), daemon(log, "two")
+        one.give_up(await one.reserve("p", WORST, WORST))
+        await nothing_drawn(log)
+        again = await two.reserve("p", WORST, WORST)
+        assert again.standing is Standing.RETURNED
+        two.give_up(again)
+        await nothing_drawn(log)
+        assert (await one.reserve("p", WORST, WORST)).standing is Standing.RETURNED
+
+    async def test_what_a_turn_under_way_needs_is_not_given_back(self, log):
+        one = daemon(log, "one")
+        kept = await one.reserve("p", 900, WORST)
+        one.give_up(await one.reserve("p", 900, WORST))
+        await asyncio.sleep(0)
+        assert one.accounts["p"].reserved == kept.tokens
+        assert log.drawn() >= kept.tokens
+
+    async def test_a_lost_answer_to_giving_back_is_told(self, log):
+        one = daemon(log, "one")
+        reservation = await one.reserve("p", 600, WORST)
+        log.up = False
+        one.give_up(reservation)
+        await asyncio.sleep(0.01)
+        assert one.accounts["p"].free == 0
+        assert log.drawn() > 0
+
+
 class TestStore:
     async def test_a_program_goes_on_while_the_log_is_away(self, log):
         one = daemon(log, "one")
