Let the log name the engine that holds a program's context

A daemon that never sent the program knows no engine for it: 2,863 prompt tokens a turn were computed, about 1,100 of them new. Change: a draw names the engine that ran the program's last turn, or for the first draw the one that placement would choose then. Each daemon that meets a program has to read its draws anyway. Placement takes nine tenths of the prompt as held there. Side lines of turns don't move it. Records without it are read as before. `Reservation` moved beside `Account`.

--- a/src/eelgrasslock/allowances/account.py
+++ b/src/eelgrasslock/allowances/account.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from attrs import define, field
+from attrs import define, field, frozen
+
+from eelgrasslock.scheduling.crowding import Standing
 
 
 @define(eq=False)
@@ -25,6 +27,10 @@
         What was added to `drawn` without the log, and is not recorded yet.
     asked : int
         What is about to be added so, while other daemons are asked.
+    home : str
+        The engine that holds the program's context, empty if none is known.
+    session : str
+        The line of turns that the home is kept for.
     used_at : float
         When a turn last began or ended, on the monotonic clock.
     reclaimed_at : float
@@ -38,6 +44,8 @@
     reserved: int = 0
     offline: int = 0
     asked: int = 0
+    home: str = ""
+    session: str = ""
     used_at: float = 0.0
     reclaimed_at: float = float("-inf")
     _settled: asyncio.Event = field(factory=asyncio.Event)
@@ -52,6 +60,12 @@
         self.reserved += tokens
         self.used_at = now
 
+    def ran_at(self, endpoint: str, session: str) -> None:
+        """Note where a turn ran; side lines of turns don't move the home."""
+        self.session = self.session or session
+        if session == self.session:
+            self.home = endpoint
+
     def settle(self, reserved: int, used: int, now: float) -> None:
         """Note what a turn has used of what was set aside."""
         self.reserved -= reserved
@@ -63,3 +77,22 @@
         """Wait until a turn in flight ends."""
         self._settled.clear()
         await self._settled.wait()
+
+
+@frozen(kw_only=True)
+class Reservation:
+    """A turn's worst case, set aside until the turn has ended.
+
+    Attributes
+    ----------
+    account : Account
+        The program's account.
+    tokens : int
+        The worst case.
+    standing : Standing
+        What was known of the program before.
+    """
+
+    account: Account
+    tokens: int
+    standing: Standing = Standing.UNKNOWN
--- a/src/eelgrasslock/allowances/draws.py
+++ b/src/eelgrasslock/allowances/draws.py
@@ -32,6 +32,8 @@
         How many; below zero for what is given back.
     total : int
         What all daemons hold or have spent after it.
+    home : str
+        The engine that holds the program's context, empty if none is known.
     """
 
     program: str
@@ -39,6 +41,7 @@
     holder: str
     tokens: int
     total: int
+    home: str = ""
 
 
 def encode(draw: Draw) -> bytes:
@@ -50,6 +53,7 @@
         draw.holder,
         draw.tokens,
         draw.total,
+        draw.home,
     ]
     return json.dumps(values, separators=(",", ":")).encode()
 
@@ -63,10 +67,12 @@
         If it is none.
     """
     try:
-        form, program, id, holder, tokens, total = json.loads(data)
+        form, program, id, holder, tokens, total, *rest = json.loads(data)
+        # Records of earlier versions name no home.
+        (home,) = rest or [""]
     except (TypeError, ValueError) as error:
         raise RecordError(f"No draw: {error}.") from error
-    texts = (program, id, holder)
+    texts = (program, id, holder, home)
     counts = (tokens, total)
     is_draw = form == _FORM and all(isinstance(one, str) for one in texts)
     if not is_draw or not all(type(one) is int for one in counts):
@@ -77,6 +83,7 @@
         holder=holder,
         tokens=tokens,
         total=total,
+        home=home,
     )
 
 
@@ -94,17 +101,21 @@
         The newest draws.
     seen_at : float
         When the newest one was taken in, on the monotonic clock.
+    home : str
+        The engine that the newest draw named, empty if none did.
     """
 
     total: int = 0
     held: dict[str, int] = field(factory=dict)
     ids: dict[str, None] = field(factory=dict)
     seen_at: float = 0.0
+    home: str = ""
 
     def apply(self, draw: Draw, now: float) -> None:
         """Take in the next draw."""
         self.seen_at = now
         self.total = draw.total
+        self.home = draw.home or self.home
         self.held[draw.holder] = self.held.get(draw.holder, 0) + draw.tokens
         self.ids[draw.id] = None
         while len(self.ids) > _IDS_KEPT:
--- a/src/eelgrasslock/allowances/keeper.py
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -5,11 +5,10 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
-from attrs import frozen
 from loguru import logger
 
-from eelgrasslock.allowances.account import Account
-from eelgrasslock.allowances.ledger import Ledger
+from eelgrasslock.allowances.account import Account, Reservation
+from eelgrasslock.allowances.ledger import DrawOrder, Ledger
 from eelgrasslock.allowances.offline import (
     OfflineAnswers,
     offline_limit,
@@ -32,30 +31,12 @@
 
 AskHolder = Callable[[str, str], Awaitable[int]]
 CountTokens = Callable[[str, int], None]
+SuggestHome = Callable[[], str]
 AskOffline = Callable[[str], Awaitable[OfflineAnswers | None]]
 
 _log = logger.bind(part="allowances")
 
 
-@frozen(kw_only=True)
-class Reservation:
-    """A turn's worst case, set aside until the turn has ended.
-
-    Attributes
-    ----------
-    account : Account
-        The program's account.
-    tokens : int
-        The worst case.
-    standing : Standing
-        What was known of the program before.
-    """
-
-    account: Account
-    tokens: int
-    standing: Standing = Standing.UNKNOWN
-
-
 async def _ask_nobody(holder: str, program: str) -> int:
     raise PeerUnavailable(f"{holder} can't be asked.")
 
@@ -104,7 +85,12 @@
         self._giving_back: set[asyncio.Task[None]] = set()
 
     async def reserve(
-        self, program: str, budget: int, worst: int, request: str = ""
+        self,
+        program: str,
+        budget: int,
+        worst: int,
+        request: str = "",
+        suggest_home: SuggestHome = lambda: "",
     ) -> Reservation:
         """Set a turn's worst case aside, drawing for it if need be.
 
@@ -118,6 +104,8 @@
             The most that this turn may generate.
         request : str
             The request's id, for the log.
+        suggest_home : callable
+            Names the engine that would run the program's first turn.
 
         Raises
         ------
@@ -127,7 +115,8 @@
         account = self._account(program, budget)
         standing = Standing.UNDER_WAY
         while account.free < worst:
-            standing = await self._draw(account, worst, request)
+            suggested = "" if account.home else suggest_home()
+            standing = await self._draw(account, worst, request, suggested)
         account.reserve(worst, self.clock.monotonic())
         return Reservation(account=account, tokens=worst, standing=standing)
 
@@ -182,11 +171,20 @@
                 "{} tokens stay drawn: {}", tokens, error
             )
 
-    async def _draw(self, account: Account, worst: int, request: str) -> Standing:
+    async def _draw(
+        self, account: Account, worst: int, request: str, suggested_home: str
+    ) -> Standing:
         needed = worst - account.free
         try:
             drawn = await self.ledger.draw(
-                account.program, account.budget, needed, worst
+                DrawOrder(
+                    program=account.program,
+                    budget=account.budget,
+                    needed=needed,
+                    worst=worst,
+                    home=account.home,
+                    suggested_home=suggested_home,
+                )
             )
         except (LogUnavailable, AppendUnresolved) as error:
             if await self._spend_offline(account, needed, worst, request):
@@ -195,6 +193,7 @@
             self.on_tokens("refused_unknown", worst)
             raise budget_unknown() from error
         account.drawn += drawn.tokens
+        account.home = drawn.home
         self.on_tokens("drawn", drawn.tokens)
         if not drawn.tokens and not await self._reclaim(account):
             self._describe(account, request, worst).info("The budget is spent.")
--- a/src/eelgrasslock/allowances/ledger.py
+++ b/src/eelgrasslock/allowances/ledger.py
@@ -54,6 +54,34 @@
     lock: asyncio.Lock = field(factory=asyncio.Lock)
 
 
+@frozen(kw_only=True)
+class DrawOrder:
+    """What a turn needs of its program's budget.
+
+    Attributes
+    ----------
+    program : str
+        The program.
+    budget : int
+        What all its turns may generate.
+    needed : int
+        The least that helps.
+    worst : int
+        The most that the turn uses.
+    home : str
+        The engine that ran the program's last turn here, empty if none did.
+    suggested_home : str
+        The engine that would run it, if the log names none.
+    """
+
+    program: str
+    budget: int
+    needed: int
+    worst: int
+    home: str = ""
+    suggested_home: str = ""
+
+
 @frozen(kw_only=True)
 class Drawn:
     """What a draw came to.
@@ -64,10 +92,13 @@
         What was drawn, 0 if the budget can't give what is needed.
     standing : Standing
         What the log told of the program before the draw.
+    home : str
+        The engine that holds the program's context, empty if none is known.
     """
 
     tokens: int
     standing: Standing
+    home: str = ""
 
 
 def _standing(before: DrawnBudget) -> Standing:
@@ -118,7 +149,7 @@
             self.known[place] = found
         return found
 
-    async def draw(self, program: str, budget: int, needed: int, worst: int) -> Drawn:
+    async def draw(self, order: DrawOrder) -> Drawn:
         """Draw for a turn.
 
         Raises
@@ -128,10 +159,9 @@
         AppendUnresolved
             If it can't be told whether it did; what it took is forfeited.
         """
-        partition = self.partition(program)
+        partition = self.partition(order.program)
         async with partition.lock:
-            id = secrets.token_hex(_ID_BYTES)
-            return await self._draw(partition, program, id, budget, needed, worst)
+            return await self._draw(partition, order)
 
     async def give_back(self, program: str, tokens: int) -> None:
         """Give back tokens that this daemon will not spend.
@@ -200,33 +230,36 @@
                 return
         raise LogUnavailable(f"{_TRIES} appends met others' in between.")
 
-    async def _draw(
-        self,
-        partition: Partition,
-        program: str,
-        id: str,
-        budget: int,
-        needed: int,
-        worst: int,
-    ) -> Drawn:
+    async def _draw(self, partition: Partition, order: DrawOrder) -> Drawn:
+        program = order.program
+        id = secrets.token_hex(_ID_BYTES)
         is_read = False
         for _ in range(_TRIES):
             before = partition.fold.budget(program)
             standing = _standing(before)
-            tokens = tokens_to_draw(budget, before.total, needed, worst)
+            home = order.home or before.home or order.suggested_home
+            tokens = tokens_to_draw(
+                order.budget, before.total, order.needed, order.worst
+            )
             if tokens == 0 and not is_read:
                 await self._read(partition)
                 is_read = True
                 continue
             if tokens == 0:
-                return Drawn(tokens=0, standing=standing)
-            draw = self._record(partition, program, id, tokens, self.holder)
+                return Drawn(tokens=0, standing=standing, home=home)
+            draw = self._record(partition, program, id, tokens, self.holder, home)
             if await self._append(partition, draw):
-                return Drawn(tokens=tokens, standing=standing)
+                return Drawn(tokens=tokens, standing=standing, home=home)
         raise LogUnavailable(f"{_TRIES} appends met others' in between.")
 
     def _record(
-        self, partition: Partition, program: str, id: str, tokens: int, holder: str
+        self,
+        partition: Partition,
+        program: str,
+        id: str,
+        tokens: int,
+        holder: str,
+        home: str = "",
     ) -> Draw:
         return Draw(
             program=program,
@@ -234,6 +267,7 @@
             holder=holder,
             tokens=tokens,
             total=partition.fold.budget(program).total + tokens,
+            home=home,
         )
 
     async def _append(self, partition: Partition, draw: Draw) -> bool:
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -69,6 +69,10 @@
         self.attempts = attempts
         self.clock = clock
 
+    def suggest(self, passage: Passage) -> str:
+        """Return the endpoint that would run a request now, empty for none."""
+        return self.scheduler.suggest(_call(passage, 0))
+
     async def forward(self, passage: Passage) -> None:
         """Have a request run and its answer handed on.
 
@@ -176,6 +180,7 @@
         prompt_tokens=request.prompt_tokens,
         max_tokens=request.output_tokens,
         deadline=passage.ends_at,
+        home=passage.home,
         digest=_digest(passage),
         excluded=frozenset(passage.offered),
     )
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -5,7 +5,8 @@
 import xxhash
 from loguru import logger
 
-from eelgrasslock.allowances.keeper import Allowances, Reservation
+from eelgrasslock.allowances.account import Reservation
+from eelgrasslock.allowances.keeper import Allowances
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError, Ran, Refusal
 from eelgrasslock.gateway.forwarder import Forwarder
@@ -141,6 +142,7 @@
         self._check_begin(passage, reservation)
         try:
             await self.forwarder.forward(passage)
+            reservation.account.ran_at(passage.endpoint, passage.request.session)
         finally:
             self.allowances.settle(reservation, passage.tokens_used)
 
@@ -172,9 +174,15 @@
         request = passage.request
         if not passage.route.is_turn or request.budget_tokens is None:
             return None
-        return await self.allowances.reserve(
-            request.program, request.budget_tokens, passage.worst_tokens, request.id
+        reservation = await self.allowances.reserve(
+            request.program,
+            request.budget_tokens,
+            passage.worst_tokens,
+            request.id,
+            lambda: self.forwarder.suggest(passage),
         )
+        passage.home = reservation.account.home
+        return reservation
 
     def _check_begin(self, passage: Passage, reservation: Reservation) -> None:
         """Refuse a new program that the engines are too crowded for."""
--- a/src/eelgrasslock/gateway/passage.py
+++ b/src/eelgrasslock/gateway/passage.py
@@ -38,6 +38,8 @@
         The status that the caller was given, 0 before.
     endpoint_crashed : bool
         Whether the endpoint crashed in the middle of its answer.
+    home : str
+        The engine that holds its program's context, empty if none is known.
     version : int
         The version of the configuration that chose the route.
     """
@@ -54,6 +56,7 @@
     waited_seconds: float = 0.0
     status: int = 0
     endpoint_crashed: bool = False
+    home: str = ""
     version: int = 0
 
     @property
--- a/src/eelgrasslock/scheduling/calls.py
+++ b/src/eelgrasslock/scheduling/calls.py
@@ -34,6 +34,9 @@
         The prompt's length and the answer's limit.
     deadline : float or None
         On the monotonic clock, in seconds.
+    home : str
+        The engine that holds its program's context by the word of others, empty
+        if none is known.
     digest : str
         Digest of the request, for poison detection.
     excluded : frozenset of str
@@ -50,6 +53,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     deadline: float | None = None
+    home: str = ""
     digest: str = ""
     excluded: frozenset[str] = frozenset()
 
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -139,6 +139,13 @@
         expires_at = self.admission.expires_at(call, now)
         heapq.heappush(self.expiry, (expires_at, call.id))
 
+    def suggest(self, call: Call) -> str:
+        """Return the endpoint that would run a call now, empty if there is none."""
+        pool = self.fleet.pool(call)
+        if pool is None:
+            return ""
+        return self.starter.suggest(pool, call, self.clock.monotonic())
+
     def withdraw(self, call_id: str) -> None:
         """Drop a waiting call that nobody waits for any more."""
         self._leave_queue(call_id)
--- a/src/eelgrasslock/scheduling/starter.py
+++ b/src/eelgrasslock/scheduling/starter.py
@@ -5,7 +5,7 @@
 
 from eelgrasslock.requests.exchange import CallClass
 from eelgrasslock.scheduling.cache_estimate import CHUNK_TOKENS, CacheEstimate
-from eelgrasslock.scheduling.calls import Assignment
+from eelgrasslock.scheduling.calls import Assignment, Call
 from eelgrasslock.scheduling.decisions import Decisions
 from eelgrasslock.scheduling.domain_watch import DomainWatch
 from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
@@ -20,6 +20,9 @@
 _ENDPOINTS_AT_ONCE = 1_000
 _REVIEWED_AT_ONCE = 16
 _KNOWN_SHARE = 0.8
+# What a program's engine is taken to hold of its next prompt, where another
+# daemon sent the turns before: a turn adds about a tenth.
+HOME_SHARE = 0.9
 _REVIEW_AGAIN_SECONDS = 0.05
 
 
@@ -82,6 +85,13 @@
         else:
             self.digests.pop(digest, None)
 
+    def suggest(self, pool: Pool, call: Call, now: float) -> str:
+        """Return the endpoint that suits a call best, before it is submitted."""
+        output_tokens = self.programs.find(call.program, now).output_tokens
+        waiting = WaitingCall(call, call.keys, (0, now, 0), now, output_tokens)
+        choice = self.choose(pool, waiting, now)
+        return choice.state.name if choice is not None else ""
+
     def start_waiting(self, pool: Pool, now: float, wall: float) -> list[Assignment]:
         """Start what may start now."""
         started: list[Assignment] = []
@@ -145,7 +155,7 @@
             waiting = pool.urgent.pop()
             if waiting is None:
                 break
-            choice = self._choose(pool, waiting, now)
+            choice = self.choose(pool, waiting, now)
             if choice is None:
                 left.append(waiting)
             else:
@@ -171,7 +181,7 @@
         started: list[Assignment],
     ) -> None:
         """Start, park or withhold a call that is in no heap."""
-        choice = self._choose(pool, waiting, now)
+        choice = self.choose(pool, waiting, now)
         if choice is None:
             pool.withheld.append(waiting)
             return
@@ -185,11 +195,12 @@
         if not is_first:
             pool.changed[state.name] = None
 
-    def _choose(self, pool: Pool, waiting: WaitingCall, now: float) -> Choice | None:
+    def choose(self, pool: Pool, waiting: WaitingCall, now: float) -> Choice | None:
+        """Return the endpoint that suits a call best now, None if there is none."""
         call = waiting.call
         if self.digests[call.digest] >= CRASHES_TO_QUARANTINE:
             return None
-        home = self.live.home(call.program)
+        home = call.home or self.live.home(call.program)
         states = self.placement.sample(pool.states, pool.members, waiting.keys, home)
         candidates = self._candidates(pool, waiting, states, now)
         if not candidates and len(states) < len(pool.states):
@@ -217,6 +228,8 @@
             if is_lookup and not self._has_slot(state, call.call_class, now):
                 continue
             cached = self._cached_tokens(state, waiting.keys)
+            if state.name == call.home:
+                cached = max(cached, int(HOME_SHARE * call.prompt_tokens))
             ahead = 0 if is_lookup else pool.parked_counts.get(state.name, 0)
             candidates.append(Candidate(state, cached, ahead))
         return candidates
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from eelgrasslock.allowances.ledger import DrawOrder
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import PeerUnavailable
 from eelgrasslock.gateway.application import CONFIGURATION_WAIT_SECONDS
@@ -27,6 +28,10 @@
         yield fleet
 
 
+def order(budget, worst):
+    return DrawOrder(program="p", budget=budget, needed=worst, worst=worst)
+
+
 def record(id="i", **more):
     values = {"service": "s", "address": "1.2.3.4:5", "domain": "a", **more}
     return EndpointRecord(id=id, **values)
@@ -106,7 +111,7 @@
         one.faults.refusing = two.faults.refusing = ""
         await until(lambda: not account.offline)
         ledger = two.application.allowances.ledger
-        await ledger.draw("p", 10 * 220, 220, 220)
+        await ledger.draw(order(10 * 220, 220))
         assert ledger.drawn("p") > 220
 
     async def test_a_daemon_without_log_and_peers_refuses_new_programs(self, fleet):
@@ -124,7 +129,7 @@
         first.spent = 0
         first.drawn = budget
         ledger = one.application.allowances.ledger
-        await ledger.draw("p", budget, 440, 440)
+        await ledger.draw(order(budget, 440))
         assert (await fleet.turn(two, "p", budget=budget, worst=220))[0] == 200
         assert first.drawn == 0
         fold = two.application.allowances.ledger.partition("p").fold.budget("p")
