--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -14,6 +14,8 @@
 
 SECONDS = 60.0
 CALLERS = 12
+PROGRAMS = 300
+LOADS = ["", "2,0,4", "4,1,4", "4,12,4"]
 BUDGET = 1_320
 WORST = 220
 NOT_RUN = {402, 429, 503}
@@ -65,6 +67,8 @@
                 faults.lose_answers += 1
             elif choice < 0.5:
                 faults.late_answers += 1
+            elif choice < 0.6:
+                self.rng.choice(self.engines).load = self.rng.choice(LOADS)
             elif choice < 0.9:
                 one = self.rng.choice(self.engines + self.desks)
                 one.faults.append(self.rng.choice(ENDPOINT_FAULTS))
@@ -83,7 +87,7 @@
                 await asyncio.sleep(0.02)
 
     async def turn(self, daemon, id):
-        program = f"p{self.rng.randrange(40)}"
+        program = f"p{self.rng.randrange(PROGRAMS)}"
         status, body = await self.fleet.turn(
             daemon, program, budget=BUDGET, worst=WORST, Request_Id=id
         )
