Tell which limit a turn without the log met

The lines of the peers were needed to tell that a domain had been cut off three seconds after the log was lost. Change: one line for each of them, with the program, how many daemons answered, of which domains, and how long ago the log was lost. Result: the cause of such a refusal stands in the lines of its program.

--- a/src/eelgrasslock/allowances/keeper.py
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -222,6 +222,13 @@
                 account.budget, worst, own, drawn, answers.words, answers.missing
             )
             if room < 0:
+                self._describe(account, request, worst).info(
+                    "The share without the log is used up, by {} tokens; {} daemons"
+                    " answered, {} did not.",
+                    -room,
+                    len(answers.words),
+                    answers.missing,
+                )
                 return False
         finally:
             account.asked -= needed
--- a/src/eelgrasslock/gateway/peering.py
+++ b/src/eelgrasslock/gateway/peering.py
@@ -152,8 +152,14 @@
         """
         everyone = list(self.roster.entries.values())
         entries = self._living(everyone)
+        log = _log.bind(program=program)
         if not self.offline_asks.take_now(len(entries)):
-            _log.info("{} daemons are not asked about {}.", len(entries), program)
+            log.info(
+                "{} daemons are not asked what they spent: {} questions a second"
+                " are the most.",
+                len(entries),
+                OFFLINE_ASKS_PER_SECOND,
+            )
             return None
         answers = await asyncio.gather(
             *(self._ask_offline(entry, program) for entry in entries)
@@ -163,8 +169,20 @@
         # A domain that fell silent as a whole may be cut off, and decide as well.
         domains = [entry.domain for entry in everyone]
         if not may_spend_offline(self.entry.domain, domains, answered):
+            log.info(
+                "{} of {} daemons answered, of the domains {}; other domains may"
+                " spend as well.",
+                len(answered),
+                len(everyone),
+                sorted(set(answered)),
+            )
             return None
         if self._was_split(everyone, answered):
+            log.info(
+                "Other domains went after the log was lost, {:.1f} s ago; they may"
+                " have spent before.",
+                self.clock.monotonic() - self._trouble_at(),
+            )
             return None
         living = [entry.domain for entry in entries]
         return OfflineAnswers(words=words, missing=missing_members(living, answered))
