Write the quick settings of the members' tests once

Cause: the fixtures of test_joining and test_membership were written twice. Change: `member_fleet.quicken` holds what both set.

--- a/tests/member_fleet.py
+++ b/tests/member_fleet.py
@@ -16,6 +16,7 @@
     MemberRetired,
     new_id,
 )
+from eelgrasslock.peers import membership as membership_module
 from eelgrasslock.peers.links import PeerLinks
 from eelgrasslock.peers.membership import Membership
 from eelgrasslock.peers.peer_link import LinkLost
@@ -25,6 +26,12 @@
 WAIT_SECONDS = 30.0
 
 
+def quicken(monkeypatch):
+    """Let members look at each other often, so that tests are short."""
+    monkeypatch.setattr(membership_module, "_TICK_SECONDS", 0.1)
+    monkeypatch.setattr(membership_module, "_REJOIN_SECONDS", 0.5)
+
+
 class Daemon:
     """The parts of a daemon that keep its membership."""
 
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -10,7 +10,7 @@
 from eelgrasslock.peers import peer_loads
 from eelgrasslock.scheduling.calls import PeerLoad
 from fake_log import FakeLog
-from member_fleet import CutLog, Daemon, fleet, until
+from member_fleet import CutLog, Daemon, fleet, quicken, until
 
 
 @pytest.fixture
@@ -20,8 +20,7 @@
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
-    monkeypatch.setattr(membership_module, "_TICK_SECONDS", 0.1)
-    monkeypatch.setattr(membership_module, "_REJOIN_SECONDS", 0.5)
+    quicken(monkeypatch)
 
 
 class TestStart:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,6 @@
 import pytest
 
 from eelgrasslock.clock import SystemClock
-from eelgrasslock.peers import membership as membership_module
 from eelgrasslock.peers import retirement
 from fake_link import Relay
 from fake_log import FakeLog
@@ -16,6 +15,7 @@
     Daemon,
     challenges,
     fleet,
+    quicken,
     retired_names,
     retirements,
     sever,
@@ -30,8 +30,7 @@
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
-    monkeypatch.setattr(membership_module, "_TICK_SECONDS", 0.1)
-    monkeypatch.setattr(membership_module, "_REJOIN_SECONDS", 0.5)
+    quicken(monkeypatch)
 
 
 class TestRetirement:
