--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -5,105 +5,14 @@
 
 import pytest
 
-from eelgrasslock.allowances.contacts import Contacts
 from eelgrasslock.allowances.draws import Draw, PartitionFold, decode, encode
-from eelgrasslock.allowances.keeper import Allowances
-from eelgrasslock.allowances.ledger import Ledger
 from eelgrasslock.allowances.shares import MOST_TURNS, tokens_to_draw
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import (
-    AppendUnresolved,
-    LogUnavailable,
     RecordError,
-    RecordsExpired,
     Refusal,
 )
-from eelgrasslock.log.partitioned import EndMoved, PartitionRead
-from eelgrasslock.scheduling.crowding import Standing
-
-WORST = 100
-RETENTION = 300.0
-
-
-class MemoryLog:
-    """One log for several ledgers, with faults."""
-
-    def __init__(self):
-        self.partitions = {}
-        self.first = {}
-        self.up = True
-        self.lose_answers = 0
-        self.late = []
-        self.late_answers = 0
-        self.hangs = None
-        self.times = {}
-        self.time = 1_000.0
-        self.appends = 0
-        self.reads = 0
-
-    def records(self, topic, partition):
-        return self.partitions.setdefault((topic, partition), [])
-
-    def end(self, topic, partition):
-        first = self.first.get((topic, partition), 0)
-        return first + len(self.records(topic, partition))
-
-    async def append_at(self, topic, partition, records, expected_end):
-        self.appends += 1
-        await asyncio.sleep(0)
-        if self.hangs is not None:
-            await self.hangs.wait()
-        if not self.up:
-            raise LogUnavailable("down")
-        if self.late_answers:
-            self.late_answers -= 1
-            self.late.append((topic, partition, records, expected_end))
-            raise AppendUnresolved("lost")
-        if expected_end != self.end(topic, partition):
-            raise EndMoved(self.end(topic, partition))
-        self.records(topic, partition).extend(records)
-        times = self.times.setdefault((topic, partition), [])
-        times.extend([self.time] * len(records))
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise AppendUnresolved("lost")
-        return self.end(topic, partition)
-
-    def do_late(self):
-        for topic, partition, records, expected_end in self.late:
-            if expected_end == self.end(topic, partition):
-                self.records(topic, partition).extend(records)
-
-    async def read_from(self, topic, partition, offset):
-        self.reads += 1
-        if not self.up:
-            raise LogUnavailable("down")
-        first = self.first.get((topic, partition), 0)
-        if offset < first:
-            raise RecordsExpired(first)
-        records = tuple(self.records(topic, partition)[offset - first :])
-        end = self.end(topic, partition)
-        return PartitionRead(records=records, offset=end, end=end)
-
-    def forget(self):
-        for key, records in self.partitions.items():
-            self.first[key] = self.first.get(key, 0) + len(records)
-            records.clear()
-
-    def forget_before(self, oldest):
-        for key, records in self.partitions.items():
-            times = self.times.get(key, [])
-            while records and times and times[0] < oldest:
-                records.pop(0)
-                times.pop(0)
-                self.first[key] = self.first.get(key, 0) + 1
-
-    def drawn(self):
-        return sum(
-            decode(one).tokens
-            for records in self.partitions.values()
-            for one in records
-        )
+from memory_log import RETENTION, WORST, MemoryLog, daemon, run_turn
 
 
 @pytest.fixture
@@ -111,22 +20,6 @@
     return MemoryLog()
 
 
-def daemon(log, name, clock=None):
-    clock = clock or ManualClock()
-    return Allowances(Ledger(log, 4, name, clock, RETENTION), clock)
-
-
-async def run_turn(allowances, budget, used, program="p", worst=WORST):
-    reservation = await allowances.reserve(program, budget, worst)
-    allowances.settle(reservation, used)
-
-
-async def nothing_drawn(log):
-    async with asyncio.timeout(5.0):
-        while log.drawn():  # noqa: ASYNC110
-            await asyncio.sleep(0.001)
-
-
 class TestShares:
     def test_a_draw_takes_a_third_of_what_is_left(self):
         assert tokens_to_draw(900, 0, WORST, WORST) == 300
@@ -244,94 +137,6 @@
         await run_turn(two, 600, 20)
 
 
-class TestFirstContacts:
-    """Programs that others have drawn for, at a daemon that is new to them."""
-
-    MEETINGS = 60
-
-    async def meet(self, log, allowances, programs):
-        """Return the calls of the last half of the meetings, for each."""
-        for number in range(programs):
-            if number == programs // 2:
-                before = log.appends + log.reads
-            await run_turn(allowances, 900, 20, program=f"p{number}")
-        return (log.appends + log.reads - before) / (programs - programs // 2)
-
-    def daemon(self, log, name):
-        clock = ManualClock()
-        return Allowances(Ledger(log, 1_000, name, clock, RETENTION), clock)
-
-    async def test_each_needs_two_calls_once_that_is_learnt(self, log):
-        other = self.daemon(log, "one")
-        for number in range(self.MEETINGS):
-            await run_turn(other, 900, 20, program=f"p{number}")
-        calls = await self.meet(log, self.daemon(log, "two"), self.MEETINGS)
-        assert calls == pytest.approx(2.0, abs=0.1)
-
-    async def test_programs_that_nobody_met_need_one(self, log):
-        calls = await self.meet(log, self.daemon(log, "one"), self.MEETINGS)
-        assert calls == pytest.approx(1.0, abs=0.1)
-
-    async def test_a_log_that_is_away_is_told_from_an_unused_partition(self, log):
-        one = self.daemon(log, "one")
-        one.ledger.contacts.used_share = 1.0
-        log.up = False
-        with pytest.raises(Refusal):
-            await run_turn(one, 900, 20)
-        assert one.ledger.contacts.used_share == 1.0
-
-    def test_it_follows_what_is_met(self):
-        contacts = Contacts()
-        assert not contacts.reads_first
-        for _ in range(10):
-            contacts.met(True)
-        assert contacts.reads_first
-        for _ in range(20):
-            contacts.met(False)
-        assert not contacts.reads_first
-
-
-class TestStanding:
-    """What the log tells of a program before a draw."""
-
-    async def test_a_program_that_nobody_drew_for_is_fresh(self, log):
-        reservation = await daemon(log, "one").reserve("p", 600, WORST)
-        assert reservation.standing is Standing.FRESH
-
-    async def test_one_with_draws_of_any_daemon_is_under_way(self, log):
-        one, two = daemon(log, "one"), daemon(log, "two")
-        await run_turn(one, 900, 20)
-        assert (await one.reserve("p", 900, WORST)).standing is Standing.UNDER_WAY
-        assert (await two.reserve("p", 900, WORST)).standing is Standing.UNDER_WAY
-
-    async def test_one_that_was_given_up_has_returned(self, log):
-        one, two = daemon(log, "one"), daemon(log, "two")
-        one.give_up(await one.reserve("p", WORST, WORST))
-        await nothing_drawn(log)
-        again = await two.reserve("p", WORST, WORST)
-        assert again.standing is Standing.RETURNED
-        two.give_up(again)
-        await nothing_drawn(log)
-        assert (await one.reserve("p", WORST, WORST)).standing is Standing.RETURNED
-
-    async def test_what_a_turn_under_way_needs_is_not_given_back(self, log):
-        one = daemon(log, "one")
-        kept = await one.reserve("p", 900, WORST)
-        one.give_up(await one.reserve("p", 900, WORST))
-        await asyncio.sleep(0)
-        assert one.accounts["p"].reserved == kept.tokens
-        assert log.drawn() >= kept.tokens
-
-    async def test_a_lost_answer_to_giving_back_is_told(self, log):
-        one = daemon(log, "one")
-        reservation = await one.reserve("p", 600, WORST)
-        log.up = False
-        one.give_up(reservation)
-        await asyncio.sleep(0.01)
-        assert one.accounts["p"].free == 0
-        assert log.drawn() > 0
-
-
 class TestStore:
     async def test_a_program_goes_on_while_the_log_is_away(self, log):
         one = daemon(log, "one")
--- a/tests/test_offline_allowances.py
+++ b/tests/test_offline_allowances.py
@@ -18,7 +18,7 @@
 )
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import AppendUnresolved, Refusal
-from test_allowances import RETENTION, WORST, MemoryLog, run_turn
+from memory_log import RETENTION, WORST, MemoryLog, run_turn
 
 
 class Group:
--- a/tests/test_offline_lines.py
+++ b/tests/test_offline_lines.py
@@ -10,7 +10,7 @@
 from eelgrasslock.gateway.peering import Peering
 from eelgrasslock.peers.roster import RosterEntry
 from eelgrasslock.rate import TokenBucket
-from test_allowances import WORST, MemoryLog
+from memory_log import WORST, MemoryLog
 from test_offline_allowances import Group, turns_until_refused
 
 
--- a/tests/test_program_homes.py
+++ b/tests/test_program_homes.py
@@ -12,8 +12,8 @@
 from eelgrasslock.exceptions import RecordError
 from eelgrasslock.scheduling.calls import CallEnd
 from eelgrasslock.scheduling.scheduler import Scheduler
+from memory_log import MemoryLog
 from platform_fleet import WORST, PlatformFleet, until
-from test_allowances import MemoryLog
 
 BUDGET = 100 * WORST
 DAEMONS = 5
