Keep a program's account while other daemons are asked for it

Change: an account counts as used from the moment a turn asks for it, and is kept while it is asked for, set aside or not recorded. Tests: test_offline_allowances::TestUpkeepInAnOutage, both failed before.

--- a/src/eelgrasslock/allowances/account.py
+++ b/src/eelgrasslock/allowances/account.py
@@ -32,7 +32,7 @@
     session : str
         The line of turns that the home is kept for.
     used_at : float
-        When a turn last began or ended, on the monotonic clock.
+        When a turn was last asked for, began or ended, on the monotonic clock.
     reclaimed_at : float
         When other daemons were last asked to give up what they hold.
     """
@@ -55,6 +55,11 @@
         """What may be reserved without another draw."""
         return self.drawn - self.spent - self.reserved
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether no turn is in flight or asked for, and all is in the log."""
+        return not (self.reserved or self.asked or self.offline)
+
     def reserve(self, tokens: int, now: float) -> None:
         """Set a turn's worst case aside."""
         self.reserved += tokens
--- a/src/eelgrasslock/allowances/keeper.py
+++ b/src/eelgrasslock/allowances/keeper.py
@@ -288,8 +288,8 @@
         """
         oldest = self.clock.monotonic() - self.ledger.retention_seconds
         for account in list(self.accounts.values()):
-            if account.used_at < oldest and not account.reserved:
-                del self.accounts[account.program]
+            if account.used_at < oldest and account.is_settled:
+                self.accounts.pop(account.program, None)
             elif self.ledger.is_due(account.program):
                 await self.ledger.record(account.program, 0)
         self.ledger.forget()
@@ -337,5 +337,6 @@
             if len(self.accounts) > ACCOUNTS_KEPT:
                 self.accounts.popitem(last=False)
         self.accounts.move_to_end(program)
+        account.used_at = self.clock.monotonic()
         account.budget = budget
         return account
--- a/tests/test_offline_allowances.py
+++ b/tests/test_offline_allowances.py
@@ -214,3 +214,48 @@
         log.hangs.set()
         await recording
         assert group[0].offline_word("p") == (0, WORST)
+
+
+class TestUpkeepInAnOutage:
+    """A looping program got 2,662 of 1,716 tokens, and one turn more of 572.
+
+    The upkeep of a daemon dropped the program's account, which no turn had used
+    yet, while the daemon asked the others; their questions then found nothing.
+    """
+
+    async def asking(self, group, budget):
+        """Return a turn that waits for its answers, and what lets it go on."""
+        answers = asyncio.Event()
+        ask = group[0].ask_offline
+
+        async def ask_slowly(program):
+            found = await ask(program)
+            await answers.wait()
+            return found
+
+        group[0].ask_offline = ask_slowly
+        turn = asyncio.create_task(run_turn(group[0], budget, WORST))
+        async with asyncio.timeout(5.0):
+            while not any(one.asked for one in group.accounts("p")):  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        return turn, answers
+
+    async def test_an_account_is_kept_while_others_are_asked(self, log):
+        group = Group(log, 2)
+        log.up = False
+        turn, answers = await self.asking(group, 2 * WORST)
+        await group[0].keep()
+        with pytest.raises(Refusal):
+            await run_turn(group[1], 2 * WORST, WORST)
+        answers.set()
+        await turn
+
+    async def test_what_is_not_recorded_yet_outlives_the_retention(self, log):
+        group = Group(log, 1)
+        log.up = False
+        turn, answers = await self.asking(group, 2 * WORST)
+        answers.set()
+        await turn
+        group[0].clock.advance(2 * RETENTION)
+        await group[0].keep()
+        assert group.accounts("p")[0].offline == WORST
