Let an outage count for a moment after its end

A draw there goes on failing for up to 0.7 s after the followers are answered again, and the peers of other domains are avoided for a second. In that moment the signs of the outage were dropped, since the log had answered after them, so that the domain took itself for one that was cut off before the log was lost, and spent a turn beside what the others had spent before and recorded since. Change: followers tell since when the log is away, also for 5 s after its return, and `Peering` counts that among the signs. Tests: gateway_peers::an_outage_that_has_just_ended_still_counts, failed before; test_keyed_follower.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -188,6 +188,7 @@
         )
         self.peering.serve(self.allowances)
         self.peering.log_answered_at = self._log_answered_at
+        self.peering.log_trouble_at = self._log_trouble_at
 
     def _follower(
         self, topic: str, state: KeyedState, wait_seconds: float, pause_seconds: float
@@ -288,6 +289,9 @@
     def _log_answered_at(self) -> float:
         return max(follower.answered_at for follower in self.followers)
 
+    def _log_trouble_at(self) -> float:
+        return min(follower.trouble_at() for follower in self.followers)
+
     async def _tick(self) -> None:
         now = self.clock.monotonic()
         if self._ticked:
--- a/src/eelgrasslock/gateway/peering.py
+++ b/src/eelgrasslock/gateway/peering.py
@@ -67,6 +67,8 @@
         clock.
     log_answered_at : callable
         When the log last answered this daemon, on the monotonic clock.
+    log_trouble_at : callable
+        Since when the log is away, or was until a moment ago; else infinite.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         rng: random.Random,
     ) -> None:
         self.log_answered_at: Callable[[], float] = clock.monotonic
+        self.log_trouble_at: Callable[[], float] = lambda: float("inf")
         self.allowances: Allowances | None = None
         self.asked_at = float("inf")
         self.entry = entry
@@ -217,11 +220,14 @@
         """Return the first sign that the log is lost, on the monotonic clock.
 
         A sign is a call of ours that failed, or a peer's question about turns
-        without the log; one that the log answered after is over.
+        without the log; one that the log answered after is over, but for an
+        outage that has just ended: a draw may still fail while other calls
+        are answered again, and the domains that decided are not yet in reach.
         """
         oldest = self.log_answered_at() - OVER_SECONDS
         signs = [self.log.lost_at, self.asked_at, self.clock.monotonic()]
-        return min(sign for sign in signs if sign >= oldest)
+        first = min(sign for sign in signs if sign >= oldest)
+        return min(first, self.log_trouble_at())
 
     def _offline_word(self, program: str) -> tuple[int, int]:
         """Answer a peer that has lost the log."""
--- a/src/eelgrasslock/log/keyed_follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -10,6 +10,8 @@
 from eelgrasslock.exceptions import LogUnavailable, RecordsExpired
 from eelgrasslock.log.keyed import KeyedLog, KeyedRecord
 
+# Other ways to the log, and the peers, may come back later than this one.
+RECOVERY_SECONDS = 5.0
 _FIRST_WAIT_SECONDS = 0.05
 _LONGEST_WAIT_SECONDS = 0.5
 
@@ -75,6 +77,8 @@
         self.answered_at = clock.monotonic()
         self.offset: int | None = None
         self.away = False
+        self.away_at = float("inf")
+        self.regained_at = float("-inf")
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -116,9 +120,25 @@
         if changes.records:
             self.state.apply(changes.records)
 
+    def trouble_at(self) -> float:
+        """Return since when the log has been away, on the monotonic clock.
+
+        An outage counts for a while after it; infinite if there was none.
+        """
+        is_over = not self.away and self._is_recovered()
+        return float("inf") if is_over else self.away_at
+
+    def _is_recovered(self) -> bool:
+        """Return whether the last outage is long over; the next is another one."""
+        return self.clock.monotonic() >= self.regained_at + RECOVERY_SECONDS
+
     def _note(self, away: bool, reason: str = "") -> None:
         if away != self.away:
             self.away = away
+            if not away:
+                self.regained_at = self.clock.monotonic()
+            elif self._is_recovered():
+                self.away_at = self.clock.monotonic()
             word = "lost" if away else "regained"
             _log.info("The log of {} is {}. {}", self.topic, word, reason)
         self.state.note_log(away)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -292,6 +292,26 @@
         peering.asked_at = now - 2.5
         assert await peering.ask_offline("p") is None
 
+    async def test_an_outage_that_has_just_ended_still_counts(
+        self, peering, monkeypatch
+    ):
+        """A looping program got 1,980 of 1,144 tokens, and one turn more of 572.
+
+        The log was lost at 30.4 s for all; at 33.5 s a domain was cut off. At
+        39.8 s the log answered it again, but not yet its draws, and the others
+        were not yet in reach.
+        """
+        now = peering.clock.monotonic()
+        self.enter(peering, "a-2", "a", now)
+        self.enter(peering, "b-1", "b", now - 6.3)
+        peering.log_answered_at = lambda: now - 0.1
+        self.answering(peering, monkeypatch, {"a-2"})
+        peering.log.lost_at = now - 0.05
+        peering.log_trouble_at = lambda: now - 9.4
+        assert await peering.ask_offline("p") is None
+        peering.log_trouble_at = lambda: float("inf")
+        assert await peering.ask_offline("p") is not None
+
     async def test_an_outage_that_is_over_does_not_count(self, peering, monkeypatch):
         now = peering.clock.monotonic()
         self.enter(peering, "a-2", "a", now)
