Say in the lines of turns which budget they were checked against

The lines have budget, max_tokens and offline_tokens now, and the command 'eelgrasslock logs budgets' adds them up by program over the lines of all daemons, the largest excess first.

--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -257,7 +257,8 @@
         account.offline_drawn += needed_tokens
         account.drawn += needed_tokens
         self.on_tokens("offline", needed_tokens)
-        self._decision_log(account, request, max_generated_tokens).info(
+        decision_log = self._decision_log(account, request, max_generated_tokens)
+        decision_log.bind(offline_tokens=needed_tokens).info(
             "Drew {} tokens without the log, {} of the offline share are left;"
             " {} daemons answered, {} did not.",
             needed_tokens,
--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -101,6 +101,7 @@
         "request": request.id,
         "program": request.program,
         "session": request.session,
+        "budget": request.budget_tokens,
         "ms": round(seconds * _MILLISECONDS),
         "patience_ms": _milliseconds(request.caller_timeout_seconds),
         "finish_ms": _milliseconds(request.program_time_left_seconds),
@@ -116,6 +117,7 @@
         "sent": context.possible_executions,
         "waited_ms": round(context.queued_seconds * _MILLISECONDS),
         "tokens": context.tokens_used,
+        "max_tokens": context.max_generated_tokens,
         "status": context.response_status,
     }
 
--- /dev/null
+++ b/src/eelgrasslock/operators/budget_totals.py
@@ -0,0 +1,74 @@
+"""The tokens that programs used by the lines of all daemons, against their budgets."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from eelgrasslock.operators.log_stories import StoryLine, parse_line
+
+
+@define(kw_only=True)
+class BudgetTotal:
+    """The tokens that one program used.
+
+    Attributes
+    ----------
+    program : str
+        The program's ID.
+    budget : int
+        The largest budget that its requests stated, in tokens.
+    max_turn_tokens : int
+        The most tokens that one of its turns may generate.
+    used_tokens : int
+        Tokens that were relayed to callers in all turns.
+    turns : int
+        How many requests used tokens.
+    offline_draws : list of str
+        Time, daemon and tokens of each draw without the log.
+    """
+
+    program: str
+    budget: int = 0
+    max_turn_tokens: int = 0
+    used_tokens: int = 0
+    turns: int = 0
+    offline_draws: list[str] = field(factory=list)
+
+    @property
+    def excess_tokens(self) -> int:
+        """Tokens used beyond the budget, negative if some are left."""
+        return self.used_tokens - self.budget
+
+    @property
+    def exceeds_limit(self) -> bool:
+        """Whether more than the budget and one turn was used."""
+        return self.excess_tokens > self.max_turn_tokens
+
+    def add(self, line: StoryLine) -> None:
+        """Count a line of the program."""
+        inputs = line.inputs
+        if "offline_tokens" in inputs:
+            draw = f"{line.time} {line.daemon} {inputs['offline_tokens']}"
+            self.offline_draws.append(draw)
+        tokens = int(inputs.get("tokens") or 0)
+        if "outcome" not in inputs or not tokens or inputs.get("budget") is None:
+            return
+        self.budget = max(self.budget, int(inputs["budget"]))
+        self.max_turn_tokens = max(
+            self.max_turn_tokens, int(inputs.get("max_tokens") or 0)
+        )
+        self.used_tokens += tokens
+        self.turns += 1
+
+
+def total_budgets(texts: Iterable[str]) -> list[BudgetTotal]:
+    """Return the programs of log lines, those with the largest excess first."""
+    totals: dict[str, BudgetTotal] = {}
+    for text in texts:
+        line = parse_line(text)
+        if line is None or not line.program:
+            continue
+        total = totals.setdefault(line.program, BudgetTotal(program=line.program))
+        total.add(line)
+    used = [total for total in totals.values() if total.turns]
+    return sorted(used, key=lambda total: -total.excess_tokens)
--- a/src/eelgrasslock/operators/cli_logs.py
+++ b/src/eelgrasslock/operators/cli_logs.py
@@ -6,9 +6,12 @@
 import click
 from attrs import asdict
 
+from eelgrasslock.operators.budget_totals import total_budgets
 from eelgrasslock.operators.cli_options import ExitCode, json_option
 from eelgrasslock.operators.log_stories import Story, StoryLine, tell_story
-from eelgrasslock.operators.tables import print_json
+from eelgrasslock.operators.tables import print_json, print_table
+
+DEFAULT_PROGRAMS = 20
 
 
 @click.group()
@@ -46,6 +49,56 @@
         sys.exit(ExitCode.REFUSED)
 
 
+@logs.command()
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
+@click.option(
+    "--most",
+    default=DEFAULT_PROGRAMS,
+    show_default=True,
+    type=click.IntRange(min=1),
+    help="How many programs to list.",
+)
+@json_option
+def budgets(files: tuple[pathlib.Path, ...], most: int, as_json: bool) -> None:
+    r"""List the programs that used most tokens beyond their budgets.
+
+    FILES are the lines of all daemons, in any order. Ends with 1 if a program
+    used more than its budget and one turn.
+
+    \b
+    Example:
+      eelgrasslock logs budgets edge-*.log
+    """
+    totals = total_budgets(line for file in files for line in _lines(file))
+    if as_json:
+        print_json([asdict(total) for total in totals[:most]])
+    else:
+        columns = ["program", "budget", "turn", "used", "excess", "turns", "offline"]
+        print_table(
+            "Programs by excess",
+            columns,
+            (
+                (
+                    total.program,
+                    total.budget,
+                    total.max_turn_tokens,
+                    total.used_tokens,
+                    total.excess_tokens,
+                    total.turns,
+                    "; ".join(total.offline_draws),
+                )
+                for total in totals[:most]
+            ),
+        )
+    if any(total.exceeds_limit for total in totals):
+        sys.exit(ExitCode.FINDINGS)
+
+
 def _lines(file: pathlib.Path) -> list[str]:
     return file.read_text(errors="replace").splitlines()
 
--- a/tests/test_log_stories.py
+++ b/tests/test_log_stories.py
@@ -137,3 +137,37 @@
         for number in range(100):
             sink.put(f"{number}\n")
         sink.close()
+
+
+TURN = {"budget": 200, "max_tokens": 100, "outcome": "served", "program": "p"}
+
+
+class TestBudgetTotals:
+    def write(self, tmp_path, *lines):
+        file = tmp_path / "edge.log"
+        file.write_text("\n".join(lines))
+        return CliRunner().invoke(main, ["logs", "budgets", str(file), "--json"])
+
+    def test_tokens_of_all_daemons_and_truncated_turns_count(self, tmp_path):
+        result = self.write(
+            tmp_path,
+            line("Relayed.", tokens=100, daemon="a-1", **TURN),
+            line("Relayed.", tokens=100, daemon="b-1", **TURN),
+            line("Broken.", tokens=50, **{**TURN, "outcome": "cut"}),
+            line("Drew 100 tokens.", program="p", offline_tokens=100),
+            "no log line",
+        )
+        (total,) = json.loads(result.stdout)
+        assert total["used_tokens"] == 250
+        assert total["turns"] == 3
+        assert len(total["offline_draws"]) == 1
+        assert result.exit_code == 0
+
+    def test_more_than_the_budget_and_one_turn_is_a_finding(self, tmp_path):
+        turns = [line("Relayed.", tokens=100, **TURN) for _ in range(4)]
+        assert self.write(tmp_path, *turns).exit_code == 1
+
+    def test_requests_without_a_budget_are_left_out(self, tmp_path):
+        call = line("Relayed.", tokens=0, program="p", outcome="served")
+        result = self.write(tmp_path, call)
+        assert json.loads(result.stdout) == []
