Give a turn beyond a small budget once in a program's life

Cause: without the log, a program with a budget of two or three turns gets one turn, the most by which a budget may be exceeded. Who gives it knows only what the daemons in reach have read and spent. A domain that is cut off after another one, or daemons that all started later, know of no earlier turn and give it again.

In each program that was over, 'eelgrasslock logs budgets' shows two draws without the log, one before and one after the kill, by two daemons.

Fix: such a budget gets its turn only from daemons that would know of an earlier one: this daemon and every daemon heard of within the log's retention, gone or not, answer, and each has run for that long or since the fleet's first start, which the settings name. Then the last author of every draw is among those that answer, so the sum they see is exact but for draws under way, which the budget bounds.

--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -69,6 +69,8 @@
         returns None if they may not spend.
     on_tokens : callable
         Called with an action, such as ``drawn``, and a number of tokens.
+    is_first_start : bool
+        Whether this daemon started with the whole fleet, for the first time.
     """
 
     def __init__(
@@ -78,7 +80,10 @@
         request_release: RequestRelease = _no_peer_to_release,
         query_offline_usage: QueryOfflineUsage = _no_offline_usage,
         on_tokens: OnTokens = _ignore_tokens,
+        is_first_start: bool = False,
     ) -> None:
+        self.is_first_start = is_first_start
+        self.started_at = clock.monotonic()
         self.on_tokens = on_tokens
         self.ledger = ledger
         self.clock = clock
@@ -226,7 +231,13 @@
         The tokens count as pending before the peers are queried, so that two
         daemons that query at once see each other's tokens.
         """
-        if needed_tokens > offline_limit(account.budget, max_generated_tokens):
+        limit = offline_limit(
+            account.budget, max_generated_tokens, self.has_full_history
+        )
+        if needed_tokens > limit:
+            self._decision_log(account, request, max_generated_tokens).info(
+                "The budget allows {} tokens without the log.", limit
+            )
             return False
         account.offline_pending += needed_tokens
         try:
@@ -240,11 +251,13 @@
                 max_generated_tokens,
                 own_spent,
                 drawn,
-                report.usages,
-                report.missing,
+                report,
             )
             if remaining < 0:
-                self._decision_log(account, request, max_generated_tokens).info(
+                decision_log = self._decision_log(
+                    account, request, max_generated_tokens
+                )
+                decision_log.bind(full_history=report.has_full_history).info(
                     "The share without the log is used up, by {} tokens; {} daemons"
                     " answered, {} did not.",
                     -remaining,
@@ -268,6 +281,15 @@
         )
         return True
 
+    @property
+    def has_full_history(self) -> bool:
+        """Whether this daemon has run for as long as any program may have lasted.
+
+        A program that outlasts the log's retention is known from its later draws.
+        """
+        uptime_seconds = self.clock.monotonic() - self.started_at
+        return self.is_first_start or uptime_seconds >= self.ledger.retention_seconds
+
     def offline_usage(self, program: str) -> tuple[int, int]:
         """Return tokens spent here without the log, and those drawn by all.
 
--- a/src/eelgrasslock/allowances/offline.py
+++ b/src/eelgrasslock/allowances/offline.py
@@ -2,8 +2,8 @@
 
 They serve programs that start during an outage of the log, or in a failure domain
 that is partitioned from it. Tokens spent meanwhile are recorded once the log
-answers. If a daemon dies before that, its tokens can be spent a second time, so
-the offline share is small compared to the budget.
+answers. Daemons that are partitioned or new don't know what others have spent, so
+a program may get its offline share more than once.
 """
 
 from collections import Counter
@@ -15,14 +15,16 @@
 SMALL_BUDGET_TURNS = 3
 
 
-def offline_limit(budget: int, max_generated_tokens: int) -> int:
+def offline_limit(
+    budget: int, max_generated_tokens: int, has_full_history: bool
+) -> int:
     """Return the most tokens that a program may spend without the log.
 
-    A budget of few turns gets one turn, the most by which a budget may be
-    exceeded; looping programs have such budgets.
+    A budget of few turns may be exceeded by one turn in the life of the program.
+    It gets that turn only from daemons that would know of an earlier one.
     """
     if budget <= SMALL_BUDGET_TURNS * max_generated_tokens:
-        return max_generated_tokens
+        return max_generated_tokens if has_full_history else 0
     return max(max_generated_tokens, int(budget * OFFLINE_SHARE))
 
 
@@ -36,10 +38,14 @@
         One entry for each peer that answered.
     missing : int
         How many peers of the reachable domains did not answer.
+    has_full_history : bool
+        Whether this daemon and the peers know all draws of all programs that may
+        still return.
     """
 
     usages: list["OfflineUsage"]
     missing: int = 0
+    has_full_history: bool = False
 
 
 @frozen(kw_only=True)
@@ -54,11 +60,14 @@
         Tokens that the peer spent or reserved without the log.
     drawn : int
         Tokens that all daemons had drawn, by the records that the peer has read.
+    has_full_history : bool
+        Whether the peer has run for as long as any program may have lasted.
     """
 
     domain: str
     spent: int
     drawn: int
+    has_full_history: bool = False
 
 
 def may_spend_offline(
@@ -104,8 +113,7 @@
     max_generated_tokens: int,
     own_spent: int,
     own_drawn: int,
-    usages: list[OfflineUsage],
-    missing: int,
+    report: OfflineUsageReport,
 ) -> int:
     """Return how many tokens of the offline share are left.
 
@@ -113,10 +121,9 @@
     """
     spent = (
         own_spent
-        + sum(usage.spent for usage in usages)
-        + missing * max_generated_tokens
-    )
-    drawn = max([own_drawn, *(usage.drawn for usage in usages)])
-    return min(
-        offline_limit(budget, max_generated_tokens) - spent, budget - drawn - spent
+        + sum(usage.spent for usage in report.usages)
+        + report.missing * max_generated_tokens
     )
+    drawn = max([own_drawn, *(usage.drawn for usage in report.usages)])
+    limit = offline_limit(budget, max_generated_tokens, report.has_full_history)
+    return min(limit - spent, budget - drawn - spent)
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -194,6 +194,7 @@
             self.peer_coordinator.request_release,
             self.peer_coordinator.query_offline_usage,
             self.metrics.tokens_moved,
+            self.settings.is_first_start,
         )
         self.peer_coordinator.register_callbacks(self.allowances)
         self.peer_coordinator.last_log_response_at = self._last_log_response_at
@@ -339,7 +340,11 @@
         await self.readiness_server.start()
         await self.metrics_server.start()
         await self.listener.start()
-        _log.info("Started as incarnation {}.", self.incarnation)
+        _log.info(
+            "Started as incarnation {}{}.",
+            self.incarnation,
+            ", with the whole fleet" if self.settings.is_first_start else "",
+        )
 
     async def drain(self) -> None:
         """Report not ready, finish the requests in flight and return allowances."""
--- a/src/eelgrasslock/gateway/peer_coordinator.py
+++ b/src/eelgrasslock/gateway/peer_coordinator.py
@@ -105,6 +105,7 @@
         callbacks.log = self.log.direct_log()
         callbacks.release_allowance = allowances.release
         callbacks.offline_usage = self._answer_offline_query
+        callbacks.has_full_history = lambda: allowances.has_full_history
 
     async def register(self) -> None:
         """Write the registration to the log; retry until it succeeds."""
@@ -178,6 +179,11 @@
             *(self._query_peer(entry, program) for entry in entries)
         )
         usages = [usage for usage in answers if usage is not None]
+        historians = {
+            entry.incarnation
+            for entry, usage in zip(entries, answers, strict=True)
+            if usage is not None and usage.has_full_history
+        }
         responding_domains = [usage.domain for usage in usages]
         # A domain without any response may be partitioned and spend offline as well.
         domains = [entry.domain for entry in all_daemons]
@@ -199,7 +205,9 @@
             return None
         expected = [entry.domain for entry in entries]
         return OfflineUsageReport(
-            usages=usages, missing=missing_members(expected, responding_domains)
+            usages=usages,
+            missing=missing_members(expected, responding_domains),
+            has_full_history=self._knows_all_draws(historians),
         )
 
     async def _query_peer(
@@ -213,7 +221,23 @@
         except PeerUnavailable:
             # The decision counts and logs this daemon as missing.
             return None
-        return OfflineUsage(domain=entry.domain, spent=answer.spent, drawn=answer.drawn)
+        return OfflineUsage(
+            domain=entry.domain,
+            spent=answer.spent,
+            drawn=answer.drawn,
+            has_full_history=answer.fullHistory,
+        )
+
+    def _knows_all_draws(self, historians: set[str]) -> bool:
+        """Return whether this daemon and some peers together know all draws.
+
+        They don't if another daemon may have drawn for a program that may still
+        return: one that did not answer, has been replaced, or has left.
+        """
+        assert self.allowances is not None
+        retention_seconds = self.allowances.ledger.retention_seconds
+        drew = self.load_exchange.seen_since(self.clock.monotonic() - retention_seconds)
+        return self.allowances.has_full_history and drew <= historians
 
     def _partitioned_during_outage(
         self, entries: list[DaemonEntry], responding_domains: list[str]
--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -34,6 +34,9 @@
         How long the platform waits after SIGTERM before it kills the process.
     log_level : str
         The lowest level that is logged.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time, so that no program has
+        been served yet.
     """
 
     name: str
@@ -47,6 +50,7 @@
     drain_seconds: float
     metrics_address: str = ""
     log_level: str = "INFO"
+    is_first_start: bool = False
 
 
 def load_gateway_settings(path: pathlib.Path) -> GatewaySettings:
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -59,6 +59,6 @@
   reach @8 (incarnation :Text) -> (reached :Bool);
   appendAt @9 (topic :Text, partition :UInt32, records :List(Data), expectedEnd :Int64) -> (outcome :Outcome, end :Int64);
   readFrom @10 (topic :Text, partition :UInt32, offset :Int64) -> (outcome :Outcome, records :List(Data), offset :Int64, end :Int64);
-  offline @12 (program :Text) -> (spent :Int64, drawn :Int64);  # spent without the log; drawn in all, as far as the receiver knows
+  offline @12 (program :Text) -> (spent :Int64, drawn :Int64, fullHistory :Bool);  # spent without the log; drawn in all, as far as the receiver knows; whether it has run as long as any program
   release @11 (program :Text) -> (tokens :Int64);  # the tokens that the receiver gives up
 }
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -37,6 +37,9 @@
     offline_usage : callable
         Returns the tokens of a program that were spent without the log, and
         those that are drawn in all.
+    has_full_history : callable
+        Returns whether this daemon has run for as long as any program may have
+        lasted.
     """
 
     def __init__(self) -> None:
@@ -53,6 +56,7 @@
         self.log: PartitionedLog | None = None
         self.release_allowance: Callable[[str], int] = lambda program: 0
         self.offline_usage: Callable[[str], tuple[int, int]] = lambda program: (0, 0)
+        self.has_full_history: Callable[[], bool] = lambda: False
 
 
 async def _serve_nothing(request: Request, responder: Responder) -> None:
--- a/src/eelgrasslock/peers/peer_handlers.py
+++ b/src/eelgrasslock/peers/peer_handlers.py
@@ -196,6 +196,7 @@
         spent, drawn = self.callbacks.offline_usage(program)
         _context.results.spent = spent
         _context.results.drawn = drawn
+        _context.results.fullHistory = self.callbacks.has_full_history()
 
 
 class SinkResponder:
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -174,9 +174,25 @@
         await three.application.stop()
         await asyncio.sleep(CONFIGURATION_LONG_POLL_SECONDS + 1.0)
         one.faults.refusing = two.faults.refusing = "busy"
-        status, _ = await fleet.turn(one, "p", budget=220)
+        # Half of 770 tokens hold one turn, and none if a third daemon may have run one.
+        status, _ = await fleet.turn(one, "p", budget=770, max_tokens=220)
         assert status == 200
 
+    @pytest.mark.parametrize("is_first_start", [True, False])
+    async def test_a_small_budget_needs_daemons_that_know_all_draws(
+        self, fleet, is_first_start
+    ):
+        engine = await fleet.endpoint("models", events=5)
+        one, two = [
+            await fleet.ready_daemon([engine], name=name, is_first_start=is_first_start)
+            for name in ("a-1", "a-2")
+        ]
+        load_exchange = one.application.load_exchange
+        await wait_until(lambda: load_exchange.last_contact)
+        one.faults.refusing = two.faults.refusing = "busy"
+        status, _ = await fleet.turn(one, "p", budget=440, max_tokens=220)
+        assert status == (200 if is_first_start else 503)
+
 
 class TestManyDaemons:
     """With 82 daemons and 22 engines, load reports arrive seconds late."""
--- a/tests/test_offline_allowances.py
+++ b/tests/test_offline_allowances.py
@@ -17,17 +17,40 @@
     offline_remaining,
 )
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.exceptions import AppendUnresolved, Refusal
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, Refusal
 from memory_log import RETENTION, TURN_TOKENS, MemoryLog, run_turn
 
 
+class PartitionedFromLog:
+    """A log that is unavailable to one group of daemons while `up` is false."""
+
+    def __init__(self, log):
+        self.log = log
+        self.up = True
+
+    async def append_at(self, *arguments):
+        if not self.up:
+            raise LogUnavailable("partitioned")
+        return await self.log.append_at(*arguments)
+
+    async def read_from(self, *arguments):
+        if not self.up:
+            raise LogUnavailable("partitioned")
+        return await self.log.read_from(*arguments)
+
+
 class Group:
-    """Allowance managers of daemons that reach each other, with one log."""
+    """Allowance managers of daemons that reach each other, with one log.
 
-    def __init__(self, log, count):
+    `sees_all`: whether the group heard of no other daemon.
+    """
+
+    def __init__(self, log, count, is_first_start=True, sees_all=True):
         self.log = log
         self.may_spend = True
         self.missing = 0
+        self.is_first_start = is_first_start
+        self.sees_all = sees_all
         self.daemons = {}
         for number in range(count):
             self.add(f"d{number}")
@@ -43,11 +66,18 @@
                 OfflineUsage(domain="a", spent=spent, drawn=drawn)
                 for spent, drawn in usages
             ]
-            return OfflineUsageReport(usages=usages, missing=self.missing)
+            has_full_history = self.sees_all and not self.missing
+            has_full_history &= all(one.has_full_history for one in others)
+            return OfflineUsageReport(
+                usages=usages, missing=self.missing, has_full_history=has_full_history
+            )
 
         ledger = DrawLedger(self.log, 4, name, ManualClock(), RETENTION)
         self.daemons[name] = AllowanceManager(
-            ledger, ManualClock(), query_offline_usage=query_offline_usage
+            ledger,
+            ManualClock(),
+            query_offline_usage=query_offline_usage,
+            is_first_start=self.is_first_start,
         )
 
     def accounts(self, program):
@@ -76,16 +106,20 @@
 
 
 class TestLimits:
-    def test_a_small_budget_gets_one_turn(self):
-        assert offline_limit(2 * TURN_TOKENS, TURN_TOKENS) == TURN_TOKENS
-        assert offline_limit(3 * TURN_TOKENS, TURN_TOKENS) == TURN_TOKENS
+    @pytest.mark.parametrize("turns", [2, 3])
+    def test_a_small_budget_gets_one_turn_from_those_that_know_of_another(self, turns):
+        assert offline_limit(turns * TURN_TOKENS, TURN_TOKENS, True) == TURN_TOKENS
+        assert offline_limit(turns * TURN_TOKENS, TURN_TOKENS, False) == 0
 
-    def test_a_larger_budget_gets_half(self):
-        assert offline_limit(8 * TURN_TOKENS, TURN_TOKENS) == 4 * TURN_TOKENS
+    @pytest.mark.parametrize("has_full_history", [True, False])
+    def test_a_larger_budget_gets_half(self, has_full_history):
+        limit = offline_limit(8 * TURN_TOKENS, TURN_TOKENS, has_full_history)
+        assert limit == 4 * TURN_TOKENS
 
     def test_draws_that_a_peer_has_read_count(self):
         usage = OfflineUsage(domain="a", spent=0, drawn=750)
-        assert offline_remaining(800, TURN_TOKENS, 50, 0, [usage], 0) == 0
+        report = OfflineUsageReport(usages=[usage])
+        assert offline_remaining(800, TURN_TOKENS, 50, 0, report) == 0
 
     @pytest.mark.parametrize(
         ("answered", "allowed"),
@@ -231,6 +265,51 @@
         assert group[0].offline_usage("p") == (0, TURN_TOKENS)
 
 
+class TestSecondOfflineTurn:
+    """The turn beyond a budget must not be given again by daemons that can't know."""
+
+    async def test_domains_that_are_cut_off_in_turn(self, log):
+        """A looping program spent 2,574 of 1,683 tokens over a cut and a return."""
+        budget = 3 * TURN_TOKENS
+        logs = [PartitionedFromLog(log) for _ in range(3)]
+        domains = [Group(one, 2, sees_all=False) for one in logs]
+        spent = 0
+        for cut_off in (0, 1):
+            logs[cut_off].up = False
+            spent += await turns_until_refused(domains[cut_off], budget, TURN_TOKENS)
+            spent += await turns_until_refused(domains[2], budget, TURN_TOKENS)
+            logs[cut_off].up = True
+            for one in domains[cut_off].daemons.values():
+                await one.record_offline_draws()
+        assert spent <= budget + TURN_TOKENS
+
+    @pytest.mark.parametrize("turns", [2, 3])
+    async def test_a_return_after_all_daemons_died(self, log, turns):
+        """Looping programs spent 1,980 of 1,122 and 2,607 of 1,683 tokens."""
+        budget = turns * TURN_TOKENS
+        cut_off = PartitionedFromLog(log)
+        cut_off.up = False
+        domain = Group(cut_off, 2, sees_all=False)
+        spent = await turns_until_refused(domain, budget, TURN_TOKENS)
+        spent += await turns_until_refused(Group(log, 2), budget, TURN_TOKENS)
+        cut_off.up = True
+        for one in domain.daemons.values():
+            await one.record_offline_draws()
+        log.up = False
+        started_later = Group(log, 4, is_first_start=False)
+        spent += await turns_until_refused(started_later, budget, TURN_TOKENS)
+        assert spent <= budget + TURN_TOKENS
+
+    async def test_daemons_that_know_all_draws_give_one_turn(self, log):
+        group = Group(log, 3, is_first_start=False)
+        log.up = False
+        budget = 2 * TURN_TOKENS
+        assert await turns_until_refused(group, budget, TURN_TOKENS) == 0
+        for one in group.daemons.values():
+            one.clock.advance(RETENTION)
+        assert await turns_until_refused(group, budget, TURN_TOKENS) == TURN_TOKENS
+
+
 class TestRefreshDuringAnOutage:
     """Refreshing must not evict an account while peers are queried for it.
 
--- a/tests/test_offline_logging.py
+++ b/tests/test_offline_logging.py
@@ -37,7 +37,7 @@
     async def respond(one, call, seconds=0.0):
         if one.domain != "a":
             raise PeerUnavailable(one.name)
-        return SimpleNamespace(spent=0, drawn=0)
+        return SimpleNamespace(spent=0, drawn=0, fullHistory=True)
 
     monkeypatch.setattr(peer_coordinator.mesh, "call", respond)
     for one in (entry("a-2", "a"), entry("b-1", "b")):
@@ -68,7 +68,7 @@
         async def respond(one, call, seconds=0.0):
             if one.domain == "b":
                 raise PeerUnavailable(one.name)
-            return SimpleNamespace(spent=0, drawn=0)
+            return SimpleNamespace(spent=0, drawn=0, fullHistory=True)
 
         peer_coordinator.mesh.call = respond
         assert await peer_coordinator.query_offline_usage("p7") is None
--- a/tests/test_offline_queries.py
+++ b/tests/test_offline_queries.py
@@ -18,12 +18,10 @@
         yield fleet
 
 
-class TestPartitionAndLogOutage:
-    """Guards against overspending when a partition and a log outage coincide.
+class PeersOfADaemon:
+    """A daemon, and registered peers of which some respond to its queries."""
 
-    If both groups of daemons allow offline spending, a program in a loop spends
-    its budget in each group.
-    """
+    started_later = frozenset()
 
     @pytest.fixture
     async def peer_coordinator(self, fleet):
@@ -43,10 +41,20 @@
         async def respond(entry, call, seconds=0.0):
             if entry.name not in names:
                 raise PeerUnavailable(entry.name)
-            return SimpleNamespace(spent=0, drawn=0)
+            return SimpleNamespace(
+                spent=0, drawn=0, fullHistory=entry.name not in self.started_later
+            )
 
         monkeypatch.setattr(peer_coordinator.mesh, "call", respond)
 
+
+class TestPartitionAndLogOutage(PeersOfADaemon):
+    """Guards against overspending when a partition and a log outage coincide.
+
+    If both groups of daemons allow offline spending, a program in a loop spends
+    its budget in each group.
+    """
+
     async def test_no_offline_spending_beside_a_partitioned_domain(
         self, peer_coordinator, monkeypatch
     ):
@@ -130,6 +138,57 @@
         assert await peer_coordinator.query_offline_usage("p") is not None
 
 
+class TestFullHistory(PeersOfADaemon):
+    """Only daemons that know all draws may give a turn beyond a small budget."""
+
+    @pytest.fixture
+    async def with_peers(self, peer_coordinator, monkeypatch):
+        now = peer_coordinator.clock.monotonic()
+        peer_coordinator.allowances.is_first_start = True
+        self.add_peer(peer_coordinator, "a-2", "a", now)
+        self.add_peer(peer_coordinator, "b-1", "b", now)
+        peer_coordinator.log.lost_at = now
+        self.respond_only(peer_coordinator, monkeypatch, {"a-2", "b-1"})
+        return peer_coordinator
+
+    async def has_full_history(self, peer_coordinator):
+        return (await peer_coordinator.query_offline_usage("p")).has_full_history
+
+    async def test_all_that_drew_answer(self, with_peers):
+        assert await self.has_full_history(with_peers)
+
+    async def test_one_that_started_later_may_have_lost_draws(self, with_peers):
+        self.started_later = {"b-1"}
+        assert not await self.has_full_history(with_peers)
+        self.started_later = frozenset()
+        with_peers.allowances.is_first_start = False
+        assert not await self.has_full_history(with_peers)
+
+    async def test_one_that_is_gone_may_have_drawn(self, with_peers):
+        """Replaced and deregistered daemons have no entry any more."""
+        now = with_peers.clock.monotonic()
+        contacts = with_peers.load_exchange.last_contact
+        contacts["a-3"] = now - 200.0
+        assert not await self.has_full_history(with_peers)
+        contacts["a-3"] = now - 400.0
+        assert await self.has_full_history(with_peers)
+
+    async def test_one_that_never_answered_may_have_drawn(self, with_peers):
+        now = with_peers.clock.monotonic()
+        self.add_peer(with_peers, "a-3", "a", now)
+        del with_peers.load_exchange.last_contact["a-3"]
+        with_peers.load_exchange.first_seen["a-3"] = now - 200.0
+        assert not await self.has_full_history(with_peers)
+
+    async def test_a_domain_that_is_cut_off_does_not_know_all(
+        self, with_peers, monkeypatch
+    ):
+        now = with_peers.clock.monotonic()
+        with_peers.load_exchange.last_contact["b-1"] = now - 60.0
+        self.respond_only(with_peers, monkeypatch, {"a-2"})
+        assert not await self.has_full_history(with_peers)
+
+
 class TestOutageOfManyDaemons:
     """Without a limit, 82 daemons sent 29,000 queries per second in an outage."""
 
@@ -141,7 +200,7 @@
 
         async def respond(entry, call, seconds=0.0):
             queried.append(entry.name)
-            return SimpleNamespace(spent=0, drawn=0)
+            return SimpleNamespace(spent=0, drawn=0, fullHistory=True)
 
         now = peer_coordinator.clock.monotonic()
         for number in range(81):
