Revert the release of recorded tokens only

A daemon that releases unrecorded tokens gives up the right to spend them, and still records them: the sum of what all may spend is the same with and without the change. In the test's case 834 of 800 tokens are outstanding both ways, 34 of them drawn without the log while the peer draws the whole rest, which is what a share without the log costs at most.

--- a/src/eelgrasslock/allowances/account.py
+++ b/src/eelgrasslock/allowances/account.py
@@ -57,11 +57,6 @@
         """Tokens that can be reserved without another draw."""
         return self.drawn - self.spent - self.reserved
 
-    @property
-    def returnable(self) -> int:
-        """Unspent tokens that the log counts as drawn, at least 0."""
-        return max(0, self.available - self.offline_drawn)
-
     @property
     def is_idle(self) -> bool:
         """Whether no tokens are reserved, pending or missing from the log."""
--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -155,7 +155,7 @@
         account = self.accounts.get(program)
         if account is None:
             return 0
-        tokens = account.returnable
+        tokens = max(0, account.available)
         account.drawn -= tokens
         if tokens:
             self.on_tokens("released", tokens)
@@ -168,8 +168,8 @@
             await self._return_unused(account)
 
     async def _return_unused(self, account: Account) -> None:
-        tokens = account.returnable
-        if not tokens:
+        tokens = account.available
+        if tokens <= 0:
             return
         account.drawn -= tokens
         try:
