Tell a draw's age by when it was written, not read

A program that loops for longer than the log keeps records (300 s) could get its whole budget again: 460 and 689 of 300 + 100 tokens, 400 of 200 + 100, in a model of nine daemons (BUDGET, a program's tokens over all daemons, over restarts).

Cause: totals are written again at half of the retention, but a daemon that had read a draw took the time of its read for that of the draw. Where the daemons that wrote had died, the others wrote the total again too late, the record expired, and who came next found nothing and took the budget for whole: as with the turn beyond a budget, nothing known was taken for nothing spent.

A draw's id starts with the second in which it was made, so that a reader knows the age; daemons of earlier versions take any id and still read the record, and an id without a time counts as new, as before. Clocks of daemons may differ by seconds, the margin is 150. Test: test_a_total_read_late_is_written_again_before_it_expires; it failed before.

--- a/src/eelgrasslock/allowances/draw_ledger.py
+++ b/src/eelgrasslock/allowances/draw_ledger.py
@@ -1,7 +1,6 @@
 """Appends draws to the log, each on condition that the partition is unchanged."""
 
 import asyncio
-import secrets
 
 import xxhash
 from attrs import define, field, frozen
@@ -14,6 +13,7 @@
     ProgramDraws,
     decode_draw,
     encode_draw,
+    make_id,
 )
 from eelgrasslock.allowances.read_first_policy import ReadFirstPolicy
 from eelgrasslock.clock import Clock
@@ -28,7 +28,6 @@
 
 TOPIC_COUNT = 80
 _TOPIC_FORMAT = "allowances-{}"
-_DRAW_ID_BYTES = 8
 _MAX_APPEND_ATTEMPTS = 6
 REFRESH_AGE_RATIO = 0.5
 
@@ -192,7 +191,7 @@
         """Return whether the log will soon drop the newest draw of a program."""
         draws = self.partition(program).state.programs.get(program)
         age = REFRESH_AGE_RATIO * self.retention_seconds
-        return draws is not None and draws.updated_at < self.clock.monotonic() - age
+        return draws is not None and draws.written_at < self.clock.monotonic() - age
 
     def drop_expired(self) -> None:
         """Drop programs whose newest draw is older than the log's retention."""
@@ -242,7 +241,7 @@
     async def _append_return(
         self, partition: Partition, program: str, holder: str, tokens: int
     ) -> None:
-        id = secrets.token_hex(_DRAW_ID_BYTES)
+        id = make_id(self.clock.now())
         for _ in range(_MAX_APPEND_ATTEMPTS):
             draw = self._make_draw(partition, program, id, -tokens, holder)
             if await self._append(partition, draw):
@@ -251,7 +250,7 @@
 
     async def _draw(self, partition: Partition, request: DrawRequest) -> DrawResult:
         program = request.program
-        id = secrets.token_hex(_DRAW_ID_BYTES)
+        id = make_id(self.clock.now())
         is_read = await self._read_before_append(partition)
         is_known = is_read or partition.state.end > 0
         for _ in range(_MAX_APPEND_ATTEMPTS):
@@ -369,7 +368,11 @@
 
     def _apply(self, partition: Partition, data: bytes) -> None:
         try:
-            partition.state.apply(decode_draw(data), self.clock.monotonic())
+            draw = decode_draw(data)
         except RecordError as error:
             name = f"{partition.topic}/{partition.number}"
             _log.warning("Skipped a record of partition {}: {}", name, error)
+            return
+        made_at = draw.made_at
+        age_seconds = 0.0 if made_at is None else max(0.0, self.clock.now() - made_at)
+        partition.state.apply(draw, self.clock.monotonic(), age_seconds)
--- a/src/eelgrasslock/allowances/draws.py
+++ b/src/eelgrasslock/allowances/draws.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import secrets
 from collections import OrderedDict
 
 from attrs import define, field, frozen
@@ -14,6 +15,8 @@
 
 _FORMAT_VERSION = 1
 _MAX_RECENT_IDS = 64
+_ID_BYTES = 8
+_ID_SEPARATOR = "."
 
 
 @frozen(kw_only=True)
@@ -25,7 +28,7 @@
     program : str
         The program's id.
     id : str
-        Unique to the draw, so that a repeated append counts once.
+        Unique to the draw, so that a repeated append counts once; see `make_id`.
     holder : str
         The incarnation that may spend the tokens.
     tokens : int
@@ -43,6 +46,23 @@
     total: int
     preferred_endpoint: str = ""
 
+    @property
+    def made_at(self) -> float | None:
+        """When the draw was made, in seconds since the epoch; None if unknown."""
+        seconds, separator, _ = self.id.partition(_ID_SEPARATOR)
+        try:
+            return float(int(seconds, 16)) if separator else None
+        except ValueError:
+            return None
+
+
+def make_id(now: float) -> str:
+    """Return the id of a new draw, which starts with the time in seconds.
+
+    Daemons of earlier versions read the ids, but would not read another field.
+    """
+    return f"{int(now):x}{_ID_SEPARATOR}{secrets.token_hex(_ID_BYTES)}"
+
 
 def encode_draw(draw: Draw) -> bytes:
     """Encode a draw as a log record."""
@@ -101,6 +121,8 @@
         The same by incarnation, without records that the log has dropped.
     recent_ids : dict of str to None
         Ids of the newest draws, oldest first.
+    written_at : float
+        About when the newest draw was written, on the monotonic clock.
     updated_at : float
         When the newest draw was applied, on the monotonic clock.
     preferred_endpoint : str
@@ -111,11 +133,13 @@
     tokens_by_holder: dict[str, int] = field(factory=dict)
     recent_ids: dict[str, None] = field(factory=dict)
     updated_at: float = 0.0
+    written_at: float = 0.0
     preferred_endpoint: str = ""
 
-    def apply(self, draw: Draw, now: float) -> None:
+    def apply(self, draw: Draw, now: float, age_seconds: float) -> None:
         """Apply the next draw."""
         self.updated_at = now
+        self.written_at = now - age_seconds
         self.total = draw.total
         self.preferred_endpoint = draw.preferred_endpoint or self.preferred_endpoint
         self.tokens_by_holder[draw.holder] = (
@@ -146,9 +170,10 @@
         """Return the draws of a program."""
         return self.programs.get(program) or ProgramDraws()
 
-    def apply(self, draw: Draw, now: float) -> None:
+    def apply(self, draw: Draw, now: float, age_seconds: float = 0.0) -> None:
         """Apply the draw of the next record."""
-        self.programs.setdefault(draw.program, ProgramDraws()).apply(draw, now)
+        draws = self.programs.setdefault(draw.program, ProgramDraws())
+        draws.apply(draw, now, age_seconds)
         self.programs.move_to_end(draw.program)
 
     def drop_expired(self, oldest: float) -> None:
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -218,6 +218,25 @@
                 served += 1
         assert served <= 2
 
+    async def test_a_total_read_late_is_written_again_before_it_expires(self, log):
+        """A looping program got its budget anew once those that drew were gone."""
+        clock = ManualClock()
+        log.time = clock.monotonic()
+        one, two = make_manager(log, "one", clock), make_manager(log, "two", clock)
+        for _ in range(3):
+            await run_turn(one, 3 * TURN_TOKENS, TURN_TOKENS)
+        clock.advance(RETENTION * 0.8)
+        log.time = clock.monotonic()
+        with pytest.raises(Refusal):
+            await run_turn(two, 3 * TURN_TOKENS, TURN_TOKENS)
+        await two.refresh()
+        clock.advance(RETENTION * 0.4)
+        log.expire_before(clock.monotonic() - RETENTION)
+        with pytest.raises(Refusal):
+            await run_turn(
+                make_manager(log, "three", clock), 3 * TURN_TOKENS, TURN_TOKENS
+            )
+
     async def test_idle_programs_are_evicted(self, log):
         clock = ManualClock()
         one = make_manager(log, "one", clock)
