Say in the lines of requests how a response was framed and ended

No line told apart what could have broken off a stream that its caller got as complete. The line of a request now has framing (length, chunked, close) and in_event, and the line of a lost connection says whether it was reset or ended early.

--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -109,6 +109,7 @@
 
 
 def _context_fields(context: RequestContext) -> dict[str, object]:
+    framing = context.response_framing
     return {
         "route": context.route.name,
         "service": context.service.name,
@@ -119,6 +120,8 @@
         "tokens": context.tokens_used,
         "max_tokens": context.max_generated_tokens,
         "status": context.response_status,
+        "framing": framing.value if framing is not None else None,
+        "in_event": context.in_event,
     }
 
 
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -187,6 +187,7 @@
             )
         except ConnectionBroken as error:
             return await self._classify_failure(context, record, error)
+        context.response_framing = head.framing
         response = self.codec.decode_response(head)
         if response.load is not None:
             self.on_load_report(context.service.name, record.id, response.load)
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -5,7 +5,8 @@
 from eelgrasslock.gateway.event_counter import EventCounter
 from eelgrasslock.gateway.messages import GatewayRequest
 from eelgrasslock.gateway.responder import CallerResponder
-from eelgrasslock.gateway.routes import Route, ServiceSpec
+from eelgrasslock.gateway.routes import Route, RouteKind, ServiceSpec
+from eelgrasslock.http.messages import Framing
 
 
 @define(eq=False)
@@ -36,6 +37,8 @@
         The total time for which the request waited for endpoints.
     response_status : int
         The status of the response, 0 until there is one.
+    response_framing : Framing or None
+        How the endpoint marks the end of its response, None until there is one.
     endpoint_crashed : bool
         Whether the endpoint crashed while its response was relayed.
     preferred_endpoint : str
@@ -55,6 +58,7 @@
     endpoint: str = ""
     queued_seconds: float = 0.0
     response_status: int = 0
+    response_framing: Framing | None = None
     endpoint_crashed: bool = False
     preferred_endpoint: str = ""
     configuration_version: int = 0
@@ -64,6 +68,12 @@
         """The route's kind as a metric label."""
         return self.route.kind.value
 
+    @property
+    def in_event(self) -> bool | None:
+        """Whether the last relayed event is incomplete, None without a stream."""
+        is_stream = self.route.kind is RouteKind.STREAM
+        return self.event_counter.in_event if is_stream else None
+
     @property
     def tokens_used(self) -> int:
         """Tokens that were relayed to the caller, as counted against a budget."""
--- a/src/eelgrasslock/http/connection.py
+++ b/src/eelgrasslock/http/connection.py
@@ -12,15 +12,13 @@
 import httptools
 
 from eelgrasslock.exceptions import EelgrassError
-from eelgrasslock.http.messages import Header, OutgoingRequest, ResponseHead
+from eelgrasslock.http.messages import Framing, Header, OutgoingRequest, ResponseHead
 
 TCP_USER_TIMEOUT_MILLISECONDS = 2_500
 TCP_KEEPALIVE_IDLE_SECONDS = 2
 TCP_KEEPALIVE_INTERVAL_SECONDS = 1
 TCP_KEEPALIVE_PROBES = 2
 READ_PAUSE_BYTES = 131_072
-_NO_CONTENT = 204
-_NOT_MODIFIED = 304
 _FIRST_FINAL_STATUS = 200
 
 
@@ -166,7 +164,8 @@
         self._usable = False
         if not self._complete:
             reset = isinstance(exc, ConnectionResetError)
-            self._fail("The connection ended early.", reset)
+            cause = "was reset" if reset else "ended early"
+            self._fail(f"The connection {cause}.", reset)
 
     # --- httptools callbacks ----------------------------------------------------
 
@@ -193,7 +192,7 @@
             return
         self._skipping = False
         self._response_started = True
-        self._body_until_eof = not _has_framed_body(head)
+        self._body_until_eof = head.framing is Framing.CLOSE
         if self._head is not None and not self._head.done():
             self._head.set_result(head)
         if request.method == "HEAD":
@@ -270,10 +269,3 @@
     )
     for level, name, value in options:
         connected_socket.setsockopt(level, name, value)
-
-
-def _has_framed_body(head: ResponseHead) -> bool:
-    if head.status in (_NO_CONTENT, _NOT_MODIFIED):
-        return True
-    encoding = head.header("transfer-encoding").lower()
-    return bool(head.header("content-length")) or "chunked" in encoding
--- a/src/eelgrasslock/http/messages.py
+++ b/src/eelgrasslock/http/messages.py
@@ -1,10 +1,30 @@
 """HTTP requests and response heads as they are sent and received."""
 
+import enum
+
 from attrs import frozen
 
 Header = tuple[str, str]
 
 
+class Framing(enum.Enum):
+    """How the end of a response's body is marked.
+
+    Attributes
+    ----------
+    LENGTH
+        By a length in the head, or the body is always empty.
+    CHUNKED
+        By a last chunk.
+    CLOSE
+        By the end of the connection.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 @frozen(kw_only=True)
 class OutgoingRequest:
     """An encoded request for an endpoint or the store.
@@ -66,6 +86,15 @@
     status: int
     headers: tuple[Header, ...]
 
+    @property
+    def framing(self) -> Framing:
+        """How the end of the body is marked."""
+        if self.status in _STATUSES_WITHOUT_BODY:
+            return Framing.LENGTH
+        if "chunked" in self.header("transfer-encoding").lower():
+            return Framing.CHUNKED
+        return Framing.LENGTH if self.header("content-length") else Framing.CLOSE
+
     def header(self, name: str) -> str:
         """Return the first value of a header, whose name is given in lower case.
 
@@ -77,4 +106,5 @@
         return ""
 
 
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
