--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -268,6 +268,13 @@
     writer.transport.abort()
 
 
+async def read_request(reader: asyncio.StreamReader) -> Run:
+    """Return a request with its body."""
+    run = await _read_head(reader)
+    await _read_body(reader, run)
+    return run
+
+
 async def _read_head(reader: asyncio.StreamReader) -> Run:
     text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = text.strip().split("\r\n")
--- /dev/null
+++ b/src/eelgrasslock_standins/raw_server.py
@@ -0,0 +1,161 @@
+"""A stand-in that sends given bytes and ends its connections in given ways.
+
+It plays what a proper HTTP server can't: answers that break off, end in a way that
+hides it, or never end.
+"""
+
+import asyncio
+import enum
+from collections import deque
+
+from attrs import define, field, frozen
+
+from eelgrasslock.http.messages import Framing
+from eelgrasslock_standins.platform_engine import Run, read_request, reset
+
+_RESET_DELAY_SECONDS = 0.05
+_LAST_CHUNK = b"0\r\n\r\n"
+
+
+class Ending(enum.Enum):
+    """What follows the bytes of an answer.
+
+    Attributes
+    ----------
+    FIN
+        The connection is closed.
+    HALF_CLOSE
+        No more bytes are sent, but the caller's are still read.
+    RESET
+        The connection is reset.
+    SILENCE
+        Nothing, until the caller closes.
+    NEXT
+        The next request is read.
+    ENDLESS
+        The filler, again and again, until the caller closes.
+    """
+
+    FIN = "fin"
+    HALF_CLOSE = "half_close"
+    RESET = "reset"
+    SILENCE = "silence"
+    NEXT = "next"
+    ENDLESS = "endless"
+
+
+@frozen(kw_only=True)
+class RawAnswer:
+    """The bytes of an answer and the end of its connection.
+
+    Attributes
+    ----------
+    data : bytes
+        The bytes; ``{id}`` stands for the id of the request.
+    ending : Ending
+        What follows them.
+    filler : bytes
+        What is repeated by `Ending.ENDLESS`.
+    """
+
+    data: bytes
+    ending: Ending = Ending.FIN
+    filler: bytes = b""
+
+
+@define(eq=False)
+class RawServer:
+    """Gives the same answer to each request, after those that are queued.
+
+    Attributes
+    ----------
+    answer : RawAnswer
+        The answer.
+    queued : deque of RawAnswer
+        Answers that come first, one for each request.
+    id : str
+        The id of the endpoint that it stands in for.
+    runs : list of Run
+        The requests received.
+    sent_bytes : int
+        The number of bytes sent.
+    """
+
+    answer: RawAnswer
+    queued: deque[RawAnswer] = field(factory=deque)
+    id: str = ""
+    runs: list[Run] = field(factory=list)
+    sent_bytes: int = 0
+    address: str = ""
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(factory=set)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stop, and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            reset(writer)
+
+    @property
+    def connected(self) -> bool:
+        """Whether a caller is connected."""
+        return bool(self._writers)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        run = await read_request(reader)
+        run.ran = True
+        self.runs.append(run)
+        answer = self.queued.popleft() if self.queued else self.answer
+        await self._write(writer, answer.data.replace(b"{id}", run.id.encode()))
+        if answer.ending is Ending.NEXT:
+            return True
+        if answer.ending is Ending.RESET:
+            await asyncio.sleep(_RESET_DELAY_SECONDS)
+            reset(writer)
+        elif answer.ending is Ending.HALF_CLOSE:
+            writer.write_eof()
+            await reader.read()
+        elif answer.ending is Ending.SILENCE:
+            await reader.read()
+        while answer.ending is Ending.ENDLESS:
+            await self._write(writer, answer.filler)
+        return False
+
+    async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        writer.write(data)
+        await writer.drain()
+        self.sent_bytes += len(data)
+
+
+def frame(body: bytes, framing: Framing, status: int = 200, more: str = "") -> bytes:
+    """Return an answer whose framing says that the body is whole."""
+    lines = f"HTTP/1.1 {status} Status\r\nRequest-Id: {{id}}\r\n{more}"
+    if framing is Framing.LENGTH:
+        lines += f"Content-Length: {len(body)}\r\n"
+    if framing is Framing.CHUNKED:
+        lines += "Transfer-Encoding: chunked\r\n"
+        body = f"{len(body):x}\r\n".encode() + body + b"\r\n" if body else b""
+        body += _LAST_CHUNK
+    return f"{lines}\r\n".encode() + body
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -19,6 +19,7 @@
 from eelgrasslock.platform.store_client import PlatformStoreClient
 from eelgrasslock_standins.platform_engine import PlatformEngineStandin
 from eelgrasslock_standins.platform_store import PlatformStoreStandin
+from eelgrasslock_standins.raw_server import RawServer
 
 HOST = "fleet.example"
 TURNS = "/turns/"
@@ -137,6 +138,14 @@
         self.register(standin, service)
         return standin
 
+    async def raw_endpoint(self, answer, service="desk"):
+        """Register an endpoint that answers with given bytes."""
+        standin = RawServer(answer=answer, id=f"i-{next(self.ids)}")
+        await standin.start()
+        self.stack.push_async_callback(standin.stop)
+        self.register(standin, service)
+        return standin
+
     def register(self, standin, service="desk", **more):
         entry = {
             "service": service,
--- /dev/null
+++ b/tests/test_truncated_responses.py
@@ -0,0 +1,54 @@
+"""A response that an endpoint broke off never reaches its caller as complete."""
+
+import pytest
+
+from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.messages import Framing
+from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
+from platform_fleet import PlatformFleet
+
+STAMP = "Server-Stamp: s\r\n"
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+ORDERLY_ENDINGS = [Ending.FIN, Ending.HALF_CLOSE]
+
+
+@pytest.fixture
+async def fleet():
+    async with PlatformFleet() as fleet:
+        yield fleet
+
+
+def signed(body, framing, ending=Ending.FIN):
+    return RawAnswer(data=frame(body, framing, more=STAMP), ending=ending)
+
+
+class TestStreams:
+    async def serve(self, fleet, answer, **headers):
+        engine = await fleet.raw_endpoint(answer, "models")
+        daemon = await fleet.ready_daemon([engine])
+        return await fleet.turn(daemon, "p", **headers)
+
+    @pytest.mark.parametrize("headers", [{}, {"Last_Event_Id": 4}])
+    @pytest.mark.parametrize("ending", ORDERLY_ENDINGS)
+    @pytest.mark.parametrize("framing", list(Framing))
+    @pytest.mark.parametrize("missing_bytes", [1, 2, 8, len(EVENTS) - 2])
+    async def test_a_stream_that_ends_inside_an_event_is_not_completed(
+        self, fleet, missing_bytes, framing, ending, headers
+    ):
+        # A crashed engine's orderly close was taken for the end of its stream.
+        answer = signed(EVENTS[:-missing_bytes], framing, ending)
+        with pytest.raises(ConnectionBroken):
+            await self.serve(fleet, answer, **headers)
+
+    @pytest.mark.parametrize("ending", ORDERLY_ENDINGS)
+    async def test_a_close_before_the_first_event_completes_no_stream(
+        self, fleet, ending
+    ):
+        with pytest.raises(ConnectionBroken):
+            await self.serve(fleet, signed(b"", Framing.CLOSE, ending))
+
+    @pytest.mark.parametrize("ending", ORDERLY_ENDINGS)
+    @pytest.mark.parametrize("framing", list(Framing))
+    async def test_a_whole_stream_is_delivered(self, fleet, framing, ending):
+        status, body = await self.serve(fleet, signed(EVENTS, framing, ending))
+        assert (status, body) == (200, EVENTS)
