Complete a stream only if its last event ended

Callers saw streams that their engine had broken off framed as complete (ORDER).

Cause: the end of the engine's framing, and for a response without a length or chunks the end of its connection, was taken for the end of the stream. A process that crashes closes its connections in order, so that nothing in HTTP tells such an end from a whole stream. A length was passed on besides, so that a caller could take the last byte for the end.

A stream is now complete only if its last event ended; one that ends with its connection must hold an event at all. Otherwise the caller's response is broken off, as for a lost connection, and the caller may resume it. Streams are passed on in chunks, so that nothing looks complete before that.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -175,6 +175,7 @@
             context.request, record.id, remaining_seconds
         )
         context.possible_executions += 1
+        context.response_framing = None
         try:
             sent_at = self.clock.monotonic()
             head = await self._await_head(context, record, connection, outgoing)
@@ -247,8 +248,11 @@
         response: EndpointResponse,
         connection: HTTPConnection,
     ) -> None:
-        responder = context.responder
         is_stream = context.route.kind is RouteKind.STREAM
+        if is_stream and response.status in _SUCCESS:
+            await self._relay_stream(context, response, connection)
+            return
+        responder = context.responder
         is_short = (
             response.content_length is None
             or response.content_length <= MAX_BUFFERED_BODY_BYTES
@@ -262,9 +266,29 @@
         await responder.start(
             response.status, response.headers, response.content_length
         )
+        while (chunk := await connection.read()) is not None:
+            await responder.write(chunk)
+        await responder.finish()
+
+    async def _relay_stream(
+        self,
+        context: RequestContext,
+        response: EndpointResponse,
+        connection: HTTPConnection,
+    ) -> None:
+        """Relay events; the response is completed only after a whole stream.
+
+        The endpoint's length is not passed on: a caller that has it would take the
+        last byte for the end before the stream was checked.
+        """
+        responder = context.responder
+        context.response_status = response.status
+        await responder.start(response.status, response.headers, None)
         while (chunk := await connection.read()) is not None:
             context.event_counter.feed(chunk)
             await responder.write(chunk)
+        if not context.is_stream_whole:
+            raise ConnectionBroken("The stream ended inside an event.", True)
         await responder.finish()
 
     async def _classify_failure(
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -74,6 +74,18 @@
         is_stream = self.route.kind is RouteKind.STREAM
         return self.event_counter.in_event if is_stream else None
 
+    @property
+    def is_stream_whole(self) -> bool:
+        """Whether a stream that ends after the relayed bytes may be complete.
+
+        The end of a connection marks the end of a stream only after an event.
+        """
+        counter = self.event_counter
+        if counter.in_event:
+            return False
+        is_marked = self.response_framing is not Framing.CLOSE
+        return is_marked or counter.completed > 0
+
     @property
     def tokens_used(self) -> int:
         """Tokens that were relayed to the caller, as counted against a budget."""
