Bound the bytes of endpoints that send no answer

An endpoint may send bytes without end that are no answer. Callers then waited until their deadline while the daemon read all it was sent: an endless header, status line, interim response, chunk extension, trailer or unread body of a declined request was kept or skipped without bound, and a plain body without a length was collected whole.

A connection is now closed after 256 KiB that bring neither the awaited head nor a part of its body, and at once if bytes come while no request is under way; heads have at most 256 headers, trailers are ignored. The body of a declined request is read for 0.1 s and 64 KiB at most, to keep its connection. A body without a length is passed on once it is longer than 64 KiB, so that a slow caller bounds what is read. Calls that read a whole body have a limit, 16 MiB if they name none.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -20,7 +20,7 @@
 )
 from eelgrasslock.gateway.routes import RouteKind
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
-from eelgrasslock.http.messages import OutgoingRequest, ResponseHead
+from eelgrasslock.http.messages import Framing, OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import MAX_IDLE_SECONDS, ConnectFailed, ConnectionPool
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
@@ -28,6 +28,8 @@
 CORRELATION_DELAY_SECONDS = 0.05
 CORRELATION_WINDOW_SECONDS = 0.5
 MAX_BUFFERED_BODY_BYTES = 65_536
+MAX_DISCARDED_BODY_BYTES = 65_536
+DISCARD_SECONDS = 0.1
 _SUCCESS = range(200, 300)
 
 _log = logger.bind(part="attempts")
@@ -194,7 +196,7 @@
             self.on_load_report(context.service.name, record.id, response.load)
         if response.not_run:
             context.possible_executions -= 1
-            await _discard_body(connection)
+            await _discard_body(connection, head.framing)
             return AttemptResult(outcome=AttemptOutcome.NOT_RUN, response=response)
         if response.status in _SUCCESS and not response.is_valid:
             connection.close()
@@ -252,20 +254,28 @@
         if is_stream and response.status in _SUCCESS:
             await self._relay_stream(context, response, connection)
             return
+        await self._relay_plain(context, response, connection)
+
+    async def _relay_plain(
+        self,
+        context: RequestContext,
+        response: EndpointResponse,
+        connection: HTTPConnection,
+    ) -> None:
+        """Relay a body, as a whole if it is short."""
         responder = context.responder
-        is_short = (
-            response.content_length is None
-            or response.content_length <= MAX_BUFFERED_BODY_BYTES
-        )
-        if not is_stream and is_short:
-            body = await connection.read_all()
-            context.response_status = response.status
-            await responder.send(response.status, response.headers, body)
-            return
+        body = b""
+        length = response.content_length
+        if length is None or length <= MAX_BUFFERED_BODY_BYTES:
+            body, is_complete = await connection.read_up_to(MAX_BUFFERED_BODY_BYTES)
+            if is_complete:
+                context.response_status = response.status
+                await responder.send(response.status, response.headers, body)
+                return
         context.response_status = response.status
-        await responder.start(
-            response.status, response.headers, response.content_length
-        )
+        await responder.start(response.status, response.headers, length)
+        if body:
+            await responder.write(body)
         while (chunk := await connection.read()) is not None:
             await responder.write(chunk)
         await responder.finish()
@@ -327,8 +337,13 @@
         return recent <= {record.id}
 
 
-async def _discard_body(connection: HTTPConnection) -> None:
+async def _discard_body(connection: HTTPConnection, framing: Framing) -> None:
+    """Keep the connection if the body soon ends, else close it."""
+    if framing is Framing.CLOSE:
+        connection.close()
+        return
     try:
-        await connection.read_all()
-    except ConnectionBroken:
+        async with asyncio.timeout(DISCARD_SECONDS):
+            await connection.read_all(MAX_DISCARDED_BODY_BYTES)
+    except (ConnectionBroken, TimeoutError):
         connection.close()
--- a/src/eelgrasslock/http/connection.py
+++ b/src/eelgrasslock/http/connection.py
@@ -19,6 +19,9 @@
 TCP_KEEPALIVE_INTERVAL_SECONDS = 1
 TCP_KEEPALIVE_PROBES = 2
 READ_PAUSE_BYTES = 131_072
+MAX_OVERHEAD_BYTES = 262_144
+MAX_HEADERS = 256
+MAX_BODY_BYTES = 16_777_216
 _FIRST_FINAL_STATUS = 200
 
 
@@ -66,6 +69,8 @@
         self._buffered = 0
         self._paused = False
         self._data_waiter: asyncio.Future[None] | None = None
+        self._in_head = False
+        self._overhead_bytes = 0
         self._skipping = False
         self._response_started = False
         self._body_until_eof = False
@@ -92,6 +97,7 @@
             raise ConnectionBroken("The connection was closed.", response_started=False)
         self.request = request
         self._complete = False
+        self._overhead_bytes = 0
         self._response_started = False
         self._head = asyncio.get_running_loop().create_future()
         self.transport.write(request.encode())
@@ -120,12 +126,42 @@
             self.transport.resume_reading()
         return data
 
-    async def read_all(self) -> bytes:
-        """Return the rest of the response's body."""
-        parts = []
-        while (chunk := await self.read()) is not None:
+    async def read_all(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the rest of the response's body.
+
+        Raises
+        ------
+        ConnectionBroken
+            If the connection fails before the body is complete, or the body is
+            longer than `max_bytes`.
+        """
+        body, is_complete = await self.read_up_to(max_bytes)
+        if not is_complete:
+            raise ConnectionBroken("The response is too long.", response_started=True)
+        return body
+
+    async def read_up_to(self, max_bytes: int) -> tuple[bytes, bool]:
+        """Read until the body's end, or until it is longer than `max_bytes`.
+
+        Returns
+        -------
+        tuple of (bytes, bool)
+            The bytes that were read and whether the body is complete.
+
+        Raises
+        ------
+        ConnectionBroken
+            If the connection fails first.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while size <= max_bytes:
+            chunk = await self.read()
+            if chunk is None:
+                return b"".join(parts), True
             parts.append(chunk)
-        return b"".join(parts)
+            size += len(chunk)
+        return b"".join(parts), False
 
     def close(self) -> None:
         """Close the connection and abandon an unfinished request."""
@@ -144,13 +180,23 @@
             set_socket_options(connected_socket)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes; close the connection if they are no response.
+
+        Bytes that bring neither the awaited head nor a part of its body, such as
+        those of an endless header, count as overhead.
+        """
+        if self.request is None:
+            self.close()
+            return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._abort_with_error(f"The response is not valid HTTP: {error}.")
         except httptools.HttpParserUpgrade:
             self._abort_with_error("The peer switched to another protocol.")
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._abort_with_error("Too many bytes without a response.")
 
     def eof_received(self) -> bool:
         """Handle the end of the peer's bytes."""
@@ -172,15 +218,21 @@
     def on_message_begin(self) -> None:
         """Handle the start of a response."""
         self._headers = []
+        self._in_head = True
         if self.request is None:
             self._usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header of a head; trailers are ignored."""
+        if not self._in_head:
+            return
+        if len(self._headers) >= MAX_HEADERS:
+            raise ValueError("The response has too many headers.")
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Complete `send`, unless the response belongs to an earlier request."""
+        self._in_head = False
         status = self._parser.get_status_code()
         request = self.request
         self._skipping = True
@@ -192,6 +244,7 @@
             return
         self._skipping = False
         self._response_started = True
+        self._overhead_bytes = 0
         self._body_until_eof = head.framing is Framing.CLOSE
         if self._head is not None and not self._head.done():
             self._head.set_result(head)
@@ -203,6 +256,7 @@
         """Buffer a part of the body; pause reading if the buffer is large."""
         if self._skipping or self._complete:
             return
+        self._overhead_bytes = 0
         self._chunks.append(data)
         self._buffered += len(data)
         if self._buffered > READ_PAUSE_BYTES and not self._paused:
@@ -232,6 +286,7 @@
 
     def _finish(self) -> None:
         self._complete = True
+        self._overhead_bytes = 0
         self._body_until_eof = False
         self.request = None
         self._wake_reader()
