Reset the connection of a caller whose close-delimited response breaks off

A caller of HTTP/1.0 gets streams and long bodies without a length that end with its connection. When such a response broke off, for whatever reason, the daemon closed that connection in order, so that the caller took the part for the whole. Both interfaces did so.

Callers of HTTP/1.1 get chunks or a length, whose missing end shows.

--- a/src/eelgrasslock/gateway/responder.py
+++ b/src/eelgrasslock/gateway/responder.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from eelgrasslock.exceptions import Refusal
+from eelgrasslock.http.caller_body import CallerBody
 from eelgrasslock.http.messages import Header
 
 
@@ -30,6 +31,7 @@
         self.request = request
         self.close_after_response = close_after_response
         self.response: web.StreamResponse | None = None
+        self._body: CallerBody | None = None
 
     @property
     def started(self) -> bool:
@@ -39,8 +41,8 @@
     async def send(self, status: int, headers: tuple[Header, ...], body: bytes) -> None:
         """Send a complete response."""
         response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
-        await self._prepare(response)
-        await response.write_eof()
+        await self._start(response)
+        await self.finish()
 
     async def start(
         self, status: int, headers: tuple[Header, ...], content_length: int | None
@@ -48,17 +50,17 @@
         """Send the head of a response whose body follows."""
         response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
         response.content_length = content_length
-        await self._prepare(response)
+        await self._start(response)
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body; wait while the caller reads slowly."""
-        assert self.response is not None
-        await self.response.write(chunk)
+        assert self._body is not None
+        await self._body.write(chunk)
 
     async def finish(self) -> None:
         """Complete the body."""
-        assert self.response is not None
-        await self.response.write_eof()
+        assert self._body is not None
+        await self._body.finish()
 
     async def refuse(self, refusal: Refusal, headers: list[Header]) -> None:
         """Send a refusal as the final response.
@@ -76,11 +78,12 @@
             response_headers.append(("Retry-After", f"{refusal.retry_after:.3f}"))
         await self.send(refusal.status, tuple(response_headers), _error_body(refusal))
 
-    async def _prepare(self, response: web.StreamResponse) -> None:
+    async def _start(self, response: web.StreamResponse) -> None:
         if self.close_after_response:
             response.force_close()
         self.response = response
-        await response.prepare(self.request)
+        self._body = CallerBody(self.request, response)
+        await self._body.start()
 
 
 def _error_body(refusal: Refusal) -> bytes:
--- a/src/eelgrasslock/requests/front.py
+++ b/src/eelgrasslock/requests/front.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from eelgrasslock.exceptions import Refusal
+from eelgrasslock.http.caller_body import CallerBody
 from eelgrasslock.requests.exchange import Request, Responder
 from eelgrasslock.requests.refusal_body import refusal_body, refusal_headers
 
@@ -30,21 +31,23 @@
     def __init__(self, request: web.Request) -> None:
         self.request = request
         self.response: web.StreamResponse | None = None
+        self._body: CallerBody | None = None
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers."""
         self.response = web.StreamResponse(status=status, headers=headers)
-        await self.response.prepare(self.request)
+        self._body = CallerBody(self.request, self.response)
+        await self._body.start()
 
     async def write(self, chunk: bytes) -> None:
         """Send part of the body, waiting while the reader is slow."""
-        assert self.response is not None
-        await self.response.write(chunk)
+        assert self._body is not None
+        await self._body.write(chunk)
 
     async def finish(self) -> None:
         """End the body."""
-        assert self.response is not None
-        await self.response.write_eof()
+        assert self._body is not None
+        await self._body.finish()
 
 
 class Front:
