Check that a response of the store is whole

A response of the store may end with its connection, too. The part of a record before that end was taken for a record, and the next read went on behind it, so that an entry of an endpoint or a configuration could be lost or garbled; a part of a JSON body raised an error that no caller of the client expects.

A read whose bytes end inside a record, and a body that can't be decoded, are now LogUnavailable, or AppendUnresolved for an append, whose fate is then unknown.

--- a/src/eelgrasslock/platform/store_client.py
+++ b/src/eelgrasslock/platform/store_client.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
-from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
+from eelgrasslock.exceptions import (
+    AppendUnresolved,
+    LogError,
+    LogUnavailable,
+    RecordsExpired,
+)
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
@@ -79,19 +85,21 @@
         while True:
             target = f"{_SNAPSHOT_PATH}?topic={topic}&part=0{after}"
             response = await self._get(target, 0.0)
-            page = response.json()
-            end = page["end"] if end is None else end
-            records += [_keyed_item(item) for item in page["items"]]
-            if not page.get("hasMore") or not page["items"]:
+            with _decoding(LogUnavailable):
+                page = response.json()
+                end = page["end"] if end is None else end
+                records += [_keyed_item(item) for item in page["items"]]
+                has_more = bool(page.get("hasMore"))
+            if not has_more or not page["items"]:
                 return KeyedSnapshot(records=tuple(records), end=end)
-            after = f"&after={page['items'][-1]['key']}"
+            after = f"&after={records[-1].key}"
 
     async def changes(
         self, topic: str, offset: int, wait_seconds: float
     ) -> KeyedChanges:
         """Return the records from an offset on, waiting for a first one."""
         response = await self._read(topic, 0, offset, wait_seconds)
-        records = _split_records(response.body[_READ_HEAD.size :])
+        _, records = _decode_read(response.body)
         keyed = tuple(
             record for record in map(_keyed_record, records) if record is not None
         )
@@ -120,10 +128,12 @@
             raise LogUnavailable(str(error)) from error
         except (ConnectionBroken, TimeoutError) as error:
             raise AppendUnresolved("The response to an append was lost.") from error
-        if response.status == _OK:
-            return response.json()["end"]
-        if response.status == _PRECONDITION_FAILED:
-            raise AppendConflict(response.json()["end"])
+        if response.status in (_OK, _PRECONDITION_FAILED):
+            with _decoding(AppendUnresolved):
+                end = response.json()["end"]
+            if response.status == _PRECONDITION_FAILED:
+                raise AppendConflict(end)
+            return end
         if response.status in _REJECTED_STATUSES:
             raise LogUnavailable(f"The store returned status {response.status}.")
         raise AppendUnresolved(f"The store returned status {response.status}.")
@@ -131,9 +141,10 @@
     async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
         """Return the records from an offset on."""
         response = await self._read(topic, partition, offset, 0.0)
-        end, _ = _READ_HEAD.unpack_from(response.body)
-        records = tuple(_split_records(response.body[_READ_HEAD.size :]))
-        return PartitionRead(records=records, offset=offset + len(records), end=end)
+        end, records = _decode_read(response.body)
+        return PartitionRead(
+            records=tuple(records), offset=offset + len(records), end=end
+        )
 
     async def _read(
         self, topic: str, partition: int, offset: int, wait_seconds: float
@@ -149,7 +160,9 @@
             name = type(error).__name__
             raise LogUnavailable(f"The store did not answer: {name}.") from error
         if response.status == _GONE:
-            raise RecordsExpired(response.json()["first"])
+            with _decoding(LogUnavailable):
+                first = response.json()["first"]
+            raise RecordsExpired(first)
         if response.status != _OK:
             raise LogUnavailable(f"The store returned status {response.status}.")
         return response
@@ -215,12 +228,38 @@
     return b"".join(_LENGTH_PREFIX.pack(len(record)) + record for record in records)
 
 
+def _decode_read(body: bytes) -> tuple[int, list[bytes]]:
+    """Return the end of a partition and the records of a read."""
+    with _decoding(LogUnavailable):
+        end, _ = _READ_HEAD.unpack_from(body)
+        return end, _split_records(body[_READ_HEAD.size :])
+
+
 def _split_records(data: bytes) -> list[bytes]:
+    """Return framed records.
+
+    Raises
+    ------
+    ValueError
+        If the data ends inside a record.
+    """
     records = []
     start = 0
-    while start + _LENGTH_PREFIX.size <= len(data):
+    while start < len(data):
         (length,) = _LENGTH_PREFIX.unpack_from(data, start)
         start += _LENGTH_PREFIX.size
+        if start + length > len(data):
+            raise ValueError("The data ends inside a record.")
         records.append(data[start : start + length])
         start += length
     return records
+
+
+@contextlib.contextmanager
+def _decoding(error_type: type[LogError]) -> Iterator[None]:
+    """Raise an error of a type if a response can't be decoded."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError, struct.error) as error:
+        message = f"The store's response can't be decoded: {error!r}."
+        raise error_type(message) from error
