Read only whole answers in the clients that use aiohttp

aiohttp ends an answer that has neither a length nor chunks with its connection, also when that is reset: a plain service's broken-off answer was given to its caller, and kept as an action's result, as a whole one; weights had too few bytes; JSON that was whole by chance counted. Bytes without end were read without bound: bodies, refusals whose text only the log shows, events; an endless line raised an error that nothing expected, and events of before kept a call from noticing that it made no progress.

Sessions now fail an answer that an error on the connection interrupts. A JSON answer of an engine that is no object is a failure.

--- a/src/eelgrasslock/endpoints/endpoint_failure.py
+++ b/src/eelgrasslock/endpoints/endpoint_failure.py
@@ -1,5 +1,6 @@
 """How a call to an endpoint failed."""
 
+import asyncio
 import contextlib
 from collections.abc import Iterator
 
@@ -10,7 +11,8 @@
 
 _CALLER_STATUSES = frozenset({400, 405, 406, 411, 413, 414, 415, 422, 431})
 _REFUSED_STATUSES = frozenset({429, 503})
-_ERROR_TEXT_CHARS = 300
+_ERROR_TEXT_BYTES = 300
+_ERROR_TEXT_SECONDS = 0.2
 
 
 class EndpointFailure(EndpointError):
@@ -68,12 +70,19 @@
 
 
 async def refused(response: aiohttp.ClientResponse) -> EndpointFailure:
-    """Return an endpoint's error answer as a failure."""
-    text = (await response.text(errors="replace"))[:_ERROR_TEXT_CHARS]
-    message = f"Status {response.status}: {text}"
+    """Return an endpoint's error answer as a failure, with the start of its text."""
+    message = f"Status {response.status}: {await _error_text(response)}"
     retry_after = parse_retry_after(response.headers.get("Retry-After"))
     if response.status < 500 or response.status in _REFUSED_STATUSES:
         return EndpointFailure(
             message, CallOutcome.REFUSED, Ran.NO, response.status, retry_after
         )
     return EndpointFailure(message, CallOutcome.BROKEN, Ran.UNKNOWN, response.status)
+
+
+async def _error_text(response: aiohttp.ClientResponse) -> str:
+    text = b""
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        async with asyncio.timeout(_ERROR_TEXT_SECONDS):
+            text = await response.content.read(_ERROR_TEXT_BYTES)
+    return text.decode(errors="replace")
--- a/src/eelgrasslock/endpoints/engine_call.py
+++ b/src/eelgrasslock/endpoints/engine_call.py
@@ -3,11 +3,12 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any, Protocol
 from urllib.parse import quote
 
 import aiohttp
+from aiohttp.http_exceptions import LineTooLong
 from loguru import logger
 
 from eelgrasslock.clock import Clock
@@ -15,7 +16,7 @@
 from eelgrasslock.endpoints.endpoint_failure import EndpointFailure, refused
 from eelgrasslock.endpoints.engine_messages import EndpointLoad
 from eelgrasslock.exceptions import EndpointError, Ran
-from eelgrasslock.requests.sse import DONE, read_events
+from eelgrasslock.requests.sse import DONE, EventTooLong, ServerEvent, read_events
 from eelgrasslock.scheduling.calls import CallOutcome
 
 STREAM_HEADER = "X-Stream-Id"
@@ -136,19 +137,25 @@
         events = read_events(response.content)
         while True:
             async with asyncio.timeout(self._patience()):
-                event = await anext(events, None)
-            if event is None:
-                raise StreamCut("The stream ended before its last event.")
-            number = self.received if event.number is None else event.number
-            if number > self.received:
-                raise StreamCut(f"Event {self.received} is missing.")
-            if number < self.received:
-                continue
+                event = await self._next_event(events)
             self.received += 1
             if event.data == DONE:
                 return
             yield event.data
 
+    async def _next_event(self, events: AsyncIterator[ServerEvent]) -> ServerEvent:
+        """Return the first event that was not received before."""
+        try:
+            async for event in events:
+                number = self.received if event.number is None else event.number
+                if number > self.received:
+                    raise StreamCut(f"Event {self.received} is missing.")
+                if number == self.received:
+                    return event
+        except (LineTooLong, EventTooLong) as error:
+            raise StreamCut("An event is too long.") from error
+        raise StreamCut("The stream ended before its last event.")
+
     def _patience(self) -> float:
         seconds = self.client.limits.progress_seconds
         if self.received == 0:
--- a/src/eelgrasslock/endpoints/engine_client.py
+++ b/src/eelgrasslock/endpoints/engine_client.py
@@ -1,6 +1,7 @@
 """The client of model engines."""
 
 import asyncio
+import json
 from collections.abc import AsyncGenerator
 from typing import Any
 from urllib.parse import quote
@@ -23,6 +24,7 @@
 from eelgrasslock.endpoints.engine_call import EngineCall
 from eelgrasslock.endpoints.engine_messages import CacheNews, EndpointLoad, EngineOrder
 from eelgrasslock.exceptions import Ran
+from eelgrasslock.http.client_session import open_session, read_body
 from eelgrasslock.requests.exchange import PROGRAM_HEADER
 from eelgrasslock.scheduling.calls import CacheEvent, CallOutcome, LoadReport
 from eelgrasslock.telemetry.tracing import context_headers
@@ -230,7 +232,10 @@
             self.note_epoch(url, response)
             if response.status >= 400:
                 raise await refused(response)
-            return await response.json()
+            answer = json.loads(await read_body(response))
+        if not isinstance(answer, dict):
+            raise ValueError("The answer is no JSON object.")
+        return answer
 
     async def _json(
         self, method: str, url: str, path: str, body: dict[str, Any] | None = None
@@ -260,7 +265,5 @@
 
 
 def _session(force_close: bool) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
-    return aiohttp.ClientSession(
-        connector=connector, timeout=aiohttp.ClientTimeout(total=None)
-    )
+    timeout = aiohttp.ClientTimeout(total=None)
+    return open_session(limit=0, force_close=force_close, timeout=timeout)
--- a/src/eelgrasslock/endpoints/service_client.py
+++ b/src/eelgrasslock/endpoints/service_client.py
@@ -16,6 +16,7 @@
 )
 from eelgrasslock.endpoints.endpoint_failure import EndpointFailure
 from eelgrasslock.exceptions import Ran
+from eelgrasslock.http.client_session import open_session, read_body
 from eelgrasslock.scheduling.calls import CallOutcome
 from eelgrasslock.telemetry.tracing import context_headers
 
@@ -162,7 +163,7 @@
             trace_request_ctx=state,
             middlewares=(_SendOnce(),),
         ) as response:
-            body = await response.read()
+            body = await read_body(response)
             return PlainAnswer(
                 status=response.status,
                 headers=clean_headers(dict(response.headers)),
@@ -173,8 +174,9 @@
         if self._session is None:
             hooks = aiohttp.TraceConfig()
             hooks.on_connection_create_end.append(_note_sending)
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            self._session = open_session(
+                limit=0,
+                force_close=True,
                 timeout=aiohttp.ClientTimeout(total=None, connect=_CONNECT_SECONDS),
                 trace_configs=[hooks],
                 skip_auto_headers=("User-Agent", "Content-Type"),
--- a/src/eelgrasslock/endpoints/vm_list.py
+++ b/src/eelgrasslock/endpoints/vm_list.py
@@ -1,12 +1,14 @@
 """The platform's list of VMs: a late hint of who lives and who leaves."""
 
 import enum
+import json
 from typing import Any
 
 import aiohttp
 from attrs import frozen
 
 from eelgrasslock.exceptions import EelgrassError
+from eelgrasslock.http.client_session import read_body
 
 _OK = 200
 
@@ -88,7 +90,7 @@
                 if response.status != _OK:
                     message = f"The VM list answered {response.status}."
                     raise VMListUnavailable(message)
-                body = await response.json(content_type=None)
+                body = json.loads(await read_body(response))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise VMListUnavailable(f"No VM list: {error!r}.") from error
         if not isinstance(body, dict) or not isinstance(body.get("vms"), list):
--- a/src/eelgrasslock/log/log_client.py
+++ b/src/eelgrasslock/log/log_client.py
@@ -1,12 +1,14 @@
 """HTTP client of the platform's log."""
 
 import base64
+import json
 from typing import Any
 from urllib.parse import quote
 
 import aiohttp
 
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
+from eelgrasslock.http.client_session import read_body
 from eelgrasslock.log.stream_log import Entry
 
 _OK = 200
@@ -50,7 +52,7 @@
                 self._stream_url(stream), data=data, timeout=self.timeout
             ) as response:
                 if response.status in (_OK, _CREATED):
-                    return _offset(await response.json(content_type=None))
+                    return _offset(json.loads(await read_body(response)))
                 _raise_append_error(response.status)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise LogUnavailable(f"No connection to the log: {error}.") from error
@@ -75,7 +77,7 @@
                 self._stream_url(stream), params=parameters, timeout=self.timeout
             ) as response:
                 status = response.status
-                body = await response.json(content_type=None)
+                body = json.loads(await read_body(response))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise LogUnavailable(f"The log can't be read: {error!r}.") from error
         if status == _GONE:
--- a/src/eelgrasslock/operators/operator_client.py
+++ b/src/eelgrasslock/operators/operator_client.py
@@ -1,11 +1,13 @@
 """The command line's way to the operators' interface of a daemon."""
 
 import asyncio
+import json
 from typing import Any, TypeVar
 
 import aiohttp
 
 from eelgrasslock.exceptions import EelgrassError, RecordError
+from eelgrasslock.http.client_session import open_session, read_body
 from eelgrasslock.log.record_codec import from_jsonable, to_jsonable
 from eelgrasslock.operators.operator_views import ErrorView
 
@@ -89,10 +91,10 @@
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
         try:
             async with (
-                aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
+                open_session(headers=headers, timeout=timeout) as session,
                 session.request(method, self.url + path, json=body) as response,
             ):
-                answer = await response.json()
+                answer = json.loads(await read_body(response))
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             message = f"{self.url} gives no answer ({type(error).__name__})."
--- a/src/eelgrasslock/requests/sse.py
+++ b/src/eelgrasslock/requests/sse.py
@@ -6,9 +6,16 @@
 
 from attrs import frozen
 
+from eelgrasslock.exceptions import EelgrassError
+
 EVENT_STREAM_TYPE = "text/event-stream"
 DONE = "[DONE]"
 DONE_EVENT = b"data: [DONE]\n\n"
+MAX_EVENT_CHARS = 16_777_216
+
+
+class EventTooLong(EelgrassError):
+    """An event has more than `MAX_EVENT_CHARS` characters."""
 
 
 @frozen
@@ -37,8 +44,14 @@
 
     Comments and unknown fields are skipped, and so is an event that the
     stream's end cuts off.
+
+    Raises
+    ------
+    EventTooLong
+        If an event is too long.
     """
     data: list[str] = []
+    size = 0
     number: int | None = None
     async for line in lines:
         text = line.decode(errors="replace").rstrip("\r\n")
@@ -46,8 +59,12 @@
             if data:
                 yield ServerEvent("\n".join(data), number)
             data = []
+            size = 0
             number = None
             continue
+        size += len(text)
+        if size > MAX_EVENT_CHARS:
+            raise EventTooLong(f"An event has over {MAX_EVENT_CHARS} characters.")
         name, _, value = text.partition(":")
         value = value.removeprefix(" ")
         if name == "data":
--- a/src/eelgrasslock/serving.py
+++ b/src/eelgrasslock/serving.py
@@ -14,6 +14,7 @@
 from eelgrasslock.clock import SystemClock
 from eelgrasslock.configuration.folder import load_daemon_settings
 from eelgrasslock.configuration.settings import DaemonSettings
+from eelgrasslock.http.client_session import open_session
 from eelgrasslock.telemetry import logs, tracing
 
 
@@ -39,7 +40,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    async with capnp.kj_loop(), aiohttp.ClientSession() as session:
+    async with capnp.kj_loop(), open_session() as session:
         while not stop.is_set():
             await _run_incarnation(settings, session, stop)
 
