Count events whose lines end with a carriage return

A line of an event stream may end with a carriage return alone. Such a stream counted as one event that never ended; now that a stream is complete only after its last event, it would never have been completed. A return whose line feed comes with the next bytes ends one line. Tested at every split and byte by byte with the three kinds of line ends; found by reading, no endpoint was seen to send such streams.

--- a/src/eelgrasslock/gateway/event_counter.py
+++ b/src/eelgrasslock/gateway/event_counter.py
@@ -1,12 +1,13 @@
 """Counts the events of a stream while its bytes are relayed."""
 
-_LINE_FEED = 0x0A
-_RETURN = 0x0D
+_LINE_ENDS = b"\r\n"
 
 
 class EventCounter:
     """Counts server-sent events, each of which ends with an empty line.
 
+    A line ends with a line feed, a carriage return, or both.
+
     Attributes
     ----------
     completed : int
@@ -19,6 +20,7 @@
         self.completed = 0
         self.in_event = False
         self._at_line_start = True
+        self._after_return = False
 
     @property
     def started(self) -> int:
@@ -27,17 +29,17 @@
 
     def feed(self, data: bytes) -> None:
         """Count the events in the next bytes."""
+        if self._after_return and data.startswith(b"\n"):
+            data = data[1:]
         for line in data.splitlines(keepends=True):
             self._feed_line(line)
+        self._after_return = data.endswith(b"\r")
 
     def _feed_line(self, line: bytes) -> None:
-        is_terminated = line[-1] == _LINE_FEED
-        is_empty = not line.strip(b"\r\n")
-        if is_empty and self._at_line_start and is_terminated:
+        is_empty = not line.strip(_LINE_ENDS)
+        if not is_empty:
+            self.in_event = True
+        elif self._at_line_start:
             self.completed += self.in_event
             self.in_event = False
-        elif not is_empty:
-            self.in_event = True
-            self._at_line_start = False
-        if is_terminated:
-            self._at_line_start = True
+        self._at_line_start = line[-1] in _LINE_ENDS
