--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -14,6 +14,7 @@
 EVENT_TOKENS = 22
 _RESET_SECONDS = 0.05
 _CHUNK_END = b"0\r\n\r\n"
+_CHUNKED_HEAD = "Transfer-Encoding: chunked\r\n"
 
 
 class Fault(enum.Enum):
@@ -30,6 +31,7 @@
     LATE = "late"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed_reset"
+    UNFRAMED_CUT = "unframed_cut"
     GARBAGE = "garbage"
     ENCODED = "encoded"
     UNSIGNED = "unsigned"
@@ -204,7 +206,7 @@
         if fault is Fault.TRUNCATED:
             writer.write(whole[:-3])
             return False
-        if fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
+        if fault in _UNFRAMED:
             return self._unframed(run, fault, body, writer)
         before, self.late = self.late, b""
         writer.write(before + whole)
@@ -236,7 +238,8 @@
     ) -> bool:
         head = (
             f"HTTP/1.1 200 OK\r\nRequest-Id: {run.id}\r\n{self._stamp()}"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "Content-Type: text/event-stream\r\n"
+            f"{'' if fault in _UNFRAMED else _CHUNKED_HEAD}\r\n"
         )
         writer.write(head.encode())
         gone = asyncio.ensure_future(reader.read(1))
@@ -248,17 +251,33 @@
             if fault is Fault.TRUNCATED and number > self.events // 2:
                 gone.cancel()
                 return False
-            writer.write(_chunk(f"id: {number}\ndata: {run.id}\n\n".encode()))
-        writer.write(_CHUNK_END)
+            event = f"id: {number}\ndata: {run.id}\n\n".encode()
+            if fault in _CUT_INSIDE and number > self.events // 2:
+                writer.write(event[:-1])
+                gone.cancel()
+                return self._end_inside(fault, writer)
+            writer.write(event if fault in _UNFRAMED else _chunk(event))
+        if fault not in _UNFRAMED:
+            writer.write(_CHUNK_END)
         gone.cancel()
         run.finished = True
         return False
 
+    def _end_inside(self, fault: Fault, writer: asyncio.StreamWriter) -> bool:
+        if fault is Fault.UNFRAMED_CUT:
+            return False
+        asyncio.get_running_loop().call_later(_RESET_SECONDS, reset, writer)
+        return True
+
     def _stamp(self) -> str:
         load = f"Server-Load: {self.load}\r\n" if self.load else ""
         return f"Server-Stamp: {self.id}.stamp\r\n{load}"
 
 
+_CUT_INSIDE = frozenset({Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT})
+_UNFRAMED = _CUT_INSIDE | {Fault.UNFRAMED}
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection, where a mere close would end it properly."""
     connected = writer.get_extra_info("socket")
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -29,7 +29,11 @@
     Fault.UNSIGNED,
     Fault.GARBAGE,
     Fault.RESET_BEFORE,
+    Fault.UNFRAMED,
+    Fault.UNFRAMED_RESET,
+    Fault.UNFRAMED_CUT,
 ]
+EVENTS = 5
 
 
 class Soak:
@@ -95,7 +99,7 @@
             self.served += 1
             tokens = body.count(b"\n\n") * 22
             self.tokens[program] = self.tokens.get(program, 0) + tokens
-            if id.encode() not in body:
+            if id.encode() not in body or body.count(b"\n\n") != EVENTS:
                 self.mismatched.append(id)
         elif status in NOT_RUN:
             self.refused.add(id)
@@ -124,7 +128,7 @@
 async def test_guarantees_hold_under_random_faults():
     seed = int(os.environ.get("EELGRASSLOCK_SOAK_SEED", "1"))
     async with PlatformFleet() as fleet:
-        engines = [await fleet.endpoint("models", events=5) for _ in range(3)]
+        engines = [await fleet.endpoint("models", events=EVENTS) for _ in range(3)]
         desks = [await fleet.endpoint() for _ in range(3)]
         daemons = [
             await fleet.ready_daemon(engines + desks, name=f"a-{n}") for n in range(3)
