--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -52,3 +52,26 @@
     async def test_a_whole_stream_is_delivered(self, fleet, framing, ending):
         status, body = await self.serve(fleet, signed(EVENTS, framing, ending))
         assert (status, body) == (200, EVENTS)
+
+    async def test_a_failure_that_breaks_off_is_not_passed_on(self, fleet):
+        data = frame(b"failed", Framing.LENGTH, status=500, more=STAMP)[:-1]
+        status, body = await self.serve(fleet, RawAnswer(data=data))
+        assert status == 502
+        assert b"failed" not in body
+
+
+class TestKeptConnections:
+    @pytest.mark.parametrize("ending", [Ending.NEXT, *ORDERLY_ENDINGS, Ending.RESET])
+    @pytest.mark.parametrize("framing", list(Framing))
+    async def test_a_second_stream_reaches_nobody(self, fleet, framing, ending):
+        whole = frame(EVENTS, Framing.CHUNKED, more=STAMP)
+        other = b"id: 1\ndata: other\n\n"
+        second = frame(other, framing, more=STAMP).replace(b"{id}", b"another")
+        engine = await fleet.raw_endpoint(
+            RawAnswer(data=whole, ending=Ending.NEXT), "models"
+        )
+        engine.queued.append(RawAnswer(data=whole + second, ending=ending))
+        daemon = await fleet.ready_daemon([engine])
+        for _ in range(3):
+            status, body = await fleet.turn(daemon, "p")
+            assert (status, body) == (200, EVENTS)
