Pass on a success only if it echoes its request's id

Endpoints echo the id of each request, so a success without it is now unsound, like an unsigned one.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -53,7 +53,8 @@
     SILENT
         No response came in time and the request may go to another endpoint.
     UNSOUND
-        A success status with an unsigned or encoded response.
+        A success status with an unsigned or encoded response, or without the
+        request's id.
     """
 
     SERVED = "served"
@@ -191,7 +192,7 @@
         except ConnectionBroken as error:
             return await self._classify_failure(context, record, error)
         context.response_framing = head.framing
-        response = self.codec.decode_response(head)
+        response = self.codec.decode_response(head, context.request.id)
         if response.load is not None:
             self.on_load_report(context.service.name, record.id, response.load)
         if response.not_run:
--- a/src/eelgrasslock/gateway/interfaces.py
+++ b/src/eelgrasslock/gateway/interfaces.py
@@ -42,8 +42,8 @@
     ) -> OutgoingRequest:
         """Return the request for an endpoint, with the remaining time in seconds."""
 
-    def decode_response(self, head: ResponseHead) -> EndpointResponse:
-        """Return the decoded head of an endpoint's response."""
+    def decode_response(self, head: ResponseHead, request_id: str) -> EndpointResponse:
+        """Return the decoded head of an endpoint's response to a request."""
 
     def refusal_headers(self, request_id: str) -> list[Header]:
         """Return the headers of a refusal by the gateway."""
--- a/src/eelgrasslock/gateway/messages.py
+++ b/src/eelgrasslock/gateway/messages.py
@@ -104,7 +104,8 @@
     not_run : bool
         Whether the endpoint states that it did not and will not run the request.
     is_valid : bool
-        Whether a success may be passed on: it must be signed and not encoded.
+        Whether a success may be passed on: it must be signed, not encoded, and echo
+        the request's id.
     load : EndpointLoadHeader or None
         The load that the endpoint reported.
     content_length : int or None
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -106,7 +106,7 @@
             response_id_header=_REQUEST_ID,
         )
 
-    def decode_response(self, head: ResponseHead) -> EndpointResponse:
+    def decode_response(self, head: ResponseHead, request_id: str) -> EndpointResponse:
         """Decode the head of an endpoint's response."""
         values = {name.lower(): value.strip() for name, value in head.headers}
         dropped = _HOP_BY_HOP | _FRAMING | _ENDPOINT_ONLY
@@ -118,7 +118,11 @@
             status=head.status,
             headers=tuple(kept),
             not_run=misdirected or _NOT_RUN in values,
-            is_valid=_SERVER_STAMP in values and encoding in ("", "identity"),
+            is_valid=(
+                _SERVER_STAMP in values
+                and encoding in ("", "identity")
+                and (not request_id or values.get(_REQUEST_ID) == request_id)
+            ),
             load=_endpoint_load(values.get(_SERVER_LOAD, "")),
             content_length=_integer(values, "content-length"),
             keep_alive_seconds=_keep_alive_seconds(values.get("keep-alive", "")),
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -5,7 +5,7 @@
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
-from platform_fleet import PlatformFleet
+from platform_fleet import POSTS, TURNS, PlatformFleet
 
 STAMP = "Server-Stamp: s\r\n"
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -75,3 +75,20 @@
         for _ in range(3):
             status, body = await fleet.turn(daemon, "p")
             assert (status, body) == (200, EVENTS)
+
+    @pytest.mark.parametrize("path", [POSTS, TURNS])
+    async def test_a_second_response_without_an_id_reaches_nobody(self, fleet, path):
+        body = EVENTS if path == TURNS else b"whole"
+        whole = frame(body, Framing.LENGTH, more=STAMP)
+        second = frame(b"id: 1\ndata: other\n\n", Framing.LENGTH, more=STAMP)
+        second = second.replace(b"Request-Id: {id}\r\n", b"")
+        engine = await fleet.raw_endpoint(
+            RawAnswer(data=whole, ending=Ending.NEXT),
+            "models" if path == TURNS else "desk",
+        )
+        daemon = await fleet.ready_daemon([engine])
+        connection = await fleet.connect(daemon)
+        engine.answer = RawAnswer(data=second + whole, ending=Ending.NEXT)
+        status, _, received = await fleet.send(connection, f"{path}x", "POST", b"x")
+        assert status == 502
+        assert b"other" not in received
