--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -5,7 +5,7 @@
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
-from platform_fleet import POSTS, TURNS, PlatformFleet
+from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet
 
 STAMP = "Server-Stamp: s\r\n"
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -92,3 +92,60 @@
         status, _, received = await fleet.send(connection, f"{path}x", "POST", b"x")
         assert status == 502
         assert b"other" not in received
+
+
+PLAIN = b"a fee was posted"
+BROKEN_PLAIN = [
+    (Framing.CLOSE, 0, Ending.RESET),
+    (Framing.CLOSE, 4, Ending.RESET),
+    *((Framing.LENGTH, 4, ending) for ending in (*ORDERLY_ENDINGS, Ending.RESET)),
+    *((Framing.CHUNKED, 4, ending) for ending in (*ORDERLY_ENDINGS, Ending.RESET)),
+]
+
+
+def plain(framing, missing_bytes, ending):
+    data = frame(PLAIN, framing, more=STAMP)
+    return RawAnswer(data=data[: len(data) - missing_bytes], ending=ending)
+
+
+class TestPlainResponses:
+    @pytest.mark.parametrize(("framing", "missing_bytes", "ending"), BROKEN_PLAIN)
+    async def test_a_post_with_a_broken_off_response_fails_and_runs_once(
+        self, fleet, framing, missing_bytes, ending
+    ):
+        engine = await fleet.raw_endpoint(plain(framing, missing_bytes, ending))
+        daemon = await fleet.ready_daemon([engine])
+        status, head, _ = await fleet.call(daemon, f"{POSTS}x", "POST", b"x")
+        assert status == 502
+        assert not head.header("server-stamp")
+        assert len(engine.runs) == 1
+
+    @pytest.mark.parametrize(("framing", "missing_bytes", "ending"), BROKEN_PLAIN)
+    async def test_a_lookup_with_a_broken_off_response_runs_elsewhere(
+        self, fleet, framing, missing_bytes, ending
+    ):
+        broken = await fleet.raw_endpoint(plain(framing, missing_bytes, ending))
+        sound = await fleet.raw_endpoint(plain(Framing.CLOSE, 0, Ending.FIN))
+        daemon = await fleet.ready_daemon([broken, sound])
+        for _ in range(3):
+            status, _, body = await fleet.call(daemon, f"{LOOKUPS}x")
+            assert (status, body) == (200, PLAIN)
+
+    @pytest.mark.parametrize("framing", list(Framing))
+    async def test_a_response_that_goes_silent_fails_at_the_deadline(
+        self, fleet, framing
+    ):
+        engine = await fleet.raw_endpoint(plain(framing, 1, Ending.SILENCE))
+        daemon = await fleet.ready_daemon([engine])
+        status, _, _ = await fleet.call(
+            daemon, f"{POSTS}x", "POST", b"x", Deadline_Ms=400
+        )
+        assert status == 504
+
+    @pytest.mark.parametrize("ending", ORDERLY_ENDINGS)
+    @pytest.mark.parametrize("framing", list(Framing))
+    async def test_a_whole_response_is_delivered(self, fleet, framing, ending):
+        engine = await fleet.raw_endpoint(plain(framing, 0, ending))
+        daemon = await fleet.ready_daemon([engine])
+        status, _, body = await fleet.call(daemon, f"{POSTS}x", "POST", b"x")
+        assert (status, body) == (200, PLAIN)
