Share the bare server of two stand-ins

The stand-in that sends given bytes repeated the listening, serving and resetting of the platform's endpoint. Both extend one class now, with the reading of requests beside it.

--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -5,12 +5,18 @@
 
 import asyncio
 import enum
-import socket
-import struct
 from collections import deque
 
 from attrs import define, field
 
+from eelgrasslock_standins.bare_server import (
+    BareServer,
+    Run,
+    read_body,
+    read_head,
+    reset,
+)
+
 EVENT_TOKENS = 22
 _RESET_SECONDS = 0.05
 _CHUNK_END = b"0\r\n\r\n"
@@ -38,45 +44,12 @@
     EARLY = "early"
 
 
-@define(kw_only=True)
-class Run:
-    """A request that the endpoint received.
-
-    Attributes
-    ----------
-    method, target : str
-        The request line.
-    headers : dict of str to str
-        By lower-case name.
-    body : bytes
-        The body.
-    ran : bool
-        Whether work began.
-    finished : bool
-        Whether it was answered to the end.
-    """
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes = b""
-    ran: bool = False
-    finished: bool = False
-
-    @property
-    def id(self) -> str:
-        """The request's id."""
-        return self.headers.get("request-id", "")
-
-
-@define(eq=False)
-class PlatformEngineStandin:
-    """One endpoint.
+@define(eq=False, kw_only=True)
+class PlatformEngineStandin(BareServer):
+    """One endpoint, which turns away a request that expects another one.
 
     Attributes
     ----------
-    id : str
-        Its id; a request that expects another one is turned away.
     events : int
         How many events a stream has; 0 for a plain answer.
     event_seconds : float
@@ -89,68 +62,29 @@
         A body that ends the endpoint, empty for none.
     faults : deque of Fault
         One is used up by each request.
-    runs : list of Run
-        What was received.
     """
 
-    id: str
     events: int = 0
     event_seconds: float = 0.0
     work_seconds: float = 0.0
     load: str = ""
     crashes_on: bytes = b""
     faults: deque[Fault] = field(factory=deque)
-    runs: list[Run] = field(factory=list)
-    connections: int = 0
     late: bytes = b""
-    address: str = ""
-    _server: asyncio.Server | None = None
-    _writers: set[asyncio.StreamWriter] = field(factory=set)
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-
-    async def stop(self) -> None:
-        """Stop, and reset all connections."""
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            reset(writer)
-
-    @property
-    def busy(self) -> bool:
-        """Whether a caller is connected."""
-        return bool(self._writers)
 
     def ids(self) -> list[str]:
         """Return the ids of the requests that ran."""
         return [run.id for run in self.runs if run.ran]
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.connections += 1
-        self._writers.add(writer)
-        try:
-            while await self._serve_one(reader, writer):
-                pass
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self._writers.discard(writer)
-            writer.close()
-
-    async def _serve_one(
+    async def serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        run = await _read_head(reader)
+        """Answer one request; return whether another one may follow."""
+        run = await read_head(reader)
         fault = self.faults.popleft() if self.faults else Fault.NONE
         self.runs.append(run)
         if fault is not Fault.EARLY:
-            await _read_body(reader, run)
+            await read_body(reader, run)
         expected = run.headers.get("expect-instance", self.id)
         if expected != self.id:
             writer.write(_whole(run, 421, b"", f"Instance-Id: {self.id}\r\n"))
@@ -179,7 +113,7 @@
             return False
         if fault is Fault.EARLY:
             writer.write(_whole(run, 413, b"too long", self._stamp()))
-            await _read_body(reader, run)
+            await read_body(reader, run)
             return True
         if fault is Fault.LOST:
             reset(writer)
@@ -278,35 +212,6 @@
 _UNFRAMED = _CUT_INSIDE | {Fault.UNFRAMED}
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection, where a mere close would end it properly."""
-    connected = writer.get_extra_info("socket")
-    if connected is not None and not writer.is_closing():
-        linger = struct.pack("ii", 1, 0)
-        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
-
-
-async def read_request(reader: asyncio.StreamReader) -> Run:
-    """Return a request with its body."""
-    run = await _read_head(reader)
-    await _read_body(reader, run)
-    return run
-
-
-async def _read_head(reader: asyncio.StreamReader) -> Run:
-    text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    first, *lines = text.strip().split("\r\n")
-    method, target, _ = first.split(" ")
-    pairs = [line.partition(":") for line in lines]
-    headers = {name.lower(): value.strip() for name, _, value in pairs}
-    return Run(method=method, target=target, headers=headers)
-
-
-async def _read_body(reader: asyncio.StreamReader, run: Run) -> None:
-    run.body = await reader.readexactly(int(run.headers.get("content-length", "0")))
-
-
 def _whole(run: Run, status: int, body: bytes, more: str) -> bytes:
     head = (
         f"HTTP/1.1 {status} Status\r\nRequest-Id: {run.id}\r\n{more}"
--- a/src/eelgrasslock_standins/raw_server.py
+++ b/src/eelgrasslock_standins/raw_server.py
@@ -11,7 +11,7 @@
 from attrs import define, field, frozen
 
 from eelgrasslock.http.messages import Framing
-from eelgrasslock_standins.platform_engine import Run, read_request, reset
+from eelgrasslock_standins.bare_server import BareServer, read_request, reset
 
 _RESET_DELAY_SECONDS = 0.05
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -63,8 +63,8 @@
     filler: bytes = b""
 
 
-@define(eq=False)
-class RawServer:
+@define(eq=False, kw_only=True)
+class RawServer(BareServer):
     """Gives the same answer to each request, after those that are queued.
 
     Attributes
@@ -73,57 +73,18 @@
         The answer.
     queued : deque of RawAnswer
         Answers that come first, one for each request.
-    id : str
-        The id of the endpoint that it stands in for.
-    runs : list of Run
-        The requests received.
     sent_bytes : int
         The number of bytes sent.
     """
 
     answer: RawAnswer
     queued: deque[RawAnswer] = field(factory=deque)
-    id: str = ""
-    runs: list[Run] = field(factory=list)
     sent_bytes: int = 0
-    address: str = ""
-    _server: asyncio.Server | None = None
-    _writers: set[asyncio.StreamWriter] = field(factory=set)
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-
-    async def stop(self) -> None:
-        """Stop, and reset all connections."""
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            reset(writer)
-
-    @property
-    def connected(self) -> bool:
-        """Whether a caller is connected."""
-        return bool(self._writers)
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.add(writer)
-        try:
-            while await self._serve_one(reader, writer):
-                pass
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self._writers.discard(writer)
-            writer.close()
-
-    async def _serve_one(
+    async def serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
+        """Answer one request; return whether another one may follow."""
         run = await read_request(reader)
         run.ran = True
         self.runs.append(run)
--- a/tests/test_client_responses.py
+++ b/tests/test_client_responses.py
@@ -114,6 +114,14 @@
     return await asyncio.to_thread(OperatorClient(url, "").get, "/x", ErrorView)
 
 
+async def assert_error_in_time(server, call, error):
+    started = time.monotonic()
+    with pytest.raises(error):
+        await call(f"http://{server.address}")
+    assert time.monotonic() - started < 3.0
+    assert server.sent_bytes < MAX_SENT_BYTES
+
+
 FAILURE = (EndpointFailure, TimeoutError)
 CALLS = [
     pytest.param(from_service, b"a fee was posted", FAILURE, id="service"),
@@ -183,12 +191,7 @@
         self, serve, call, body, error, data, filler
     ):
         answer = RawAnswer(data=data, ending=Ending.ENDLESS, filler=filler)
-        server = await serve(answer)
-        started = time.monotonic()
-        with pytest.raises(error):
-            await call(f"http://{server.address}")
-        assert time.monotonic() - started < 3.0
-        assert server.sent_bytes < MAX_SENT_BYTES
+        await assert_error_in_time(await serve(answer), call, error)
 
 
 BUFFERED_CALLS = [one for one in CALLS if one.id != "weights"]
@@ -199,12 +202,7 @@
 async def test_a_body_without_end_is_an_error(serve, call, body, error):
     data = frame(b"", Framing.CLOSE, more=JSON_TYPE)
     answer = RawAnswer(data=data, ending=Ending.ENDLESS, filler=LETTERS)
-    server = await serve(answer)
-    started = time.monotonic()
-    with pytest.raises(error):
-        await call(f"http://{server.address}")
-    assert time.monotonic() - started < 3.0
-    assert server.sent_bytes < MAX_SENT_BYTES
+    await assert_error_in_time(await serve(answer), call, error)
 
 
 async def test_weights_without_end_are_counted_until_the_timeout(serve):
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -63,7 +63,7 @@
         assert time.monotonic() - started < 1.0
         assert status == 502
         assert not head.header("server-stamp")
-        await wait_until(lambda: not engine.connected, 1.0)
+        await wait_until(lambda: not engine.busy, 1.0)
         assert engine.sent_bytes < MAX_SENT_BYTES
 
     async def test_a_lookup_goes_to_another_endpoint(self, fleet, parts):
@@ -99,7 +99,7 @@
         with pytest.raises(ConnectionBroken):
             await fleet.call(daemon, f"{path}x", "POST", b"x", Deadline_Ms=1_000)
         assert time.monotonic() - started < 2.0
-        await wait_until(lambda: not engine.connected, 1.0)
+        await wait_until(lambda: not engine.busy, 1.0)
 
     async def test_a_slow_caller_bounds_what_is_read(self, fleet, path, parts):
         engine = await fleet.raw_endpoint(
@@ -109,7 +109,7 @@
         connection = await fleet.connect(daemon)
         request = fleet.request(f"{path}x", "POST", b"x", Deadline_Ms=1_000)
         await connection.send(request)
-        await wait_until(lambda: not engine.connected, 2.0)
+        await wait_until(lambda: not engine.busy, 2.0)
         connection.close()
         assert engine.sent_bytes < MAX_SENT_BYTES
 
@@ -157,5 +157,5 @@
         daemon = await fleet.ready_daemon([engine])
         status, _, body = await fleet.call(daemon, f"{POSTS}x", "POST")
         assert (status, body) == (200, b"whole")
-        await wait_until(lambda: not engine.connected, 0.5)
+        await wait_until(lambda: not engine.busy, 0.5)
         assert engine.sent_bytes < MAX_SENT_BYTES
