Let the servers of endless bytes yield to what they are tested with

Traced: the test's own server wrote 8 bytes at a time, half a million times, without ever giving the event loop back (lag of the loop 2.41 s of 2.41 s); the client had no chance to time out. It now writes 64 KiB at a time and yields, as the stand-in does between its writes. The bound is the same.

--- a/src/eelgrasslock_standins/raw_server.py
+++ b/src/eelgrasslock_standins/raw_server.py
@@ -102,6 +102,7 @@
             await reader.read()
         while answer.ending is Ending.ENDLESS:
             await self._write(writer, answer.filler)
+            await asyncio.sleep(0)
         return False
 
     async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
--- a/tests/test_peer_connection_faults.py
+++ b/tests/test_peer_connection_faults.py
@@ -11,6 +11,7 @@
 from eelgrasslock.peers.peer_connection import ConnectionLost, PeerConnection
 
 MAX_SECONDS = 2.0
+WRITE_BYTES = 65_536
 MAX_ADDED_KILOBYTES = 262_144
 
 
@@ -25,9 +26,10 @@
                 writer.write(data)
                 await writer.drain()
                 while endless:
-                    writer.write(data)
+                    writer.write(data * (WRITE_BYTES // len(data)))
                     await writer.drain()
-            except OSError:
+                    await asyncio.sleep(0)
+            except (OSError, asyncio.CancelledError):
                 pass
             finally:
                 if reset:
