Say in the lines how old a view of the log was

Three hypotheses of a report of DRAIN could be told apart only by the moments of lines that were not written for it. The lines of a follower say now how long ago its read was sent (read_ms) and how long the outage has lasted (lost_ms); a removal that is kept for the grace period has a line of its own, and the line of a request says how old the view of the endpoints may have been when it was sent (endpoints_age_ms).

No decision depends on the new values yet.

--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -117,6 +117,7 @@
         "endpoint": context.endpoint,
         "sent": context.possible_executions,
         "waited_ms": round(context.queued_seconds * _MILLISECONDS),
+        "endpoints_age_ms": _milliseconds(context.endpoints_age_seconds),
         "tokens": context.tokens_used,
         "max_tokens": context.max_generated_tokens,
         "status": context.response_status,
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -161,25 +161,28 @@
             self._endpoint_reset,
         )
         topics = platform.record_decoder.topics
+        self.configuration_follower = self._create_follower(
+            topics.configuration,
+            self.routing,
+            CONFIGURATION_LONG_POLL_SECONDS,
+            CONFIGURATION_POLL_PAUSE_SECONDS,
+        )
+        self.endpoints_follower = self._create_follower(
+            topics.endpoints,
+            self.registry_updater,
+            ENDPOINTS_LONG_POLL_SECONDS,
+            ENDPOINTS_POLL_PAUSE_SECONDS,
+        )
+        daemons_follower = self._create_follower(
+            daemon_registry.TOPIC,
+            self.daemon_registry,
+            DAEMON_REGISTRY_LONG_POLL_SECONDS,
+            DAEMON_REGISTRY_POLL_PAUSE_SECONDS,
+        )
         self.followers = [
-            self._create_follower(
-                topics.configuration,
-                self.routing,
-                CONFIGURATION_LONG_POLL_SECONDS,
-                CONFIGURATION_POLL_PAUSE_SECONDS,
-            ),
-            self._create_follower(
-                topics.endpoints,
-                self.registry_updater,
-                ENDPOINTS_LONG_POLL_SECONDS,
-                ENDPOINTS_POLL_PAUSE_SECONDS,
-            ),
-            self._create_follower(
-                daemon_registry.TOPIC,
-                self.daemon_registry,
-                DAEMON_REGISTRY_LONG_POLL_SECONDS,
-                DAEMON_REGISTRY_POLL_PAUSE_SECONDS,
-            ),
+            self.configuration_follower,
+            self.endpoints_follower,
+            daemons_follower,
         ]
         ledger = DrawLedger(
             self.log,
@@ -217,6 +220,7 @@
         attempt_runner = AttemptRunner(
             self.pool,
             self.endpoint_registry,
+            self.endpoints_follower.age,
             self.platform.codec,
             self.clock,
             self.metrics,
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -94,6 +94,8 @@
         Connections to the endpoints.
     endpoint_registry : EndpointRegistry
         The endpoints' addresses.
+    endpoints_age : callable
+        Returns how old the registry may be, in seconds.
     codec : MessageCodec
         Encodes requests and decodes responses.
     clock : Clock
@@ -117,6 +119,7 @@
         self,
         pool: ConnectionPool,
         endpoint_registry: EndpointRegistry,
+        endpoints_age: Callable[[], float],
         codec: MessageCodec,
         clock: Clock,
         metrics: GatewayMetrics,
@@ -131,6 +134,7 @@
         self.metrics = metrics
         self.pool = pool
         self.endpoint_registry = endpoint_registry
+        self.endpoints_age = endpoints_age
         self.codec = codec
         self.clock = clock
 
@@ -179,6 +183,7 @@
         )
         context.possible_executions += 1
         context.response_framing = None
+        context.endpoints_age_seconds = self.endpoints_age()
         try:
             sent_at = self.clock.monotonic()
             head = await self._await_head(context, record, connection, outgoing)
--- a/src/eelgrasslock/gateway/endpoint_registry.py
+++ b/src/eelgrasslock/gateway/endpoint_registry.py
@@ -99,6 +99,11 @@
         self.grace_ends_at.pop(endpoint, None)
         return True
 
+    def grace_seconds(self, endpoint: str) -> float | None:
+        """Return what is left of an endpoint's grace period, None without one."""
+        ends_at = self.grace_ends_at.get(endpoint)
+        return None if ends_at is None else ends_at - self.clock.monotonic()
+
     def replace(self, records: list[EndpointRecord]) -> bool:
         """Replace all registrations; return whether anything changed."""
         changed = [self.put(record) for record in records]
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -45,6 +45,9 @@
         The engine that has the program's context in its cache, empty if unknown.
     configuration_version : int
         The version of the configuration that selected the route.
+    endpoints_age_seconds : float or None
+        How old the view of the endpoints was when the request was last sent, None
+        before that.
     """
 
     request: GatewayRequest
@@ -62,6 +65,7 @@
     endpoint_crashed: bool = False
     preferred_endpoint: str = ""
     configuration_version: int = 0
+    endpoints_age_seconds: float | None = None
 
     @property
     def route_kind(self) -> str:
--- a/src/eelgrasslock/gateway/routing.py
+++ b/src/eelgrasslock/gateway/routing.py
@@ -132,11 +132,7 @@
 
     def _apply(self, record: KeyedRecord) -> bool:
         if not record.value:
-            removed = self.endpoint_registry.remove(record.key)
-            if removed:
-                _log.info("Removed endpoint {}.", record.key)
-                self.on_endpoint_reset(record.key)
-            return removed
+            return self._remove(record.key)
         entry = self._decode(record)
         if entry is None:
             return False
@@ -149,6 +145,21 @@
             )
         return self.endpoint_registry.put(entry)
 
+    def _remove(self, endpoint: str) -> bool:
+        removed = self.endpoint_registry.remove(endpoint)
+        grace_seconds = self.endpoint_registry.grace_seconds(endpoint)
+        if removed:
+            _log.info("Removed endpoint {}.", endpoint)
+            self.on_endpoint_reset(endpoint)
+        elif grace_seconds is not None:
+            _log.info(
+                "Endpoint {} was removed just after an outage; it has {:.2f} s to"
+                " register again.",
+                endpoint,
+                grace_seconds,
+            )
+        return removed
+
     def _detect_restart(self, entry: EndpointRecord) -> None:
         before = self.endpoint_registry.entries.get(entry.id)
         if before is not None and before.started_at_ms != entry.started_at_ms:
--- a/src/eelgrasslock/log/keyed_follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -55,6 +55,9 @@
     ----------
     last_response_at : float
         When the log last answered, on the monotonic clock.
+    read_sent_at, confirmed_at : float
+        When the last read was sent, and the last one that was answered: the state
+        holds all records that were written before the latter.
     offset : int or None
         The offset of the next read, None if a snapshot is needed.
     unavailable : bool
@@ -82,6 +85,8 @@
         self.wait_seconds = wait_seconds
         self.pause_seconds = pause_seconds
         self.last_response_at = clock.monotonic()
+        self.read_sent_at = self.last_response_at
+        self.confirmed_at = float("-inf")
         self.offset: int | None = None
         self.unavailable = False
         self.unavailable_since = float("inf")
@@ -113,12 +118,14 @@
         RecordsExpired
             If a new snapshot is needed.
         """
+        self.read_sent_at = self.clock.monotonic()
         if self.offset is None:
             snapshot = await self.log.snapshot(self.topic)
             self._set_unavailable(unavailable=False)
             self.last_response_at = self.clock.monotonic()
             self.state.replace_all(snapshot.records)
             self.offset = snapshot.end
+            self.confirmed_at = self.read_sent_at
             return
         changes = await self.log.changes(self.topic, self.offset, self.wait_seconds)
         self._set_unavailable(unavailable=False)
@@ -126,6 +133,11 @@
         self.offset = changes.end
         if changes.records:
             self.state.apply(changes.records)
+        self.confirmed_at = self.read_sent_at
+
+    def age(self) -> float:
+        """Return how old the state may be, in seconds; infinite before the first."""
+        return self.clock.monotonic() - self.confirmed_at
 
     def outage_started_at(self) -> float:
         """Return when the present outage started, on the monotonic clock.
@@ -140,6 +152,12 @@
         """Return whether the recovery time after the last outage has passed."""
         return self.clock.monotonic() >= self.recovered_at + RECOVERY_SECONDS
 
+    def _lost_milliseconds(self) -> int | None:
+        """Return how long the last outage has lasted or did, None before the first."""
+        if self.unavailable_since == float("inf"):
+            return None
+        return round((self.clock.monotonic() - self.unavailable_since) * 1_000)
+
     def _set_unavailable(self, unavailable: bool, reason: str = "") -> None:
         if unavailable != self.unavailable:
             self.unavailable = unavailable
@@ -148,5 +166,8 @@
             elif self._is_recovered():
                 self.unavailable_since = self.clock.monotonic()
             word = "lost" if unavailable else "regained"
-            _log.info("Topic {}: the log is {}. {}", self.topic, word, reason)
+            _log.bind(
+                read_ms=round((self.clock.monotonic() - self.read_sent_at) * 1_000),
+                lost_ms=self._lost_milliseconds(),
+            ).info("Topic {}: the log is {}. {}", self.topic, word, reason)
         self.state.set_log_unavailable(unavailable)
