--- /dev/null
+++ b/tests/test_endpoint_removal.py
@@ -0,0 +1,56 @@
+"""Endpoints that leave must get no request once the drain bound has passed.
+
+The log acknowledges that an endpoint leaves; from the drain bound on, no request
+may reach it. Each test delays the news at its worst moment.
+"""
+
+import asyncio
+import time
+
+import pytest
+
+from platform_fleet import LOOKUPS, PlatformFleet, wait_until
+
+DRAIN_SECONDS = 2.0
+STABLE_WINDOW_SECONDS = 3.0
+
+
+@pytest.fixture
+async def fleet():
+    async with PlatformFleet() as one:
+        yield one
+
+
+async def seconds_until_removed(daemon, endpoint, since):
+    """Return how long after `since` a daemon stops using an endpoint."""
+    entries = daemon.application.endpoint_registry.entries
+    await wait_until(lambda: endpoint.id not in entries or entries[endpoint.id].leaving)
+    return time.monotonic() - since
+
+
+class TestRemovalAfterAnOutage:
+    # The removal ended the first read after a silent outage and passed for an entry
+    # that had expired in the outage, which was over for three seconds.
+    async def test_a_removal_in_a_calm_log_gets_no_grace_period(self, fleet):
+        leaving = await fleet.endpoint()
+        staying = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([leaving, staying])
+        follower = daemon.application.endpoints_follower
+        await self.hang_two_reads(daemon, follower)
+        await asyncio.sleep(STABLE_WINDOW_SECONDS)
+        fleet.unregister(leaving)
+        removed_at = time.monotonic()
+        seconds = await seconds_until_removed(daemon, leaving, removed_at)
+        assert seconds < DRAIN_SECONDS
+        assert (await fleet.call(daemon, f"{LOOKUPS}x"))[0] == 200
+
+    async def hang_two_reads(self, daemon, follower):
+        """Keep the log silent for one read and until just after the next is sent."""
+        sent_at = follower.read_sent_at
+        await wait_until(lambda: follower.read_sent_at != sent_at)
+        daemon.faults.refusing = "silent"
+        for _ in range(2):
+            sent_at = follower.read_sent_at
+            await wait_until(lambda at=sent_at: follower.read_sent_at != at)
+        await asyncio.sleep(0.05)
+        daemon.faults.refusing = ""
