End the grace period of an outage before the log is stable

Cause: entries that disappear just after an outage of the log are kept for 2.2 s from the log's return, as they may have expired in it. A daemon took the first answered read for that return. A read that hung in the outage was given up after 2.1 s and the next one waited up to 1.5 s for a record, so that the return was noticed up to 3.6 s late; six of ten daemons noticed it with the removal itself, 3.3 s after the return, and kept the engine.

A read after a failed one no longer waits for a record, and the grace period ends before the stable window (settings: stable_window_milliseconds, from the platform's stableWindowMs) that began when the last failed read was sent: the outage was not over before that. Both are needed: the first notices the return early, so that entries keep their two seconds to come back; the second holds however late it was noticed. No store call is added while the log answers; in an outage that answers nothing a read is given up after 0.6 s instead of 2.1.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -150,7 +150,9 @@
 
     def _create_replicated_state(self) -> None:
         platform = self.platform
-        self.endpoint_registry = EndpointRegistry(self.clock)
+        self.endpoint_registry = EndpointRegistry(
+            self.clock, self.settings.stable_window_seconds
+        )
         self.routing = RoutingState(
             platform.record_decoder, self._configuration_changed
         )
--- a/src/eelgrasslock/gateway/endpoint_registry.py
+++ b/src/eelgrasslock/gateway/endpoint_registry.py
@@ -2,7 +2,8 @@
 
 Registrations can expire because of an outage of the log. A registration that
 disappears during an outage or just after it is kept until the endpoint has had
-time to register again.
+time to register again. It is not kept into the time in which the log is calm again
+and a removal means that the endpoint leaves.
 """
 
 from attrs import define, field, frozen
@@ -10,6 +11,8 @@
 from eelgrasslock.clock import Clock
 
 REREGISTRATION_GRACE_SECONDS = 2.2
+DEFAULT_STABLE_WINDOW_SECONDS = 3.0
+_STABLE_WINDOW_RESERVE_SECONDS = 0.25
 
 
 @frozen(kw_only=True)
@@ -49,6 +52,8 @@
     ----------
     clock : Clock
         The source of time.
+    stable_window_seconds : float
+        From how long after an outage of the log on a removal is final.
 
     Attributes
     ----------
@@ -57,6 +62,9 @@
     grace_ends_at : dict of str to float
         When the grace period ends for endpoints whose registration disappeared
         because of an outage of the log, on the monotonic clock.
+    log_failed_at : float
+        When the last failed read of the log was sent, on the monotonic clock: the
+        outage was not over before.
     log_recovered_at : float
         When the log last became available again, on the monotonic clock.
     log_unavailable : bool
@@ -64,14 +72,18 @@
     """
 
     clock: Clock
+    stable_window_seconds: float = DEFAULT_STABLE_WINDOW_SECONDS
     entries: dict[str, EndpointRecord] = field(factory=dict)
     grace_ends_at: dict[str, float] = field(factory=dict)
+    log_failed_at: float = float("-inf")
     log_recovered_at: float = float("-inf")
     log_unavailable: bool = False
 
-    def set_log_unavailable(self, unavailable: bool) -> None:
-        """Record whether the log is unavailable."""
-        if self.log_unavailable and not unavailable:
+    def set_log_unavailable(self, unavailable: bool, read_sent_at: float) -> None:
+        """Record whether a read failed, and when it was sent."""
+        if unavailable:
+            self.log_failed_at = read_sent_at
+        elif self.log_unavailable:
             self.log_recovered_at = self.clock.monotonic()
         self.log_unavailable = unavailable
 
@@ -91,7 +103,7 @@
         if endpoint not in self.entries:
             return False
         now = self.clock.monotonic()
-        grace_ends = self.log_recovered_at + REREGISTRATION_GRACE_SECONDS
+        grace_ends = self._grace_ends()
         if now < grace_ends and not self.entries[endpoint].leaving:
             self.grace_ends_at.setdefault(endpoint, grace_ends)
             return False
@@ -121,3 +133,15 @@
             del self.grace_ends_at[endpoint]
             self.entries.pop(endpoint, None)
         return expired
+
+    def _grace_ends(self) -> float:
+        """Return when the grace period of the last outage ends.
+
+        The log may have returned long before a read succeeded, but not before the
+        last failed one was sent.
+        """
+        limit = self.stable_window_seconds - _STABLE_WINDOW_RESERVE_SECONDS
+        return min(
+            self.log_recovered_at + REREGISTRATION_GRACE_SECONDS,
+            self.log_failed_at + limit,
+        )
--- a/src/eelgrasslock/gateway/routing.py
+++ b/src/eelgrasslock/gateway/routing.py
@@ -48,7 +48,7 @@
         for record in records:
             self._apply(record)
 
-    def set_log_unavailable(self, unavailable: bool) -> None:
+    def set_log_unavailable(self, unavailable: bool, read_sent_at: float) -> None:
         """Do nothing: the configuration stays active while the log is unavailable."""
 
     def _apply(self, record: KeyedRecord) -> None:
@@ -100,9 +100,9 @@
         self.on_change = on_change
         self.on_endpoint_reset = on_endpoint_reset
 
-    def set_log_unavailable(self, unavailable: bool) -> None:
+    def set_log_unavailable(self, unavailable: bool, read_sent_at: float) -> None:
         """Record whether the log is unavailable."""
-        self.endpoint_registry.set_log_unavailable(unavailable)
+        self.endpoint_registry.set_log_unavailable(unavailable, read_sent_at)
 
     def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply a snapshot, which holds the newest record of each key."""
--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -34,6 +34,9 @@
         How long the platform waits after SIGTERM before it kills the process.
     log_level : str
         The lowest level that is logged.
+    stable_window_milliseconds : float
+        How long after an outage of the log its records count as written in calm:
+        from then on the removal of an endpoint is final.
     is_first_start : bool
         Whether the whole fleet starts for the first time, so that no program has
         been served yet.
@@ -50,8 +53,14 @@
     drain_seconds: float
     metrics_address: str = ""
     log_level: str = "INFO"
+    stable_window_milliseconds: float = 3_000.0
     is_first_start: bool = False
 
+    @property
+    def stable_window_seconds(self) -> float:
+        """The stable window in seconds."""
+        return self.stable_window_milliseconds / 1_000
+
 
 def load_gateway_settings(path: pathlib.Path) -> GatewaySettings:
     """Return the settings in a file.
--- a/src/eelgrasslock/log/keyed_follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -27,8 +27,16 @@
     def apply(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply later records, in order."""
 
-    def set_log_unavailable(self, unavailable: bool) -> None:
-        """Set whether the log is unavailable; called after each read."""
+    def set_log_unavailable(self, unavailable: bool, read_sent_at: float) -> None:
+        """Set whether the log is unavailable; called after each read.
+
+        Parameters
+        ----------
+        unavailable : bool
+            Whether the read failed.
+        read_sent_at : float
+            When the read was sent, on the monotonic clock.
+        """
 
 
 class KeyedFollower:
@@ -47,7 +55,8 @@
     rng : random.Random
         Draws the jitter of retries.
     wait_seconds : float
-        How long a read waits for a first record (long polling).
+        How long a read waits for a first record (long polling). A read after a
+        failed one does not wait, so that the log's return is noticed at once.
     pause_seconds : float
         Pause between two reads, in which records accumulate.
 
@@ -127,7 +136,8 @@
             self.offset = snapshot.end
             self.confirmed_at = self.read_sent_at
             return
-        changes = await self.log.changes(self.topic, self.offset, self.wait_seconds)
+        wait_seconds = 0.0 if self.unavailable else self.wait_seconds
+        changes = await self.log.changes(self.topic, self.offset, wait_seconds)
         self._set_unavailable(unavailable=False)
         self.last_response_at = self.clock.monotonic()
         self.offset = changes.end
@@ -170,4 +180,4 @@
                 read_ms=round((self.clock.monotonic() - self.read_sent_at) * 1_000),
                 lost_ms=self._lost_milliseconds(),
             ).info("Topic {}: the log is {}. {}", self.topic, word, reason)
-        self.state.set_log_unavailable(unavailable)
+        self.state.set_log_unavailable(unavailable, self.read_sent_at)
--- a/src/eelgrasslock/peers/daemon_registry.py
+++ b/src/eelgrasslock/peers/daemon_registry.py
@@ -73,7 +73,7 @@
                 continue
             self.entries[entry.name] = entry
 
-    def set_log_unavailable(self, unavailable: bool) -> None:
+    def set_log_unavailable(self, unavailable: bool, read_sent_at: float) -> None:
         """Keep the entries, whether the log is available or not."""
 
     def find(self, incarnation: str) -> DaemonEntry | None:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -32,6 +32,15 @@
     return EndpointRecord(id=id, **values)
 
 
+def end_outage(endpoint_registry, hung_seconds=0.0):
+    """Let one read fail after some seconds, and the next one succeed at once."""
+    clock = endpoint_registry.clock
+    sent_at = clock.monotonic()
+    clock.advance(hung_seconds)
+    endpoint_registry.set_log_unavailable(True, sent_at)
+    endpoint_registry.set_log_unavailable(False, clock.monotonic())
+
+
 class TestEndpointRegistry:
     def test_a_removed_registration_is_gone_at_once(self):
         endpoint_registry = EndpointRegistry(ManualClock())
@@ -43,8 +52,7 @@
         clock = ManualClock()
         endpoint_registry = EndpointRegistry(clock)
         endpoint_registry.put(record())
-        endpoint_registry.set_log_unavailable(unavailable=True)
-        endpoint_registry.set_log_unavailable(unavailable=False)
+        end_outage(endpoint_registry)
         assert not endpoint_registry.remove("i")
         clock.advance(REREGISTRATION_GRACE_SECONDS / 2)
         endpoint_registry.put(record())
@@ -56,18 +64,32 @@
         clock = ManualClock()
         endpoint_registry = EndpointRegistry(clock)
         endpoint_registry.put(record())
-        endpoint_registry.set_log_unavailable(unavailable=True)
-        endpoint_registry.set_log_unavailable(unavailable=False)
+        end_outage(endpoint_registry)
         endpoint_registry.replace([])
         clock.advance(REREGISTRATION_GRACE_SECONDS + 0.1)
         assert endpoint_registry.remove_expired() == ["i"]
         assert not endpoint_registry.entries
 
+    def test_the_grace_period_ends_before_the_log_is_stable(self):
+        clock = ManualClock()
+        endpoint_registry = EndpointRegistry(clock, stable_window_seconds=3.0)
+        endpoint_registry.put(record())
+        end_outage(endpoint_registry, hung_seconds=2.1)
+        assert not endpoint_registry.remove("i")
+        clock.advance(0.8)
+        assert endpoint_registry.remove_expired() == ["i"]
+
+    def test_a_removal_in_a_stable_log_is_final(self):
+        clock = ManualClock()
+        endpoint_registry = EndpointRegistry(clock, stable_window_seconds=3.0)
+        endpoint_registry.put(record())
+        end_outage(endpoint_registry, hung_seconds=2.9)
+        assert endpoint_registry.remove("i")
+
     def test_a_leaving_endpoint_gets_no_grace_period(self):
         endpoint_registry = EndpointRegistry(ManualClock())
         endpoint_registry.put(record(leaving=True))
-        endpoint_registry.set_log_unavailable(unavailable=True)
-        endpoint_registry.set_log_unavailable(unavailable=False)
+        end_outage(endpoint_registry)
         assert endpoint_registry.remove("i")
 
 
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -18,7 +18,7 @@
 class IgnoringState:
     """A state that ignores everything."""
 
-    def set_log_unavailable(self, unavailable):
+    def set_log_unavailable(self, unavailable, read_sent_at):
         """Ignore the log's availability."""
 
 
