Bound the age of a followed topic by the settings

An endpoint that leaves, and a configuration, could be used for more than the 2 s that are allowed after the log had acknowledged the news, without any outage: reads waited up to 1.5 s for a record and were given up after 2.1 s, so that a single lost answer or silent connection delayed the news by more than the bound. A removal was delayed by the grace period besides, since one lost answer counted as an outage of the log.

A failed read is repeated at once without waiting, and only a second failure is an outage. A read that brings only a part of the records is followed by the next one at once and confirms nothing. The limit of an answer includes opening a connection.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -32,6 +32,7 @@
 from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
 from eelgrasslock.log.keyed_log import KeyedLog
 from eelgrasslock.log.partitioned_log import PartitionedLog
+from eelgrasslock.log.read_schedule import ReadSchedule, schedule_for_bound
 from eelgrasslock.peers import daemon_registry
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.periodic import run_periodically
@@ -42,12 +43,7 @@
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
-CONFIGURATION_LONG_POLL_SECONDS = 1.5
-CONFIGURATION_POLL_PAUSE_SECONDS = 0.05
-ENDPOINTS_LONG_POLL_SECONDS = 1.5
-ENDPOINTS_POLL_PAUSE_SECONDS = 0.45
-DAEMON_REGISTRY_LONG_POLL_SECONDS = 8.0
-DAEMON_REGISTRY_POLL_PAUSE_SECONDS = 0.2
+DAEMON_REGISTRY_READS = ReadSchedule(wait_seconds=8.0, pause_seconds=0.2)
 TICK_SECONDS = 0.1
 
 # The gateway gets no message when a program ends, so a finished program's context
@@ -166,20 +162,15 @@
         self.configuration_follower = self._create_follower(
             topics.configuration,
             self.routing,
-            CONFIGURATION_LONG_POLL_SECONDS,
-            CONFIGURATION_POLL_PAUSE_SECONDS,
+            schedule_for_bound(self.settings.configuration_apply_seconds),
         )
         self.endpoints_follower = self._create_follower(
             topics.endpoints,
             self.registry_updater,
-            ENDPOINTS_LONG_POLL_SECONDS,
-            ENDPOINTS_POLL_PAUSE_SECONDS,
+            schedule_for_bound(self.settings.endpoint_leave_seconds),
         )
         daemons_follower = self._create_follower(
-            daemon_registry.TOPIC,
-            self.daemon_registry,
-            DAEMON_REGISTRY_LONG_POLL_SECONDS,
-            DAEMON_REGISTRY_POLL_PAUSE_SECONDS,
+            daemon_registry.TOPIC, self.daemon_registry, DAEMON_REGISTRY_READS
         )
         self.followers = [
             self.configuration_follower,
@@ -206,16 +197,10 @@
         self.peer_coordinator.log_outage_start = self._log_outage_start
 
     def _create_follower(
-        self, topic: str, state: KeyedState, wait_seconds: float, pause_seconds: float
+        self, topic: str, state: KeyedState, schedule: ReadSchedule
     ) -> KeyedFollower:
         return KeyedFollower(
-            self.platform.log,
-            topic,
-            state,
-            self.clock,
-            self.rng,
-            wait_seconds,
-            pause_seconds,
+            self.platform.log, topic, state, self.clock, self.rng, schedule
         )
 
     def _create_request_handler(self) -> None:
--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -34,6 +34,11 @@
         How long the platform waits after SIGTERM before it kills the process.
     log_level : str
         The lowest level that is logged.
+    endpoint_leave_milliseconds : float
+        How long after the log acknowledged that an endpoint leaves a request may
+        still reach it.
+    configuration_apply_milliseconds : float
+        How long after the log acknowledged a configuration an older one may be used.
     stable_window_milliseconds : float
         How long after an outage of the log its records count as written in calm:
         from then on the removal of an endpoint is final.
@@ -53,9 +58,21 @@
     drain_seconds: float
     metrics_address: str = ""
     log_level: str = "INFO"
+    endpoint_leave_milliseconds: float = 2_000.0
+    configuration_apply_milliseconds: float = 2_000.0
     stable_window_milliseconds: float = 3_000.0
     is_first_start: bool = False
 
+    @property
+    def endpoint_leave_seconds(self) -> float:
+        """The bound for endpoints that leave, in seconds."""
+        return self.endpoint_leave_milliseconds / 1_000
+
+    @property
+    def configuration_apply_seconds(self) -> float:
+        """The bound for configurations, in seconds."""
+        return self.configuration_apply_milliseconds / 1_000
+
     @property
     def stable_window_seconds(self) -> float:
         """The stable window in seconds."""
--- a/src/eelgrasslock/log/keyed_follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -8,7 +8,8 @@
 from eelgrasslock.backoff import Backoff
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogUnavailable, RecordsExpired
-from eelgrasslock.log.keyed_log import KeyedLog, KeyedRecord
+from eelgrasslock.log.keyed_log import ANSWER_SECONDS, KeyedLog, KeyedRecord
+from eelgrasslock.log.read_schedule import ReadSchedule
 
 # Other connections to the log, and those to peers, may recover later than this one.
 RECOVERY_SECONDS = 5.0
@@ -42,6 +43,9 @@
 class KeyedFollower:
     """Keeps a state up to date with a keyed topic.
 
+    A single read that fails may only have lost its answer: it is repeated at once,
+    without waiting for a record. The log is unavailable if that fails, too.
+
     Parameters
     ----------
     log : KeyedLog
@@ -54,11 +58,8 @@
         The time.
     rng : random.Random
         Draws the jitter of retries.
-    wait_seconds : float
-        How long a read waits for a first record (long polling). A read after a
-        failed one does not wait, so that the log's return is noticed at once.
-    pause_seconds : float
-        Pause between two reads, in which records accumulate.
+    schedule : ReadSchedule
+        The times of the reads.
 
     Attributes
     ----------
@@ -69,8 +70,10 @@
         holds all records that were written before the latter.
     offset : int or None
         The offset of the next read, None if a snapshot is needed.
+    failures : int
+        How many reads in a row failed.
     unavailable : bool
-        Whether the log did not answer the last read.
+        Whether the log answered neither of the last two reads.
     unavailable_since, recovered_at : float
         Start of the last outage of the log, and when the log last answered again,
         on the monotonic clock.
@@ -83,20 +86,19 @@
         state: KeyedState,
         clock: Clock,
         rng: random.Random,
-        wait_seconds: float,
-        pause_seconds: float,
+        schedule: ReadSchedule,
     ) -> None:
         self.log = log
         self.topic = topic
         self.state = state
         self.clock = clock
         self.backoff = Backoff(rng, _RETRY_BASE_SECONDS, _RETRY_CAP_SECONDS)
-        self.wait_seconds = wait_seconds
-        self.pause_seconds = pause_seconds
+        self.schedule = schedule
         self.last_response_at = clock.monotonic()
         self.read_sent_at = self.last_response_at
         self.confirmed_at = float("-inf")
         self.offset: int | None = None
+        self.failures = 0
         self.unavailable = False
         self.unavailable_since = float("inf")
         self.recovered_at = float("-inf")
@@ -104,22 +106,38 @@
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
-            try:
-                await self.read_once()
-            except LogUnavailable as error:
-                self._set_unavailable(unavailable=True, reason=str(error))
-                await self.clock.sleep(self.backoff.next())
-            except RecordsExpired as error:
-                _log.info("Taking a new snapshot of topic {}: {}", self.topic, error)
-                self.offset = None
-            else:
-                self._set_unavailable(unavailable=False)
-                self.backoff.reset()
-                await self.clock.sleep(self.pause_seconds)
-
-    async def read_once(self) -> None:
+            await self.clock.sleep(await self._read_next())
+
+    async def _read_next(self) -> float:
+        """Read once; return the pause before the next read in seconds."""
+        try:
+            is_behind = await self.read_once()
+        except LogUnavailable as error:
+            return self._record_failure(str(error))
+        except RecordsExpired as error:
+            _log.info("Taking a new snapshot of topic {}: {}", self.topic, error)
+            self.offset = None
+            return 0.0
+        self.failures = 0
+        self.backoff.reset()
+        return 0.0 if is_behind else self.schedule.pause_seconds
+
+    def _record_failure(self, reason: str) -> float:
+        """Record that a read failed; return the pause before the next one."""
+        self.failures += 1
+        if self.failures == 1:
+            return 0.0
+        self._set_unavailable(unavailable=True, reason=reason)
+        return self.backoff.next()
+
+    async def read_once(self) -> bool:
         """Read the snapshot or the next changes.
 
+        Returns
+        -------
+        bool
+            Whether the log has more records already.
+
         Raises
         ------
         LogUnavailable
@@ -129,21 +147,29 @@
         """
         self.read_sent_at = self.clock.monotonic()
         if self.offset is None:
-            snapshot = await self.log.snapshot(self.topic)
+            snapshot = await self.log.snapshot(self.topic, self._answer_seconds())
             self._set_unavailable(unavailable=False)
             self.last_response_at = self.clock.monotonic()
             self.state.replace_all(snapshot.records)
             self.offset = snapshot.end
             self.confirmed_at = self.read_sent_at
-            return
-        wait_seconds = 0.0 if self.unavailable else self.wait_seconds
-        changes = await self.log.changes(self.topic, self.offset, wait_seconds)
+            return False
+        wait_seconds = 0.0 if self.failures else self.schedule.wait_seconds
+        changes = await self.log.changes(
+            self.topic, self.offset, wait_seconds, self._answer_seconds()
+        )
         self._set_unavailable(unavailable=False)
         self.last_response_at = self.clock.monotonic()
         self.offset = changes.end
         if changes.records:
             self.state.apply(changes.records)
-        self.confirmed_at = self.read_sent_at
+        if not changes.is_behind:
+            self.confirmed_at = self.read_sent_at
+        return changes.is_behind
+
+    def _answer_seconds(self) -> float:
+        """Return how long an answer may take; longer once the log is unavailable."""
+        return ANSWER_SECONDS if self.unavailable else self.schedule.answer_seconds
 
     def age(self) -> float:
         """Return how old the state may be, in seconds; infinite before the first."""
--- a/src/eelgrasslock/log/keyed_log.py
+++ b/src/eelgrasslock/log/keyed_log.py
@@ -4,6 +4,8 @@
 
 from attrs import frozen
 
+ANSWER_SECONDS = 0.6
+
 
 @frozen(kw_only=True)
 class KeyedRecord:
@@ -47,18 +49,30 @@
         The records; unreadable ones are left out.
     end : int
         The offset from which to continue.
+    is_behind : bool
+        Whether the log already had more records than the answer holds.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    is_behind: bool = False
 
 
 class KeyedLog(Protocol):
     """Interface of a log with keyed topics."""
 
-    async def snapshot(self, topic: str) -> KeyedSnapshot:
+    async def snapshot(
+        self, topic: str, answer_seconds: float = ANSWER_SECONDS
+    ) -> KeyedSnapshot:
         """Return the newest record of each key.
 
+        Parameters
+        ----------
+        topic : str
+            Name of the topic.
+        answer_seconds : float
+            How long the log may take for each answer.
+
         Raises
         ------
         LogUnavailable
@@ -66,10 +80,25 @@
         """
 
     async def changes(
-        self, topic: str, offset: int, wait_seconds: float
+        self,
+        topic: str,
+        offset: int,
+        wait_seconds: float,
+        answer_seconds: float = ANSWER_SECONDS,
     ) -> KeyedChanges:
         """Return the records from an offset on, waiting for a first one.
 
+        Parameters
+        ----------
+        topic : str
+            Name of the topic.
+        offset : int
+            Offset of the first record to return.
+        wait_seconds : float
+            How long the log waits for a first record.
+        answer_seconds : float
+            How long the log may take for its answer beyond that.
+
         Raises
         ------
         LogUnavailable
--- a/src/eelgrasslock/platform/store_client.py
+++ b/src/eelgrasslock/platform/store_client.py
@@ -17,7 +17,12 @@
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
-from eelgrasslock.log.keyed_log import KeyedChanges, KeyedRecord, KeyedSnapshot
+from eelgrasslock.log.keyed_log import (
+    ANSWER_SECONDS,
+    KeyedChanges,
+    KeyedRecord,
+    KeyedSnapshot,
+)
 from eelgrasslock.log.partitioned_log import AppendConflict, PartitionRead
 
 STORE_TIMEOUT_SECONDS = 0.6
@@ -77,14 +82,16 @@
         self.calls = 0
         self.on_call: Callable[[str, str, float], None] = _ignore_call
 
-    async def snapshot(self, topic: str) -> KeyedSnapshot:
+    async def snapshot(
+        self, topic: str, answer_seconds: float = ANSWER_SECONDS
+    ) -> KeyedSnapshot:
         """Return the newest record of each key."""
         records: list[KeyedRecord] = []
         after = ""
         end: int | None = None
         while True:
             target = f"{_SNAPSHOT_PATH}?topic={topic}&part=0{after}"
-            response = await self._get(target, 0.0)
+            response = await self._get(target, answer_seconds)
             with _decoding(LogUnavailable):
                 page = response.json()
                 end = page["end"] if end is None else end
@@ -95,15 +102,20 @@
             after = f"&after={records[-1].key}"
 
     async def changes(
-        self, topic: str, offset: int, wait_seconds: float
+        self,
+        topic: str,
+        offset: int,
+        wait_seconds: float,
+        answer_seconds: float = ANSWER_SECONDS,
     ) -> KeyedChanges:
         """Return the records from an offset on, waiting for a first one."""
-        response = await self._read(topic, 0, offset, wait_seconds)
-        _, records = _decode_read(response.body)
+        response = await self._read(topic, 0, offset, wait_seconds, answer_seconds)
+        log_end, records = _decode_read(response.body)
         keyed = tuple(
             record for record in map(_keyed_record, records) if record is not None
         )
-        return KeyedChanges(records=keyed, end=offset + len(records))
+        end = offset + len(records)
+        return KeyedChanges(records=keyed, end=end, is_behind=end < log_end)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write the newest record of a key; an empty value deletes the key."""
@@ -111,7 +123,9 @@
         record = bytes([len(name)]) + name + value
         target = f"{_APPEND_PATH}?topic={topic}&part=0"
         try:
-            response = await self._call("POST", target, _frame_records([record]), 0.0)
+            response = await self._call(
+                "POST", target, _frame_records([record]), STORE_TIMEOUT_SECONDS
+            )
         except (ConnectFailed, ConnectionBroken, TimeoutError) as error:
             raise LogUnavailable(f"The store did not answer: {error!r}.") from error
         if response.status != _OK:
@@ -123,7 +137,9 @@
         """Append if the partition ends at `expected_end`; return its new end."""
         target = f"{_APPEND_PATH}?topic={topic}&part={partition}&asOf={expected_end}"
         try:
-            response = await self._call("POST", target, _frame_records(records), 0.0)
+            response = await self._call(
+                "POST", target, _frame_records(records), STORE_TIMEOUT_SECONDS
+            )
         except ConnectFailed as error:
             raise LogUnavailable(str(error)) from error
         except (ConnectionBroken, TimeoutError) as error:
@@ -140,22 +156,33 @@
 
     async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
         """Return the records from an offset on."""
-        response = await self._read(topic, partition, offset, 0.0)
+        response = await self._read(
+            topic, partition, offset, 0.0, STORE_TIMEOUT_SECONDS
+        )
         end, records = _decode_read(response.body)
         return PartitionRead(
             records=tuple(records), offset=offset + len(records), end=end
         )
 
+    async def _append(self, target: str, records: list[bytes]) -> StoreResponse:
+        body = _frame_records(records)
+        return await self._call("POST", target, body, STORE_TIMEOUT_SECONDS)
+
     async def _read(
-        self, topic: str, partition: int, offset: int, wait_seconds: float
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait_seconds: float,
+        answer_seconds: float,
     ) -> StoreResponse:
         target = f"{_READ_PATH}?topic={topic}&part={partition}&from={offset}"
         target += f"&maxKb={MAX_READ_KILOBYTES}&waitMs={int(wait_seconds * 1_000)}"
-        return await self._get(target, wait_seconds)
+        return await self._get(target, wait_seconds + answer_seconds)
 
-    async def _get(self, target: str, wait_seconds: float) -> StoreResponse:
+    async def _get(self, target: str, timeout_seconds: float) -> StoreResponse:
         try:
-            response = await self._call("GET", target, b"", wait_seconds)
+            response = await self._call("GET", target, b"", timeout_seconds)
         except (ConnectFailed, ConnectionBroken, TimeoutError) as error:
             name = type(error).__name__
             raise LogUnavailable(f"The store did not answer: {name}.") from error
@@ -168,7 +195,11 @@
         return response
 
     async def _call(
-        self, method: str, target: str, body: bytes, wait_seconds: float
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_seconds: float,
     ) -> StoreResponse:
         """Make one call; without a complete response its connection is closed."""
         self.calls += 1
@@ -177,15 +208,17 @@
         name = target.partition("?")[0].rpartition("/")[2]
         result = "lost"
         try:
-            response = await self._exchange(method, target, body, wait_seconds)
+            response = await self._exchange(method, target, body, timeout_seconds)
             result = str(response.status)
             return response
         finally:
             self.on_call(name, result, clock.monotonic() - started)
 
     async def _exchange(
-        self, method: str, target: str, body: bytes, wait_seconds: float
+        self, method: str, target: str, body: bytes, timeout_seconds: float
     ) -> StoreResponse:
+        """Send a request; the time limit includes opening a connection."""
+        ends_at = asyncio.get_running_loop().time() + timeout_seconds
         request = OutgoingRequest(
             method=method,
             target=target,
@@ -194,7 +227,7 @@
         )
         connection = await self.pool.acquire(self.address)
         try:
-            async with asyncio.timeout(STORE_TIMEOUT_SECONDS + wait_seconds):
+            async with asyncio.timeout_at(ends_at):
                 head = await connection.send(request)
                 response_body = await connection.read_all()
         except BaseException:
--- a/tests/budget_model.py
+++ b/tests/budget_model.py
@@ -22,6 +22,7 @@
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
 from eelgrasslock.log.keyed_follower import KeyedFollower
 from eelgrasslock.log.keyed_log import KeyedChanges, KeyedRecord, KeyedSnapshot
+from eelgrasslock.log.read_schedule import ReadSchedule
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.log_rpc import append_for_peer, read_for_peer
 from eelgrasslock.scheduling.calls import PeerLoad
@@ -81,13 +82,13 @@
         self.check(partition)
         return await self.fleet.log.read_from(topic, partition, offset)
 
-    async def snapshot(self, topic):
+    async def snapshot(self, topic, answer_seconds=0.0):
         self.check()
         newest = {record.key: record for record in self.fleet.registrations}
         end = len(self.fleet.registrations)
         return KeyedSnapshot(records=tuple(newest.values()), end=end)
 
-    async def changes(self, topic, offset, wait_seconds):
+    async def changes(self, topic, offset, wait_seconds, answer_seconds=0.0):
         self.check()
         records = tuple(self.fleet.registrations[offset:])
         return KeyedChanges(records=records, end=offset + len(records))
@@ -160,8 +161,7 @@
             self.coordinator.daemon_registry,
             fleet.clock,
             fleet.rng,
-            0.0,
-            0.0,
+            ReadSchedule(wait_seconds=0.0, pause_seconds=0.0),
         )
         self.coordinator.last_log_response_at = lambda: self.follower.last_response_at
         self.coordinator.log_outage_start = self.follower.outage_started_at
--- a/tests/test_endpoint_removal.py
+++ b/tests/test_endpoint_removal.py
@@ -13,6 +13,7 @@
 
 DRAIN_SECONDS = 2.0
 STABLE_WINDOW_SECONDS = 3.0
+CONFIGURATION_SECONDS = 2.0
 
 
 @pytest.fixture
@@ -54,3 +55,41 @@
             await wait_until(lambda at=sent_at: follower.read_sent_at != at)
         await asyncio.sleep(0.05)
         daemon.faults.refusing = ""
+
+
+async def lose_one_answer(daemon, follower):
+    """Leave the daemon's next read without an answer, as a silent connection does."""
+    sent_at = follower.read_sent_at
+    await wait_until(lambda: follower.read_sent_at != sent_at)
+    await asyncio.sleep(0.1)
+    sent_at = follower.read_sent_at
+    daemon.faults.refusing = "silent"
+    await wait_until(lambda: follower.read_sent_at != sent_at)
+    await asyncio.sleep(0.05)
+    daemon.faults.refusing = ""
+
+
+class TestLostAnswers:
+    # A read that waits for a record was given up after 2.1 s.
+    @pytest.mark.parametrize("state", ["draining", "gone"])
+    async def test_an_endpoint_leaves_while_a_read_gets_no_answer(self, fleet, state):
+        leaving = await fleet.endpoint()
+        staying = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([leaving, staying])
+        await lose_one_answer(daemon, daemon.application.endpoints_follower)
+        if state == "gone":
+            fleet.unregister(leaving)
+        else:
+            fleet.register(leaving, state=state)
+        left_at = time.monotonic()
+        assert await seconds_until_removed(daemon, leaving, left_at) < DRAIN_SECONDS
+
+    async def test_a_configuration_comes_while_a_read_gets_no_answer(self, fleet):
+        endpoint = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([endpoint])
+        application = daemon.application
+        await lose_one_answer(daemon, application.configuration_follower)
+        fleet.configure(version=2)
+        changed_at = time.monotonic()
+        await wait_until(lambda: application.routing.current.version == 2)
+        assert time.monotonic() - changed_at < CONFIGURATION_SECONDS
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -6,7 +6,6 @@
 import pytest
 
 from eelgrasslock.allowances.draw_ledger import DrawRequest
-from eelgrasslock.gateway.application import CONFIGURATION_LONG_POLL_SECONDS
 from eelgrasslock.gateway.endpoint_registry import (
     EndpointRecord,
 )
@@ -15,6 +14,8 @@
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import POSTS, PlatformFleet, configuration, wait_until
 
+SILENCE_SECONDS = 2.5
+
 
 @pytest.fixture
 async def fleet():
@@ -172,7 +173,7 @@
         load_exchange = one.application.load_exchange
         await wait_until(lambda: len(load_exchange.last_contact) == 2)
         await three.application.stop()
-        await asyncio.sleep(CONFIGURATION_LONG_POLL_SECONDS + 1.0)
+        await asyncio.sleep(SILENCE_SECONDS)
         one.faults.refusing = two.faults.refusing = "busy"
         # Half of 770 tokens hold one turn, and none if a third daemon may have run one.
         status, _ = await fleet.turn(one, "p", budget=770, max_tokens=220)
--- a/tests/test_keyed_follower.py
+++ b/tests/test_keyed_follower.py
@@ -6,12 +6,18 @@
 
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.log.keyed_follower import RECOVERY_SECONDS, KeyedFollower
+from eelgrasslock.log.read_schedule import ReadSchedule
 
 
 @pytest.fixture
 def follower():
     return KeyedFollower(
-        None, "keyed.one", IgnoringState(), ManualClock(), random.Random(1), 1.0, 0.1
+        None,
+        "keyed.one",
+        IgnoringState(),
+        ManualClock(),
+        random.Random(1),
+        ReadSchedule(wait_seconds=1.0, pause_seconds=0.1),
     )
 
 
