Look an endpoint up again once its connection is open

The attempt ends as not sent if the registration has changed meanwhile, its connection goes back to the pool, and the request goes to another endpoint.

test_an_endpoint_leaves_while_a_connection_is_opened failed for all three ways before and passes.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -43,7 +43,8 @@
     SERVED
         The response was relayed to the caller.
     NOT_SENT
-        The endpoint isn't registered, is leaving or accepted no connection.
+        The endpoint isn't registered, is leaving or accepted no connection, or it
+        left or restarted while a connection was opened.
     NOT_RUN
         The endpoint declined the request without running it.
     BROKEN
@@ -146,8 +147,8 @@
         ResponseTruncated
             If the connection was lost after a part of the response was relayed.
         """
-        record = self.endpoint_registry.entries.get(endpoint)
-        if record is None or record.leaving:
+        record = self.endpoint_registry.find_usable(endpoint)
+        if record is None:
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
         max_idle_seconds = (
             MAX_IDLE_SECONDS
@@ -160,6 +161,9 @@
             self.unreachable_at[record.id] = self.clock.monotonic()
             _log.bind(request=context.request.id, endpoint=endpoint).info("{}", error)
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
+        if not self.endpoint_registry.is_usable(record):
+            self.pool.release(record.address, connection, None)
+            return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
         try:
             result = await self._exchange(context, record, connection)
         except BaseException:
--- a/src/eelgrasslock/gateway/endpoint_registry.py
+++ b/src/eelgrasslock/gateway/endpoint_registry.py
@@ -87,6 +87,20 @@
             self.log_recovered_at = self.clock.monotonic()
         self.log_unavailable = unavailable
 
+    def find_usable(self, endpoint: str) -> EndpointRecord | None:
+        """Return the registration of an endpoint, None if it takes no new calls."""
+        record = self.entries.get(endpoint)
+        return None if record is None or record.leaving else record
+
+    def is_usable(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint still runs as registered and takes calls."""
+        current = self.find_usable(record.id)
+        return (
+            current is not None
+            and current.address == record.address
+            and current.started_at_ms == record.started_at_ms
+        )
+
     def put(self, record: EndpointRecord) -> bool:
         """Add or update a registration; return whether anything changed."""
         self.grace_ends_at.pop(record.id, None)
--- a/tests/test_endpoint_removal.py
+++ b/tests/test_endpoint_removal.py
@@ -93,3 +93,42 @@
         changed_at = time.monotonic()
         await wait_until(lambda: application.routing.current.version == 2)
         assert time.monotonic() - changed_at < CONFIGURATION_SECONDS
+
+
+class TestConnecting:
+    # The endpoint was looked up before the connection was opened, and not after.
+    @pytest.mark.parametrize("state", ["draining", "gone", "restarted"])
+    async def test_an_endpoint_leaves_while_a_connection_is_opened(
+        self, fleet, monkeypatch, state
+    ):
+        leaving = await fleet.endpoint()
+        staying = await fleet.endpoint()
+        fleet.unregister(staying)
+        daemon = await fleet.ready_daemon([leaving])
+        entries = daemon.application.endpoint_registry.entries
+        pool = daemon.application.pool
+        acquire = pool.acquire
+
+        async def acquire_late(address, *arguments):
+            connection = await acquire(address, *arguments)
+            if address == leaving.address:
+                before = entries.get(leaving.id)
+                fleet.register(staying)
+                leave(fleet, leaving, state)
+                await wait_until(lambda: entries.get(leaving.id) != before)
+            return connection
+
+        monkeypatch.setattr(pool, "acquire", acquire_late)
+        assert (await fleet.call(daemon, f"{LOOKUPS}x"))[0] == 200
+        assert not leaving.runs
+        assert len(staying.runs) == 1
+
+
+def leave(fleet, endpoint, state):
+    """Register that an endpoint drains, is gone, or runs under its id anew."""
+    if state == "gone":
+        fleet.unregister(endpoint)
+    elif state == "restarted":
+        fleet.register(endpoint, state="draining", born=2)
+    else:
+        fleet.register(endpoint, state=state)
