--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -7,7 +7,8 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.gateway.attempts import AttemptOutcome, AttemptResult, AttemptRunner
+from eelgrasslock.gateway.attempt_result import AttemptOutcome, AttemptResult
+from eelgrasslock.gateway.attempts import AttemptRunner
 from eelgrasslock.gateway.prompts import prompt_keys
 from eelgrasslock.gateway.request_context import RequestContext
 from eelgrasslock.gateway.responder import ResponseTruncated
