Wait for a read before a view older than its bound is used

Nothing compared the age of a daemon's view of endpoints and routes with its bound where the view is used, so that a daemon whose reads were held up (a busy event loop, two answers lost in a row) sent requests to endpoints that had left for longer than the bound, and by routes that were gone.

The reads' times end each wait within one or two answers: then the view is new, or the log counts as lost and requests are served on the old view as before. No store call is added.

TestOldViews: both tests that hold reads back failed before (the request was sent to the endpoint that had left, and by the old route), all three pass; the third holds that an outage is served through.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -207,7 +207,7 @@
         attempt_runner = AttemptRunner(
             self.pool,
             self.endpoint_registry,
-            self.endpoints_follower.age,
+            self.endpoints_follower,
             self.platform.codec,
             self.clock,
             self.metrics,
@@ -220,6 +220,7 @@
         )
         self.handler = GatewayHandler(
             self.routing,
+            self.configuration_follower,
             self.allowances,
             forwarder,
             self.platform.codec,
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -8,7 +8,7 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.attempt_result import AttemptOutcome, AttemptResult
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
-from eelgrasslock.gateway.interfaces import MessageCodec
+from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
 from eelgrasslock.gateway.messages import EndpointLoadHeader, EndpointResponse
 from eelgrasslock.gateway.request_context import RequestContext
 from eelgrasslock.gateway.responder import ResponseTruncated
@@ -46,8 +46,8 @@
         Connections to the endpoints.
     endpoint_registry : EndpointRegistry
         The endpoints' addresses.
-    endpoints_age : callable
-        Returns how old the registry may be, in seconds.
+    endpoints_view : FollowedView
+        The age of the registry.
     codec : MessageCodec
         Encodes requests and decodes responses.
     clock : Clock
@@ -71,7 +71,7 @@
         self,
         pool: ConnectionPool,
         endpoint_registry: EndpointRegistry,
-        endpoints_age: Callable[[], float],
+        endpoints_view: FollowedView,
         codec: MessageCodec,
         clock: Clock,
         metrics: GatewayMetrics,
@@ -86,7 +86,7 @@
         self.metrics = metrics
         self.pool = pool
         self.endpoint_registry = endpoint_registry
-        self.endpoints_age = endpoints_age
+        self.endpoints_view = endpoints_view
         self.codec = codec
         self.clock = clock
 
@@ -98,6 +98,7 @@
         ResponseTruncated
             If the connection was lost after a part of the response was relayed.
         """
+        await self.endpoints_view.wait_until_current()
         record = self.endpoint_registry.find_usable(endpoint)
         if record is None:
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
@@ -112,9 +113,6 @@
             self.unreachable_at[record.id] = self.clock.monotonic()
             _log.bind(request=context.request.id, endpoint=endpoint).info("{}", error)
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
-        if not self.endpoint_registry.is_usable(record):
-            self.pool.release(record.address, connection, None)
-            return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
         try:
             result = await self._exchange(context, record, connection)
         except BaseException:
@@ -132,13 +130,16 @@
         record: EndpointRecord,
         connection: HTTPConnection,
     ) -> AttemptResult:
+        await self.endpoints_view.wait_until_current()
+        if not connection.reusable or not self.endpoint_registry.is_usable(record):
+            return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
         remaining_seconds = context.deadline - self.clock.monotonic()
         outgoing = self.codec.encode_request(
             context.request, record.id, remaining_seconds
         )
         context.possible_executions += 1
         context.response_framing = None
-        context.endpoints_age_seconds = self.endpoints_age()
+        context.endpoints_age_seconds = self.endpoints_view.age()
         try:
             sent_at = self.clock.monotonic()
             head = await self._await_head(context, record, connection, outgoing)
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -11,7 +11,7 @@
 from eelgrasslock.exceptions import EelgrassError, Ran, Refusal
 from eelgrasslock.gateway.access_log import AccessLogEntry, AccessLogger
 from eelgrasslock.gateway.forwarder import Forwarder
-from eelgrasslock.gateway.interfaces import MessageCodec
+from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
 from eelgrasslock.gateway.messages import GatewayRequest
 from eelgrasslock.gateway.request_context import RequestContext
 from eelgrasslock.gateway.responder import CallerResponder, ResponseTruncated
@@ -34,6 +34,8 @@
     ----------
     routing : RoutingState
         The active configuration.
+    routing_view : FollowedView
+        The age of the active configuration.
     allowances : AllowanceManager
         Keeps turns within their programs' budgets.
     forwarder : Forwarder
@@ -62,6 +64,7 @@
     def __init__(
         self,
         routing: RoutingState,
+        routing_view: FollowedView,
         allowances: AllowanceManager,
         forwarder: Forwarder,
         codec: MessageCodec,
@@ -73,6 +76,7 @@
         self.load_shedder = load_shedder
         self.access_logger = access_logger
         self.routing = routing
+        self.routing_view = routing_view
         self.allowances = allowances
         self.forwarder = forwarder
         self.codec = codec
@@ -126,6 +130,7 @@
         responder: CallerResponder,
         log_entry: AccessLogEntry,
     ) -> None:
+        await self._wait_until_routing_is_current()
         route = self._find_route(request)
         service = self._select_service(request, route)
         timeout_seconds = route.timeout_seconds
@@ -154,6 +159,11 @@
         finally:
             self.allowances.settle(reservation, context.tokens_used)
 
+    async def _wait_until_routing_is_current(self) -> None:
+        """Wait for a read of the log if the active configuration may be outdated."""
+        if self.routing.current is not None:
+            await self.routing_view.wait_until_current()
+
     def _find_route(self, request: GatewayRequest) -> Route:
         if self.routing.current is None:
             sentence = "This daemon has no configuration yet."
--- a/src/eelgrasslock/gateway/interfaces.py
+++ b/src/eelgrasslock/gateway/interfaces.py
@@ -87,3 +87,13 @@
         RecordError
             If the record is no valid configuration.
         """
+
+
+class FollowedView(Protocol):
+    """What a daemon has read of a topic, with its age."""
+
+    def age(self) -> float:
+        """Return how old the view may be, in seconds."""
+
+    async def wait_until_current(self) -> None:
+        """Wait until the view may be used: it is young enough, or the log is lost."""
--- a/src/eelgrasslock/log/keyed_follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -1,5 +1,6 @@
 """Keeps a state up to date with a keyed topic: a snapshot, then changes."""
 
+import asyncio
 import random
 from typing import Protocol
 
@@ -102,11 +103,15 @@
         self.unavailable = False
         self.unavailable_since = float("inf")
         self.recovered_at = float("-inf")
+        self._read_ended = asyncio.Event()
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
-            await self.clock.sleep(await self._read_next())
+            pause_seconds = await self._read_next()
+            self._read_ended.set()
+            self._read_ended = asyncio.Event()
+            await self.clock.sleep(pause_seconds)
 
     async def _read_next(self) -> float:
         """Read once; return the pause before the next read in seconds."""
@@ -175,6 +180,18 @@
         """Return how old the state may be, in seconds; infinite before the first."""
         return self.clock.monotonic() - self.confirmed_at
 
+    def is_current(self) -> bool:
+        """Return whether the state may be used.
+
+        It may be older than its bound only while the log is unavailable.
+        """
+        return self.unavailable or self.age() <= self.schedule.max_age_seconds
+
+    async def wait_until_current(self) -> None:
+        """Wait until the state may be used: for a read or two at most."""
+        while not self.is_current():
+            await self._read_ended.wait()
+
     def outage_started_at(self) -> float:
         """Return when the present outage started, on the monotonic clock.
 
--- a/tests/test_endpoint_removal.py
+++ b/tests/test_endpoint_removal.py
@@ -132,3 +132,67 @@
         fleet.register(endpoint, state="draining", born=2)
     else:
         fleet.register(endpoint, state=state)
+
+
+class TestOldViews:
+    """A view whose age passes its bound is not used before the log was read again."""
+
+    @pytest.fixture
+    async def daemon(self, fleet, monkeypatch):
+        self.leaving = await fleet.endpoint()
+        self.staying = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([self.leaving, self.staying])
+        self.held = asyncio.Event()
+        self.hold_reads(daemon.application.platform.log, monkeypatch)
+        return daemon
+
+    def hold_reads(self, log, monkeypatch):
+        """Let reads end only once `held` is set, as in a daemon that is held up."""
+        changes = log.changes
+
+        async def changes_later(*arguments):
+            result = await changes(*arguments)
+            await self.held.wait()
+            return result
+
+        monkeypatch.setattr(log, "changes", changes_later)
+
+    async def grow_old(self, follower):
+        await wait_until(lambda: follower.age() > follower.schedule.max_age_seconds)
+
+    async def test_a_request_waits_for_the_news_that_its_endpoint_left(
+        self, fleet, daemon
+    ):
+        fleet.unregister(self.leaving)
+        fleet.unregister(self.staying)
+        another = await fleet.endpoint()
+        await self.grow_old(daemon.application.endpoints_follower)
+        call = asyncio.create_task(fleet.call(daemon, f"{LOOKUPS}x"))
+        await asyncio.sleep(0.3)
+        assert not call.done()
+        self.held.set()
+        assert (await call)[0] == 200
+        assert [len(one.runs) for one in (self.leaving, self.staying, another)] == [
+            0,
+            0,
+            1,
+        ]
+
+    async def test_a_request_waits_for_the_news_of_its_route(self, fleet, daemon):
+        fleet.configure(version=2, routes=[])
+        await self.grow_old(daemon.application.configuration_follower)
+        call = asyncio.create_task(fleet.call(daemon, f"{LOOKUPS}x"))
+        await asyncio.sleep(0.3)
+        assert not call.done()
+        self.held.set()
+        assert (await call)[0] == 404
+
+    async def test_requests_are_served_on_old_views_while_the_log_is_lost(
+        self, fleet, daemon
+    ):
+        daemon.faults.refusing = "silent"
+        self.held.set()
+        for follower in daemon.application.followers[:2]:
+            await self.grow_old(follower)
+        async with asyncio.timeout(1.0):
+            assert (await fleet.call(daemon, f"{LOOKUPS}x"))[0] == 200
