--- a/src/eelgrasslock_standins/bare_server.py
+++ b/src/eelgrasslock_standins/bare_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 from attrs import define, field
 
@@ -23,6 +24,8 @@
         Whether work began.
     finished : bool
         Whether it was answered to the end.
+    arrived_at : float
+        When its head was read, on the monotonic clock, in seconds.
     """
 
     method: str
@@ -31,6 +34,7 @@
     body: bytes = b""
     ran: bool = False
     finished: bool = False
+    arrived_at: float = field(factory=time.monotonic)
 
     @property
     def id(self) -> str:
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -58,6 +58,8 @@
         How long a plain answer takes.
     load : str
         What it says of its load with each answer, empty for nothing.
+    limit : str
+        The requests a second that it names with each answer, empty for nothing.
     crashes_on : bytes
         A body that ends the endpoint, empty for none.
     faults : deque of Fault
@@ -68,6 +70,7 @@
     event_seconds: float = 0.0
     work_seconds: float = 0.0
     load: str = ""
+    limit: str = ""
     crashes_on: bytes = b""
     faults: deque[Fault] = field(factory=deque)
     late: bytes = b""
@@ -205,7 +208,8 @@
 
     def _stamp(self) -> str:
         load = f"Server-Load: {self.load}\r\n" if self.load else ""
-        return f"Server-Stamp: {self.id}.stamp\r\n{load}"
+        limit = f"Server-Limit: {self.limit}\r\n" if self.limit else ""
+        return f"Server-Stamp: {self.id}.stamp\r\n{load}{limit}"
 
 
 _CUT_INSIDE = frozenset({Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT})
