Decode the limit that an endpoint names

Server-Limit, the requests a second that an endpoint takes from all machines together, is read once, in platform/headers, into RequestLimitHeader: a value that can't be read is told from none at all. Like Server-Load it is not passed on.

--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -121,6 +121,7 @@
         "tokens": context.tokens_used,
         "max_tokens": context.max_generated_tokens,
         "status": context.response_status,
+        "named_limit": context.named_limit,
         "framing": framing.value if framing is not None else None,
         "in_event": context.in_event,
     }
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -154,6 +154,8 @@
             return await self._classify_failure(context, record, error)
         context.response_framing = head.framing
         response = self.codec.decode_response(head, context.request.id)
+        limit = response.request_limit
+        context.named_limit = None if limit is None else limit.per_second
         if response.load is not None:
             self.on_load_report(context.service.name, record.id, response.load)
         if response.not_run:
--- a/src/eelgrasslock/gateway/messages.py
+++ b/src/eelgrasslock/gateway/messages.py
@@ -91,6 +91,20 @@
     slots: int
 
 
+@frozen(kw_only=True)
+class RequestLimitHeader:
+    """The limit that an endpoint names in a response.
+
+    Attributes
+    ----------
+    per_second : float or None
+        The requests a second that it takes from all daemons together; None if the
+        value can't be read.
+    """
+
+    per_second: float | None
+
+
 @frozen(kw_only=True)
 class EndpointResponse:
     """The decoded head of an endpoint's response.
@@ -108,6 +122,8 @@
         the request's id.
     load : EndpointLoadHeader or None
         The load that the endpoint reported.
+    request_limit : RequestLimitHeader or None
+        The limit that the endpoint named, None if it named none.
     content_length : int or None
         The length of the body, if stated.
     keep_alive_seconds : float or None
@@ -121,6 +137,7 @@
     not_run: bool
     is_valid: bool
     load: EndpointLoadHeader | None = None
+    request_limit: RequestLimitHeader | None = None
     content_length: int | None = None
     keep_alive_seconds: float | None = None
     retry_after_seconds: float | None = None
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -39,6 +39,9 @@
         The status of the response, 0 until there is one.
     response_framing : Framing or None
         How the endpoint marks the end of its response, None until there is one.
+    named_limit : float or None
+        The requests a second that the endpoint of the last response named, None
+        without a readable limit.
     endpoint_crashed : bool
         Whether the endpoint crashed while its response was relayed.
     preferred_endpoint : str
@@ -62,6 +65,7 @@
     queued_seconds: float = 0.0
     response_status: int = 0
     response_framing: Framing | None = None
+    named_limit: float | None = None
     endpoint_crashed: bool = False
     preferred_endpoint: str = ""
     configuration_version: int = 0
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -1,11 +1,14 @@
 """Headers of requests and responses on the platform."""
 
+import math
+
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.gateway.messages import (
     EndpointLoadHeader,
     EndpointResponse,
     GatewayRequest,
     PromptPart,
+    RequestLimitHeader,
 )
 from eelgrasslock.http.messages import Header, OutgoingRequest, ResponseHead
 
@@ -24,6 +27,7 @@
 _SERVER_STAMP = "server-stamp"
 _NOT_RUN = "not-run"
 _SERVER_LOAD = "server-load"
+_SERVER_LIMIT = "server-limit"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -50,7 +54,9 @@
         "kv-fetch",
     }
 )
-_ENDPOINT_ONLY = frozenset({_SERVER_LOAD, _NOT_RUN, "instance-id", "date", "server"})
+_ENDPOINT_ONLY = frozenset(
+    {_SERVER_LOAD, _SERVER_LIMIT, _NOT_RUN, "instance-id", "date", "server"}
+)
 _MAX_DIGITS = 18
 
 
@@ -124,6 +130,7 @@
                 and (not request_id or values.get(_REQUEST_ID) == request_id)
             ),
             load=_endpoint_load(values.get(_SERVER_LOAD, "")),
+            request_limit=_request_limit(values.get(_SERVER_LIMIT)),
             content_length=_integer(values, "content-length"),
             keep_alive_seconds=_keep_alive_seconds(values.get("keep-alive", "")),
             retry_after_seconds=_retry_after_seconds(values.get("retry-after", "")),
@@ -188,6 +195,18 @@
     return EndpointLoadHeader(running=running, waiting=waiting, slots=slots)
 
 
+def _request_limit(text: str | None) -> RequestLimitHeader | None:
+    if text is None:
+        return None
+    try:
+        per_second = float(text)
+    except ValueError:
+        return RequestLimitHeader(per_second=None)
+    if not math.isfinite(per_second) or per_second < 0:
+        return RequestLimitHeader(per_second=None)
+    return RequestLimitHeader(per_second=per_second)
+
+
 def _keep_alive_seconds(text: str) -> float | None:
     for parameter in text.lower().split(","):
         name, _, value = parameter.strip().partition("=")
--- /dev/null
+++ b/tests/test_endpoint_headers.py
@@ -0,0 +1,32 @@
+"""Headers of endpoints' responses on the platform."""
+
+import pytest
+
+from eelgrasslock.http.messages import ResponseHead
+from eelgrasslock.platform.headers import PlatformMessageCodec
+
+
+def decode(**headers):
+    pairs = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+    head = ResponseHead(status=200, headers=pairs)
+    return PlatformMessageCodec().decode_response(head, "r1")
+
+
+class TestRequestLimit:
+    @pytest.mark.parametrize(
+        ("text", "per_second"),
+        [("8.7", 8.7), (" 12 ", 12.0), ("0", 0.0), ("0.25", 0.25), ("1e2", 100.0)],
+    )
+    def test_a_number_is_the_limit(self, text, per_second):
+        assert decode(Server_Limit=text).request_limit.per_second == per_second
+
+    @pytest.mark.parametrize("text", ["", "many", "-1", "nan", "inf", "8,7", "8.7/s"])
+    def test_anything_else_is_a_limit_that_cant_be_read(self, text):
+        assert decode(Server_Limit=text).request_limit.per_second is None
+
+    def test_without_the_header_there_is_none(self):
+        assert decode(Server_Load="1,0,4").request_limit is None
+
+    def test_it_is_not_passed_on(self):
+        response = decode(Server_Limit="8.7", Server_Stamp="s")
+        assert response.headers == (("Server-Stamp", "s"),)
