Keep all daemons' requests within the limits that endpoints name

One daemon, the owner, grants the requests to an endpoint: the first by rendezvous hashing over the registered daemons that answers. The others ask it, over the connections of the load exchange, for a token for each request that waits there; a token that is not used within 0.5 s is lost, so that no window can hold what was saved up in another. The bucket starts empty and holds a quarter of a second, so that a new owner never repeats what the former one granted. A daemon answers as owner only if those ranked before it don't; who reaches no owner gets its part of 0.4 of the limit; an owner that hears nothing of a whole domain leaves that domain its share. Whatever daemon hears of a changed or ended limit tells the owner, and the others learn it with their next token. A value that can't be read leaves the last limit; an endpoint that names 0 is tried once in 4 s. Each attempt takes a token, so that retries and resumed streams count. No call of the log is made.

Waiting calls are placed again with each answer of the owner, so that they move to engines with room. With none, programs under way go before new ones, here and at the owner; what could not start within a second (new programs: 0.25 s) is refused at once with the time of its token. While limits hold, waiting calls count for the shedding of new programs, and the load of engines that their limits keep idle does not.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -22,13 +22,15 @@
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.interfaces import MessageCodec, RecordDecoder
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadinessServer
-from eelgrasslock.gateway.messages import EndpointLoadHeader
+from eelgrasslock.gateway.messages import EndpointLoadHeader, EndpointResponse
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
 from eelgrasslock.gateway.routes import RequestLimits
 from eelgrasslock.gateway.routing import EndpointRegistryUpdater, RoutingState
 from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.http.pool import ConnectionPool
+from eelgrasslock.limits.grant_owners import GrantOwners
+from eelgrasslock.limits.limit_controller import LimitController
 from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
 from eelgrasslock.log.keyed_log import KeyedLog
 from eelgrasslock.log.partitioned_log import PartitionedLog
@@ -143,6 +145,13 @@
         self.daemon_registry = self.peer_coordinator.daemon_registry
         self.load_exchange = self.peer_coordinator.load_exchange
         self.log = self.peer_coordinator.log
+        owners = GrantOwners(self.load_exchange, self.clock.monotonic)
+        self.limit_controller = LimitController(
+            owners, self.mesh, self.scheduler, self.clock
+        )
+        self.limit_controller.on_tokens = self.dispatcher.wake_up
+        self.dispatcher.on_processed = self.limit_controller.request_tokens
+        self.mesh.callbacks.grant_requests = self.limit_controller.answer
 
     def _create_replicated_state(self) -> None:
         platform = self.platform
@@ -214,6 +223,7 @@
             self.settings.domain,
             self.scheduler.domain_breaker.is_tripped,
             self._record_load,
+            self._record_limit,
         )
         forwarder = Forwarder(
             self.dispatcher, self.scheduler, attempt_runner, self.clock, self.metrics
@@ -283,17 +293,38 @@
 
     def _endpoint_reset(self, endpoint: str) -> None:
         self.scheduler.reset_endpoint(endpoint)
+        self.limit_controller.forget(endpoint)
 
     def _record_load(
         self, service: str, endpoint: str, load: EndpointLoadHeader
     ) -> None:
-        """Record the load that an endpoint reported in its response's headers."""
-        self.load_shedder.record_load(service, load.running, load.waiting, load.slots)
+        """Record the load that an endpoint reported in its response's headers.
+
+        An endpoint that is kept idle by its own limit tells nothing of the room that
+        its service has for new programs.
+        """
+        if self.limit_controller.table.per_second(endpoint) is None:
+            self.load_shedder.record_load(
+                service, load.running, load.waiting, load.slots
+            )
         report = LoadReport(
             running=load.running, queued=load.waiting, time=self.clock.now()
         )
         self.scheduler.observe_load(endpoint, report)
 
+    def _record_limit(
+        self, endpoint: str, response: EndpointResponse, sent_at: float
+    ) -> None:
+        """Record the limit that an endpoint named, or that it named none.
+
+        A refusal without a limit does not say that the limit has ended.
+        """
+        limit = response.request_limit
+        if response.is_misdirected or (response.not_run and limit is None):
+            return
+        per_second = None if limit is None else limit.per_second
+        self.limit_controller.observe(endpoint, limit is not None, per_second, sent_at)
+
     def _last_log_response_at(self) -> float:
         return max(follower.last_response_at for follower in self.followers)
 
@@ -309,6 +340,7 @@
         if self._daemon_count != 1 + len(self.daemon_registry.entries):
             self._update_scheduler()
         self.registry_updater.remove_expired()
+        self.limit_controller.forget_others(self.endpoint_registry.entries.keys())
         self.scheduler.decay_reported_loads()
         self.dispatcher.wake_up()
 
@@ -350,6 +382,7 @@
         await self.listener.stop()
         await self.readiness_server.stop()
         await self.metrics_server.stop()
+        await self.limit_controller.stop()
         await self.dispatcher.stop()
         await self.mesh.stop()
         await self.pool.stop()
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -34,6 +34,7 @@
 _log = logger.bind(part="attempts")
 
 
+LimitCallback = Callable[[str, EndpointResponse, float], None]
 LoadCallback = Callable[[str, str, EndpointLoadHeader], None]
 
 
@@ -60,6 +61,9 @@
         Returns whether the circuit breaker of a failure domain has tripped.
     on_load_report : callable
         Called with service, endpoint and the load that the endpoint reported.
+    on_limit_report : callable
+        Called with the endpoint, its response and when the request was sent, on the
+        monotonic clock.
 
     Attributes
     ----------
@@ -78,7 +82,9 @@
         domain: str,
         is_domain_tripped: Callable[[str], bool],
         on_load_report: LoadCallback,
+        on_limit_report: LimitCallback,
     ) -> None:
+        self.on_limit_report = on_limit_report
         self.on_load_report = on_load_report
         self.unreachable_at: dict[str, float] = {}
         self.domain = domain
@@ -156,6 +162,7 @@
         response = self.codec.decode_response(head, context.request.id)
         limit = response.request_limit
         context.named_limit = None if limit is None else limit.per_second
+        self.on_limit_report(record.id, response, sent_at)
         if response.load is not None:
             self.on_load_report(context.service.name, record.id, response.load)
         if response.not_run:
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -74,6 +74,12 @@
         """Return the endpoint that a request would go to now, empty for none."""
         return self.scheduler.suggest(_make_call(context, 0))
 
+    def limited_wait_ratio(self, context: RequestContext) -> float:
+        """Return the calls that limits keep waiting for each that runs."""
+        service = context.service
+        model = service.name if service.engine else ""
+        return self.scheduler.limited_wait_ratio(service.name, model)
+
     async def forward(self, context: RequestContext) -> None:
         """Send a request to endpoints until one response has been relayed.
 
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -208,7 +208,12 @@
         service = context.service.name
         has_top_priority = self.routing.table.has_top_priority(route, service)
         try:
-            self.load_shedder.check(service, reservation.stage, has_top_priority)
+            self.load_shedder.check(
+                service,
+                reservation.stage,
+                has_top_priority,
+                self.forwarder.limited_wait_ratio(context),
+            )
         except Refusal:
             self.allowances.cancel(reservation)
             raise
--- a/src/eelgrasslock/gateway/messages.py
+++ b/src/eelgrasslock/gateway/messages.py
@@ -117,6 +117,8 @@
         The headers to pass on to the caller.
     not_run : bool
         Whether the endpoint states that it did not and will not run the request.
+    is_misdirected : bool
+        Whether another endpoint answered than the one that was expected.
     is_valid : bool
         Whether a success may be passed on: it must be signed, not encoded, and echo
         the request's id.
@@ -136,6 +138,7 @@
     headers: tuple[Header, ...]
     not_run: bool
     is_valid: bool
+    is_misdirected: bool = False
     load: EndpointLoadHeader | None = None
     request_limit: RequestLimitHeader | None = None
     content_length: int | None = None
--- /dev/null
+++ b/src/eelgrasslock/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of requests a second that endpoints name for all daemons together."""
--- /dev/null
+++ b/src/eelgrasslock/limits/grant_owners.py
@@ -0,0 +1,63 @@
+"""Which daemon grants the requests to an endpoint."""
+
+from collections.abc import Callable
+
+import xxhash
+
+from eelgrasslock.peers.daemon_registry import DaemonEntry
+from eelgrasslock.peers.load_exchange import LoadExchange
+
+SILENCE_SECONDS = 3.0
+
+
+class GrantOwners:
+    """Ranks the daemons for each endpoint by rendezvous hashing.
+
+    All daemons with the same view of the fleet name the same one, without a word
+    between them, and a daemon that goes moves only its own endpoints.
+
+    Parameters
+    ----------
+    load_exchange : LoadExchange
+        Knows the registered daemons and which of them are silent.
+    monotonic : callable
+        Returns the time on the monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self, load_exchange: LoadExchange, monotonic: Callable[[], float]
+    ) -> None:
+        self.load_exchange = load_exchange
+        self.registry = load_exchange.daemon_registry
+        self.monotonic = monotonic
+
+    def ranked(self, endpoint: str) -> list[DaemonEntry]:
+        """Return all registered daemons, the one that should grant first."""
+        entries = [*self.registry.entries.values(), self.registry.own]
+        return sorted(entries, key=lambda entry: _weight(endpoint, entry.name))
+
+    def is_heard_of(self, entry: DaemonEntry) -> bool:
+        """Return whether a daemon's heartbeats still come, or may come yet."""
+        silence = max(SILENCE_SECONDS, 3 * self.load_exchange.interval())
+        since = self.monotonic() - silence
+        return self.load_exchange.may_have_served(entry, since)
+
+    def daemon_count(self) -> int:
+        """Return the number of registered daemons, including this one."""
+        return 1 + len(self.registry.entries)
+
+    def reachable_share(self) -> float:
+        """Return the share of the daemons whose domains are not silent as a whole.
+
+        A domain without any live daemon may be cut off, with an owner of its own.
+        """
+        live = self.load_exchange.live_peers
+        entries = list(self.registry.entries.values())
+        domains = {one.domain for one in entries if one.incarnation in live}
+        domains.add(self.registry.own.domain)
+        reachable = 1 + sum(one.domain in domains for one in entries)
+        return reachable / (1 + len(entries))
+
+
+def _weight(endpoint: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{endpoint}\n{name}".encode())
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -60,5 +60,6 @@
   appendAt @9 (topic :Text, partition :UInt32, records :List(Data), expectedEnd :Int64) -> (outcome :Outcome, end :Int64);
   readFrom @10 (topic :Text, partition :UInt32, offset :Int64) -> (outcome :Outcome, records :List(Data), offset :Int64, end :Int64);
   offline @12 (program :Text) -> (spent :Int64, drawn :Int64, fullHistory :Bool);  # spent without the log; drawn in all, as far as the receiver knows; whether it has run as long as any program
+  grantRequests @13 (endpoint :Text, asker :Text, count :UInt32, urgency :UInt8, limited :Bool, perSecond :Float64, age :Float64) -> (isOwner :Bool, count :UInt32, waitSeconds :Float64, askers :UInt32, limited :Bool, perSecond :Float64, age :Float64);  # tokens for requests to an endpoint that names a limit; each side tells the limit that it knows and for how many seconds
   release @11 (program :Text) -> (tokens :Int64);  # the tokens that the receiver gives up
 }
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -10,6 +10,7 @@
 from eelgrasslock.requests.exchange import Request, Responder
 
 if TYPE_CHECKING:
+    from eelgrasslock.limits.grant_messages import GrantAnswer, GrantRequest
     from eelgrasslock.log.records import Record
 
 
@@ -37,6 +38,8 @@
     offline_usage : callable
         Returns the tokens of a program that were spent without the log, and
         those that are drawn in all.
+    grant_requests : callable
+        Answers a daemon that asks for tokens of an endpoint with a limit.
     has_full_history : callable
         Returns whether this daemon has run for as long as any program may have
         lasted.
@@ -57,6 +60,8 @@
         self.release_allowance: Callable[[str], int] = lambda program: 0
         self.offline_usage: Callable[[str], tuple[int, int]] = lambda program: (0, 0)
         self.has_full_history: Callable[[], bool] = lambda: False
+        self.grant_requests: Callable[[GrantRequest], Awaitable[GrantAnswer]]
+        self.grant_requests = _grant_nothing
 
 
 async def _serve_nothing(request: Request, responder: Responder) -> None:
@@ -67,5 +72,9 @@
     raise ConnectionRefusedError("This daemon does not hold records yet.")
 
 
+async def _grant_nothing(request: GrantRequest) -> GrantAnswer:
+    raise ConnectionRefusedError("This daemon grants no requests.")
+
+
 async def _probe_nobody(incarnation: str) -> bool:
     return False
--- a/src/eelgrasslock/peers/peer_handlers.py
+++ b/src/eelgrasslock/peers/peer_handlers.py
@@ -187,6 +187,22 @@
 
         await self.connection.run(work())
 
+    async def grantRequests(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Grant tokens for requests to an endpoint that names a limit."""
+        # Imported here because most daemons never meet a limit.
+        from eelgrasslock.limits.grant_messages import serve_grant
+
+        await self.connection.run(
+            serve_grant(
+                self.callbacks.grant_requests,
+                message,
+                _context.results,
+                self.connection.server.clock,
+            )
+        )
+
     async def release(self, program: str, _context: Any, **_: Any) -> None:
         """Release the unspent tokens of a program."""
         _context.results.tokens = self.callbacks.release_allowance(program)
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -124,6 +124,7 @@
             status=head.status,
             headers=tuple(kept),
             not_run=misdirected or _NOT_RUN in values,
+            is_misdirected=misdirected,
             is_valid=(
                 _SERVER_STAMP in values
                 and encoding in ("", "identity")
--- a/src/eelgrasslock/scheduling/admission.py
+++ b/src/eelgrasslock/scheduling/admission.py
@@ -14,6 +14,10 @@
 from eelgrasslock.scheduling.slot_allocator import SlotAllocator
 
 MAX_WAITING_CALLS = 5_000
+# How long a call may wait where all endpoints have reached the limits that they named.
+TOKEN_WAIT_SECONDS = 1.0
+NEW_PROGRAM_TOKEN_WAIT_SECONDS = 0.25
+_MIN_TOKEN_RETRY_SECONDS = 0.1
 _NEW_PROGRAM_LIMIT_SHARE = 0.5
 _EXPIRY_WAIT_FACTOR = 2.0
 _MIN_RETRY_SECONDS = 1.0
@@ -113,6 +117,7 @@
         if self.quarantine.is_quarantined(call.digest):
             raise quarantine_refusal(Ran.NO)
         pool = self._open_pool(call, now)
+        self._check_token_wait(call, program, pool, now)
         if self.features.admission:
             self._check_wait(call, program, pool, output_tokens, waiting, now)
         return pool
@@ -122,6 +127,9 @@
         expires_at = now + _EXPIRY_WAIT_FACTOR * wait_limit(
             self.limits, call.call_class
         )
+        pool = self.endpoint_table.pool(call)
+        if pool is not None and pool.has_limits:
+            expires_at = min(expires_at, now + TOKEN_WAIT_SECONDS)
         if call.deadline is not None:
             expires_at = min(expires_at, call.deadline)
         return expires_at
@@ -133,6 +141,8 @@
             return Refusal("deadline_passed", sentence, 504, Ran.NO)
         pool = self.endpoint_table.pool(call)
         seconds = self._wait_seconds(call, pool) if pool is not None else 0.0
+        if pool is not None and pool.has_limits:
+            return _limited(max(seconds, _token_wait(call, pool, now)))
         return _overloaded("overloaded", "No endpoint was free in time.", seconds)
 
     def _open_pool(self, call: Call, now: float) -> EndpointPool:
@@ -148,6 +158,16 @@
             raise _unavailable("All endpoints are down.", opens_at - now)
         return pool
 
+    def _check_token_wait(
+        self, call: Call, program: ProgramUsage, pool: EndpointPool, now: float
+    ) -> None:
+        """Refuse a call if all endpoints have reached their limits for too long."""
+        wait = _token_wait(call, pool, now)
+        is_new = not program.calls_started and call.call_class is not CallClass.LOOKUP
+        limit = NEW_PROGRAM_TOKEN_WAIT_SECONDS if is_new else TOKEN_WAIT_SECONDS
+        if wait > limit:
+            raise _limited(wait)
+
     def _check_wait(
         self,
         call: Call,
@@ -178,6 +198,25 @@
         return pool.predicted_wait(call.call_class, self.slots.daemon_count)
 
 
+def _token_wait(call: Call, pool: EndpointPool, now: float) -> float:
+    """Return the seconds until a call would get a token, 0.0 if it needs none.
+
+    Lookups wait at no endpoint, so that each may take the next token of any.
+    """
+    waits = [
+        state.token_wait(_calls_ahead(call, pool, state.name), now)
+        for state in pool.states
+        if state.is_open(now) and state.name not in call.excluded
+    ]
+    return min(waits, default=0.0)
+
+
+def _calls_ahead(call: Call, pool: EndpointPool, endpoint: str) -> int:
+    if call.call_class is CallClass.LOOKUP:
+        return pool.waiting[CallClass.LOOKUP] // max(1, len(pool.states))
+    return pool.endpoint_queue_lengths.get(endpoint, 0)
+
+
 def quarantine_refusal(ran: Ran) -> Refusal:
     """Return the refusal of a request that crashes its endpoints."""
     sentence = "This request has crashed the endpoints that ran it."
@@ -197,5 +236,11 @@
     return Refusal(code, sentence, 429, Ran.NO, retry_after)
 
 
+def _limited(seconds: float) -> Refusal:
+    sentence = "The endpoints have reached the limits of requests that they named."
+    retry_after = max(_MIN_TOKEN_RETRY_SECONDS, seconds)
+    return Refusal("limits_reached", sentence, 429, Ran.NO, retry_after)
+
+
 def _unavailable(sentence: str, seconds: float) -> Refusal:
     return Refusal("no_endpoint", sentence, 503, Ran.NO, seconds)
--- a/src/eelgrasslock/scheduling/call_starter.py
+++ b/src/eelgrasslock/scheduling/call_starter.py
@@ -255,7 +255,8 @@
             queued_ahead = (
                 0 if is_lookup else pool.endpoint_queue_lengths.get(state.name, 0)
             )
-            candidates.append(Candidate(state, cached, queued_ahead))
+            token_wait = state.token_wait(queued_ahead, now)
+            candidates.append(Candidate(state, cached, queued_ahead, token_wait))
         return candidates
 
     def _cached_tokens(self, state: EndpointState, keys: tuple[int, ...]) -> int:
@@ -266,6 +267,8 @@
     def _has_slot(
         self, state: EndpointState, call_class: CallClass, now: float
     ) -> bool:
+        if not state.has_token(now):
+            return False
         return not self.features.slots or self.slots.has_free(state, call_class, now)
 
     def _may_start(
@@ -288,7 +291,10 @@
         call = waiting.call
         state = choice.state
         pool.remove(waiting)
+        pool.record_start_wait(now - waiting.submitted_at)
         self.slots.acquire(state)
+        if state.tokens is not None:
+            state.tokens.take(now)
         if call.digest:
             self.in_flight_digests[call.digest] += 1
         if self.quarantine.is_suspect(call.digest):
--- a/src/eelgrasslock/scheduling/dispatch.py
+++ b/src/eelgrasslock/scheduling/dispatch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from eelgrasslock.clock import Clock
@@ -71,12 +71,18 @@
         Chooses which call starts next, and on which endpoint.
     clock : Clock
         Source of the time.
+
+    Attributes
+    ----------
+    on_processed : callable
+        Called each time the queue has been processed.
     """
 
     def __init__(self, scheduler: CallScheduler, clock: Clock) -> None:
         self.scheduler = scheduler
         self.clock = clock
         self.waiting: dict[str, asyncio.Future[Assignment]] = {}
+        self.on_processed: Callable[[], None] = lambda: None
         self._wake_event = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -146,6 +152,7 @@
             future = self.waiting.get(expired.call.id)
             if future is not None and not future.done():
                 future.set_exception(expired.refusal)
+        self.on_processed()
 
     def _resolve(self, assignment: Assignment) -> None:
         future = self.waiting.get(assignment.call.id)
--- a/src/eelgrasslock/scheduling/endpoint_pool.py
+++ b/src/eelgrasslock/scheduling/endpoint_pool.py
@@ -10,6 +10,7 @@
 
 REVIEW_INTERVAL_SECONDS = 0.25
 _RUN_TIME_SMOOTHING = 0.05
+_WAIT_SMOOTHING = 0.2
 _INITIAL_ENGINE_SECONDS = 1.0
 _INITIAL_PLAIN_SECONDS = 0.1
 
@@ -54,6 +55,8 @@
         Time of the next review on the monotonic clock, in seconds.
     slot_count : int
         Sum of the batch limits of all endpoints.
+    start_wait_seconds : float
+        Moving average of the times for which calls waited before they started.
     service_seconds : float
         Moving average of the run times of calls.
     """
@@ -75,6 +78,7 @@
     )
     review_at: float = 0.0
     slot_count: int = 0
+    start_wait_seconds: float = 0.0
     service_seconds: float = field()
 
     @service_seconds.default
@@ -164,6 +168,25 @@
         """Update the average run time with that of a finished call."""
         self.service_seconds += _RUN_TIME_SMOOTHING * (seconds - self.service_seconds)
 
+    def record_start_wait(self, seconds: float) -> None:
+        """Update the average wait with that of a call that starts."""
+        self.start_wait_seconds += _WAIT_SMOOTHING * (seconds - self.start_wait_seconds)
+
+    @property
+    def has_limits(self) -> bool:
+        """Whether an endpoint has named a limit."""
+        return any(state.tokens is not None for state in self.states)
+
+    def limited_wait_ratio(self) -> float:
+        """Return the calls that wait for each that runs, 0.0 without any limit.
+
+        Endpoints with a limit run few calls, so that the calls that their limits
+        keep waiting are not seen in what endpoints report of their load.
+        """
+        if not self.has_limits:
+            return 0.0
+        return self.start_wait_seconds / self.service_seconds
+
     def admit_new_programs(self, now: float, slots: SlotAllocator) -> None:
         """Make new programs unplaced while the engines' caches have space."""
         head = self.new_programs.head()
--- a/src/eelgrasslock/scheduling/endpoint_state.py
+++ b/src/eelgrasslock/scheduling/endpoint_state.py
@@ -8,6 +8,7 @@
 from eelgrasslock.configuration.settings import EndpointSettings, ServiceKind
 from eelgrasslock.scheduling.calls import Call, LoadReport
 from eelgrasslock.scheduling.circuit_breaker import CircuitBreaker
+from eelgrasslock.scheduling.request_tokens import RequestTokens
 
 CONFIGURATION_SOURCE = "configuration"
 
@@ -132,6 +133,7 @@
         self.in_flight_by_peer: dict[str, int] = {}
         self.peers_in_flight = 0
         self.peers_updated_at = 0.0
+        self.tokens: RequestTokens | None = None
         self.borrowable_slots = 0
         self.borrowable_updated_at = float("-inf")
         self._in_flight_history: deque[tuple[float, int]] = deque(
@@ -146,6 +148,22 @@
             and self.breaker.allows(now)
         )
 
+    def has_token(self, now: float) -> bool:
+        """Return whether its limit, if it named one, allows a request now."""
+        return self.tokens is None or self.tokens.available(now) > 0
+
+    def token_wait(self, ahead: int, now: float) -> float:
+        """Return the expected seconds until its limit allows a request.
+
+        Parameters
+        ----------
+        ahead : int
+            Number of calls that are sent before it.
+        now : float
+            Time on the monotonic clock, in seconds.
+        """
+        return 0.0 if self.tokens is None else self.tokens.wait_seconds(ahead, now)
+
     def opens_at(self) -> float | None:
         """Return when it may accept calls again, or None if that is unknown."""
         if self.leaving_sources:
--- a/src/eelgrasslock/scheduling/endpoint_table.py
+++ b/src/eelgrasslock/scheduling/endpoint_table.py
@@ -11,8 +11,10 @@
 from eelgrasslock.scheduling.endpoint_pool import EndpointPool
 from eelgrasslock.scheduling.endpoint_state import CONFIGURATION_SOURCE, EndpointState
 from eelgrasslock.scheduling.prefix_index import PrefixIndex
+from eelgrasslock.scheduling.request_tokens import RequestTokens
 
 PoolKey = tuple[str, str]
+_MIN_REQUESTS_PER_SECOND = 0.25
 
 
 class EndpointTable:
@@ -33,6 +35,7 @@
         self.removed_states: dict[str, EndpointState] = {}
         self.pools: dict[PoolKey, EndpointPool] = {}
         self.pools_by_endpoint: dict[str, list[EndpointPool]] = {}
+        self.limited: dict[str, None] = {}
         self.endpoints_by_peer: dict[str, set[str]] = {}
 
     def configure(self, configuration: Configuration) -> None:
@@ -71,6 +74,25 @@
             state.leaving_sources.discard(source)
         self.mark_changed(endpoint)
 
+    def set_request_limit(self, endpoint: str, per_second: float | None) -> None:
+        """Let the calls of an endpoint need tokens, or none."""
+        state = self.find(endpoint)
+        if per_second is None or state is None:
+            self.limited.pop(endpoint, None)
+            if state is not None:
+                state.tokens = None
+        elif state.tokens is None:
+            self.limited[endpoint] = None
+            state.tokens = RequestTokens(
+                1.0 / max(per_second, _MIN_REQUESTS_PER_SECOND)
+            )
+        self.mark_changed(endpoint)
+
+    def place_again(self, endpoint: str) -> None:
+        """Place the calls that wait for an endpoint again."""
+        for pool in self.pools_by_endpoint.get(endpoint, ()):
+            pool.requeue_all(endpoint)
+
     def in_flight(self) -> dict[str, int]:
         """Return the number of this daemon's calls in flight on each busy endpoint."""
         states = self.states.values()
--- a/src/eelgrasslock/scheduling/load_shedding.py
+++ b/src/eelgrasslock/scheduling/load_shedding.py
@@ -130,7 +130,13 @@
         service_load = self.service_loads.setdefault(service, ServiceLoad())
         service_load.record_load(running, waiting, slots, self.clock.monotonic())
 
-    def check(self, service: str, stage: ProgramStage, has_top_priority: bool) -> None:
+    def check(
+        self,
+        service: str,
+        stage: ProgramStage,
+        has_top_priority: bool,
+        waiting_ratio: float = 0.0,
+    ) -> None:
         """Refuse a program's first call if the load of the engines is too high.
 
         Parameters
@@ -141,16 +147,16 @@
             Progress of the program.
         has_top_priority : bool
             Whether the program has the highest priority of the service.
+        waiting_ratio : float
+            Calls that wait here for each that runs, beyond those that engines report.
 
         Raises
         ------
         Refusal
             With the delay after which the load should be lower.
         """
-        service_load = self.service_loads.get(service)
-        if service_load is None:
-            return
-        ratio = service_load.ratio(self.clock.monotonic())
+        service_load = self.service_loads.setdefault(service, ServiceLoad())
+        ratio = service_load.ratio(self.clock.monotonic()) + waiting_ratio
         share = shed_share(ratio, stage, has_top_priority)
         if share == 0.0 or self.rng.random() >= share:
             return
--- a/src/eelgrasslock/scheduling/placement.py
+++ b/src/eelgrasslock/scheduling/placement.py
@@ -44,11 +44,14 @@
         Number of prompt tokens that are expected in its cache.
     queued_ahead : int
         Number of calls that wait at this daemon for the endpoint.
+    token_wait : float
+        Expected seconds until the endpoint's limit of requests allows the call.
     """
 
     state: EndpointState
     cached_tokens: int
     queued_ahead: int = 0
+    token_wait: float = 0.0
 
 
 @frozen
@@ -262,15 +265,15 @@
         return seconds if seconds < computed + stalled else 0.0
 
     def _wait_seconds(self, candidate: Candidate) -> float:
-        """Return the expected seconds until a slot is free."""
+        """Return the expected seconds until a slot is free and the limit allows it."""
         state = candidate.state
         limit = state.settings.batch_limit
         beyond = (
             state.load(self.features.correction) + candidate.queued_ahead + 1 - limit
         )
         if beyond <= 0:
-            return 0.0
-        return beyond * state.service_seconds / limit
+            return candidate.token_wait
+        return max(candidate.token_wait, beyond * state.service_seconds / limit)
 
     def _evicted_tokens(self, state: EndpointState, call: Call, cached: int) -> float:
         """Return how many tokens of live programs the call would evict."""
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -38,6 +38,7 @@
 )
 from eelgrasslock.scheduling.retry_budget import RetryBudgets
 from eelgrasslock.scheduling.slot_allocator import SlotAllocator
+from eelgrasslock.scheduling.token_demand import TokenDemand, token_demands
 
 ALL_FEATURES = FeatureFlags()
 _NO_USAGE = Usage()
@@ -273,6 +274,32 @@
                 state.reported_others_in_flight *= _REPORT_DECAY_FACTOR
                 self.endpoint_table.mark_changed(state.name)
 
+    def set_request_limit(self, endpoint: str, per_second: float | None) -> None:
+        """Let the calls of an endpoint need tokens, or none."""
+        self.endpoint_table.set_request_limit(endpoint, per_second)
+
+    def add_tokens(
+        self, endpoint: str, count: int, wait_seconds: float, interval_seconds: float
+    ) -> None:
+        """Add tokens of an endpoint, and set when further ones are expected."""
+        state = self.endpoint_table.find(endpoint)
+        if state is None or state.tokens is None:
+            return
+        now = self.clock.monotonic()
+        state.tokens.add(count, now)
+        state.tokens.expect(now + wait_seconds, interval_seconds, now)
+        self.endpoint_table.place_again(endpoint)
+
+    def limited_wait_ratio(self, service: str, model: str) -> float:
+        """Return the calls that limits keep waiting for each that runs."""
+        pool = self.endpoint_table.pools.get((service, model))
+        return 0.0 if pool is None else pool.limited_wait_ratio()
+
+    def token_demands(self) -> list[TokenDemand]:
+        """Return the tokens that waiting calls need."""
+        now = self.clock.monotonic()
+        return token_demands(self.endpoint_table, self.programs, now)
+
     def observe_cache(self, endpoint: str, events: list[CacheEvent]) -> None:
         """Apply cache events of an engine."""
         for event in events:
