Say not run only if no attempt may have run

A request that was sent to an endpoint, lost its answer and was then refused for its retry was answered 429, which promises that it has not run and never will. Found while testing limits, where such a refusal comes within a second. Refusals of retries say 502 and unknown now.

test_a_request_that_may_have_run_is_not_said_not_to_have failed before (429) and passes.

--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -106,7 +106,7 @@
         while True:
             call = _make_call(context, refused_attempts + context.possible_executions)
             queued_at = self.clock.monotonic()
-            assignment = await self._acquire(call)
+            assignment = await self._acquire(context, call)
             queued_seconds = self.clock.monotonic() - queued_at
             context.queued_seconds += queued_seconds
             self.metrics.queue_seconds.labels(context.route_kind).observe(
@@ -124,15 +124,18 @@
             elif not _may_retry(context, result):
                 raise _response_lost(result)
 
-    async def _acquire(self, call: Call) -> Assignment:
+    async def _acquire(self, context: RequestContext, call: Call) -> Assignment:
         """Wait for the scheduler to assign an endpoint.
 
-        A quarantined request gets a retry time: a request that was only in flight
+        The refusal of a retry does not say that the request has not run. A
+        quarantined request gets a retry time: a request that was only in flight
         during two crashes is cleared later.
         """
         try:
             return await self.dispatcher.acquire(call)
         except Refusal as refusal:
+            if context.possible_executions and refusal.ran is Ran.NO:
+                raise _unknown_outcome(refusal) from refusal
             if refusal.code != QUARANTINED or refusal.ran is not Ran.NO:
                 raise
             raise Refusal(
@@ -229,6 +232,11 @@
     return Refusal("no_endpoint", sentence, status, ran, NO_ENDPOINT_RETRY_SECONDS)
 
 
+def _unknown_outcome(refusal: Refusal) -> Refusal:
+    """Return the refusal of a request that an earlier attempt may have run."""
+    return Refusal(refusal.code, refusal.sentence, 502, Ran.UNKNOWN)
+
+
 def _response_lost(result: AttemptResult) -> Refusal:
     sentence = f"The endpoint's answer was lost: {result.outcome.value}."
     return Refusal("answer_lost", sentence, 502, Ran.UNKNOWN)
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -136,3 +136,13 @@
         await send_many(fleet, [daemon], seconds=2.0, per_second=5)
         answers = await send_many(fleet, [daemon], seconds=1.0, per_second=20)
         assert {status for status, _ in answers} == {200}
+
+    # A refusal of a retry said that the request had not run.
+    async def test_a_request_that_may_have_run_is_not_said_not_to_have(self, fleet):
+        limited = await fleet.endpoint(limit="5.0")
+        daemon = await fleet.ready_daemon([limited])
+        await tell_all(fleet, [daemon])
+        limited.faults.append(Fault.LOST)
+        status, _, _ = await fleet.call(daemon, f"{LOOKUPS}lost")
+        assert limited.runs[-1].ran
+        assert status in (502, 504)
