--- a/src/eelgrasslock/limits/limit_controller.py
+++ b/src/eelgrasslock/limits/limit_controller.py
@@ -23,11 +23,9 @@
 from eelgrasslock.limits.owner_health import OwnerHealth
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.peer_mesh import PeerMesh
+from eelgrasslock.scheduling.request_tokens import MIN_REQUESTS_PER_SECOND
 from eelgrasslock.scheduling.token_demand import URGENT, TokenDemand
 
-# An endpoint that names 0 is still asked now and then, or the end of its limit would
-# never be heard.
-MIN_REQUESTS_PER_SECOND = 0.25
 # What all daemons that reach no owner may send together, as a share of the limit.
 FALLBACK_SHARE = 0.4
 MAX_OWNERS_ASKED = 2
--- a/src/eelgrasslock/scheduling/endpoint_table.py
+++ b/src/eelgrasslock/scheduling/endpoint_table.py
@@ -11,10 +11,12 @@
 from eelgrasslock.scheduling.endpoint_pool import EndpointPool
 from eelgrasslock.scheduling.endpoint_state import CONFIGURATION_SOURCE, EndpointState
 from eelgrasslock.scheduling.prefix_index import PrefixIndex
-from eelgrasslock.scheduling.request_tokens import RequestTokens
+from eelgrasslock.scheduling.request_tokens import (
+    MIN_REQUESTS_PER_SECOND,
+    RequestTokens,
+)
 
 PoolKey = tuple[str, str]
-_MIN_REQUESTS_PER_SECOND = 0.25
 
 
 class EndpointTable:
@@ -83,9 +85,7 @@
                 state.tokens = None
         elif state.tokens is None:
             self.limited[endpoint] = None
-            state.tokens = RequestTokens(
-                1.0 / max(per_second, _MIN_REQUESTS_PER_SECOND)
-            )
+            state.tokens = RequestTokens(1.0 / max(per_second, MIN_REQUESTS_PER_SECOND))
         self.mark_changed(endpoint)
 
     def place_again(self, endpoint: str) -> None:
--- a/src/eelgrasslock/scheduling/request_tokens.py
+++ b/src/eelgrasslock/scheduling/request_tokens.py
@@ -5,6 +5,9 @@
 # A token that no call takes soon is lost, so that tokens of many daemons can't be
 # saved up and used at the same time.
 TOKEN_LIFE_SECONDS = 0.5
+# An endpoint that names 0 is still tried now and then, or the end of its limit would
+# never be heard.
+MIN_REQUESTS_PER_SECOND = 0.25
 # After that a call tries again for a token, or the end of a low limit would not be
 # noticed while other endpoints have room.
 ESTIMATE_LIFE_SECONDS = 2.0
