--- a/src/eelgrasslock/gateway/interfaces.py
+++ b/src/eelgrasslock/gateway/interfaces.py
@@ -90,7 +90,7 @@
 
 
 class FollowedView(Protocol):
-    """What a daemon has read of a topic, with its age."""
+    """A view of a topic as a daemon has read it, with its age."""
 
     def age(self) -> float:
         """Return how old the view may be, in seconds."""
--- a/src/eelgrasslock/limits/limit_table.py
+++ b/src/eelgrasslock/limits/limit_table.py
@@ -5,7 +5,7 @@
 
 @frozen(kw_only=True)
 class EndpointLimit:
-    """What an endpoint said of its limit, and when.
+    """The limit that an endpoint named, or that it named none, with the time.
 
     Attributes
     ----------
