Name versions and resumed streams in the lines of requests

Streams went on at another software version and no line told the version of an engine or which stream a request takes up, so that the hypotheses could not be told apart. Entries' `version` and callers' `Resumes` are decoded, for the log only: nothing is placed by them yet.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -144,6 +144,7 @@
             context.request, record.id, remaining_seconds
         )
         context.possible_executions += 1
+        context.endpoint_version = record.version
         context.response_framing = None
         context.endpoints_age_seconds = self.endpoints_view.age()
         try:
--- a/src/eelgrasslock/gateway/endpoint_registry.py
+++ b/src/eelgrasslock/gateway/endpoint_registry.py
@@ -32,6 +32,8 @@
     started_at_ms : int
         When the endpoint started, in milliseconds since the epoch, by its own
         clock.
+    version : str
+        The version of its software; versions have no order.
     """
 
     id: str
@@ -42,6 +44,7 @@
     leaving: bool = False
     warmup_seconds: float = 0.0
     started_at_ms: int = 0
+    version: str = ""
 
 
 @define(eq=False)
--- a/src/eelgrasslock/gateway/messages.py
+++ b/src/eelgrasslock/gateway/messages.py
@@ -51,6 +51,9 @@
         The parts of the prompt, in order.
     last_event_id : int or None
         The last event that the caller received of an interrupted stream.
+    resumed_request : str
+        The id of the request that brought the first event of the stream that this
+        one resumes; empty for a new stream.
     """
 
     id: str
@@ -69,6 +72,7 @@
     output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
+    resumed_request: str = ""
 
     @property
     def path(self) -> str:
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -48,6 +48,8 @@
         The engine that has the program's context in its cache, empty if unknown.
     configuration_version : int
         The version of the configuration that selected the route.
+    endpoint_version : str
+        The software version of the endpoint of the last attempt.
     endpoints_age_seconds : float or None
         How old the view of the endpoints was when the request was last sent, None
         before that.
@@ -69,6 +71,7 @@
     endpoint_crashed: bool = False
     preferred_endpoint: str = ""
     configuration_version: int = 0
+    endpoint_version: str = ""
     endpoints_age_seconds: float | None = None
 
     @property
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -18,6 +18,7 @@
 _DEADLINE_MS = "deadline-ms"
 _PROMPT_PREFIX = "prompt-prefix"
 _LAST_EVENT_ID = "last-event-id"
+_RESUMES = "resumes"
 _TOKEN_USAGE = "token-usage"
 _PROGRAM_ID = "program-id"
 _SESSION_ID = "session-id"
@@ -95,6 +96,7 @@
             output_tokens=output_tokens,
             prompt_parts=_prompt_parts(values.get(_PROMPT_PREFIX, "")),
             last_event_id=_integer(values, _LAST_EVENT_ID),
+            resumed_request=values.get(_RESUMES, ""),
         )
 
     def encode_request(
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -130,12 +130,13 @@
     def configure_raw(self, value):
         self.store.put("keyed.op", "config", value)
 
-    async def endpoint(self, service="desk", id=None, **shape):
+    async def endpoint(self, service="desk", id=None, entry=None, **shape):
+        """Start an endpoint; `entry` holds fields of its registration."""
         number = next(self.ids)
         standin = PlatformEngineStandin(id=id or f"i-{number}", **shape)
         await standin.start()
         self.stack.push_async_callback(standin.stop)
-        self.register(standin, service)
+        self.register(standin, service, **(entry or {}))
         return standin
 
     async def raw_endpoint(self, answer, service="desk"):
@@ -171,14 +172,13 @@
         front, ready = free_port(), free_port()
         settings = GatewaySettings(
             name=name,
-            domain="a",
             front_address=f"127.0.0.1:{front}",
             ready_address=f"127.0.0.1:{ready}",
             peer_address=f"127.0.0.1:{free_port()}",
             store_address=f"127.0.0.1:{server.port}",
             store_partitions=4,
             store_retention_seconds=300.0,
-            **{"drain_seconds": 8.0, **more},
+            **{"domain": "a", "drain_seconds": 8.0, **more},
         )
         clock = SystemClock()
         pool = ConnectionPool(clock)
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -61,3 +61,15 @@
         text = " ".join(line["record"]["message"] for line in lines)
         assert "The connection was reset." in text
         assert "The connection ended early." in text
+
+
+class TestVersions:
+    async def test_a_line_tells_the_version_and_the_stream_that_it_resumes(
+        self, fleet, lines
+    ):
+        engine = await fleet.endpoint("models", events=6, entry={"version": "v7"})
+        daemon = await fleet.ready_daemon([engine])
+        await fleet.turn(daemon, "p", Resumes="r0", Last_Event_Id=2)
+        (fields,) = request_fields(lines)
+        assert fields["endpoint_version"] == "v7"
+        assert fields["resumes"] == "r0"
