Add failing tests of streams that are taken up at another version

Three daemons, two engines of each of two versions, 36 streams that their engine breaks off: some go on at the other version at another daemon, at the one that began them, a third time, with the first daemon stopped or cut off, with all engines of a version gone, and with an engine that restarts at another version.

--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,199 @@
+"""A stream goes on at the software version that began it, or not at all."""
+
+import asyncio
+
+import pytest
+
+from eelgrasslock_standins.platform_engine import Fault
+from platform_fleet import PlatformFleet, wait_until
+from stream_client import StreamClient, versions_of
+
+VERSIONS = ("v1", "v1.1")
+STREAMS = 36
+EVENTS = 8
+
+
+@pytest.fixture
+async def fleet():
+    async with PlatformFleet() as one:
+        yield one
+
+
+class VersionFleet:
+    """Daemons of three domains, and engines of two versions that break streams off."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.client = StreamClient(fleet)
+        self.engines = {version: [] for version in VERSIONS}
+        self.daemons = []
+
+    async def start(self, daemons=3, engines=2):
+        for version in VERSIONS:
+            for _ in range(engines):
+                await self.add_engine(version)
+        every = [one for some in self.engines.values() for one in some]
+        for number in range(daemons):
+            domain = "abc"[number % 3]
+            self.daemons.append(
+                await self.fleet.ready_daemon(
+                    every, name=f"{domain}-{number}", domain=domain
+                )
+            )
+        await self.meet()
+        return self
+
+    async def add_engine(self, version, **entry):
+        engine = await self.fleet.endpoint(
+            "models", events=EVENTS, entry={"version": version, **entry}
+        )
+        self.engines[version].append(engine)
+        return engine
+
+    async def meet(self):
+        """Wait until the daemons know each other."""
+        registries = [one.application.daemon_registry for one in self.daemons]
+        others = len(self.daemons) - 1
+        await wait_until(lambda: all(len(one.entries) == others for one in registries))
+
+    def break_streams(self):
+        """Let each engine break its streams off from now on."""
+        for engines in self.engines.values():
+            for engine in engines:
+                engine.faults.extend([Fault.TRUNCATED] * STREAMS)
+
+    def mend_streams(self):
+        for engines in self.engines.values():
+            for engine in engines:
+                engine.faults.clear()
+
+    async def begin(self, count=STREAMS, daemons=None):
+        """Return streams that broke off, by the daemon that began each."""
+        daemons = daemons or self.daemons
+        self.break_streams()
+        begun = [daemons[number % len(daemons)] for number in range(count)]
+        streams = await asyncio.gather(*(self.client.begin(one) for one in begun))
+        self.mend_streams()
+        assert all(one.last_event and not one.ended for one in streams)
+        return list(zip(streams, begun, strict=True))
+
+    async def take_up(self, streams, daemons=None):
+        """Take each stream up at another daemon than the one that began it."""
+        daemons = daemons or self.daemons
+        tries = []
+        for number, (stream, begun_at) in enumerate(streams):
+            others = [one for one in daemons if one is not begun_at]
+            daemon = others[number % len(others)]
+            tries.append(self.client.attempt(stream, daemon))
+        await asyncio.gather(*tries)
+
+    def crossed(self, streams):
+        return [one for one, _ in streams if len(versions_of(one, self.engines)) > 1]
+
+    def went_on(self, streams):
+        return [one for one, _ in streams if one.attempts[-1][1] == 200]
+
+
+@pytest.fixture
+async def versions(fleet):
+    return await VersionFleet(fleet).start()
+
+
+class TestTakenUpElsewhere:
+    # A daemon did not know at which version another one had begun a stream.
+    async def test_a_stream_goes_on_at_its_version_at_another_daemon(self, versions):
+        streams = await versions.begin()
+        await versions.take_up(streams)
+        assert not versions.crossed(streams)
+        assert len(versions.went_on(streams)) == STREAMS
+        assert all(one.ended for one, _ in streams)
+
+    async def test_a_stream_is_taken_up_three_times(self, versions):
+        streams = await versions.begin()
+        for _ in range(2):
+            versions.break_streams()
+            await versions.take_up(streams)
+            versions.mend_streams()
+        await versions.take_up(streams)
+        assert not versions.crossed(streams)
+        assert all(one.ended for one, _ in streams)
+
+    async def test_a_stream_goes_on_at_the_daemon_that_began_it(self, versions):
+        streams = await versions.begin()
+        tries = [versions.client.attempt(one, daemon) for one, daemon in streams]
+        await asyncio.gather(*tries)
+        assert not versions.crossed(streams)
+        assert all(one.ended for one, _ in streams)
+
+
+class TestDaemonGone:
+    @pytest.mark.parametrize("how", ["stopped", "cut_off"])
+    async def test_a_stream_goes_on_without_the_daemon_that_began_it(
+        self, versions, how
+    ):
+        streams = await versions.begin()
+        gone = versions.daemons[0]
+        await leave(gone, how)
+        await versions.take_up(streams, versions.daemons[1:])
+        assert not versions.crossed(streams)
+        assert len(versions.went_on(streams)) == STREAMS
+
+    async def test_nothing_crosses_at_a_daemon_that_is_cut_off(self, versions):
+        streams = await versions.begin(daemons=versions.daemons[:2])
+        alone = versions.daemons[2]
+        alone.faults.refusing = "silent"
+        await leave(alone, "cut_off")
+        await versions.take_up(streams, [alone])
+        assert not versions.crossed(streams)
+
+
+async def leave(daemon, how):
+    application = daemon.application
+    if how == "stopped":
+        await application.listener.stop()
+    await application.mesh.stop()
+
+
+class TestVersionGone:
+    async def test_a_stream_whose_version_is_gone_is_refused_at_once(self, versions):
+        streams = await versions.begin()
+        for engine in versions.engines["v1"]:
+            versions.fleet.unregister(engine)
+        await wait_until(lambda: all(is_gone(one) for one in versions.daemons))
+        async with asyncio.timeout(2.0):
+            await versions.take_up(streams)
+        assert not versions.crossed(streams)
+        for stream, _ in streams:
+            began = versions_of(stream, versions.engines)
+            assert stream.ended == (began == {"v1.1"})
+            if not stream.ended:
+                assert stream.attempts[-1][1] == 503
+                assert 0.0 < stream.retry_after <= 1.0
+
+
+def is_gone(daemon):
+    entries = daemon.application.endpoint_registry.entries.values()
+    return {one.version for one in entries} == {"v1.1"}
+
+
+class TestRestartedEngine:
+    async def test_an_engine_that_restarts_at_another_version_is_not_used(
+        self, versions
+    ):
+        """Its entry is still the old one when the scheduler chooses it."""
+        streams = await versions.begin()
+        first = versions.engines["v1"][0]
+        for engine in versions.engines["v1"][1:]:
+            versions.fleet.unregister(engine)
+        versions.fleet.register(first, "models", version="v1.2", born=2)
+        versions.engines["v1.2"] = []
+        runs = len(first.runs)
+        await wait_until(
+            lambda: all(
+                one.application.endpoint_registry.entries[first.id].version == "v1.2"
+                for one in versions.daemons
+            )
+        )
+        await versions.take_up(streams)
+        assert len(first.runs) == runs
+        assert not versions.crossed(streams)
