Move the ranking of daemons to peers, which know nothing of limits

The imports ran in a circle since limits came: peers/ decoded the calls of limits/. A callback that serves a call now takes its fields and fills in the results, so that each message's codec stays with those who use it. The ranking of daemons by rendezvous hashing and the memory of who answers serve more than limits from here on.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -29,13 +29,13 @@
 from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.http.pool import ConnectionPool
-from eelgrasslock.limits.grant_owners import GrantOwners
 from eelgrasslock.limits.limit_controller import LimitController
 from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
 from eelgrasslock.log.keyed_log import KeyedLog
 from eelgrasslock.log.partitioned_log import PartitionedLog
 from eelgrasslock.log.read_schedule import ReadSchedule, schedule_for_bound
 from eelgrasslock.peers import daemon_registry
+from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.periodic import run_periodically
 from eelgrasslock.scheduling.calls import LoadReport
@@ -145,13 +145,13 @@
         self.daemon_registry = self.peer_coordinator.daemon_registry
         self.load_exchange = self.peer_coordinator.load_exchange
         self.log = self.peer_coordinator.log
-        owners = GrantOwners(self.load_exchange, self.clock.monotonic)
+        self.ranking = DaemonRanking(self.load_exchange, self.clock.monotonic)
         self.limit_controller = LimitController(
-            owners, self.mesh, self.scheduler, self.clock
+            self.ranking, self.mesh, self.scheduler, self.clock
         )
         self.limit_controller.on_tokens = self.dispatcher.wake_up
         self.dispatcher.on_processed = self.limit_controller.request_tokens
-        self.mesh.callbacks.grant_requests = self.limit_controller.answer
+        self.mesh.callbacks.grant_requests = self.limit_controller.serve
 
     def _create_replicated_state(self) -> None:
         platform = self.platform
--- a/src/eelgrasslock/limits/limit_controller.py
+++ b/src/eelgrasslock/limits/limit_controller.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Set
-from typing import Protocol
+from typing import Any, Protocol
 
 from loguru import logger
 
@@ -16,11 +16,12 @@
     GrantAnswer,
     GrantRequest,
     call_for_grant,
+    serve_grant,
 )
-from eelgrasslock.limits.grant_owners import GrantOwners
 from eelgrasslock.limits.grant_queue import Grant, GrantQueue
 from eelgrasslock.limits.limit_table import EndpointLimit, LimitTable
-from eelgrasslock.limits.owner_health import OwnerHealth
+from eelgrasslock.peers.daemon_health import DaemonHealth
+from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.peer_mesh import PeerMesh
 from eelgrasslock.scheduling.request_tokens import MIN_REQUESTS_PER_SECOND
@@ -56,7 +57,7 @@
 
     Parameters
     ----------
-    owners : GrantOwners
+    owners : DaemonRanking
         Says which daemon grants the requests to an endpoint.
     mesh : PeerMesh
         Calls the other daemons.
@@ -78,7 +79,7 @@
 
     def __init__(
         self,
-        owners: GrantOwners,
+        owners: DaemonRanking,
         mesh: PeerMesh,
         scheduler: TokenScheduler,
         clock: Clock,
@@ -91,7 +92,7 @@
         self.queues: dict[str, GrantQueue] = {}
         self.fallback_queues: dict[str, GrantQueue] = {}
         self.on_tokens: Callable[[], None] = lambda: None
-        self.owner_health = OwnerHealth(owners, mesh, clock)
+        self.daemon_health = DaemonHealth(owners, mesh, clock)
         self._own = owners.registry.own
         self._asking: dict[str, asyncio.Task[None]] = {}
         self._telling: set[asyncio.Task[Grant]] = set()
@@ -137,7 +138,7 @@
         """Forget all endpoints but these."""
         for endpoint in self.table.limits.keys() - endpoints:
             self.forget(endpoint)
-        self.owner_health.forget_past()
+        self.daemon_health.forget_past()
 
     def _apply(self, endpoint: str) -> None:
         """Let the scheduler and the queues follow the limit as it is known now."""
@@ -206,7 +207,7 @@
         """Return the grant of the first owner that answers, or of the own share."""
         asked = 0
         for entry in self.owners.ranked(endpoint):
-            if self.owner_health.is_silent(entry):
+            if self.daemon_health.is_silent(entry):
                 continue
             if asked == MAX_OWNERS_ASKED:
                 break
@@ -237,7 +238,7 @@
         try:
             return await call_for_grant(self.mesh, entry, request, self.clock)
         except PeerUnavailable as error:
-            self.owner_health.record_silent(entry)
+            self.daemon_health.record_silent(entry)
             _log.bind(endpoint=endpoint).info(
                 "{} grants no requests to {}: {}", entry.name, endpoint, error
             )
@@ -254,6 +255,10 @@
 
     # --- granting ---------------------------------------------------------------
 
+    async def serve(self, message: dict[str, Any], results: Any) -> None:
+        """Serve another daemon's call for tokens."""
+        await serve_grant(self.answer, message, results, self.clock)
+
     async def answer(self, request: GrantRequest) -> GrantAnswer:
         """Answer another daemon."""
         endpoint = request.endpoint
@@ -285,7 +290,7 @@
         for entry in self.owners.ranked(endpoint):
             if entry is self._own:
                 return True
-            if await self.owner_health.answers(entry):
+            if await self.daemon_health.answers(entry):
                 return False
         return True
 
--- a/src/eelgrasslock/limits/owner_health.py
+++ b/src/eelgrasslock/peers/daemon_health.py
@@ -1,10 +1,10 @@
-"""Which daemons answer when they are asked for tokens."""
+"""Which daemons answer when they are asked."""
 
 from typing import Any
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable
-from eelgrasslock.limits.grant_owners import GrantOwners
+from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.peer_mesh import PeerMesh
 
@@ -17,12 +17,12 @@
 PING_TIMEOUT_SECONDS = 0.15
 
 
-class OwnerHealth:
+class DaemonHealth:
     """Remembers for a moment which daemons answered and which did not.
 
     Parameters
     ----------
-    owners : GrantOwners
+    ranking : DaemonRanking
         Says which daemons' heartbeats come.
     mesh : PeerMesh
         Calls the other daemons.
@@ -30,8 +30,8 @@
         The source of time.
     """
 
-    def __init__(self, owners: GrantOwners, mesh: PeerMesh, clock: Clock) -> None:
-        self.owners = owners
+    def __init__(self, ranking: DaemonRanking, mesh: PeerMesh, clock: Clock) -> None:
+        self.ranking = ranking
         self.mesh = mesh
         self.clock = clock
         self._silent_until: dict[str, float] = {}
@@ -45,7 +45,7 @@
         """
         now = self.clock.monotonic()
         if now < self._lost_until.get(entry.incarnation, 0.0):
-            return not self.owners.is_heard_of(entry)
+            return not self.ranking.is_heard_of(entry)
         return now < self._silent_until.get(entry.incarnation, 0.0)
 
     async def answers(self, entry: DaemonEntry) -> bool:
@@ -67,7 +67,7 @@
         """Record that a daemon did not answer."""
         now = self.clock.monotonic()
         self._live_until.pop(entry.incarnation, None)
-        if self.owners.is_heard_of(entry):
+        if self.ranking.is_heard_of(entry):
             self._silent_until[entry.incarnation] = now + SILENT_SECONDS
         else:
             self._lost_until[entry.incarnation] = now + LOST_SECONDS
--- a/src/eelgrasslock/limits/grant_owners.py
+++ b/src/eelgrasslock/peers/daemon_ranking.py
@@ -1,4 +1,4 @@
-"""Which daemon grants the requests to an endpoint."""
+"""Which daemons are responsible for a key, such as an endpoint or a stream."""
 
 from collections.abc import Callable
 
@@ -10,11 +10,11 @@
 SILENCE_SECONDS = 3.0
 
 
-class GrantOwners:
-    """Ranks the daemons for each endpoint by rendezvous hashing.
+class DaemonRanking:
+    """Ranks the daemons for each key by rendezvous hashing.
 
     All daemons with the same view of the fleet name the same one, without a word
-    between them, and a daemon that goes moves only its own endpoints.
+    between them, and a daemon that goes moves only its own keys.
 
     Parameters
     ----------
@@ -31,10 +31,10 @@
         self.registry = load_exchange.daemon_registry
         self.monotonic = monotonic
 
-    def ranked(self, endpoint: str) -> list[DaemonEntry]:
-        """Return all registered daemons, the one that should grant first."""
+    def ranked(self, key: str) -> list[DaemonEntry]:
+        """Return all registered daemons, the one that is responsible first."""
         entries = [*self.registry.entries.values(), self.registry.own]
-        return sorted(entries, key=lambda entry: _weight(endpoint, entry.name))
+        return sorted(entries, key=lambda entry: _weight(key, entry.name))
 
     def is_heard_of(self, entry: DaemonEntry) -> bool:
         """Return whether a daemon's heartbeats still come, or may come yet."""
@@ -59,5 +59,5 @@
         return reachable / (1 + len(entries))
 
 
-def _weight(endpoint: str, name: str) -> int:
-    return xxhash.xxh64_intdigest(f"{endpoint}\n{name}".encode())
+def _weight(key: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}\n{name}".encode())
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from eelgrasslock.log.partitioned_log import PartitionedLog
 from eelgrasslock.peers.heartbeat_codec import Heartbeat
 from eelgrasslock.requests.exchange import Request, Responder
 
 if TYPE_CHECKING:
-    from eelgrasslock.limits.grant_messages import GrantAnswer, GrantRequest
     from eelgrasslock.log.records import Record
 
+# Serves one call: takes the fields of its message and fills in the results.
+CallHandler = Callable[[dict[str, Any], Any], Awaitable[None]]
+
 
 class PeerCallbacks:
     """Callbacks that serve the calls of peers; the application sets them.
@@ -60,8 +62,7 @@
         self.release_allowance: Callable[[str], int] = lambda program: 0
         self.offline_usage: Callable[[str], tuple[int, int]] = lambda program: (0, 0)
         self.has_full_history: Callable[[], bool] = lambda: False
-        self.grant_requests: Callable[[GrantRequest], Awaitable[GrantAnswer]]
-        self.grant_requests = _grant_nothing
+        self.grant_requests: CallHandler = _refuse_call
 
 
 async def _serve_nothing(request: Request, responder: Responder) -> None:
@@ -72,8 +73,8 @@
     raise ConnectionRefusedError("This daemon does not hold records yet.")
 
 
-async def _grant_nothing(request: GrantRequest) -> GrantAnswer:
-    raise ConnectionRefusedError("This daemon grants no requests.")
+async def _refuse_call(message: dict[str, Any], results: Any) -> None:
+    raise ConnectionRefusedError("This daemon does not serve this call.")
 
 
 async def _probe_nobody(incarnation: str) -> bool:
--- a/src/eelgrasslock/peers/peer_handlers.py
+++ b/src/eelgrasslock/peers/peer_handlers.py
@@ -191,16 +191,8 @@
         self, _context: Any, **message: Any
     ) -> None:
         """Grant tokens for requests to an endpoint that names a limit."""
-        # Imported here because most daemons never meet a limit.
-        from eelgrasslock.limits.grant_messages import serve_grant
-
         await self.connection.run(
-            serve_grant(
-                self.callbacks.grant_requests,
-                message,
-                _context.results,
-                self.connection.server.clock,
-            )
+            self.callbacks.grant_requests(message, _context.results)
         )
 
     async def release(self, program: str, _context: Any, **_: Any) -> None:
--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -24,9 +24,8 @@
     SCHEDULER_LIMITS,
     SCHEDULER_WEIGHTS,
 )
-from eelgrasslock.limits.grant_messages import serve_grant
-from eelgrasslock.limits.grant_owners import GrantOwners
 from eelgrasslock.limits.limit_controller import LimitController
+from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry, DaemonRegistry
 from eelgrasslock.peers.load_exchange import LoadExchange
 from eelgrasslock.scheduling.calls import Call, CallOutcome
@@ -122,7 +121,7 @@
         results.count = results.askers = 0
         results.waitSeconds = 0.0
         controller = self.daemon.controller
-        await serve_grant(controller.answer, message, results, self.daemon.clock)
+        await controller.serve(message, results)
         return results
 
 
@@ -149,7 +148,7 @@
         self.exchange = LoadExchange(
             self.mesh, self.registry, self.scheduler, self.clock
         )
-        owners = GrantOwners(self.exchange, self.clock.monotonic)
+        owners = DaemonRanking(self.exchange, self.clock.monotonic)
         self.controller = LimitController(owners, self.mesh, self.scheduler, self.clock)
         self.controller.on_tokens = self.dispatcher.wake_up
         self.dispatcher.on_processed = self.controller.request_tokens
