Let a resumed stream go on at the software version that began it only

Cause, and its class: a fact that one daemon learns and that others must act on, while the one that learned it may be gone.

Each stream has two keepers, daemons of different failure domains that rendezvous hashing chooses by the id of its first request. They are told of its version before the first event is relayed (100 ms at most), and asked when it is resumed; what can't be known is refused as not run, and never guessed. Nobody is told while a service has run one version for as long as a stream can be resumed and the endpoints are known as they are now; streams under way are told once a second version is seen. No call of the log is made. A call names the version that its endpoint must have; the attempt looks at the entry's version again, and a version that has lost its last endpoint is refused at once, also for what waits. An entry without a readable version names no endpoint, as the users' pages say. A resumed stream no longer counts as a new program at admission.

--- a/src/eelgrasslock/configuration/settings.py
+++ b/src/eelgrasslock/configuration/settings.py
@@ -162,6 +162,8 @@
         The environment variable that holds its credential, or empty.
     leaving : bool
         Whether an operator drains it.
+    version : str
+        The version of its software, empty if unknown.
     """
 
     service: str
@@ -176,6 +178,7 @@
     checks_fencing: bool = False
     credential_env: str = ""
     leaving: bool = False
+    version: str = ""
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -111,12 +111,15 @@
 
 def _context_fields(context: RequestContext) -> dict[str, object]:
     framing = context.response_framing
+    origin = context.origin
     return {
         "route": context.route.name,
         "service": context.service.name,
         "version": context.configuration_version,
         "endpoint": context.endpoint,
         "endpoint_version": context.endpoint_version,
+        "wanted_version": context.version,
+        "version_source": "" if origin is None else origin.source,
         "sent": context.possible_executions,
         "waited_ms": round(context.queued_seconds * _MILLISECONDS),
         "endpoints_age_ms": _milliseconds(context.endpoints_age_seconds),
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -28,6 +28,7 @@
 from eelgrasslock.gateway.routing import EndpointRegistryUpdater, RoutingState
 from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.gateway.settings import GatewaySettings
+from eelgrasslock.gateway.stream_versions import StreamVersions
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.limits.limit_controller import LimitController
 from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
@@ -43,6 +44,8 @@
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
 from eelgrasslock.scheduling.load_shedding import LoadShedder
 from eelgrasslock.scheduling.scheduler import Scheduler
+from eelgrasslock.streams.stream_controller import StreamController
+from eelgrasslock.streams.version_watch import VersionWatch
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 DAEMON_REGISTRY_READS = ReadSchedule(wait_seconds=8.0, pause_seconds=0.2)
@@ -149,9 +152,17 @@
         self.limit_controller = LimitController(
             self.ranking, self.mesh, self.scheduler, self.clock
         )
+        self.version_watch = VersionWatch(self.clock, self._is_endpoints_view_current)
+        self.stream_controller = StreamController(
+            self.ranking, self.mesh, self.version_watch, self.clock
+        )
+        self.stream_versions = StreamVersions(self.stream_controller)
         self.limit_controller.on_tokens = self.dispatcher.wake_up
         self.dispatcher.on_processed = self.limit_controller.request_tokens
-        self.mesh.callbacks.grant_requests = self.limit_controller.serve
+        callbacks = self.mesh.callbacks
+        callbacks.grant_requests = self.limit_controller.serve
+        callbacks.tell_streams = self.stream_controller.serve_tell
+        callbacks.find_stream = self.stream_controller.serve_find
 
     def _create_replicated_state(self) -> None:
         platform = self.platform
@@ -222,6 +233,7 @@
             self.metrics,
             self.settings.domain,
             self.scheduler.domain_breaker.is_tripped,
+            self.stream_versions,
             self._record_load,
             self._record_limit,
         )
@@ -238,6 +250,7 @@
             self.rng,
             AccessLogger(self.metrics, self.clock),
             self.load_shedder,
+            self.stream_versions,
         )
 
     def _create_servers(self) -> None:
@@ -275,7 +288,18 @@
         current = self.routing.current
         return current.limits if current is not None else RequestLimits()
 
+    def _is_endpoints_view_current(self) -> bool:
+        follower = self.endpoints_follower
+        return follower.age() <= follower.schedule.max_age_seconds
+
+    def _watch_versions(self) -> None:
+        """Tell other daemons of streams under way once a second version serves."""
+        entries = self.endpoint_registry.entries.values()
+        self.version_watch.update((one.service, one.version) for one in entries)
+        self.stream_controller.tell_untold()
+
     def _configuration_changed(self) -> None:
+        self.version_watch.extend_window(self.routing.table.resume_seconds)
         self.listener.reload_limits()
         self._update_scheduler()
 
@@ -283,6 +307,7 @@
         current = self.routing.current
         if current is None:
             return
+        self._watch_versions()
         entries = self.endpoint_registry.entries.values()
         domains = sorted({entry.domain for entry in entries})
         self._daemon_count = 1 + len(self.daemon_registry.entries)
@@ -340,6 +365,7 @@
         if self._daemon_count != 1 + len(self.daemon_registry.entries):
             self._update_scheduler()
         self.registry_updater.remove_expired()
+        self._watch_versions()
         self.limit_controller.forget_others(self.endpoint_registry.entries.keys())
         self.scheduler.decay_reported_loads()
         self.dispatcher.wake_up()
@@ -383,6 +409,7 @@
         await self.readiness_server.stop()
         await self.metrics_server.stop()
         await self.limit_controller.stop()
+        await self.stream_controller.stop()
         await self.dispatcher.stop()
         await self.mesh.stop()
         await self.pool.stop()
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -18,6 +18,7 @@
     should_fail_over,
 )
 from eelgrasslock.gateway.routes import RouteKind
+from eelgrasslock.gateway.stream_versions import StreamVersions
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.messages import Framing, OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import MAX_IDLE_SECONDS, ConnectFailed, ConnectionPool
@@ -59,6 +60,8 @@
         The daemon's failure domain.
     is_domain_tripped : callable
         Returns whether the circuit breaker of a failure domain has tripped.
+    stream_versions : StreamVersions
+        Records at which versions streams begin.
     on_load_report : callable
         Called with service, endpoint and the load that the endpoint reported.
     on_limit_report : callable
@@ -81,9 +84,11 @@
         metrics: GatewayMetrics,
         domain: str,
         is_domain_tripped: Callable[[str], bool],
+        stream_versions: StreamVersions,
         on_load_report: LoadCallback,
         on_limit_report: LimitCallback,
     ) -> None:
+        self.stream_versions = stream_versions
         self.on_limit_report = on_limit_report
         self.on_load_report = on_load_report
         self.unreachable_at: dict[str, float] = {}
@@ -106,7 +111,7 @@
         """
         await self.endpoints_view.wait_until_current()
         record = self.endpoint_registry.find_usable(endpoint)
-        if record is None:
+        if record is None or context.version not in ("", record.version):
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
         max_idle_seconds = (
             MAX_IDLE_SECONDS
@@ -174,7 +179,7 @@
             connection.close()
             return AttemptResult(outcome=AttemptOutcome.UNSOUND, response=response)
         try:
-            await self._relay_response(context, response, connection)
+            await self._relay_response(context, record, response, connection)
         except ConnectionBroken as error:
             result = await self._classify_failure(context, record, error)
             if context.responder.started:
@@ -219,12 +224,13 @@
     async def _relay_response(
         self,
         context: RequestContext,
+        record: EndpointRecord,
         response: EndpointResponse,
         connection: HTTPConnection,
     ) -> None:
         is_stream = context.route.kind is RouteKind.STREAM
         if is_stream and response.status in _SUCCESS:
-            await self._relay_stream(context, response, connection)
+            await self._relay_stream(context, record, response, connection)
             return
         await self._relay_plain(context, response, connection)
 
@@ -255,6 +261,7 @@
     async def _relay_stream(
         self,
         context: RequestContext,
+        record: EndpointRecord,
         response: EndpointResponse,
         connection: HTTPConnection,
     ) -> None:
@@ -266,7 +273,9 @@
         responder = context.responder
         context.response_status = response.status
         await responder.start(response.status, response.headers, None)
+        recording = self.stream_versions.begin(context, record.version)
         while (chunk := await connection.read()) is not None:
+            await recording.wait()
             context.event_counter.feed(chunk)
             await responder.write(chunk)
         if not context.is_stream_whole:
--- a/src/eelgrasslock/gateway/endpoint_registry.py
+++ b/src/eelgrasslock/gateway/endpoint_registry.py
@@ -102,6 +102,7 @@
             current is not None
             and current.address == record.address
             and current.started_at_ms == record.started_at_ms
+            and current.version == record.version
         )
 
     def put(self, record: EndpointRecord) -> bool:
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -201,6 +201,7 @@
         preferred_endpoint=context.preferred_endpoint,
         digest=_request_digest(context),
         excluded=frozenset(context.tried_endpoints),
+        version=context.version,
     )
 
 
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -17,8 +17,10 @@
 from eelgrasslock.gateway.responder import CallerResponder, ResponseTruncated
 from eelgrasslock.gateway.routes import Route, ServiceSpec
 from eelgrasslock.gateway.routing import RoutingState
+from eelgrasslock.gateway.stream_versions import StreamVersions
 from eelgrasslock.requests.in_flight import InFlight
 from eelgrasslock.scheduling.load_shedding import LoadShedder
+from eelgrasslock.streams.stream_controller import KnownOrigin
 
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 STOPPING_RETRY_SECONDS = 0.05
@@ -50,6 +52,8 @@
         Logs the outcome of each request.
     load_shedder : LoadShedder
         Refuses new programs while engines are overloaded.
+    stream_versions : StreamVersions
+        Finds out at which version a resumed stream began.
 
     Attributes
     ----------
@@ -72,7 +76,9 @@
         rng: random.Random,
         access_logger: AccessLogger,
         load_shedder: LoadShedder,
+        stream_versions: StreamVersions,
     ) -> None:
+        self.stream_versions = stream_versions
         self.load_shedder = load_shedder
         self.access_logger = access_logger
         self.routing = routing
@@ -132,7 +138,8 @@
     ) -> None:
         await self._wait_until_routing_is_current()
         route = self._find_route(request)
-        service = self._select_service(request, route)
+        origin = await self.stream_versions.find_origin(request, route)
+        service = self._select_service(request, route, origin)
         timeout_seconds = route.timeout_seconds
         if request.caller_timeout_seconds is not None:
             timeout_seconds = min(timeout_seconds, request.caller_timeout_seconds)
@@ -144,6 +151,7 @@
             service=service,
             deadline=request.received_at + timeout_seconds,
             configuration_version=self.routing.current.version,
+            origin=origin,
         )
         log_entry.context = context
         reservation = await self._reserve(context)
@@ -178,12 +186,17 @@
             raise Refusal("no_route", "No route serves this host and path.", 404)
         return route
 
-    def _select_service(self, request: GatewayRequest, route: Route) -> ServiceSpec:
-        """Return a service of the route, the same for all turns of a program."""
+    def _select_service(
+        self, request: GatewayRequest, route: Route, origin: KnownOrigin | None
+    ) -> ServiceSpec:
+        """Return a service of the route, the same for all turns of a program.
+
+        A resumed stream stays with the service that began it.
+        """
         fraction = self.rng.random()
         if request.program:
             fraction = xxhash.xxh64_intdigest(request.program.encode()) / _HASH_RANGE
-        name = route.select_service(fraction)
+        name = route.select_service(fraction) if origin is None else origin.service
         assert self.routing.current is not None
         spec = self.routing.current.services.get(name)
         return spec if spec is not None else ServiceSpec(name=name)
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -7,6 +7,7 @@
 from eelgrasslock.gateway.responder import CallerResponder
 from eelgrasslock.gateway.routes import Route, RouteKind, ServiceSpec
 from eelgrasslock.http.messages import Framing
+from eelgrasslock.streams.stream_controller import KnownOrigin
 
 
 @define(eq=False)
@@ -48,6 +49,8 @@
         The engine that has the program's context in its cache, empty if unknown.
     configuration_version : int
         The version of the configuration that selected the route.
+    origin : KnownOrigin or None
+        Where the stream that the request resumes began, None for a new one.
     endpoint_version : str
         The software version of the endpoint of the last attempt.
     endpoints_age_seconds : float or None
@@ -71,6 +74,7 @@
     endpoint_crashed: bool = False
     preferred_endpoint: str = ""
     configuration_version: int = 0
+    origin: KnownOrigin | None = None
     endpoint_version: str = ""
     endpoints_age_seconds: float | None = None
 
@@ -79,6 +83,16 @@
         """The route's kind as a metric label."""
         return self.route.kind.value
 
+    @property
+    def version(self) -> str:
+        """The software version that the endpoint must have, empty for any."""
+        return "" if self.origin is None else self.origin.version
+
+    @property
+    def stream_id(self) -> str:
+        """The id of the request that brings or brought the stream's first event."""
+        return self.request.resumed_request or self.request.id
+
     @property
     def in_event(self) -> bool | None:
         """Whether the last relayed event is incomplete, None without a stream."""
--- a/src/eelgrasslock/gateway/routes.py
+++ b/src/eelgrasslock/gateway/routes.py
@@ -4,6 +4,12 @@
 
 from attrs import field, frozen
 
+# A caller gives a stream up after the longest of these: seconds, a multiple of the
+# latency objective, a multiple of the objective between two events.
+MIN_CALLER_GAP_SECONDS = 2.0
+CALLER_GAP_TARGETS = 4
+CALLER_GAP_PAUSES = 8
+
 
 class RouteKind(enum.Enum):
     """Whether a route's requests may be repeated, and whether it streams.
@@ -84,6 +90,20 @@
     max_event_gap_seconds: float = 0.0
     retention_seconds: float = 0.0
 
+    @property
+    def resume_seconds(self) -> float:
+        """How long after its first event a stream may be resumed.
+
+        It may last until its timeout, its caller gives it up after a gap, and
+        refusals may delay the attempt that resumes it as long as the caller waits.
+        """
+        gap_seconds = max(
+            MIN_CALLER_GAP_SECONDS,
+            CALLER_GAP_TARGETS * self.target_latency_seconds,
+            CALLER_GAP_PAUSES * self.max_event_gap_seconds,
+        )
+        return 2 * self.timeout_seconds + gap_seconds
+
     @property
     def is_idempotent(self) -> bool:
         """Whether a request with an unknown outcome may be repeated."""
@@ -193,11 +213,16 @@
         The routes by lower-case host and path prefix.
     top_turn_priority : dict of str to int
         The highest priority of each service's turns.
+    resume_seconds : float
+        How long after its first event a stream of any route may be resumed.
     """
 
     def __init__(self, routes: tuple[Route, ...]) -> None:
         self.by_host: dict[str, dict[str, Route]] = {}
         self.top_turn_priority: dict[str, int] = {}
+        self.resume_seconds = max(
+            (one.resume_seconds for one in routes if one.resumable), default=0.0
+        )
         for route in routes:
             self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
             for one in route.services if route.is_turn else ():
--- a/src/eelgrasslock/gateway/scheduler_configuration.py
+++ b/src/eelgrasslock/gateway/scheduler_configuration.py
@@ -91,4 +91,5 @@
         prefill_tokens_per_second=PREFILL_TOKENS_PER_SECOND,
         decode_tokens_per_second=DECODE_TOKENS_PER_SECOND,
         leaving=record.leaving,
+        version=record.version,
     )
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -29,6 +29,13 @@
   breakers @8 :List(Text);
 }
 
+struct StreamOrigin {
+  key @0 :UInt64;        # hash of the id of the request that brought the stream's first event
+  service @1 :Text;
+  version @2 :Text;      # of the software of the endpoint that began it
+  seconds @3 :Float32;   # for how long the stream may still be resumed
+}
+
 enum Outcome {
   done @0;
   moved @1;        # the partition has another end, or holds only records from `end` on
@@ -61,5 +68,7 @@
   readFrom @10 (topic :Text, partition :UInt32, offset :Int64) -> (outcome :Outcome, records :List(Data), offset :Int64, end :Int64);
   offline @12 (program :Text) -> (spent :Int64, drawn :Int64, fullHistory :Bool);  # spent without the log; drawn in all, as far as the receiver knows; whether it has run as long as any program
   grantRequests @13 (endpoint :Text, asker :Text, count :UInt32, urgency :UInt8, limited :Bool, perSecond :Float64, age :Float64) -> (isOwner :Bool, count :UInt32, waitSeconds :Float64, askers :UInt32, limited :Bool, perSecond :Float64, age :Float64);  # tokens for requests to an endpoint that names a limit; each side tells the limit that it knows and for how many seconds
+  tellStreams @14 (streams :List(StreamOrigin)) -> ();
+  findStream @15 (key :UInt64, service :Text) -> (service :Text, version :Text, onlyVersion :Text);  # empty where the receiver does not know it; onlyVersion if no stream of the service can have begun at another
   release @11 (program :Text) -> (tokens :Int64);  # the tokens that the receiver gives up
 }
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -42,6 +42,8 @@
         those that are drawn in all.
     grant_requests : callable
         Answers a daemon that asks for tokens of an endpoint with a limit.
+    tell_streams, find_stream : callable
+        Take note of where streams of other daemons began, and tell it.
     has_full_history : callable
         Returns whether this daemon has run for as long as any program may have
         lasted.
@@ -63,6 +65,8 @@
         self.offline_usage: Callable[[str], tuple[int, int]] = lambda program: (0, 0)
         self.has_full_history: Callable[[], bool] = lambda: False
         self.grant_requests: CallHandler = _refuse_call
+        self.tell_streams: CallHandler = _refuse_call
+        self.find_stream: CallHandler = _refuse_call
 
 
 async def _serve_nothing(request: Request, responder: Responder) -> None:
--- a/src/eelgrasslock/peers/peer_handlers.py
+++ b/src/eelgrasslock/peers/peer_handlers.py
@@ -195,6 +195,20 @@
             self.callbacks.grant_requests(message, _context.results)
         )
 
+    async def tellStreams(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Take note of where streams of a peer began."""
+        await self.connection.run(
+            self.callbacks.tell_streams(message, _context.results)
+        )
+
+    async def findStream(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Return where a stream began."""
+        await self.connection.run(self.callbacks.find_stream(message, _context.results))
+
     async def release(self, program: str, _context: Any, **_: Any) -> None:
         """Release the unspent tokens of a program."""
         _context.results.tokens = self.callbacks.release_allowance(program)
--- a/src/eelgrasslock/platform/record_decoder.py
+++ b/src/eelgrasslock/platform/record_decoder.py
@@ -46,7 +46,7 @@
                 leaving=_LEAVING_BY_STATE[entry["state"]],
                 warmup_seconds=entry.get("coldLeftMs", 0) / 1_000,
                 started_at_ms=int(entry.get("born", 0)),
-                version=_string(entry, "version"),
+                version=_non_empty_string(entry, "version"),
             )
         except _DECODE_ERRORS as error:
             raise RecordError(f"The entry of {key} is invalid: {error!r}") from error
@@ -102,12 +102,6 @@
     return []
 
 
-def _string(entry: dict[str, Any], name: str) -> str:
-    """Return a text, empty if it is missing or of another type."""
-    value = entry.get(name, "")
-    return value if isinstance(value, str) else ""
-
-
 def _non_empty_string(entry: dict[str, Any], name: str) -> str:
     value = entry[name]
     if not isinstance(value, str) or not value:
--- a/src/eelgrasslock/scheduling/admission.py
+++ b/src/eelgrasslock/scheduling/admission.py
@@ -1,5 +1,7 @@
 """Admission control: refuses a call at once if it would not be served in time."""
 
+from collections.abc import Iterable
+
 from attrs import frozen
 
 from eelgrasslock.configuration.settings import LimitSettings, ServiceKind
@@ -7,10 +9,11 @@
 from eelgrasslock.requests.exchange import CallClass
 from eelgrasslock.scheduling.calls import Call
 from eelgrasslock.scheduling.endpoint_pool import EndpointPool
+from eelgrasslock.scheduling.endpoint_state import EndpointState
 from eelgrasslock.scheduling.endpoint_table import EndpointTable
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
 from eelgrasslock.scheduling.quarantine import Quarantine
-from eelgrasslock.scheduling.queueing import ProgramUsage
+from eelgrasslock.scheduling.queueing import ProgramUsage, WaitingCall
 from eelgrasslock.scheduling.slot_allocator import SlotAllocator
 
 MAX_WAITING_CALLS = 5_000
@@ -22,6 +25,8 @@
 _EXPIRY_WAIT_FACTOR = 2.0
 _MIN_RETRY_SECONDS = 1.0
 _UNAVAILABLE_RETRY_SECONDS = 2.0
+# Short, as the caller does best to begin its stream anew.
+VERSION_RETRY_SECONDS = 0.1
 
 
 def wait_limit(limits: LimitSettings, call_class: CallClass) -> float:
@@ -145,11 +150,23 @@
             return _limited(max(seconds, _token_wait(call, pool, now)))
         return _overloaded("overloaded", "No endpoint was free in time.", seconds)
 
+    def without_version(self, waiting: Iterable[WaitingCall]) -> list[ExpiredCall]:
+        """Return the resumed streams whose version has lost its last endpoint."""
+        expired = []
+        for one in waiting:
+            call = one.call
+            pool = self.endpoint_table.pool(call) if call.version else None
+            if pool is not None and not _has_endpoint_of_version(call, pool):
+                expired.append(ExpiredCall(call, _version_refusal()))
+        return expired
+
     def _open_pool(self, call: Call, now: float) -> EndpointPool:
         pool = self.endpoint_table.pool(call)
         if pool is None or not pool.states:
             raise _unavailable("No endpoint serves this.", _UNAVAILABLE_RETRY_SECONDS)
-        if any(state.is_open(now) for state in pool.states):
+        if call.version and not _has_endpoint_of_version(call, pool):
+            raise _version_refusal()
+        if any(_may_run(state, call, now) for state in pool.states):
             return pool
         opens_at = pool.opens_at
         if opens_at is None:
@@ -163,7 +180,7 @@
     ) -> None:
         """Refuse a call if all endpoints have reached their limits for too long."""
         wait = _token_wait(call, pool, now)
-        is_new = not program.calls_started and call.call_class is not CallClass.LOOKUP
+        is_new = _is_new(call, program)
         limit = NEW_PROGRAM_TOKEN_WAIT_SECONDS if is_new else TOKEN_WAIT_SECONDS
         if wait > limit:
             raise _limited(wait)
@@ -178,10 +195,10 @@
         now: float,
     ) -> None:
         wait = self._wait_seconds(call, pool)
-        if not program.calls_started and call.call_class is not CallClass.LOOKUP:
+        if _is_new(call, program):
             wait = max(wait, pool.cache_admission.predicted_wait())
         limit = wait_limit(self.limits, call.call_class)
-        if not program.calls_started and call.call_class is not CallClass.LOOKUP:
+        if _is_new(call, program):
             limit *= _NEW_PROGRAM_LIMIT_SHARE
         if waiting >= MAX_WAITING_CALLS:
             raise _overloaded("queue_full", "Too many calls wait.", wait)
@@ -198,6 +215,13 @@
         return pool.predicted_wait(call.call_class, self.slots.daemon_count)
 
 
+def _is_new(call: Call, program: ProgramUsage) -> bool:
+    """Return whether a call begins a program; a resumed stream is under way."""
+    if call.call_class is CallClass.LOOKUP or call.version:
+        return False
+    return not program.calls_started
+
+
 def _token_wait(call: Call, pool: EndpointPool, now: float) -> float:
     """Return the seconds until a call would get a token, 0.0 if it needs none.
 
@@ -206,17 +230,37 @@
     waits = [
         state.token_wait(_calls_ahead(call, pool, state.name), now)
         for state in pool.states
-        if state.is_open(now) and state.name not in call.excluded
+        if _may_run(state, call, now) and state.name not in call.excluded
     ]
     return min(waits, default=0.0)
 
 
+def _may_run(state: EndpointState, call: Call, now: float) -> bool:
+    return state.has_version(call.version) and state.is_open(now)
+
+
 def _calls_ahead(call: Call, pool: EndpointPool, endpoint: str) -> int:
     if call.call_class is CallClass.LOOKUP:
         return pool.waiting[CallClass.LOOKUP] // max(1, len(pool.states))
     return pool.endpoint_queue_lengths.get(endpoint, 0)
 
 
+def _has_endpoint_of_version(call: Call, pool: EndpointPool) -> bool:
+    """Return whether a stream can still be resumed at an endpoint of its version."""
+    return any(
+        state.has_version(call.version)
+        and not state.leaving_sources
+        and state.name not in call.excluded
+        for state in pool.states
+    )
+
+
+def _version_refusal() -> Refusal:
+    """Return the refusal of a stream that no endpoint of its version serves."""
+    sentence = "No endpoint of the version that began this stream serves it."
+    return Refusal("version_gone", sentence, 503, Ran.NO, VERSION_RETRY_SECONDS)
+
+
 def quarantine_refusal(ran: Ran) -> Refusal:
     """Return the refusal of a request that crashes its endpoints."""
     sentence = "This request has crashed the endpoints that ran it."
--- a/src/eelgrasslock/scheduling/call_starter.py
+++ b/src/eelgrasslock/scheduling/call_starter.py
@@ -243,6 +243,8 @@
         for state in states:
             if state.name in call.excluded or not state.is_open(now):
                 continue
+            if not state.has_version(call.version):
+                continue
             if not self.domain_breaker.allows(state.settings.domain, now):
                 continue
             if is_suspect and state.suspect_call_id:
--- a/src/eelgrasslock/scheduling/calls.py
+++ b/src/eelgrasslock/scheduling/calls.py
@@ -41,6 +41,8 @@
         Digest of the request, to find requests that crash endpoints.
     excluded : frozenset of str
         Endpoints on which this call has failed.
+    version : str
+        The software version that an endpoint must have to run it, empty for any.
     """
 
     id: str
@@ -56,6 +58,7 @@
     preferred_endpoint: str = ""
     digest: str = ""
     excluded: frozenset[str] = frozenset()
+    version: str = ""
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/scheduling/endpoint_state.py
+++ b/src/eelgrasslock/scheduling/endpoint_state.py
@@ -140,6 +140,10 @@
             maxlen=_MAX_HISTORY_ENTRIES
         )
 
+    def has_version(self, version: str) -> bool:
+        """Return whether the endpoint's software is of a version, empty for any."""
+        return not version or self.settings.version == version
+
     def is_open(self, now: float) -> bool:
         """Return whether the endpoint accepts calls, regardless of free slots."""
         return (
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -107,6 +107,7 @@
             features,
         )
         self.waiting: dict[str, WaitingCall] = {}
+        self.has_new_endpoints = False
         self.endpoint_by_call: dict[str, str] = {}
         self.expiry_heap: list[tuple[float, str]] = []
         self.configure(configuration)
@@ -115,6 +116,7 @@
         """Apply a new configuration."""
         self.configuration = configuration
         self.endpoint_table.configure(configuration)
+        self.has_new_endpoints = True
         self.starter.placement.weights = configuration.weights
         self.starter.placement.domain = self.domain
         self.admission.limits = configuration.limits
@@ -192,6 +194,9 @@
         for waiting in self._newly_quarantined():
             ran = Ran.UNKNOWN if waiting.call.excluded else Ran.NO
             expired.append(ExpiredCall(waiting.call, quarantine_refusal(ran)))
+        if self.has_new_endpoints:
+            self.has_new_endpoints = False
+            expired += self.admission.without_version(self.waiting.values())
         for one in expired:
             self._leave_queue(one.call.id)
         return expired
