--- a/src/eelgrasslock/http/pool.py
+++ b/src/eelgrasslock/http/pool.py
@@ -82,6 +82,10 @@
         if reused is not None:
             self.reused += 1
             return reused
+        return await self.connect(address)
+
+    async def connect(self, address: str) -> HTTPConnection:
+        """Return a new connection to an address; raises the error of `acquire`."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
