Let each part of the versions of streams have a test that needs it

With one part taken out at a time, two were missed by the tests: streams under way that are told once a second version serves, and the look at an endpoint's version between choice and use. Two older tests resumed a stream at a daemon that knew nothing of it; they name a known one.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -236,6 +236,11 @@
             method=method, target=path, headers=tuple(names.items()), body=body
         )
 
+    def make_known(self, daemon, id, service="models", version="v1"):
+        """Let a daemon know the version at which a stream began."""
+        controller = daemon.application.stream_controller
+        controller.begin(id, service, version, 10.0, True)
+
     async def turn(
         self,
         daemon,
--- a/tests/stream_client.py
+++ b/tests/stream_client.py
@@ -20,6 +20,10 @@
         The id and the status of each attempt.
     ended : bool
         Whether the stream came to its end.
+    retry_after : float or None
+        What the last refusal said, in seconds.
+    refused : str
+        The body of the last refusal.
     """
 
     first_attempt: str = ""
@@ -27,6 +31,7 @@
     attempts: list = None
     ended: bool = False
     retry_after: float | None = None
+    refused: str = ""
 
 
 class StreamClient:
@@ -61,6 +66,7 @@
             if head.status != 200:
                 body = dict((name.lower(), value) for name, value in head.headers)
                 stream.retry_after = float(body.get("retry-after", "nan"))
+                stream.refused = (await connection.read_all()).decode()
                 return
             await self.read_events(stream, id, connection)
         except ConnectionBroken:
