Serve callers through peers while a daemon has no links to the endpoints

Cause, and its class: a promise to callers that rested on one path.

Links count as lost once three endpoints of two failure domains take no new connection and none takes one in between; a request that waits for half a second while no endpoint answers has that looked at, so that links that hang are told from engines that are slow. Requests are then passed on through `forward` of peer.capnp, one hop only, to the least used of three random live peers; those that wait or fail meanwhile follow. The peer sends them to endpoints as it sends its own: placement, limits, versions and "not run" are its own business, route, service, budget and the caller's deadline stay with the daemon that was asked. At most once is kept by `disown`, as for the product's own interface: a peer that is lost after a start is "unknown". Old connections that live are used. Each request while links are lost has two endpoints tried, every 0.3 s at most, and the breakers are closed when both take a connection.

--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -118,6 +118,7 @@
         "version": context.configuration_version,
         "endpoint": context.endpoint,
         "endpoint_version": context.endpoint_version,
+        "through": context.relayed_through,
         "wanted_version": context.version,
         "version_source": "" if origin is None else origin.source,
         "sent": context.possible_executions,
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -13,6 +13,7 @@
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.exceptions import Refusal
 from eelgrasslock.gateway.access_log import AccessLogger
 from eelgrasslock.gateway.attempts import AttemptRunner
 from eelgrasslock.gateway.drainer import Drainer
@@ -21,9 +22,12 @@
 from eelgrasslock.gateway.gauges import register_gauges
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.interfaces import MessageCodec, RecordDecoder
+from eelgrasslock.gateway.link_monitor import LinkMonitor
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadinessServer
 from eelgrasslock.gateway.messages import EndpointLoadHeader, EndpointResponse
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
+from eelgrasslock.gateway.peer_forwarder import NO_LINKS, PeerForwarder
+from eelgrasslock.gateway.peer_requests import PeerRequestHandler
 from eelgrasslock.gateway.routes import RequestLimits
 from eelgrasslock.gateway.routing import EndpointRegistryUpdater, RoutingState
 from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
@@ -36,6 +40,7 @@
 from eelgrasslock.log.partitioned_log import PartitionedLog
 from eelgrasslock.log.read_schedule import ReadSchedule, schedule_for_bound
 from eelgrasslock.peers import daemon_registry
+from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.periodic import run_periodically
@@ -122,6 +127,7 @@
         self._create_scheduler()
         self._create_peers()
         self._create_replicated_state()
+        self._create_links()
         self._create_request_handler()
         self._create_servers()
 
@@ -223,6 +229,21 @@
             self.platform.log, topic, state, self.clock, self.rng, schedule
         )
 
+    def _create_links(self) -> None:
+        self.links = LinkMonitor(
+            self.endpoint_registry, self.pool, self.clock, self.rng
+        )
+        self.links.on_lost = self._links_lost
+        self.links.on_regained = self.scheduler.close_breakers
+        self.peer_forwarder = PeerForwarder(
+            self.mesh,
+            self.load_exchange,
+            DaemonHealth(self.ranking, self.mesh, self.clock),
+            self.links,
+            self.clock,
+            self.rng,
+        )
+
     def _create_request_handler(self) -> None:
         attempt_runner = AttemptRunner(
             self.pool,
@@ -233,12 +254,19 @@
             self.metrics,
             self.settings.domain,
             self.scheduler.domain_breaker.is_tripped,
+            self.links,
             self.stream_versions,
             self._record_load,
             self._record_limit,
         )
         forwarder = Forwarder(
-            self.dispatcher, self.scheduler, attempt_runner, self.clock, self.metrics
+            self.dispatcher,
+            self.scheduler,
+            attempt_runner,
+            self.links,
+            self.peer_forwarder,
+            self.clock,
+            self.metrics,
         )
         self.handler = GatewayHandler(
             self.routing,
@@ -252,6 +280,10 @@
             self.load_shedder,
             self.stream_versions,
         )
+        self.peer_requests = PeerRequestHandler(
+            self.handler, forwarder, self.platform.codec, self.clock
+        )
+        self.mesh.callbacks.serve_request = self.peer_requests.serve
 
     def _create_servers(self) -> None:
         codec = self.platform.codec
@@ -316,6 +348,11 @@
         )
         self.dispatcher.wake_up()
 
+    def _links_lost(self) -> None:
+        """Let the requests that wait for endpoints be passed on to peers."""
+        sentence = "This daemon has lost its links to the endpoints."
+        self.dispatcher.refuse_waiting(Refusal(NO_LINKS, sentence, 503))
+
     def _endpoint_reset(self, endpoint: str) -> None:
         self.scheduler.reset_endpoint(endpoint)
         self.limit_controller.forget(endpoint)
@@ -366,6 +403,7 @@
             self._update_scheduler()
         self.registry_updater.remove_expired()
         self._watch_versions()
+        self.peer_forwarder.forget_past()
         self.limit_controller.forget_others(self.endpoint_registry.entries.keys())
         self.scheduler.decay_reported_loads()
         self.dispatcher.wake_up()
@@ -410,6 +448,7 @@
         await self.metrics_server.stop()
         await self.limit_controller.stop()
         await self.stream_controller.stop()
+        await self.links.stop()
         await self.dispatcher.stop()
         await self.mesh.stop()
         await self.pool.stop()
--- a/src/eelgrasslock/gateway/attempt_result.py
+++ b/src/eelgrasslock/gateway/attempt_result.py
@@ -17,6 +17,8 @@
     NOT_SENT
         The endpoint isn't registered, is leaving or accepted no connection, or it
         left or restarted while a connection was opened.
+    NO_LINK
+        The request was not sent: this daemon has lost its links to the endpoints.
     NOT_RUN
         The endpoint declined the request without running it.
     BROKEN
@@ -32,6 +34,7 @@
 
     SERVED = "served"
     NOT_SENT = "not_sent"
+    NO_LINK = "no_link"
     NOT_RUN = "not_run"
     BROKEN = "broken"
     CRASHED = "crashed"
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -9,6 +9,7 @@
 from eelgrasslock.gateway.attempt_result import AttemptOutcome, AttemptResult
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
+from eelgrasslock.gateway.link_monitor import LinkMonitor
 from eelgrasslock.gateway.messages import EndpointLoadHeader, EndpointResponse
 from eelgrasslock.gateway.request_context import RequestContext
 from eelgrasslock.gateway.responder import ResponseTruncated
@@ -60,6 +61,8 @@
         The daemon's failure domain.
     is_domain_tripped : callable
         Returns whether the circuit breaker of a failure domain has tripped.
+    links : LinkMonitor
+        Is told which connections open and which fail.
     stream_versions : StreamVersions
         Records at which versions streams begin.
     on_load_report : callable
@@ -84,10 +87,12 @@
         metrics: GatewayMetrics,
         domain: str,
         is_domain_tripped: Callable[[str], bool],
+        links: LinkMonitor,
         stream_versions: StreamVersions,
         on_load_report: LoadCallback,
         on_limit_report: LimitCallback,
     ) -> None:
+        self.links = links
         self.stream_versions = stream_versions
         self.on_limit_report = on_limit_report
         self.on_load_report = on_load_report
@@ -113,6 +118,8 @@
         record = self.endpoint_registry.find_usable(endpoint)
         if record is None or context.version not in ("", record.version):
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
+        if not self.links.may_send(record):
+            return AttemptResult(outcome=AttemptOutcome.NO_LINK)
         max_idle_seconds = (
             MAX_IDLE_SECONDS
             if context.route.is_idempotent
@@ -122,8 +129,14 @@
             connection = await self.pool.acquire(record.address, max_idle_seconds)
         except ConnectFailed as error:
             self.unreachable_at[record.id] = self.clock.monotonic()
+            self.links.record_failed(record)
             _log.bind(request=context.request.id, endpoint=endpoint).info("{}", error)
-            return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
+            outcome = AttemptOutcome.NOT_SENT
+            if self.links.is_lost:
+                outcome = AttemptOutcome.NO_LINK
+            return AttemptResult(outcome=outcome)
+        if not connection.last_used_at:
+            self.links.record_opened()
         try:
             result = await self._exchange(context, record, connection)
         except BaseException:
@@ -201,13 +214,14 @@
         started_at = self.clock.monotonic()
         response_task = asyncio.ensure_future(connection.send(outgoing))
         try:
-            while check_seconds is not None:
+            while True:
                 done, _ = await asyncio.wait({response_task}, timeout=check_seconds)
                 if done:
                     break
+                self.links.check_silence()
+                is_tripped = is_remote_domain and self.is_domain_tripped(record.domain)
                 response_wait = ResponseWait(
-                    is_remote_domain=is_remote_domain,
-                    is_domain_tripped=self.is_domain_tripped(record.domain),
+                    is_unreachable=is_tripped or not self.links.are_old_alive,
                     possible_executions=context.possible_executions,
                     waited_seconds=self.clock.monotonic() - started_at,
                 )
@@ -217,7 +231,9 @@
                         check_seconds,
                     )
                     return None
-            return await response_task
+            head = await response_task
+            self.links.record_answer()
+            return head
         finally:
             response_task.cancel()
 
@@ -293,10 +309,12 @@
         try:
             connection = await self.pool.acquire(record.address, 0.0)
         except ConnectFailed:
+            self.links.record_failed(record)
             self.pool.drop(record.address)
             is_isolated = await self._is_isolated_failure(record)
             outcome = AttemptOutcome.CRASHED if is_isolated else AttemptOutcome.BROKEN
         else:
+            self.links.record_opened()
             outcome = AttemptOutcome.BROKEN
             self.pool.release(record.address, connection, None)
         _log.bind(
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -9,6 +9,8 @@
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.gateway.attempt_result import AttemptOutcome, AttemptResult
 from eelgrasslock.gateway.attempts import AttemptRunner
+from eelgrasslock.gateway.link_monitor import LinkMonitor
+from eelgrasslock.gateway.peer_forwarder import NO_LINKS, PeerForwarder
 from eelgrasslock.gateway.prompts import prompt_keys
 from eelgrasslock.gateway.request_context import RequestContext
 from eelgrasslock.gateway.responder import ResponseTruncated
@@ -31,6 +33,7 @@
 _CALL_OUTCOMES = {
     AttemptOutcome.SERVED: CallOutcome.DONE,
     AttemptOutcome.NOT_SENT: CallOutcome.NOT_SENT,
+    AttemptOutcome.NO_LINK: CallOutcome.CANCELLED,
     AttemptOutcome.NOT_RUN: CallOutcome.REFUSED,
     AttemptOutcome.BROKEN: CallOutcome.BROKEN,
     AttemptOutcome.CRASHED: CallOutcome.CRASHED,
@@ -50,6 +53,10 @@
         Selects endpoints.
     attempt_runner : AttemptRunner
         Sends requests to endpoints.
+    links : LinkMonitor
+        Says whether this daemon has lost its links to the endpoints.
+    peer_forwarder : PeerForwarder
+        Passes requests on to peers meanwhile.
     clock : Clock
         The source of time.
     metrics : GatewayMetrics
@@ -61,6 +68,8 @@
         dispatcher: Dispatcher,
         scheduler: Scheduler,
         attempt_runner: AttemptRunner,
+        links: LinkMonitor,
+        peer_forwarder: PeerForwarder,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
@@ -68,6 +77,8 @@
         self.dispatcher = dispatcher
         self.scheduler = scheduler
         self.attempt_runner = attempt_runner
+        self.links = links
+        self.peer_forwarder = peer_forwarder
         self.clock = clock
 
     def suggest(self, context: RequestContext) -> str:
@@ -104,9 +115,18 @@
     async def _forward(self, context: RequestContext) -> None:
         refused_attempts = 0
         while True:
+            if not self.links.are_old_alive:
+                await self._forward_through_peer(context)
+                return
             call = _make_call(context, refused_attempts + context.possible_executions)
             queued_at = self.clock.monotonic()
-            assignment = await self._acquire(context, call)
+            try:
+                assignment = await self._acquire(context, call)
+            except Refusal:
+                if not self.links.is_lost:
+                    raise
+                await self._forward_through_peer(context)
+                return
             queued_seconds = self.clock.monotonic() - queued_at
             context.queued_seconds += queued_seconds
             self.metrics.queue_seconds.labels(context.route_kind).observe(
@@ -116,6 +136,9 @@
             result = await self._attempt(context, assignment)
             if result.outcome is AttemptOutcome.SERVED:
                 return
+            if result.outcome is AttemptOutcome.NO_LINK:
+                await self._forward_through_peer(context)
+                return
             context.tried_endpoints.add(assignment.endpoint)
             if result.outcome in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT):
                 refused_attempts += 1
@@ -124,6 +147,12 @@
             elif not _may_retry(context, result):
                 raise _response_lost(result)
 
+    async def _forward_through_peer(self, context: RequestContext) -> None:
+        """Let a peer that reaches the endpoints serve a request, one hop only."""
+        if context.relayed_by:
+            raise Refusal(NO_LINKS, "This daemon has lost its links, too.", 503)
+        await self.peer_forwarder.forward(context)
+
     async def _acquire(self, context: RequestContext, call: Call) -> Assignment:
         """Wait for the scheduler to assign an endpoint.
 
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -4,7 +4,7 @@
 
 from eelgrasslock.gateway.event_counter import EventCounter
 from eelgrasslock.gateway.messages import GatewayRequest
-from eelgrasslock.gateway.responder import CallerResponder
+from eelgrasslock.gateway.responder import ResponseWriter
 from eelgrasslock.gateway.routes import Route, RouteKind, ServiceSpec
 from eelgrasslock.http.messages import Framing
 from eelgrasslock.streams.stream_controller import KnownOrigin
@@ -18,7 +18,7 @@
     ----------
     request : GatewayRequest
         The decoded request.
-    responder : CallerResponder
+    responder : ResponseWriter
         Sends the response to the caller.
     route : Route
         The route that matched the request.
@@ -49,6 +49,9 @@
         The engine that has the program's context in its cache, empty if unknown.
     configuration_version : int
         The version of the configuration that selected the route.
+    relayed_by, relayed_through : str
+        The incarnation of the peer that passed the request on, and the name of the
+        one that it is passed on to; empty for none.
     origin : KnownOrigin or None
         Where the stream that the request resumes began, None for a new one.
     endpoint_version : str
@@ -59,7 +62,7 @@
     """
 
     request: GatewayRequest
-    responder: CallerResponder
+    responder: ResponseWriter
     route: Route
     service: ServiceSpec
     deadline: float
@@ -74,6 +77,8 @@
     endpoint_crashed: bool = False
     preferred_endpoint: str = ""
     configuration_version: int = 0
+    relayed_by: str = ""
+    relayed_through: str = ""
     origin: KnownOrigin | None = None
     endpoint_version: str = ""
     endpoints_age_seconds: float | None = None
--- a/src/eelgrasslock/gateway/responder.py
+++ b/src/eelgrasslock/gateway/responder.py
@@ -1,6 +1,7 @@
 """Sends responses to callers through aiohttp."""
 
 import json
+from typing import Protocol
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -14,6 +15,28 @@
     """A started response can't be completed; its connection must be closed."""
 
 
+class ResponseWriter(Protocol):
+    """Where the response to a request goes: to a caller, or to a peer."""
+
+    @property
+    def started(self) -> bool:
+        """Whether a byte of the response may have been sent."""
+
+    async def send(self, status: int, headers: tuple[Header, ...], body: bytes) -> None:
+        """Send a complete response."""
+
+    async def start(
+        self, status: int, headers: tuple[Header, ...], content_length: int | None
+    ) -> None:
+        """Send the head of a response whose body follows."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body; wait while the reader is slow."""
+
+    async def finish(self) -> None:
+        """Complete the body."""
+
+
 class CallerResponder:
     """Sends the response to one request.
 
--- a/src/eelgrasslock/gateway/response_timeouts.py
+++ b/src/eelgrasslock/gateway/response_timeouts.py
@@ -12,6 +12,7 @@
 RESPONSE_TIMEOUT_SECONDS = 0.8
 REMOTE_CHECK_SECONDS = 0.4
 STREAM_CHECK_SECONDS = 0.9
+SILENCE_CHECK_SECONDS = 0.5
 
 
 @frozen(kw_only=True)
@@ -20,32 +21,30 @@
 
     Attributes
     ----------
-    is_remote_domain : bool
-        Whether the endpoint is in another failure domain than this daemon.
-    is_domain_tripped : bool
-        Whether the circuit breaker of the endpoint's failure domain has tripped.
+    is_unreachable : bool
+        Whether the endpoint's failure domain, or any endpoint, is out of reach.
     possible_executions : int
         How many endpoints may have run the request, including this one.
     waited_seconds : float
         How long this attempt has been waiting for the response.
     """
 
-    is_remote_domain: bool
-    is_domain_tripped: bool
+    is_unreachable: bool
     possible_executions: int
     waited_seconds: float
 
 
-def response_check_seconds(route: Route, is_remote_domain: bool) -> float | None:
-    """Return the interval of checks on a pending response, None for no checks.
+def response_check_seconds(route: Route, is_remote_domain: bool) -> float:
+    """Return the interval of checks on a pending response.
 
-    A request that is not safe to repeat waits until its deadline.
+    A request that is not safe to repeat waits until its deadline all the same; the
+    checks find out whether this daemon has lost its links.
     """
     if route.kind is RouteKind.SAFE:
         return REMOTE_CHECK_SECONDS if is_remote_domain else RESPONSE_TIMEOUT_SECONDS
     if route.kind is RouteKind.STREAM and route.resumable and is_remote_domain:
         return STREAM_CHECK_SECONDS
-    return None
+    return SILENCE_CHECK_SECONDS
 
 
 def should_fail_over(route: Route, response_wait: ResponseWait) -> bool:
@@ -56,9 +55,9 @@
     waits longer for an endpoint that may only be busy, since sending the call to
     another endpoint as well would add to the load.
     """
-    is_unreachable = response_wait.is_remote_domain and response_wait.is_domain_tripped
+    is_unreachable = response_wait.is_unreachable
     if route.kind is not RouteKind.SAFE:
-        return is_unreachable
+        return is_unreachable and route.kind is RouteKind.STREAM and route.resumable
     is_timed_out = response_wait.waited_seconds >= RESPONSE_TIMEOUT_SECONDS
     return response_wait.possible_executions < route.max_endpoints and (
         is_unreachable or is_timed_out
--- a/src/eelgrasslock/peers/peer_mesh.py
+++ b/src/eelgrasslock/peers/peer_mesh.py
@@ -7,11 +7,13 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable, Ran
 from eelgrasslock.peers.daemon_registry import DaemonEntry
+from eelgrasslock.peers.forwarding import forward_once
 from eelgrasslock.peers.heartbeat_codec import Heartbeat
 from eelgrasslock.peers.peer_auth import HandshakeFailed
 from eelgrasslock.peers.peer_callbacks import PeerCallbacks
 from eelgrasslock.peers.peer_connection import ConnectionLost, PeerConnection
 from eelgrasslock.peers.peer_server import PeerServer
+from eelgrasslock.requests.exchange import Request, Responder
 
 CALL_TIMEOUT_SECONDS = 0.3
 CONNECT_RETRY_SECONDS = 1.0
@@ -96,28 +98,65 @@
 
         return await self._call(entry, call, timeout_seconds)
 
+    async def forward(
+        self, entry: DaemonEntry, request: Request, responder: Responder
+    ) -> None:
+        """Forward a request to a daemon and stream its response to the responder.
+
+        Cancelling this call cancels the request at the daemon.
+
+        Raises
+        ------
+        PeerUnavailable
+            With ``ran`` as ``NO`` if the request did not start at the daemon and
+            never will, else ``UNKNOWN``.
+        """
+        connection = await self._connect(entry, CALL_TIMEOUT_SECONDS)
+        await forward_once(
+            connection,
+            lambda: self._reconnect(entry),
+            request,
+            responder,
+            CALL_TIMEOUT_SECONDS,
+        )
+
+    async def _reconnect(self, entry: DaemonEntry) -> PeerConnection:
+        self._drop(entry.incarnation)
+        return await self._connect(entry, CALL_TIMEOUT_SECONDS)
+
+    async def _connect(
+        self, entry: DaemonEntry, timeout_seconds: float
+    ) -> PeerConnection:
+        """Return a connection, an existing one if there is one."""
+        if self.clock.monotonic() < self.reconnect_at.get(entry.incarnation, 0.0):
+            raise PeerUnavailable(
+                f"{entry.name} could not be reached a moment ago.", Ran.NO
+            )
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                return await self._get_connection(entry)
+        except (ConnectionLost, HandshakeFailed, TimeoutError) as error:
+            self._drop(entry.incarnation)
+            until = self.clock.monotonic() + CONNECT_RETRY_SECONDS
+            self.reconnect_at[entry.incarnation] = until
+            raise PeerUnavailable(f"{entry.name} gave no answer.", Ran.NO) from error
+
     async def _call(
         self,
         entry: DaemonEntry,
         call: Callable[[PeerConnection], Awaitable[_Answer]],
         timeout_seconds: float,
     ) -> _Answer:
-        ran = Ran.NO
-        if self.clock.monotonic() < self.reconnect_at.get(entry.incarnation, 0.0):
-            raise PeerUnavailable(
-                f"{entry.name} could not be reached a moment ago.", ran
-            )
+        ends_at = self.clock.monotonic() + timeout_seconds
+        connection = await self._connect(entry, timeout_seconds)
         try:
-            async with asyncio.timeout(timeout_seconds):
-                connection = await self._get_connection(entry)
-                ran = Ran.UNKNOWN
+            async with asyncio.timeout(ends_at - self.clock.monotonic()):
                 return await call(connection)
-        except (ConnectionLost, HandshakeFailed, TimeoutError) as error:
+        except (ConnectionLost, TimeoutError) as error:
             self._drop(entry.incarnation)
-            if ran is Ran.NO:
-                until = self.clock.monotonic() + CONNECT_RETRY_SECONDS
-                self.reconnect_at[entry.incarnation] = until
-            raise PeerUnavailable(f"{entry.name} gave no answer.", ran) from error
+            raise PeerUnavailable(
+                f"{entry.name} gave no answer.", Ran.UNKNOWN
+            ) from error
 
     async def _get_connection(self, entry: DaemonEntry) -> PeerConnection:
         connection = self._connections.get(entry.incarnation)
--- a/src/eelgrasslock/peers/peer_transport.py
+++ b/src/eelgrasslock/peers/peer_transport.py
@@ -11,7 +11,8 @@
 from eelgrasslock.configuration.settings import DaemonSettings
 from eelgrasslock.exceptions import PeerUnavailable, Ran
 from eelgrasslock.log.record_codec import encode_batch, readable_records
-from eelgrasslock.log.records import MemberJoined, Record, new_id
+from eelgrasslock.log.records import MemberJoined, Record
+from eelgrasslock.peers.forwarding import forward_once
 from eelgrasslock.peers.heartbeat_codec import Heartbeat
 from eelgrasslock.peers.peer_auth import HandshakeFailed
 from eelgrasslock.peers.peer_callbacks import PeerCallbacks
@@ -259,25 +260,13 @@
         request: Request,
         responder: Responder,
     ) -> None:
-        id = new_id()
-        try:
-            await connection.forward(id, request, responder)
-        except ConnectionLost as error:
-            if error.response_started or await self._has_started(member, id):
-                message = f"Lost the connection to {member.name} during a request."
-                raise PeerUnavailable(message, Ran.UNKNOWN) from error
-            message = f"Lost the connection to {member.name} before a request started."
-            raise PeerUnavailable(message, Ran.NO) from error
-
-    async def _has_started(self, member: MemberJoined, id: str) -> bool:
-        async def send(peer: Any) -> bool:
-            return (await peer.disown(id=id)).started
-
-        try:
-            connection = await self._new_connection(member)
-            return await connection.call(send, _CALL_TIMEOUT_SECONDS)
-        except (PeerUnavailable, ConnectionLost):
-            return True
+        await forward_once(
+            connection,
+            lambda: self._new_connection(member),
+            request,
+            responder,
+            _CALL_TIMEOUT_SECONDS,
+        )
 
     async def _verified_connection(self, member: MemberJoined) -> PeerConnection:
         connection = self._connections.get(member.incarnation)
--- a/src/eelgrasslock/peers/sink_handler.py
+++ b/src/eelgrasslock/peers/sink_handler.py
@@ -1,6 +1,6 @@
 """Handler for the response to a forwarded request."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from eelgrasslock.peers.peer_schema import decode_fields, schema
@@ -47,9 +47,10 @@
         """End the body."""
         await self._relay(self.responder.finish())
 
-    async def _relay(self, step: Awaitable[None]) -> None:
+    async def _relay(self, step: Coroutine[Any, Any, None]) -> None:
         self.on_activity()
         if self.closed:
+            step.close()
             raise ConnectionError("The reader of the answer is gone.")
         try:
             await step
--- a/src/eelgrasslock/scheduling/dispatch.py
+++ b/src/eelgrasslock/scheduling/dispatch.py
@@ -130,6 +130,14 @@
         self.scheduler.finish(call.id, outcome, usage, retry_after)
         self.wake_up()
 
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """Refuse all calls that wait."""
+        for call_id, future in self.waiting.items():
+            if not future.done():
+                self.scheduler.withdraw(call_id)
+                future.set_exception(refusal)
+        self._wake_event.set()
+
     def wake_up(self) -> None:
         """Process the queue at once, and recompute the next wake-up time."""
         self._process_queue()
--- a/src/eelgrasslock/scheduling/endpoint_table.py
+++ b/src/eelgrasslock/scheduling/endpoint_table.py
@@ -8,6 +8,7 @@
     ServiceKind,
 )
 from eelgrasslock.scheduling.calls import Call, PeerLoad
+from eelgrasslock.scheduling.circuit_breaker import CircuitBreaker
 from eelgrasslock.scheduling.endpoint_pool import EndpointPool
 from eelgrasslock.scheduling.endpoint_state import CONFIGURATION_SOURCE, EndpointState
 from eelgrasslock.scheduling.prefix_index import PrefixIndex
@@ -105,6 +106,12 @@
             state.name for state in states if state.breaker.open_until is not None
         )
 
+    def close_breakers(self) -> None:
+        """Let all endpoints take calls again whose circuit breaker is open."""
+        for endpoint in self.open_breakers():
+            self.states[endpoint].breaker = CircuitBreaker(self.rng)
+            self.mark_changed(endpoint)
+
     def update_peer(self, load: PeerLoad, wall_time: float) -> None:
         """Record the calls in flight that a peer reports."""
         previous = self.endpoints_by_peer.get(load.incarnation, set())
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -318,6 +318,11 @@
             state.breaker = CircuitBreaker(self.rng)
             self.endpoint_table.mark_changed(endpoint)
 
+    def close_breakers(self) -> None:
+        """Close all breakers: the daemon's own links had failed, not the endpoints."""
+        self.domain_breaker.states.clear()
+        self.endpoint_table.close_breakers()
+
     def observe_peer(self, load: PeerLoad) -> None:
         """Apply a load report of a peer."""
         self.slots.update_peer(load.incarnation, load.waiting)
--- a/tests/test_gateway_response_timeouts.py
+++ b/tests/test_gateway_response_timeouts.py
@@ -21,8 +21,7 @@
 
 def response_wait(**more):
     values = {
-        "is_remote_domain": True,
-        "is_domain_tripped": True,
+        "is_unreachable": True,
         "possible_executions": 1,
         "waited_seconds": 0.4,
     }
@@ -30,15 +29,10 @@
 
 
 class TestResponseTimeouts:
-    def test_requests_that_must_not_repeat_have_no_checks(self):
-        assert (
-            response_check_seconds(make_route(RouteKind.UNSAFE), is_remote_domain=True)
-            is None
-        )
-        assert (
-            response_check_seconds(make_route(RouteKind.STREAM), is_remote_domain=True)
-            is None
-        )
+    @pytest.mark.parametrize("kind", [RouteKind.UNSAFE, RouteKind.STREAM])
+    def test_requests_that_must_not_repeat_never_fail_over(self, kind):
+        route = make_route(kind, max_endpoints=3)
+        assert not should_fail_over(route, response_wait(waited_seconds=60.0))
 
     def test_remote_endpoints_have_shorter_intervals(self):
         route = make_route(RouteKind.SAFE)
@@ -63,7 +57,7 @@
     def test_a_busy_endpoint_gets_the_full_timeout(self):
         """In a burst, two of three endpoints lost responses and the third was full."""
         route = make_route(RouteKind.SAFE, max_endpoints=2)
-        busy = {"is_domain_tripped": False}
+        busy = {"is_unreachable": False}
         assert not should_fail_over(
             route, response_wait(waited_seconds=REMOTE_CHECK_SECONDS, **busy)
         )
@@ -73,11 +67,7 @@
 
     @pytest.mark.parametrize(
         ("more", "expected"),
-        [
-            ({}, True),
-            ({"is_domain_tripped": False}, False),
-            ({"is_remote_domain": False}, False),
-        ],
+        [({}, True), ({"is_unreachable": False}, False)],
     )
     def test_a_stream_moves_only_from_an_unreachable_domain(self, more, expected):
         route = make_route(RouteKind.STREAM, resumable=True)
--- a/tests/test_stranded_daemons.py
+++ b/tests/test_stranded_daemons.py
@@ -1,12 +1,15 @@
 """A daemon without links to the endpoints serves its callers through its peers."""
 
 import asyncio
+import itertools
 import time
 
 import pytest
 
+from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock_standins.platform_engine import Fault
 from link_faults import Cut, LinkFaults
-from platform_fleet import LOOKUPS, POSTS, PlatformFleet, wait_until
+from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet, wait_until
 
 EVENTS = 6
 DETECTION_SECONDS = 1.5
@@ -52,6 +55,9 @@
             await asyncio.gather(*calls, return_exceptions=True)
             await asyncio.sleep(0.05)
 
+    def runs(self, id):
+        return sum(one.ids().count(id) for one in self.engines + self.desks)
+
     async def call(self, daemon, path, **headers):
         method = "GET" if path == LOOKUPS else "POST"
         status, _, _ = await self.fleet.call(daemon, f"{path}x", method, **headers)
@@ -103,3 +109,163 @@
         connections = sum(len(one) for one in daemon.application.pool.idle.values())
         assert stranded.faults[daemon].opened
         assert connections >= 1
+
+
+class TestTrueOverTheHop:
+    async def test_a_post_whose_peer_dies_ran_once_and_is_said_to_be_unknown(
+        self, stranded
+    ):
+        daemon = stranded.daemons[0]
+        for desk in stranded.desks:
+            desk.work_seconds = 0.4
+        await stranded.strand(daemon)
+        call = asyncio.create_task(
+            stranded.fleet.call(daemon, f"{POSTS}x", "POST", Request_Id="fee")
+        )
+        await wait_until(lambda: stranded.runs("fee") == 1)
+        for peer in stranded.daemons[1:]:
+            await peer.application.mesh.stop()
+        status, _, body = await call
+        assert status == 502
+        assert b'"ran": "unknown"' in body
+        assert stranded.runs("fee") == 1
+
+    async def test_a_request_that_no_peer_can_serve_is_refused_at_once(self, stranded):
+        await stranded.strand(*stranded.daemons)
+        for daemon in stranded.daemons:
+            began_at = time.monotonic()
+            status, _, body = await stranded.fleet.call(
+                daemon, f"{POSTS}x", "POST", Request_Id="none"
+            )
+            assert status == 503
+            assert b'"ran": "no"' in body
+            assert time.monotonic() - began_at < 0.3
+        assert stranded.runs("none") == 0
+
+    async def test_a_relayed_request_is_not_passed_on_again(self, stranded):
+        """The peer has lost its links, too, and does not know of it yet."""
+        first, second, third = stranded.daemons
+        await stranded.strand(first)
+        stranded.faults[second].begin(Cut.REFUSE)
+        served = [one.application.peer_requests.served for one in (first, third)]
+        first.application.load_exchange.live_peers.pop(
+            third.application.incarnation, None
+        )
+        status, _, _ = await stranded.fleet.call(
+            first, f"{POSTS}x", "POST", Request_Id="hop"
+        )
+        assert status == 503
+        assert second.application.peer_requests.served > 0
+        assert served == [
+            one.application.peer_requests.served for one in (first, third)
+        ]
+        assert stranded.runs("hop") == 0
+
+    async def test_the_deadline_and_the_budget_are_the_callers(self, stranded):
+        daemon, *peers = stranded.daemons
+        await stranded.strand(daemon)
+        status, _ = await stranded.fleet.turn(daemon, "p", Deadline_Ms=1_000)
+        assert status == 200
+        (run,) = [one for engine in stranded.engines for one in engine.runs]
+        assert 0 < int(run.headers["deadline-ms"]) < 1_000
+        account = daemon.application.allowances.accounts["p"]
+        await wait_until(lambda: account.spent == EVENTS * 22)
+        assert not any("p" in one.application.allowances.accounts for one in peers)
+
+    async def test_head_and_events_come_as_the_engine_sends_them(self, fleet):
+        stranded = await StrandedFleet(fleet).start(event_seconds=0.15)
+        daemon = stranded.daemons[0]
+        await stranded.strand(daemon)
+        connection = await fleet.connect(daemon)
+        request = fleet.request(f"{TURNS}x", "POST", b"prompt")
+        head = await connection.send(request)
+        headers = dict(head.headers)
+        (engine,) = [one for one in stranded.engines if one.runs]
+        assert headers["Server-Stamp"] == f"{engine.id}.stamp"
+        assert headers["Request-Id"] == dict(request.headers)["Request-Id"]
+        times = []
+        while await connection.read() is not None:
+            times.append(time.monotonic())
+        assert len(times) == EVENTS
+        gaps = [late - early for early, late in itertools.pairwise(times)]
+        assert min(gaps) > 0.05
+        assert max(gaps) < 0.3
+        connection.close()
+
+    async def test_a_stream_that_its_engine_breaks_off_breaks_off(self, stranded):
+        daemon = stranded.daemons[0]
+        await stranded.strand(daemon)
+        for engine in stranded.engines:
+            engine.faults.append(Fault.TRUNCATED)
+        with pytest.raises(ConnectionBroken):
+            await stranded.fleet.turn(daemon, "p")
+
+    async def test_a_caller_that_leaves_ends_the_work(self, fleet):
+        stranded = await StrandedFleet(fleet).start(events=200, event_seconds=0.05)
+        daemon = stranded.daemons[0]
+        await stranded.strand(daemon)
+        connection = await fleet.connect(daemon)
+        await connection.send(fleet.request(f"{TURNS}x", "POST", b"prompt"))
+        await connection.read()
+        connection.close()
+        await wait_until(lambda: not any(one.busy for one in stranded.engines), 0.5)
+
+    async def test_a_resumed_stream_goes_on_at_its_version(self, stranded):
+        daemon = stranded.daemons[0]
+        others = [
+            await stranded.fleet.endpoint(
+                "models", events=EVENTS, entry={"version": "v2", "zone": zone}
+            )
+            for zone in "abc"
+        ]
+        entries = daemon.application.endpoint_registry.entries
+        await wait_until(lambda: all(one.id in entries for one in others))
+        await stranded.strand(daemon)
+        for number in range(6):
+            stranded.fleet.make_known(daemon, f"r-{number}", version="v2")
+            status, _ = await stranded.fleet.turn(
+                daemon, f"p{number}", Resumes=f"r-{number}", Last_Event_Id=2
+            )
+            assert status == 200
+        assert not any(one.runs for one in stranded.engines)
+
+    async def test_limits_hold_over_the_hop(self, stranded):
+        for desk in stranded.desks:
+            desk.limit = "4"
+        daemon = stranded.daemons[0]
+        await stranded.strand(daemon)
+        began_at = time.monotonic()
+        calls = []
+        while time.monotonic() < began_at + 4.0:
+            calls.append(asyncio.create_task(stranded.call(daemon, LOOKUPS)))
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*calls)
+        for desk in stranded.desks:
+            runs = [one for one in desk.runs if one.arrived_at >= began_at]
+            assert len(runs) <= 1.5 * 4 * 4 + 5
+
+
+class TestNoLoss:
+    async def test_one_silent_endpoint_is_no_loss(self, stranded):
+        daemon = stranded.daemons[0]
+        stranded.desks[0].faults.extend([Fault.SILENT] * 20)
+        calls = [stranded.call(daemon, LOOKUPS) for _ in range(20)]
+        assert await asyncio.gather(*calls) == [200] * 20
+        assert not daemon.application.links.is_lost
+        assert not daemon.application.peer_forwarder.relayed
+
+    async def test_endpoints_that_are_all_slow_are_no_loss(self, stranded):
+        daemon = stranded.daemons[0]
+        for desk in stranded.desks:
+            desk.work_seconds = 1.2
+        statuses = [stranded.call(daemon, POSTS) for _ in range(8)]
+        assert await asyncio.gather(*statuses) == [200] * 8
+        assert not daemon.application.links.is_lost
+
+    async def test_some_endpoints_that_are_gone_are_no_loss(self, stranded):
+        daemon = stranded.daemons[0]
+        for endpoint in (stranded.desks[0], stranded.desks[1]):
+            await endpoint.stop()
+        for _ in range(20):
+            await stranded.call(daemon, LOOKUPS)
+        assert not daemon.application.links.is_lost
