Send nothing more to an endpoint that says in an answer that it leaves

An engine that leaves says so in its answers, and its entry may still read that it is ready, or the log may be away (DRAIN). Nothing knew the header.

It is decoded once; find_usable, which each send passes, leaves such an endpoint out until it starts again or is removed, and the scheduler counts it as leaving, so that calls that wait for it are placed again. Signed refusals are believed as well, as they are the engine's own word; a 421 is another engine's. Telling peers with heartbeats was weighed: no more calls, but one more list in each, for a rule that binds the daemon that passed the answer on only, and each learns it with its own first answer.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -17,7 +17,7 @@
 from eelgrasslock.gateway.access_log import AccessLogger
 from eelgrasslock.gateway.attempts import AttemptRunner
 from eelgrasslock.gateway.drainer import Drainer
-from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
+from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.gauges import register_gauges
 from eelgrasslock.gateway.handler import GatewayHandler
@@ -61,6 +61,7 @@
 # used context themselves.
 FEATURES = FeatureFlags(memory=False)
 
+LEAVING_ANSWER = "answer"
 _INCARNATION_BYTES = 6
 _log = logger.bind(part="daemon")
 
@@ -258,6 +259,7 @@
             self.stream_versions,
             self._record_load,
             self._record_limit,
+            self._record_leaving,
         )
         forwarder = Forwarder(
             self.dispatcher,
@@ -355,6 +357,7 @@
 
     def _endpoint_reset(self, endpoint: str) -> None:
         self.scheduler.reset_endpoint(endpoint)
+        self.scheduler.mark_leaving(endpoint, False, LEAVING_ANSWER)
         self.limit_controller.forget(endpoint)
 
     def _record_load(
@@ -387,6 +390,13 @@
         per_second = None if limit is None else limit.per_second
         self.limit_controller.observe(endpoint, limit is not None, per_second, sent_at)
 
+    def _record_leaving(self, record: EndpointRecord) -> None:
+        """Send an endpoint nothing more that said in an answer that it leaves."""
+        if self.endpoint_registry.mark_leaving(record):
+            _log.info("Endpoint {} says in an answer that it leaves.", record.id)
+            self.scheduler.mark_leaving(record.id, True, LEAVING_ANSWER)
+            self.dispatcher.wake_up()
+
     def _last_log_response_at(self) -> float:
         return max(follower.last_response_at for follower in self.followers)
 
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -67,6 +67,8 @@
         Records at which versions streams begin.
     on_load_report : callable
         Called with service, endpoint and the load that the endpoint reported.
+    on_leaving : callable
+        Called with the registration of an endpoint that says that it leaves.
     on_limit_report : callable
         Called with the endpoint, its response and when the request was sent, on the
         monotonic clock.
@@ -91,7 +93,9 @@
         stream_versions: StreamVersions,
         on_load_report: LoadCallback,
         on_limit_report: LimitCallback,
+        on_leaving: Callable[[EndpointRecord], None],
     ) -> None:
+        self.on_leaving = on_leaving
         self.links = links
         self.stream_versions = stream_versions
         self.on_limit_report = on_limit_report
@@ -182,6 +186,9 @@
         limit = response.request_limit
         context.named_limit = None if limit is None else limit.per_second
         self.on_limit_report(record.id, response, sent_at)
+        # A refusal is believed as well, if signed; 421 is another endpoint's answer.
+        if response.is_leaving and response.is_valid and not response.is_misdirected:
+            self.on_leaving(record)
         if response.load is not None:
             self.on_load_report(context.service.name, record.id, response.load)
         if response.not_run:
--- a/src/eelgrasslock/gateway/endpoint_registry.py
+++ b/src/eelgrasslock/gateway/endpoint_registry.py
@@ -65,6 +65,8 @@
     grace_ends_at : dict of str to float
         When the grace period ends for endpoints whose registration disappeared
         because of an outage of the log, on the monotonic clock.
+    said_leaving : dict of str to int
+        When the endpoints started that said in an answer that they leave, by id.
     log_failed_at : float
         When the last failed read of the log was sent, on the monotonic clock: the
         outage was not over before.
@@ -78,6 +80,7 @@
     stable_window_seconds: float = DEFAULT_STABLE_WINDOW_SECONDS
     entries: dict[str, EndpointRecord] = field(factory=dict)
     grace_ends_at: dict[str, float] = field(factory=dict)
+    said_leaving: dict[str, int] = field(factory=dict)
     log_failed_at: float = float("-inf")
     log_recovered_at: float = float("-inf")
     log_unavailable: bool = False
@@ -93,7 +96,22 @@
     def find_usable(self, endpoint: str) -> EndpointRecord | None:
         """Return the registration of an endpoint, None if it takes no new calls."""
         record = self.entries.get(endpoint)
-        return None if record is None or record.leaving else record
+        if record is None or record.leaving or endpoint in self.said_leaving:
+            return None
+        return record
+
+    def mark_leaving(self, record: EndpointRecord) -> bool:
+        """Record that an endpoint said that it leaves; return whether that is new.
+
+        This holds until it starts again or is removed, whatever its registration
+        says.
+        """
+        current = self.entries.get(record.id)
+        is_same = current is not None and current.started_at_ms == record.started_at_ms
+        if not is_same or record.id in self.said_leaving:
+            return False
+        self.said_leaving[record.id] = record.started_at_ms
+        return True
 
     def is_usable(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint still runs as registered and takes calls."""
@@ -108,6 +126,8 @@
     def put(self, record: EndpointRecord) -> bool:
         """Add or update a registration; return whether anything changed."""
         self.grace_ends_at.pop(record.id, None)
+        if self.said_leaving.get(record.id) != record.started_at_ms:
+            self.said_leaving.pop(record.id, None)
         changed = self.entries.get(record.id) != record
         self.entries[record.id] = record
         return changed
@@ -127,6 +147,7 @@
             return False
         del self.entries[endpoint]
         self.grace_ends_at.pop(endpoint, None)
+        self.said_leaving.pop(endpoint, None)
         return True
 
     def grace_seconds(self, endpoint: str) -> float | None:
@@ -149,6 +170,7 @@
         expired = [one for one, time in self.grace_ends_at.items() if time <= now]
         for endpoint in expired:
             del self.grace_ends_at[endpoint]
+            self.said_leaving.pop(endpoint, None)
             self.entries.pop(endpoint, None)
         return expired
 
--- a/src/eelgrasslock/gateway/messages.py
+++ b/src/eelgrasslock/gateway/messages.py
@@ -123,6 +123,8 @@
         Whether the endpoint states that it did not and will not run the request.
     is_misdirected : bool
         Whether another endpoint answered than the one that was expected.
+    is_leaving : bool
+        Whether the endpoint says that it leaves.
     is_valid : bool
         Whether a success may be passed on: it must be signed, not encoded, and echo
         the request's id.
@@ -143,6 +145,7 @@
     not_run: bool
     is_valid: bool
     is_misdirected: bool = False
+    is_leaving: bool = False
     load: EndpointLoadHeader | None = None
     request_limit: RequestLimitHeader | None = None
     content_length: int | None = None
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -29,6 +29,8 @@
 _NOT_RUN = "not-run"
 _SERVER_LOAD = "server-load"
 _SERVER_LIMIT = "server-limit"
+_SERVER_LEAVING = "server-leaving"
+_LEAVING = "1"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -56,7 +58,15 @@
     }
 )
 _ENDPOINT_ONLY = frozenset(
-    {_SERVER_LOAD, _SERVER_LIMIT, _NOT_RUN, "instance-id", "date", "server"}
+    {
+        _SERVER_LOAD,
+        _SERVER_LIMIT,
+        _SERVER_LEAVING,
+        _NOT_RUN,
+        "instance-id",
+        "date",
+        "server",
+    }
 )
 _MAX_DIGITS = 18
 
@@ -127,6 +137,7 @@
             headers=tuple(kept),
             not_run=misdirected or _NOT_RUN in values,
             is_misdirected=misdirected,
+            is_leaving=values.get(_SERVER_LEAVING) == _LEAVING,
             is_valid=(
                 _SERVER_STAMP in values
                 and encoding in ("", "identity")
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -60,6 +60,8 @@
         What it says of its load with each answer, empty for nothing.
     limit : str
         The requests a second that it names with each answer, empty for nothing.
+    leaving : str
+        What it says of its leaving with each answer, empty for nothing.
     crashes_on : bytes
         A body that ends the endpoint, empty for none.
     faults : deque of Fault
@@ -71,6 +73,7 @@
     work_seconds: float = 0.0
     load: str = ""
     limit: str = ""
+    leaving: str = ""
     crashes_on: bytes = b""
     faults: deque[Fault] = field(factory=deque)
     late: bytes = b""
@@ -102,7 +105,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         if fault is Fault.FULL:
-            writer.write(_whole(run, 503, b"", "Not-Run: 1\r\n"))
+            writer.write(_whole(run, 503, b"", f"Not-Run: 1\r\n{self._leaving()}"))
             return True
         if fault is Fault.RESET_BEFORE:
             reset(writer)
@@ -209,7 +212,10 @@
     def _stamp(self) -> str:
         load = f"Server-Load: {self.load}\r\n" if self.load else ""
         limit = f"Server-Limit: {self.limit}\r\n" if self.limit else ""
-        return f"Server-Stamp: {self.id}.stamp\r\n{load}{limit}"
+        return f"Server-Stamp: {self.id}.stamp\r\n{load}{limit}{self._leaving()}"
+
+    def _leaving(self) -> str:
+        return f"Server-Leaving: {self.leaving}\r\n" if self.leaving else ""
 
 
 _CUT_INSIDE = frozenset({Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT})
