--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import random
-import socket
 
 import capnp
 from aiohttp.test_utils import TestServer
@@ -20,6 +19,7 @@
 from eelgrasslock_standins.platform_engine import PlatformEngineStandin
 from eelgrasslock_standins.platform_store import PlatformStoreStandin
 from eelgrasslock_standins.raw_server import RawServer
+from processes import free_ports
 
 HOST = "fleet.example"
 TURNS = "/turns/"
@@ -30,9 +30,7 @@
 
 
 def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+    return free_ports(1)[0]
 
 
 async def wait_until(condition, seconds=5.0):
