Look at the age of endpoints once before a request is sent, and test that

The test held the reads of every topic, so that the wait for routes hid the one for endpoints: it passed with both waits of an attempt taken out. It holds the topic whose age it looks at now. With one of the two waits taken out it still passed, as they do the same: the one before the connection is opened is removed, the one before the request is sent stays, which also sees what came meanwhile. The test fails without it.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -118,7 +118,6 @@
         ResponseTruncated
             If the connection was lost after a part of the response was relayed.
         """
-        await self.endpoints_view.wait_until_current()
         record = self.endpoint_registry.find_usable(endpoint)
         if record is None or context.version not in ("", record.version):
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
--- a/tests/test_endpoint_removal.py
+++ b/tests/test_endpoint_removal.py
@@ -143,16 +143,22 @@
         self.staying = await fleet.endpoint()
         daemon = await fleet.ready_daemon([self.leaving, self.staying])
         self.held = asyncio.Event()
+        self.topics = set()
         self.hold_reads(daemon.application.platform.log, monkeypatch)
         return daemon
 
     def hold_reads(self, log, monkeypatch):
-        """Let reads end only once `held` is set, as in a daemon that is held up."""
+        """Let reads of `topics` end only once `held` is set.
+
+        Each test holds the one whose age it looks at, so that no request waits for
+        another view.
+        """
         changes = log.changes
 
-        async def changes_later(*arguments):
-            result = await changes(*arguments)
-            await self.held.wait()
+        async def changes_later(topic, *arguments):
+            result = await changes(topic, *arguments)
+            if topic in self.topics:
+                await self.held.wait()
             return result
 
         monkeypatch.setattr(log, "changes", changes_later)
@@ -163,6 +169,7 @@
     async def test_a_request_waits_for_the_news_that_its_endpoint_left(
         self, fleet, daemon
     ):
+        self.topics.add("keyed.servers")
         fleet.unregister(self.leaving)
         fleet.unregister(self.staying)
         another = await fleet.endpoint()
@@ -179,6 +186,7 @@
         ]
 
     async def test_a_request_waits_for_the_news_of_its_route(self, fleet, daemon):
+        self.topics.add("keyed.op")
         fleet.configure(version=2, routes=[])
         await self.grow_old(daemon.application.configuration_follower)
         call = asyncio.create_task(fleet.call(daemon, f"{LOOKUPS}x"))
@@ -191,7 +199,6 @@
         self, fleet, daemon
     ):
         daemon.faults.refusing = "silent"
-        self.held.set()
         for follower in daemon.application.followers[:2]:
             await self.grow_old(follower)
         async with asyncio.timeout(1.0):
