--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -17,14 +17,14 @@
 from eelgrasslock.gateway.access_log import AccessLogger
 from eelgrasslock.gateway.attempts import AttemptRunner
 from eelgrasslock.gateway.drainer import Drainer
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
+from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
+from eelgrasslock.gateway.endpoint_reports import EndpointReports
 from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.gauges import register_gauges
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.interfaces import MessageCodec, RecordDecoder
 from eelgrasslock.gateway.link_monitor import LinkMonitor
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadinessServer
-from eelgrasslock.gateway.messages import EndpointLoadHeader, EndpointResponse
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
 from eelgrasslock.gateway.peer_forwarder import NO_LINKS, PeerForwarder
 from eelgrasslock.gateway.peer_requests import PeerRequestHandler
@@ -44,7 +44,6 @@
 from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.periodic import run_periodically
-from eelgrasslock.scheduling.calls import LoadReport
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
 from eelgrasslock.scheduling.load_shedding import LoadShedder
@@ -61,7 +60,6 @@
 # used context themselves.
 FEATURES = FeatureFlags(memory=False)
 
-LEAVING_ANSWER = "answer"
 _INCARNATION_BYTES = 6
 _log = logger.bind(part="daemon")
 
@@ -246,6 +244,14 @@
         )
 
     def _create_request_handler(self) -> None:
+        self.endpoint_reports = EndpointReports(
+            self.endpoint_registry,
+            self.scheduler,
+            self.dispatcher,
+            self.limit_controller,
+            self.load_shedder,
+            self.clock,
+        )
         attempt_runner = AttemptRunner(
             self.pool,
             self.endpoint_registry,
@@ -257,9 +263,7 @@
             self.scheduler.domain_breaker.is_tripped,
             self.links,
             self.stream_versions,
-            self._record_load,
-            self._record_limit,
-            self._record_leaving,
+            self.endpoint_reports,
         )
         forwarder = Forwarder(
             self.dispatcher,
@@ -357,45 +361,7 @@
 
     def _endpoint_reset(self, endpoint: str) -> None:
         self.scheduler.reset_endpoint(endpoint)
-        self.scheduler.mark_leaving(endpoint, False, LEAVING_ANSWER)
-        self.limit_controller.forget(endpoint)
-
-    def _record_load(
-        self, service: str, endpoint: str, load: EndpointLoadHeader
-    ) -> None:
-        """Record the load that an endpoint reported in its response's headers.
-
-        An endpoint that is kept idle by its own limit tells nothing of the room that
-        its service has for new programs.
-        """
-        if self.limit_controller.table.per_second(endpoint) is None:
-            self.load_shedder.record_load(
-                service, load.running, load.waiting, load.slots
-            )
-        report = LoadReport(
-            running=load.running, queued=load.waiting, time=self.clock.now()
-        )
-        self.scheduler.observe_load(endpoint, report)
-
-    def _record_limit(
-        self, endpoint: str, response: EndpointResponse, sent_at: float
-    ) -> None:
-        """Record the limit that an endpoint named, or that it named none.
-
-        A refusal without a limit does not say that the limit has ended.
-        """
-        limit = response.request_limit
-        if response.is_misdirected or (response.not_run and limit is None):
-            return
-        per_second = None if limit is None else limit.per_second
-        self.limit_controller.observe(endpoint, limit is not None, per_second, sent_at)
-
-    def _record_leaving(self, record: EndpointRecord) -> None:
-        """Send an endpoint nothing more that said in an answer that it leaves."""
-        if self.endpoint_registry.mark_leaving(record):
-            _log.info("Endpoint {} says in an answer that it leaves.", record.id)
-            self.scheduler.mark_leaving(record.id, True, LEAVING_ANSWER)
-            self.dispatcher.wake_up()
+        self.endpoint_reports.forget(endpoint)
 
     def _last_log_response_at(self) -> float:
         return max(follower.last_response_at for follower in self.followers)
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -8,9 +8,10 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.attempt_result import AttemptOutcome, AttemptResult
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
+from eelgrasslock.gateway.endpoint_reports import EndpointReports
 from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
 from eelgrasslock.gateway.link_monitor import LinkMonitor
-from eelgrasslock.gateway.messages import EndpointLoadHeader, EndpointResponse
+from eelgrasslock.gateway.messages import EndpointResponse
 from eelgrasslock.gateway.request_context import RequestContext
 from eelgrasslock.gateway.responder import ResponseTruncated
 from eelgrasslock.gateway.response_timeouts import (
@@ -36,10 +37,6 @@
 _log = logger.bind(part="attempts")
 
 
-LimitCallback = Callable[[str, EndpointResponse, float], None]
-LoadCallback = Callable[[str, str, EndpointLoadHeader], None]
-
-
 class AttemptRunner:
     """Sends requests to endpoints and relays their responses.
 
@@ -65,13 +62,8 @@
         Is told which connections open and which fail.
     stream_versions : StreamVersions
         Records at which versions streams begin.
-    on_load_report : callable
-        Called with service, endpoint and the load that the endpoint reported.
-    on_leaving : callable
-        Called with the registration of an endpoint that says that it leaves.
-    on_limit_report : callable
-        Called with the endpoint, its response and when the request was sent, on the
-        monotonic clock.
+    reports : EndpointReports
+        Takes what endpoints say of themselves.
 
     Attributes
     ----------
@@ -91,15 +83,11 @@
         is_domain_tripped: Callable[[str], bool],
         links: LinkMonitor,
         stream_versions: StreamVersions,
-        on_load_report: LoadCallback,
-        on_limit_report: LimitCallback,
-        on_leaving: Callable[[EndpointRecord], None],
+        reports: EndpointReports,
     ) -> None:
-        self.on_leaving = on_leaving
+        self.reports = reports
         self.links = links
         self.stream_versions = stream_versions
-        self.on_limit_report = on_limit_report
-        self.on_load_report = on_load_report
         self.unreachable_at: dict[str, float] = {}
         self.domain = domain
         self.is_domain_tripped = is_domain_tripped
@@ -184,12 +172,7 @@
         response = self.codec.decode_response(head, context.request.id)
         limit = response.request_limit
         context.named_limit = None if limit is None else limit.per_second
-        self.on_limit_report(record.id, response, sent_at)
-        # A refusal is believed as well, if signed; 421 is another endpoint's answer.
-        if response.is_leaving and response.is_valid and not response.is_misdirected:
-            self.on_leaving(record)
-        if response.load is not None:
-            self.on_load_report(context.service.name, record.id, response.load)
+        self.reports.record(context.service.name, record, response, sent_at)
         if response.not_run:
             context.possible_executions -= 1
             await _discard_body(connection, head.framing)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,9 +1,11 @@
 """A stream goes on at the software version that began it, or not at all."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from eelgrasslock.gateway.attempt_result import AttemptOutcome
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import PlatformFleet, wait_until
 from stream_client import StreamClient, versions_of
@@ -247,6 +249,13 @@
         assert view.changed
         assert [len(one.runs) for one in engines] == runs
 
+    async def test_an_attempt_needs_the_version_of_its_stream(self, versions):
+        daemon = versions.daemons[0]
+        runner = daemon.application.handler.forwarder.attempt_runner
+        context = SimpleNamespace(version="v1")
+        result = await runner.run(context, versions.engines["v1.1"][0].id)
+        assert result.outcome is AttemptOutcome.NOT_SENT
+
 
 class ChangingView:
     """Lets the engines of the first version run the second one just before use."""
