--- a/tests/test_stranded_daemons.py
+++ b/tests/test_stranded_daemons.py
@@ -96,6 +96,16 @@
             statuses = [await stranded.call(daemon, LOOKUPS) for _ in range(10)]
             assert statuses == [200] * 10
 
+    async def test_a_daemon_that_starts_while_it_is_cut_off(self, stranded):
+        every = stranded.engines + stranded.desks
+        daemon = await stranded.fleet.ready_daemon(every, name="a-9", domain="a")
+        LinkFaults(daemon, every).begin(Cut.HANG)
+        peers = daemon.application.load_exchange.live_peers
+        await wait_until(lambda: len(peers) == len(stranded.daemons))
+        for path in (LOOKUPS, POSTS):
+            statuses = [await stranded.call(daemon, path) for _ in range(5)]
+            assert statuses == [200] * 5
+
 
 class TestAfterTheEnd:
     # The breakers of all endpoints stayed open for seconds after a cut.
