Do not count a stream that its engine breaks off against the peer

A daemon without links left a peer out for a second whenever a response through it broke off, also after its head, when the engine had broken it off: two such streams, and a fleet of three had nobody left to ask. Only a response without a head counts now. The test fails without it. The peer also gets the services of the route, so that it tells keepers as the asking daemon would; gauges for lost links and relayed requests were added.

--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -5,7 +5,10 @@
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.handler import GatewayHandler
+from eelgrasslock.gateway.link_monitor import LinkMonitor
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
+from eelgrasslock.gateway.peer_forwarder import PeerForwarder
+from eelgrasslock.gateway.peer_requests import PeerRequestHandler
 from eelgrasslock.gateway.routing import RoutingState
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.scheduling.dispatch import Dispatcher
@@ -27,6 +30,9 @@
     pool: ConnectionPool
     allowances: AllowanceManager
     load_shedder: LoadShedder
+    links: LinkMonitor
+    peer_forwarder: PeerForwarder
+    peer_requests: PeerRequestHandler
 
 
 def register_gauges(sources: GaugeSources) -> None:
@@ -49,6 +55,17 @@
         "Log calls by peers.",
         lambda: sources.peer_coordinator.log.relayed_calls,
     )
+    watch("links_lost", "Whether links are lost.", lambda: sources.links.is_lost)
+    watch(
+        "requests_relayed",
+        "Requests served through peers.",
+        lambda: sources.peer_forwarder.relayed,
+    )
+    watch(
+        "requests_of_peers",
+        "Requests of peers without links.",
+        lambda: sources.peer_requests.served,
+    )
     watch("connections_opened", "Connections opened.", lambda: sources.pool.opened)
     watch("connections_reused", "Connections reused.", lambda: sources.pool.reused)
     watch(
--- a/src/eelgrasslock/gateway/peer_forwarder.py
+++ b/src/eelgrasslock/gateway/peer_forwarder.py
@@ -195,7 +195,9 @@
         try:
             await self._exchange(entry, message, response)
         except PeerUnavailable as error:
-            self._mark_unable(entry)
+            # A response that breaks off after its head is the endpoint's doing.
+            if response.head is None:
+                self._mark_unable(entry)
             self._lose(context, error)
             return False
         finally:
--- a/src/eelgrasslock/gateway/relay_messages.py
+++ b/src/eelgrasslock/gateway/relay_messages.py
@@ -174,7 +174,7 @@
 def _encode_route(context: RequestContext) -> str:
     """Return the route, with the endpoints that the request may still be sent to."""
     left = max(1, context.route.max_endpoints - context.possible_executions)
-    values = asdict(evolve(context.route, max_endpoints=left, services=()))
+    values = asdict(evolve(context.route, max_endpoints=left))
     values["kind"] = context.route.kind.value
     return json.dumps(values)
 
--- a/tests/test_relay_messages.py
+++ b/tests/test_relay_messages.py
@@ -82,6 +82,7 @@
         assert found.max_endpoints == 1
         assert found.kind is RouteKind.STREAM
         assert found.resumable
+        assert found.services == context.route.services
         assert found.timeout_seconds == context.route.timeout_seconds
 
     def test_the_version_of_a_resumed_stream_arrives(self):
--- a/tests/test_stranded_daemons.py
+++ b/tests/test_stranded_daemons.py
@@ -210,6 +210,16 @@
         with pytest.raises(ConnectionBroken):
             await stranded.fleet.turn(daemon, "p")
 
+    async def test_streams_that_break_off_do_not_count_against_peers(self, stranded):
+        daemon = stranded.daemons[0]
+        await stranded.strand(daemon)
+        for engine in stranded.engines:
+            engine.faults.extend([Fault.TRUNCATED] * 2)
+        for number in range(4):
+            with pytest.raises(ConnectionBroken):
+                await stranded.fleet.turn(daemon, f"p{number}")
+        assert await stranded.call(daemon, LOOKUPS) == 200
+
     async def test_a_caller_that_leaves_ends_the_work(self, fleet):
         stranded = await StrandedFleet(fleet).start(events=200, event_seconds=0.05)
         daemon = stranded.daemons[0]
