--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -4,7 +4,6 @@
 engines are in memory, and one clock is moved by hand.
 """
 
-import asyncio
 import random
 from collections import defaultdict, deque
 
@@ -31,9 +30,8 @@
 from eelgrasslock.scheduling.calls import Call, CallOutcome
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
-from model_mesh import Mesh, Results
+from model_mesh import STEP_SECONDS, Mesh, ModelFleet, Results
 
-STEP_SECONDS = 0.02
 WINDOW_SECONDS = 4.0
 STABLE_SECONDS = 3.0
 TOLD_SECONDS = 0.5
@@ -152,14 +150,13 @@
         self.served += 1
 
 
-class LimitFleet:
+class LimitFleet(ModelFleet):
     """The daemons, the engines, the network and its faults."""
 
     def __init__(self, seed, daemon_count, engine_count, skew=0.0):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
-        self.cut_domain = ""
-        self.cut_daemons = set()
+        super().__init__()
         self.excused = defaultdict(lambda: deque())
         self.unreadable = set()
         names = [f"e-{number}" for number in range(engine_count)]
@@ -220,13 +217,6 @@
             return True, None
         return True, engine.limit
 
-    def are_connected(self, one, other):
-        if other is None:
-            return True
-        if one.name in self.cut_daemons or other.name in self.cut_daemons:
-            return False
-        return (one.domain == self.cut_domain) == (other.domain == self.cut_domain)
-
     def set_limit(self, engine, limit):
         engine.limit = limit
         engine.told_at.clear()
@@ -250,31 +240,13 @@
                 model=SERVICE,
                 deadline=self.clock.monotonic() + 3.0,
             )
-            task = asyncio.create_task(daemon.serve(call))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def run(self, seconds, per_second):
-        """Move the clock on, with requests at a rate, or a function of the time."""
-        ends_at = self.clock.monotonic() + seconds
-        while self.clock.monotonic() < ends_at:
-            self.send(per_second)
-            alive = [one for one in self.daemons.values() if one.alive]
-            for daemon in alive:
-                daemon.dispatcher.wake_up()
-            for daemon in alive:
-                await daemon.exchange_loads()
-            for _ in range(2):
-                self.clock.advance(STEP_SECONDS / 2)
-                for _ in range(4):
-                    await asyncio.sleep(0)
+            self.start_task(daemon.serve(call))
 
-    async def stop(self):
-        for daemon in self.daemons.values():
-            await daemon.stop()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+    async def step(self, alive):
+        for daemon in alive:
+            daemon.dispatcher.wake_up()
+        for daemon in alive:
+            await daemon.exchange_loads()
 
     # --- faults -----------------------------------------------------------------
 
--- a/tests/model_mesh.py
+++ b/tests/model_mesh.py
@@ -1,7 +1,10 @@
-"""The connections between the daemons of a model, in memory."""
+"""The daemons of a model and the connections between them, in memory."""
+
+import asyncio
 
 from eelgrasslock.exceptions import PeerUnavailable
 
+STEP_SECONDS = 0.02
 PEER_SECONDS = 0.01
 PEER_TIMEOUT_SECONDS = 0.3
 
@@ -45,3 +48,45 @@
 
 class Results:
     """The fields of an answer."""
+
+
+class ModelFleet:
+    """Daemons that share a clock which is moved by hand, and a network with cuts.
+
+    A fleet that extends it has `clock`, `daemons` by name and `tasks`, and the
+    methods `send`, which lets callers send the requests of one step, and `step`.
+    """
+
+    def __init__(self):
+        self.cut_domain = ""
+        self.cut_daemons = set()
+
+    def are_connected(self, one, other):
+        if other is None:
+            return True
+        if one.name in self.cut_daemons or other.name in self.cut_daemons:
+            return False
+        return (one.domain == self.cut_domain) == (other.domain == self.cut_domain)
+
+    def start_task(self, work):
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self, seconds, per_second):
+        """Move the clock on, with requests at a rate."""
+        ends_at = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < ends_at:
+            self.send(per_second)
+            await self.step([one for one in self.daemons.values() if one.alive])
+            for _ in range(2):
+                self.clock.advance(STEP_SECONDS / 2)
+                for _ in range(4):
+                    await asyncio.sleep(0)
+
+    async def stop(self):
+        for daemon in self.daemons.values():
+            await daemon.stop()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/tests/stream_model.py
+++ b/tests/stream_model.py
@@ -16,9 +16,8 @@
 from eelgrasslock.scheduling.calls import PeerLoad
 from eelgrasslock.streams.stream_controller import StreamController
 from eelgrasslock.streams.version_watch import VersionWatch
-from model_mesh import Mesh, Results
+from model_mesh import STEP_SECONDS, Mesh, ModelFleet, Results
 
-STEP_SECONDS = 0.02
 STABLE_SECONDS = 3.0
 MAX_VIEW_SECONDS = 1.75
 RESUME_SECONDS = 8.0
@@ -168,14 +167,13 @@
         await self.controller.stop()
 
 
-class StreamFleet:
+class StreamFleet(ModelFleet):
     """The daemons, the engines, the network, the store and their faults."""
 
     def __init__(self, seed, daemon_count, engine_count=6):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
-        self.cut_domain = ""
-        self.cut_daemons = set()
+        super().__init__()
         self.without_store = set()
         self.break_share = 0.3
         self.engines = {}
@@ -208,13 +206,6 @@
         load = PeerLoad(incarnation=daemon.entry.incarnation, in_flight={})
         return type(heartbeat)(load=load)
 
-    def are_connected(self, one, other):
-        if other is None:
-            return True
-        if one.name in self.cut_daemons or other.name in self.cut_daemons:
-            return False
-        return (one.domain == self.cut_domain) == (other.domain == self.cut_domain)
-
     # --- streams ----------------------------------------------------------------
 
     def send(self, per_second):
@@ -222,9 +213,7 @@
         for _ in range(int(count) + (self.rng.random() < count - int(count))):
             stream = Stream(f"r-{len(self.streams)}")
             self.streams.append(stream)
-            task = asyncio.create_task(self.follow(stream))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.start_task(self.follow(stream))
 
     async def follow(self, stream):
         """Let a client begin a stream, and resume it where it breaks off."""
@@ -294,27 +283,11 @@
 
     # --- time -------------------------------------------------------------------
 
-    async def run(self, seconds, per_second):
-        """Move the clock on, with new streams at a rate."""
-        ends_at = self.clock.monotonic() + seconds
-        while self.clock.monotonic() < ends_at:
-            self.send(per_second)
-            alive = [one for one in self.daemons.values() if one.alive]
-            for daemon in alive:
-                daemon.read_store()
-            for daemon in alive:
-                await daemon.exchange_loads()
-            for _ in range(2):
-                self.clock.advance(STEP_SECONDS / 2)
-                for _ in range(4):
-                    await asyncio.sleep(0)
-
-    async def stop(self):
-        for daemon in self.daemons.values():
-            await daemon.stop()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+    async def step(self, alive):
+        for daemon in alive:
+            daemon.read_store()
+        for daemon in alive:
+            await daemon.exchange_loads()
 
     def disturb(self, daemons):
         for daemon in daemons:
