--- a/tests/test_stranded_daemons.py
+++ b/tests/test_stranded_daemons.py
@@ -120,6 +120,43 @@
         assert stranded.faults[daemon].opened
         assert connections >= 1
 
+    async def test_breakers_that_opened_meanwhile_are_closed(self, stranded):
+        daemon = stranded.daemons[0]
+        application = daemon.application
+        await stranded.strand(daemon)
+        states = application.scheduler.endpoint_table.states.values()
+        for state in states:
+            now = application.clock.monotonic()
+            state.breaker.record_failure("a call", now, crashed=True)
+        stranded.faults[daemon].end()
+        async with asyncio.timeout(2.0):
+            while application.links.is_lost:
+                assert await stranded.call(daemon, LOOKUPS) == 200
+                await asyncio.sleep(0.02)
+        relayed = application.peer_forwarder.relayed
+        statuses = [await stranded.call(daemon, LOOKUPS) for _ in range(5)]
+        assert statuses == [200] * 5
+        assert application.peer_forwarder.relayed == relayed
+
+
+class TestDetection:
+    # Kept connections take requests and give no answer.
+    async def test_links_that_hang_are_noticed_by_one_request_that_waits(
+        self, stranded
+    ):
+        daemon = stranded.daemons[0]
+        for desk in stranded.desks:
+            desk.work_seconds = 0.1
+        calls = [stranded.call(daemon, POSTS) for _ in range(12)]
+        assert await asyncio.gather(*calls) == [200] * 12
+        stranded.faults[daemon].begin(Cut.HANG)
+        await asyncio.sleep(0.5)
+        waiting = asyncio.create_task(stranded.call(daemon, POSTS))
+        await wait_until(lambda: daemon.application.links.is_lost, 1.5)
+        assert not waiting.done()
+        assert await stranded.call(daemon, POSTS) == 200
+        await waiting
+
 
 class TestTrueOverTheHop:
     async def test_a_post_whose_peer_dies_ran_once_and_is_said_to_be_unknown(
@@ -214,7 +251,7 @@
         daemon = stranded.daemons[0]
         await stranded.strand(daemon)
         for engine in stranded.engines:
-            engine.faults.extend([Fault.TRUNCATED] * 2)
+            engine.faults.extend([Fault.TRUNCATED] * 4)
         for number in range(4):
             with pytest.raises(ConnectionBroken):
                 await stranded.fleet.turn(daemon, f"p{number}")
