--- a/src/eelgrasslock/exceptions.py
+++ b/src/eelgrasslock/exceptions.py
@@ -61,6 +61,10 @@
         self.ran = ran
 
 
+class PeerCallUnsupported(PeerUnavailable):
+    """A peer daemon is of an older build that does not know a call."""
+
+
 class EndpointError(EelgrassError):
     """A call to an endpoint failed.
 
--- a/src/eelgrasslock/gateway/relay_messages.py
+++ b/src/eelgrasslock/gateway/relay_messages.py
@@ -30,6 +30,24 @@
 _LENGTH = ":length"
 _SEPARATOR = "\n"
 
+# The fields of a route that daemons tell each other. An older build rejects a route
+# with any other field, so none is added; a newer build may leave fields out.
+_ROUTE_FIELDS = (
+    "name",
+    "host",
+    "prefix",
+    "kind",
+    "services",
+    "timeout_seconds",
+    "target_latency_seconds",
+    "max_endpoints",
+    "priority",
+    "is_turn",
+    "resumable",
+    "max_event_gap_seconds",
+    "retention_seconds",
+)
+
 
 @frozen(kw_only=True)
 class RelayedHead:
@@ -174,13 +192,15 @@
 def _encode_route(context: RequestContext) -> str:
     """Return the route, with the endpoints that the request may still be sent to."""
     left = max(1, context.route.max_endpoints - context.possible_executions)
-    values = asdict(evolve(context.route, max_endpoints=left))
+    all_values = asdict(evolve(context.route, max_endpoints=left))
+    values = {name: all_values[name] for name in _ROUTE_FIELDS}
     values["kind"] = context.route.kind.value
     return json.dumps(values)
 
 
 def _decode_route(text: str) -> Route:
-    values = json.loads(text)
+    told = json.loads(text)
+    values = {name: told[name] for name in _ROUTE_FIELDS if name in told}
     values["kind"] = RouteKind(values["kind"])
     values["services"] = tuple(WeightedService(**one) for one in values["services"])
     return Route(**values)
--- a/src/eelgrasslock/log/partitioned_log.py
+++ b/src/eelgrasslock/log/partitioned_log.py
@@ -6,6 +6,11 @@
 
 from eelgrasslock.exceptions import LogError
 
+# As the expected end: append wherever the partition ends.
+ANY_END = -1
+# As a limit of bytes: as much as the log gives with one answer.
+NO_LIMIT = 0
+
 
 class AppendConflict(LogError):
     """The partition does not end at the expected offset; nothing was appended.
@@ -48,6 +53,9 @@
     ) -> int:
         """Append if the partition ends at `expected_end`; return its new end.
 
+        With `ANY_END` the records are appended in any case. The result is then the
+        offset after them.
+
         Raises
         ------
         AppendConflict
@@ -58,8 +66,10 @@
             If the records may have been appended, or may be appended later.
         """
 
-    async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
-        """Return the records from an offset on.
+    async def read_from(
+        self, topic: str, partition: int, offset: int, max_kilobytes: int = NO_LIMIT
+    ) -> PartitionRead:
+        """Return the records from an offset on, a first one at least.
 
         Raises
         ------
--- a/src/eelgrasslock/peers/fallback_log.py
+++ b/src/eelgrasslock/peers/fallback_log.py
@@ -16,7 +16,7 @@
     PeerUnavailable,
     Ran,
 )
-from eelgrasslock.log.partitioned_log import PartitionedLog, PartitionRead
+from eelgrasslock.log.partitioned_log import NO_LIMIT, PartitionedLog, PartitionRead
 from eelgrasslock.peers.daemon_registry import DaemonEntry, DaemonRegistry
 from eelgrasslock.peers.log_rpc import append_through, read_through
 from eelgrasslock.peers.peer_mesh import PeerMesh
@@ -96,9 +96,11 @@
             lambda peer: append_through(peer, *arguments), True
         )
 
-    async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
+    async def read_from(
+        self, topic: str, partition: int, offset: int, max_kilobytes: int = NO_LIMIT
+    ) -> PartitionRead:
         """Read; see `log.partitioned_log.PartitionedLog.read_from`."""
-        arguments = (topic, partition, offset)
+        arguments = (topic, partition, offset, max_kilobytes)
         if self.uses_direct:
             try:
                 read = await self.direct.read_from(*arguments)
@@ -182,9 +184,12 @@
         direct = self._available_log()
         return await direct.append_at(topic, partition, records, expected_end)
 
-    async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
+    async def read_from(
+        self, topic: str, partition: int, offset: int, max_kilobytes: int = NO_LIMIT
+    ) -> PartitionRead:
         """Read; see `log.partitioned_log.PartitionedLog.read_from`."""
-        return await self._available_log().read_from(topic, partition, offset)
+        direct = self._available_log()
+        return await direct.read_from(topic, partition, offset, max_kilobytes)
 
     def _available_log(self) -> PartitionedLog:
         if not self.fallback.uses_direct:
--- a/src/eelgrasslock/peers/log_rpc.py
+++ b/src/eelgrasslock/peers/log_rpc.py
@@ -9,6 +9,7 @@
 
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
 from eelgrasslock.log.partitioned_log import (
+    NO_LIMIT,
     AppendConflict,
     PartitionedLog,
     PartitionRead,
@@ -64,13 +65,17 @@
 
 
 async def read_for_peer(
-    log: PartitionedLog | None, topic: str, partition: int, offset: int
+    log: PartitionedLog | None,
+    topic: str,
+    partition: int,
+    offset: int,
+    max_kilobytes: int = NO_LIMIT,
 ) -> LogCallResult:
     """Read for a peer, and return the outcome."""
     if log is None:
         return LogCallResult(outcome=UNAVAILABLE)
     try:
-        read = await log.read_from(topic, partition, offset)
+        read = await log.read_from(topic, partition, offset, max_kilobytes)
     except RecordsExpired as expired:
         return LogCallResult(outcome=MOVED, end=expired.first)
     except LogUnavailable:
@@ -98,10 +103,12 @@
 
 
 async def read_through(
-    peer: Any, topic: str, partition: int, offset: int
+    peer: Any, topic: str, partition: int, offset: int, max_kilobytes: int = NO_LIMIT
 ) -> PartitionRead:
     """Read through a peer; see `log.partitioned_log.PartitionedLog.read_from`."""
-    answer = await peer.readFrom(topic=topic, partition=partition, offset=offset)
+    answer = await peer.readFrom(
+        topic=topic, partition=partition, offset=offset, maxKilobytes=max_kilobytes
+    )
     outcome = str(answer.outcome)
     if outcome == MOVED:
         raise RecordsExpired(answer.end)
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -36,6 +36,21 @@
   seconds @3 :Float32;   # for how long the stream may still be resumed
 }
 
+struct TurnPlace {
+  key @0 :UInt64;        # hash of the turn's id
+  offset @1 :Int64;      # of its first record in the partition of its key
+  size @2 :UInt32;       # bytes of its records
+  holder @3 :Text;       # incarnation of a daemon that has it in memory
+  seconds @4 :Float64;   # since it was stored
+}
+
+struct FetchedTurn {
+  records @0 :List(Data);  # as in the log
+  offset @1 :Int64;
+  size @2 :UInt32;
+  storedAt @3 :Float64;    # seconds since the epoch
+}
+
 enum Outcome {
   done @0;
   moved @1;        # the partition has another end, or holds only records from `end` on
@@ -65,10 +80,13 @@
   members @7 () -> (data :Data);
   reach @8 (incarnation :Text) -> (reached :Bool);
   appendAt @9 (topic :Text, partition :UInt32, records :List(Data), expectedEnd :Int64) -> (outcome :Outcome, end :Int64);
-  readFrom @10 (topic :Text, partition :UInt32, offset :Int64) -> (outcome :Outcome, records :List(Data), offset :Int64, end :Int64);
+  readFrom @10 (topic :Text, partition :UInt32, offset :Int64, maxKilobytes :UInt32) -> (outcome :Outcome, records :List(Data), offset :Int64, end :Int64);
   offline @12 (program :Text) -> (spent :Int64, drawn :Int64, fullHistory :Bool);  # spent without the log; drawn in all, as far as the receiver knows; whether it has run as long as any program
   grantRequests @13 (endpoint :Text, asker :Text, count :UInt32, urgency :UInt8, limited :Bool, perSecond :Float64, age :Float64) -> (isOwner :Bool, count :UInt32, waitSeconds :Float64, askers :UInt32, limited :Bool, perSecond :Float64, age :Float64);  # tokens for requests to an endpoint that names a limit; each side tells the limit that it knows and for how many seconds
   tellStreams @14 (streams :List(StreamOrigin)) -> ();
   findStream @15 (key :UInt64, service :Text) -> (service :Text, version :Text, onlyVersion :Text);  # empty where the receiver does not know it; onlyVersion if no stream of the service can have begun at another
+  tellTurns @16 (turns :List(TurnPlace)) -> ();
+  findTurn @17 (key :UInt64, readsLog :Bool) -> (isKnown :Bool, isAbsent :Bool, offset :Int64, size :UInt32, holder :Text, seconds :Float64);  # readsLog: read the turn's partition if it is not known; isAbsent: the partition was read to its end and has no such turn
+  fetchTurns @18 (ids :List(Text)) -> (turns :List(FetchedTurn));  # those that are in memory
   release @11 (program :Text) -> (tokens :Int64);  # the tokens that the receiver gives up
 }
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -44,6 +44,9 @@
         Answers a daemon that asks for tokens of an endpoint with a limit.
     tell_streams, find_stream : callable
         Take note of where streams of other daemons began, and tell it.
+    tell_turns, find_turn, fetch_turns : callable
+        Take note of where turns of conversations are, tell it, and give turns that
+        are in memory.
     has_full_history : callable
         Returns whether this daemon has run for as long as any program may have
         lasted.
@@ -67,6 +70,9 @@
         self.grant_requests: CallHandler = _refuse_call
         self.tell_streams: CallHandler = _refuse_call
         self.find_stream: CallHandler = _refuse_call
+        self.tell_turns: CallHandler = _refuse_call
+        self.find_turn: CallHandler = _refuse_call
+        self.fetch_turns: CallHandler = _refuse_call
 
 
 async def _serve_nothing(request: Request, responder: Responder) -> None:
--- a/src/eelgrasslock/peers/peer_connection.py
+++ b/src/eelgrasslock/peers/peer_connection.py
@@ -7,7 +7,7 @@
 import capnp
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.exceptions import EelgrassError
+from eelgrasslock.exceptions import EelgrassError, PeerCallUnsupported
 from eelgrasslock.peers.heartbeat_codec import (
     Heartbeat,
     HeartbeatDecoder,
@@ -22,6 +22,7 @@
 _PING_TIMEOUT_SECONDS = 3.0
 _PING_AFTER_SECONDS = 2.0
 _TRAVERSAL_LIMIT_WORDS = 16_777_216
+_UNIMPLEMENTED = "UNIMPLEMENTED"
 
 _Answer = TypeVar("_Answer")
 
@@ -190,11 +191,16 @@
         ------
         ConnectionLost
             If no answer comes in time; the connection is drained then.
+        PeerCallUnsupported
+            If the peer's build does not know the call; the connection is kept.
         """
         try:
             async with asyncio.timeout(timeout_seconds):
                 answer = await send(self.peer)
         except (capnp.KjException, OSError) as error:
+            if getattr(error, "type", "") == _UNIMPLEMENTED:
+                message = f"{self.incarnation} does not know the call."
+                raise PeerCallUnsupported(message) from error
             self.drain()
             raise ConnectionLost(f"{self.incarnation} gave no answer.") from error
         self._note_activity()
--- a/src/eelgrasslock/peers/peer_handlers.py
+++ b/src/eelgrasslock/peers/peer_handlers.py
@@ -174,12 +174,20 @@
         await self.connection.run(work())
 
     async def readFrom(  # noqa: N802
-        self, topic: str, partition: int, offset: int, _context: Any, **_: Any
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        maxKilobytes: int,  # noqa: N803
+        _context: Any,
+        **_: Any,
     ) -> None:
         """Read the log for a peer that can't reach it."""
 
         async def work() -> None:
-            found = await read_for_peer(self.callbacks.log, topic, partition, offset)
+            found = await read_for_peer(
+                self.callbacks.log, topic, partition, offset, maxKilobytes
+            )
             _context.results.outcome = found.outcome
             _context.results.records = list(found.records)
             _context.results.offset = found.offset
@@ -209,6 +217,24 @@
         """Return where a stream began."""
         await self.connection.run(self.callbacks.find_stream(message, _context.results))
 
+    async def tellTurns(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Take note of where turns that a peer has stored are."""
+        await self.connection.run(self.callbacks.tell_turns(message, _context.results))
+
+    async def findTurn(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Return where a turn is."""
+        await self.connection.run(self.callbacks.find_turn(message, _context.results))
+
+    async def fetchTurns(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Return turns that are in memory."""
+        await self.connection.run(self.callbacks.fetch_turns(message, _context.results))
+
     async def release(self, program: str, _context: Any, **_: Any) -> None:
         """Release the unspent tokens of a program."""
         _context.results.tokens = self.callbacks.release_allowance(program)
--- a/src/eelgrasslock/platform/store_client.py
+++ b/src/eelgrasslock/platform/store_client.py
@@ -23,7 +23,12 @@
     KeyedRecord,
     KeyedSnapshot,
 )
-from eelgrasslock.log.partitioned_log import AppendConflict, PartitionRead
+from eelgrasslock.log.partitioned_log import (
+    ANY_END,
+    NO_LIMIT,
+    AppendConflict,
+    PartitionRead,
+)
 
 STORE_TIMEOUT_SECONDS = 0.6
 MAX_READ_KILOBYTES = 1_024
@@ -31,6 +36,7 @@
 _APPEND_PATH = "/eelgrasslock/log-append"
 _READ_PATH = "/eelgrasslock/log-read"
 _SNAPSHOT_PATH = "/eelgrasslock/log-newest"
+_TRIM_PATH = "/eelgrasslock/log-trim"
 _LENGTH_PREFIX = struct.Struct(">I")
 _READ_HEAD = struct.Struct(">QQ")
 _OK = 200
@@ -135,7 +141,9 @@
         self, topic: str, partition: int, records: list[bytes], expected_end: int
     ) -> int:
         """Append if the partition ends at `expected_end`; return its new end."""
-        target = f"{_APPEND_PATH}?topic={topic}&part={partition}&asOf={expected_end}"
+        target = f"{_APPEND_PATH}?topic={topic}&part={partition}"
+        if expected_end != ANY_END:
+            target += f"&asOf={expected_end}"
         try:
             response = await self._call(
                 "POST", target, _frame_records(records), STORE_TIMEOUT_SECONDS
@@ -146,27 +154,37 @@
             raise AppendUnresolved("The response to an append was lost.") from error
         if response.status in (_OK, _PRECONDITION_FAILED):
             with _decoding(AppendUnresolved):
-                end = response.json()["end"]
-            if response.status == _PRECONDITION_FAILED:
-                raise AppendConflict(end)
-            return end
+                answer = response.json()
+                if response.status == _PRECONDITION_FAILED:
+                    raise AppendConflict(answer["end"])
+                if expected_end == ANY_END:
+                    return answer["offset"] + len(records)
+                return answer["end"]
         if response.status in _REJECTED_STATUSES:
             raise LogUnavailable(f"The store returned status {response.status}.")
         raise AppendUnresolved(f"The store returned status {response.status}.")
 
-    async def read_from(self, topic: str, partition: int, offset: int) -> PartitionRead:
-        """Return the records from an offset on."""
+    async def read_from(
+        self, topic: str, partition: int, offset: int, max_kilobytes: int = NO_LIMIT
+    ) -> PartitionRead:
+        """Return the records from an offset on, a first one at least."""
         response = await self._read(
-            topic, partition, offset, 0.0, STORE_TIMEOUT_SECONDS
+            topic, partition, offset, 0.0, STORE_TIMEOUT_SECONDS, max_kilobytes
         )
         end, records = _decode_read(response.body)
         return PartitionRead(
             records=tuple(records), offset=offset + len(records), end=end
         )
 
-    async def _append(self, target: str, records: list[bytes]) -> StoreResponse:
-        body = _frame_records(records)
-        return await self._call("POST", target, body, STORE_TIMEOUT_SECONDS)
+    async def trim(self, topic: str, partition: int, offset: int) -> None:
+        """Delete the records of a partition before an offset."""
+        target = f"{_TRIM_PATH}?topic={topic}&part={partition}&before={offset}"
+        try:
+            response = await self._call("POST", target, b"", STORE_TIMEOUT_SECONDS)
+        except (ConnectFailed, ConnectionBroken, TimeoutError) as error:
+            raise LogUnavailable(f"The store did not answer: {error!r}.") from error
+        if response.status != _OK:
+            raise LogUnavailable(f"The store returned status {response.status}.")
 
     async def _read(
         self,
@@ -175,9 +193,11 @@
         offset: int,
         wait_seconds: float,
         answer_seconds: float,
+        max_kilobytes: int = NO_LIMIT,
     ) -> StoreResponse:
+        kilobytes = min(max_kilobytes or MAX_READ_KILOBYTES, MAX_READ_KILOBYTES)
         target = f"{_READ_PATH}?topic={topic}&part={partition}&from={offset}"
-        target += f"&maxKb={MAX_READ_KILOBYTES}&waitMs={int(wait_seconds * 1_000)}"
+        target += f"&maxKb={kilobytes}&waitMs={int(wait_seconds * 1_000)}"
         return await self._get(target, wait_seconds + answer_seconds)
 
     async def _get(self, target: str, timeout_seconds: float) -> StoreResponse:
--- a/src/eelgrasslock_standins/platform_store.py
+++ b/src/eelgrasslock_standins/platform_store.py
@@ -21,6 +21,8 @@
 _HEAD = struct.Struct(">QQ")
 _PAGE = 500
 _SILENCE_SECONDS = 3_600.0
+_MAX_READ_KILOBYTES = 1_024
+_KILOBYTE = 1_024
 
 
 class Refusing(enum.StrEnum):
@@ -81,8 +83,24 @@
 
     def drop_history(self) -> None:
         """Forget all records, as retention does."""
-        self.first = self.end
-        self.records.clear()
+        self.drop_before(self.end)
+
+    def drop_before(self, offset: int) -> None:
+        """Forget the records before an offset."""
+        dropped = min(max(0, offset - self.first), len(self.records))
+        self.first += dropped
+        del self.records[:dropped]
+
+    def read(self, offset: int, max_bytes: int) -> list[bytes]:
+        """Return records from an offset on, a first one at least."""
+        found: list[bytes] = []
+        size = 0
+        for record in self.records[max(0, offset - self.first) :]:
+            size += len(record)
+            if found and size > max_bytes:
+                break
+            found.append(record)
+        return found
 
 
 class PlatformStoreStandin:
@@ -155,6 +173,7 @@
         app.router.add_post("/eelgrasslock/log-append", self._append)
         app.router.add_get("/eelgrasslock/log-read", self._read)
         app.router.add_get("/eelgrasslock/log-newest", self._newest)
+        app.router.add_post("/eelgrasslock/log-trim", self._trim)
         add_control(app, self.faults)
         return app
 
@@ -213,11 +232,18 @@
         if offset >= partition.end and seconds:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(partition.grown.wait(), seconds)
-        records = partition.records[max(0, offset - partition.first) :]
+        max_bytes = int(query.get("maxKb", _MAX_READ_KILOBYTES)) * _KILOBYTE
+        records = partition.read(offset, max_bytes)
         body = _HEAD.pack(partition.end, partition.first)
         body += b"".join(_LENGTH.pack(len(one)) + one for one in records)
         return web.Response(body=body)
 
+    async def _trim(self, request: web.Request) -> web.Response:
+        query = request.query
+        partition = self.store.partition(query["topic"], int(query["part"]))
+        partition.drop_before(int(query["before"]))
+        return web.json_response({})
+
     async def _newest(self, request: web.Request) -> web.Response:
         topic = request.query["topic"]
         after = request.query.get("after", "")
--- a/tests/budget_model.py
+++ b/tests/budget_model.py
@@ -78,9 +78,9 @@
             raise AppendUnresolved("lost")
         return end
 
-    async def read_from(self, topic, partition, offset):
+    async def read_from(self, topic, partition, offset, max_kilobytes=0):
         self.check(partition)
-        return await self.fleet.log.read_from(topic, partition, offset)
+        return await self.fleet.log.read_from(topic, partition, offset, max_kilobytes)
 
     async def snapshot(self, topic, answer_seconds=0.0):
         self.check()
@@ -116,8 +116,15 @@
         log = self.callbacks.log
         return await append_for_peer(log, topic, partition, records, expectedEnd)
 
-    async def readFrom(self, topic, partition, offset):  # noqa: N802
-        return await read_for_peer(self.callbacks.log, topic, partition, offset)
+    async def readFrom(  # noqa: N802
+        self,
+        topic,
+        partition,
+        offset,
+        maxKilobytes,  # noqa: N803
+    ):
+        log = self.callbacks.log
+        return await read_for_peer(log, topic, partition, offset, maxKilobytes)
 
 
 class ModelDaemon:
--- a/tests/memory_log.py
+++ b/tests/memory_log.py
@@ -7,7 +7,12 @@
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, RecordsExpired
-from eelgrasslock.log.partitioned_log import AppendConflict, PartitionRead
+from eelgrasslock.log.partitioned_log import (
+    ANY_END,
+    NO_LIMIT,
+    AppendConflict,
+    PartitionRead,
+)
 
 TURN_TOKENS = 100
 RETENTION = 300.0
@@ -52,7 +57,7 @@
             self.late_appends -= 1
             self.late.append((topic, partition, records, expected_end))
             raise AppendUnresolved("lost")
-        if expected_end != self.end(topic, partition):
+        if expected_end not in (ANY_END, self.end(topic, partition)):
             raise AppendConflict(self.end(topic, partition))
         self.records(topic, partition).extend(records)
         times = self.times.setdefault((topic, partition), [])
@@ -64,10 +69,10 @@
 
     def apply_late_appends(self):
         for topic, partition, records, expected_end in self.late:
-            if expected_end == self.end(topic, partition):
+            if expected_end in (ANY_END, self.end(topic, partition)):
                 self.records(topic, partition).extend(records)
 
-    async def read_from(self, topic, partition, offset):
+    async def read_from(self, topic, partition, offset, max_kilobytes=NO_LIMIT):
         self.reads += 1
         if not self.up:
             raise LogUnavailable("down")
@@ -75,8 +80,18 @@
         if offset < first:
             raise RecordsExpired(first)
         records = tuple(self.records(topic, partition)[offset - first :])
+        if max_kilobytes:
+            records = within_limit(records, max_kilobytes * 1_024)
         end = self.end(topic, partition)
-        return PartitionRead(records=records, offset=end, end=end)
+        offset += len(records)
+        return PartitionRead(records=records, offset=offset, end=end)
+
+    async def trim(self, topic, partition, offset):
+        if not self.up:
+            raise LogUnavailable("down")
+        first = self.first.get((topic, partition), 0)
+        del self.records(topic, partition)[: max(0, offset - first)]
+        self.first[(topic, partition)] = max(first, offset)
 
     def expire_all(self):
         for key, records in self.partitions.items():
@@ -99,6 +114,16 @@
         )
 
 
+def within_limit(records, max_bytes):
+    """Return the records that an answer holds, a first one at least."""
+    size = 0
+    for count, record in enumerate(records):
+        size += len(record)
+        if count and size > max_bytes:
+            return records[:count]
+    return records
+
+
 def make_manager(log, name, clock=None):
     clock = clock or ManualClock()
     return AllowanceManager(DrawLedger(log, 4, name, clock, RETENTION), clock)
--- a/tests/test_relay_messages.py
+++ b/tests/test_relay_messages.py
@@ -1,5 +1,7 @@
 """What daemons pass on to each other arrives as it was."""
 
+import json
+
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.gateway.relay_messages import (
     decode_head,
@@ -118,3 +120,39 @@
             Ran.NO,
         )
         assert found.retry_after == 0.5
+
+
+class TestOtherBuilds:
+    """A build knows the fields of a route that were published before it."""
+
+    PUBLISHED = frozenset(
+        (
+            "name",
+            "host",
+            "prefix",
+            "kind",
+            "services",
+            "timeout_seconds",
+            "target_latency_seconds",
+            "max_endpoints",
+            "priority",
+            "is_turn",
+            "resumable",
+            "max_event_gap_seconds",
+            "retention_seconds",
+        )
+    )
+
+    def told_route(self, context):
+        message = encode_relayed_request(context, 1.5, "a-1")
+        return message, json.loads(message.headers[":route"])
+
+    def test_no_field_is_told_that_the_oldest_build_rejects(self):
+        _, told = self.told_route(make_context())
+        assert set(told) == self.PUBLISHED
+
+    def test_fields_of_a_newer_build_are_ignored(self):
+        message, told = self.told_route(make_context())
+        message.headers[":route"] = json.dumps(told | {"of_a_newer_build": 1})
+        context = decode_relayed_request(message, None, {}, CODEC, 10.0)
+        assert context.route.prefix == "/turns/"
