--- /dev/null
+++ b/src/eelgrasslock/conversations/__init__.py
@@ -0,0 +1,1 @@
+"""Turns whose history the fleet keeps, so that callers send their new input only."""
--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -7,6 +7,7 @@
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.gateway.messages import GatewayRequest
 from eelgrasslock.gateway.request_context import RequestContext
+from eelgrasslock.gateway.turn_in_progress import TurnInProgress
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 _log = logger.bind(part="requests")
@@ -126,10 +127,25 @@
         "endpoints_age_ms": _milliseconds(context.endpoints_age_seconds),
         "tokens": context.tokens_used,
         "max_tokens": context.max_generated_tokens,
+        "prompt_tokens": context.request.prompt_tokens,
         "status": context.response_status,
         "named_limit": context.named_limit,
         "framing": framing.value if framing is not None else None,
         "in_event": context.in_event,
+        **_turn_fields(context.turn),
+    }
+
+
+def _turn_fields(turn: TurnInProgress | None) -> dict[str, object]:
+    if turn is None:
+        return {}
+    return {
+        "previous_turn": turn.request.previous_turn,
+        "chain_turns": len(turn.history.turns),
+        "chain_bytes": turn.history.size,
+        "chain_source": turn.history.source,
+        "chain_ms": _milliseconds(turn.look_up_seconds),
+        "store_ms": _milliseconds(turn.store_seconds),
     }
 
 
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -13,9 +13,14 @@
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.conversations.conversation_controller import (
+    ConversationController,
+    TrimmableLog,
+)
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.gateway.access_log import AccessLogger
 from eelgrasslock.gateway.attempts import AttemptRunner
+from eelgrasslock.gateway.conversations import Conversations
 from eelgrasslock.gateway.drainer import Drainer
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.endpoint_reports import EndpointReports
@@ -64,7 +69,7 @@
 _log = logger.bind(part="daemon")
 
 
-class GatewayLog(KeyedLog, PartitionedLog, Protocol):
+class GatewayLog(KeyedLog, PartitionedLog, TrimmableLog, Protocol):
     """The operations of the platform's log that the gateway uses."""
 
 
@@ -162,12 +167,24 @@
             self.ranking, self.mesh, self.version_watch, self.clock
         )
         self.stream_versions = StreamVersions(self.stream_controller)
+        self.conversation_controller = ConversationController(
+            self.ranking,
+            self.mesh,
+            self.log,
+            self.platform.log,
+            settings.store_partitions,
+            settings.conversation_cache_bytes,
+            self.clock,
+        )
         self.limit_controller.on_tokens = self.dispatcher.wake_up
         self.dispatcher.on_processed = self.limit_controller.request_tokens
         callbacks = self.mesh.callbacks
         callbacks.grant_requests = self.limit_controller.serve
         callbacks.tell_streams = self.stream_controller.serve_tell
         callbacks.find_stream = self.stream_controller.serve_find
+        callbacks.tell_turns = self.conversation_controller.directory.serve_tell
+        callbacks.find_turn = self.conversation_controller.directory.serve_find
+        callbacks.fetch_turns = self.conversation_controller.serve_fetch
 
     def _create_replicated_state(self) -> None:
         platform = self.platform
@@ -285,6 +302,8 @@
             AccessLogger(self.metrics, self.clock),
             self.load_shedder,
             self.stream_versions,
+            Conversations(self.conversation_controller, self.clock),
+            self.endpoint_registry,
         )
         self.peer_requests = PeerRequestHandler(
             self.handler, forwarder, self.platform.codec, self.clock
@@ -338,6 +357,9 @@
 
     def _configuration_changed(self) -> None:
         self.version_watch.extend_window(self.routing.table.resume_seconds)
+        self.conversation_controller.extend_retention(
+            self.routing.table.turn_retention_seconds
+        )
         self.listener.reload_limits()
         self._update_scheduler()
 
@@ -400,6 +422,7 @@
             )
         )
         runs += maintenance_loops(self.allowances, self.clock)
+        runs.append(self.conversation_controller.maintain_periodically())
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.readiness_server.start()
         await self.metrics_server.start()
@@ -424,6 +447,7 @@
         await self.metrics_server.stop()
         await self.limit_controller.stop()
         await self.stream_controller.stop()
+        await self.conversation_controller.stop()
         await self.links.stop()
         await self.dispatcher.stop()
         await self.mesh.stop()
--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from eelgrasslock.allowances.manager import AllowanceManager
+from eelgrasslock.conversations.conversation_controller import ConversationController
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.link_monitor import LinkMonitor
@@ -33,6 +34,7 @@
     links: LinkMonitor
     peer_forwarder: PeerForwarder
     peer_requests: PeerRequestHandler
+    conversation_controller: ConversationController
 
 
 def register_gauges(sources: GaugeSources) -> None:
@@ -73,6 +75,28 @@
         "Most calls for each engine place.",
         sources.load_shedder.max_load_ratio,
     )
+    conversations = sources.conversation_controller
+    watch("turns_stored", "Turns stored.", lambda: conversations.stored)
+    watch(
+        "turns_rewritten",
+        "Turns of long conversations stored again.",
+        lambda: conversations.rewritten,
+    )
+    watch(
+        "turns_in_memory_bytes",
+        "Memory of turns.",
+        lambda: conversations.cache.memory_bytes,
+    )
+    watch(
+        "turn_partition_reads",
+        "Reads of partitions for turns that no index had.",
+        lambda: conversations.directory.partition_reads,
+    )
+    watch(
+        "turns_refused",
+        "Whether turns are refused because they can't be stored.",
+        lambda: conversations.breaker.is_open,
+    )
     watch("accounts", "Programs known.", lambda: len(sources.allowances.accounts))
     watch("peak_memory_bytes", "The most memory held.", peak_memory_bytes)
 
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -1,5 +1,6 @@
 """Handles a request from route selection to its final response."""
 
+import asyncio
 import random
 
 import xxhash
@@ -10,6 +11,12 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError, Ran, Refusal
 from eelgrasslock.gateway.access_log import AccessLogEntry, AccessLogger
+from eelgrasslock.gateway.affinity import preferred_endpoint
+from eelgrasslock.gateway.conversations import (
+    MAX_INTERRUPT_SECONDS,
+    Conversations,
+)
+from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
 from eelgrasslock.gateway.messages import GatewayRequest
@@ -54,6 +61,10 @@
         Refuses new programs while engines are overloaded.
     stream_versions : StreamVersions
         Finds out at which version a resumed stream began.
+    conversations : Conversations
+        Keeps the chains of turns.
+    endpoint_registry : EndpointRegistry
+        The endpoints, one of which requests for the same object prefer.
 
     Attributes
     ----------
@@ -77,7 +88,11 @@
         access_logger: AccessLogger,
         load_shedder: LoadShedder,
         stream_versions: StreamVersions,
+        conversations: Conversations,
+        endpoint_registry: EndpointRegistry,
     ) -> None:
+        self.conversations = conversations
+        self.endpoint_registry = endpoint_registry
         self.stream_versions = stream_versions
         self.load_shedder = load_shedder
         self.access_logger = access_logger
@@ -154,19 +169,64 @@
             origin=origin,
         )
         log_entry.context = context
+        await self._begin_turn(context)
         reservation = await self._reserve(context)
+        self._prefer_endpoint(context)
         if reservation is None:
-            await self.forwarder.forward(context)
-            return
-        self._admit(context, reservation)
+            await self._forward(context)
+        else:
+            self._admit(context, reservation)
+            await self._forward_within(context, reservation)
+        if context.turn is not None:
+            await self.conversations.end(context.turn, context)
+
+    async def _begin_turn(self, context: RequestContext) -> None:
+        """Let a turn whose chain the fleet keeps carry the whole conversation."""
+        current = self.routing.current
+        assert current is not None
+        context.turn = await self.conversations.begin(
+            context.request,
+            context.route,
+            context.responder,
+            current.limits.max_body_bytes,
+        )
+        if context.turn is not None:
+            context.request = context.turn.request
+            context.responder = context.turn.recorder
+
+    async def _forward_within(
+        self, context: RequestContext, reservation: Reservation
+    ) -> None:
+        """Forward a turn whose tokens are reserved, and settle what it used."""
         try:
-            await self.forwarder.forward(context)
+            await self._forward(context)
             reservation.account.record_endpoint(
                 context.endpoint, context.request.session
             )
         finally:
             self.allowances.settle(reservation, context.tokens_used)
 
+    async def _forward(self, context: RequestContext) -> None:
+        """Forward a request; keep the events of a turn that breaks off."""
+        try:
+            await self.forwarder.forward(context)
+        except (ResponseTruncated, asyncio.CancelledError) as error:
+            if context.turn is not None:
+                task = self.conversations.interrupt(context.turn, context)
+                if task is not None and isinstance(error, ResponseTruncated):
+                    await asyncio.wait({task}, timeout=MAX_INTERRUPT_SECONDS)
+            raise
+
+    def _prefer_endpoint(self, context: RequestContext) -> None:
+        """Prefer the engine of the turn before, or the endpoint of the same object."""
+        if context.turn is not None and context.turn.preferred_endpoint:
+            context.preferred_endpoint = context.turn.preferred_endpoint
+        key = context.request.affinity_key
+        if key and context.route.is_sticky and not context.preferred_endpoint:
+            context.preferred_endpoint = preferred_endpoint(
+                self.endpoint_registry.entries.values(), context.service.name, key
+            )
+
     async def _wait_until_routing_is_current(self) -> None:
         """Wait for a read of the log if the active configuration may be outdated."""
         if self.routing.current is not None:
--- a/src/eelgrasslock/gateway/messages.py
+++ b/src/eelgrasslock/gateway/messages.py
@@ -54,6 +54,11 @@
     resumed_request : str
         The id of the request that brought the first event of the stream that this
         one resumes; empty for a new stream.
+    previous_turn : str
+        The id of the turn that this one continues from; empty at the start of a
+        chain.
+    affinity_key : str
+        Names the object that the request concerns; empty for none.
     """
 
     id: str
@@ -73,6 +78,8 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
     resumed_request: str = ""
+    previous_turn: str = ""
+    affinity_key: str = ""
 
     @property
     def path(self) -> str:
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -6,6 +6,7 @@
 from eelgrasslock.gateway.messages import GatewayRequest
 from eelgrasslock.gateway.responder import ResponseWriter
 from eelgrasslock.gateway.routes import Route, RouteKind, ServiceSpec
+from eelgrasslock.gateway.turn_in_progress import TurnInProgress
 from eelgrasslock.http.messages import Framing
 from eelgrasslock.streams.stream_controller import KnownOrigin
 
@@ -59,6 +60,8 @@
     endpoints_age_seconds : float or None
         How old the view of the endpoints was when the request was last sent, None
         before that.
+    turn : TurnInProgress or None
+        The turn with its chain, None unless the route keeps turns.
     """
 
     request: GatewayRequest
@@ -82,6 +85,7 @@
     origin: KnownOrigin | None = None
     endpoint_version: str = ""
     endpoints_age_seconds: float | None = None
+    turn: TurnInProgress | None = None
 
     @property
     def route_kind(self) -> str:
--- a/src/eelgrasslock/gateway/routes.py
+++ b/src/eelgrasslock/gateway/routes.py
@@ -74,6 +74,10 @@
         The latency objective between two events; 0 if none is configured.
     retention_seconds : float
         How long after a turn the program's next turn may come.
+    keeps_turns : bool
+        Whether turns carry their new input only, and the fleet keeps the rest.
+    is_sticky : bool
+        Whether an endpoint that served an object is faster when it comes again.
     """
 
     name: str
@@ -89,6 +93,8 @@
     resumable: bool = False
     max_event_gap_seconds: float = 0.0
     retention_seconds: float = 0.0
+    keeps_turns: bool = False
+    is_sticky: bool = False
 
     @property
     def resume_seconds(self) -> float:
@@ -215,6 +221,8 @@
         The highest priority of each service's turns.
     resume_seconds : float
         How long after its first event a stream of any route may be resumed.
+    turn_retention_seconds : float
+        The longest time for which a route keeps turns, 0 if none does.
     """
 
     def __init__(self, routes: tuple[Route, ...]) -> None:
@@ -223,6 +231,9 @@
         self.resume_seconds = max(
             (one.resume_seconds for one in routes if one.resumable), default=0.0
         )
+        self.turn_retention_seconds = max(
+            (one.retention_seconds for one in routes if one.keeps_turns), default=0.0
+        )
         for route in routes:
             self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
             for one in route.services if route.is_turn else ():
--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -8,6 +8,8 @@
 from eelgrasslock.configuration.structuring import structure
 from eelgrasslock.exceptions import Finding, SettingsError
 
+_MEGABYTE = 1_000_000
+
 
 @frozen(kw_only=True)
 class GatewaySettings:
@@ -42,6 +44,8 @@
     stable_window_milliseconds : float
         How long after an outage of the log its records count as written in calm:
         from then on the removal of an endpoint is final.
+    conversation_cache_megabytes : float
+        How much memory the turns of conversations may take.
     is_first_start : bool
         Whether the whole fleet starts for the first time, so that no program has
         been served yet.
@@ -61,6 +65,7 @@
     endpoint_leave_milliseconds: float = 2_000.0
     configuration_apply_milliseconds: float = 2_000.0
     stable_window_milliseconds: float = 3_000.0
+    conversation_cache_megabytes: float = 8.0
     is_first_start: bool = False
 
     @property
@@ -68,6 +73,11 @@
         """The bound for endpoints that leave, in seconds."""
         return self.endpoint_leave_milliseconds / 1_000
 
+    @property
+    def conversation_cache_bytes(self) -> int:
+        """The limit of the turns in memory, in bytes."""
+        return int(self.conversation_cache_megabytes * _MEGABYTE)
+
     @property
     def configuration_apply_seconds(self) -> float:
         """The bound for configurations, in seconds."""
--- a/src/eelgrasslock/operators/log_stories.py
+++ b/src/eelgrasslock/operators/log_stories.py
@@ -26,6 +26,13 @@
     "answer_lost": "The endpoint's answer was lost after it had been sent there.",
     "too_late": "Its time was over before the endpoint's answer was whole.",
     "daemon_leaving": "The daemon was about to end after SIGTERM.",
+    "no_such_turn": "The turn that it continues from does not exist, or is kept no "
+    "longer: the log was read to its end.",
+    "history_unknown": "The turns before it could not be read, from the log or from "
+    "another daemon.",
+    "turns_not_stored": "The log took no turns: it was refused, or its end was held "
+    "back until its time was over.",
+    "conversation_too_long": "The conversation has more bytes than a body may have.",
     "quarantined": "It had crashed the endpoints that ran it.",
     "broken_off": "The endpoint broke its answer off.",
     "caller_left": "The caller closed its connection first.",
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -19,6 +19,9 @@
 _PROMPT_PREFIX = "prompt-prefix"
 _LAST_EVENT_ID = "last-event-id"
 _RESUMES = "resumes"
+_PREVIOUS_TURN = "previous-turn"
+_COOKIE = "cookie"
+_AFFINITY_KEY = "Affinity-Key"
 _TOKEN_USAGE = "token-usage"
 _PROGRAM_ID = "program-id"
 _SESSION_ID = "session-id"
@@ -69,6 +72,7 @@
     }
 )
 _MAX_DIGITS = 18
+_MAX_ID_CHARACTERS = 256
 
 
 class PlatformMessageCodec:
@@ -107,6 +111,8 @@
             prompt_parts=_prompt_parts(values.get(_PROMPT_PREFIX, "")),
             last_event_id=_integer(values, _LAST_EVENT_ID),
             resumed_request=values.get(_RESUMES, ""),
+            previous_turn=_id(values, _PREVIOUS_TURN),
+            affinity_key=_cookie(headers, _AFFINITY_KEY),
         )
 
     def encode_request(
@@ -183,6 +189,25 @@
     return int(text)
 
 
+def _id(values: dict[str, str], name: str) -> str:
+    text = values.get(name, "")
+    if len(text) > _MAX_ID_CHARACTERS or not text.isprintable():
+        raise Refusal("bad_header", f"The header {name} is no id.", 400)
+    return text
+
+
+def _cookie(headers: list[Header], wanted: str) -> str:
+    """Return the value of a cookie, empty if there is none of that name."""
+    for header, text in headers:
+        if header.lower() != _COOKIE:
+            continue
+        for pair in text.split(";"):
+            name, _, value = pair.strip().partition("=")
+            if name == wanted:
+                return value.strip('"')
+    return ""
+
+
 def _token_usage(text: str) -> tuple[int, int]:
     prompt, _, output = text.partition(",")
     if prompt.strip().isdigit() and output.strip().isdigit():
--- a/src/eelgrasslock/platform/record_decoder.py
+++ b/src/eelgrasslock/platform/record_decoder.py
@@ -116,6 +116,13 @@
     return value
 
 
+def _flag(entry: dict[str, Any], name: str) -> bool:
+    value = entry.get(name, False)
+    if type(value) is not bool:
+        raise ValueError(f"{name} is neither true nor false.")
+    return value
+
+
 def _address(entry: dict[str, Any]) -> str:
     address = _non_empty_string(entry, "address")
     host, _, port = address.rpartition(":")
@@ -150,6 +157,8 @@
         resumable=bool(entry.get("resumable", False)),
         max_event_gap_seconds=entry.get("gapAimMs", 0) / 1_000,
         retention_seconds=float(entry.get("retentionS", 0.0)),
+        keeps_turns=kind is RouteKind.STREAM and _flag(entry, "retainsContext"),
+        is_sticky=_flag(entry, "sticky"),
     )
 
 
--- a/src/eelgrasslock/scheduling/placement.py
+++ b/src/eelgrasslock/scheduling/placement.py
@@ -23,6 +23,9 @@
 from eelgrasslock.scheduling.prefix_index import CHUNK_TOKENS, PrefixIndex
 
 MAX_UNSAMPLED_ENDPOINTS = 16
+# The run time of a call at the plain endpoint that served its object before, as a
+# share of that at another one.
+PREFERRED_RUN_SHARE = 0.5
 _RANDOM_CANDIDATES = 8
 _MAX_PREFIX_HOLDERS = 4
 _FULL_BATCH_SLOWDOWN = 0.6
@@ -197,17 +200,19 @@
         best: Choice | None = None
         for candidate in candidates:
             if candidate.state.kind is ServiceKind.PLAIN:
-                choice = self._plain_choice(candidate)
+                choice = self._plain_choice(call, candidate)
             else:
                 choice = self._engine_choice(call, output_tokens, candidate, source)
             if best is None or choice.cost < best.cost:
                 best = choice
         return best
 
-    def _plain_choice(self, candidate: Candidate) -> Choice:
+    def _plain_choice(self, call: Call, candidate: Candidate) -> Choice:
         state = candidate.state
         wait = self._wait_seconds(candidate)
         run = state.service_seconds
+        if state.name == call.preferred_endpoint:
+            run *= PREFERRED_RUN_SHARE
         occupancy = state.load(self.features.correction) / state.settings.batch_limit
         tie = 1e-6 * self.rng.random()
         cost = wait + run * (1.0 + occupancy) + tie
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -52,6 +52,10 @@
     ----------
     events : int
         How many events a stream has; 0 for a plain answer.
+    event_format : str
+        The bytes of an event, with the fields `number` and `id`.
+    chunk_bytes : int
+        The length of the chunks in which events are sent, 0 for one chunk an event.
     event_seconds : float
         The pause before each event.
     work_seconds : float
@@ -69,6 +73,8 @@
     """
 
     events: int = 0
+    event_format: str = "id: {number}\ndata: {id}\n\n"
+    chunk_bytes: int = 0
     event_seconds: float = 0.0
     work_seconds: float = 0.0
     load: str = ""
@@ -191,18 +197,28 @@
             if fault is Fault.TRUNCATED and number > self.events // 2:
                 gone.cancel()
                 return False
-            event = f"id: {number}\ndata: {run.id}\n\n".encode()
+            event = self.event_format.format(number=number, id=run.id).encode()
             if fault in _CUT_INSIDE and number > self.events // 2:
                 writer.write(event[:-1])
                 gone.cancel()
                 return self._end_inside(fault, writer)
-            writer.write(event if fault in _UNFRAMED else _chunk(event))
+            self._send_event(writer, event, fault)
         if fault not in _UNFRAMED:
             writer.write(_CHUNK_END)
         gone.cancel()
         run.finished = True
         return False
 
+    def _send_event(
+        self, writer: asyncio.StreamWriter, event: bytes, fault: Fault
+    ) -> None:
+        if fault in _UNFRAMED:
+            writer.write(event)
+            return
+        size = self.chunk_bytes or len(event)
+        for start in range(0, len(event), size):
+            writer.write(_chunk(event[start : start + size]))
+
     def _end_inside(self, fault: Fault, writer: asyncio.StreamWriter) -> bool:
         if fault is Fault.UNFRAMED_CUT:
             return False
--- /dev/null
+++ b/tests/test_conversations.py
@@ -0,0 +1,395 @@
+"""Turns that carry their new input only reach engines with their whole chain."""
+
+import asyncio
+
+import pytest
+
+from conversation_fleet import (
+    TALKS,
+    ConversationFleet,
+    data_of,
+    talk_route,
+)
+from eelgrasslock.conversations import conversation_controller
+from eelgrasslock.conversations.turn import turn_key
+from eelgrasslock_standins.platform_engine import Fault
+from platform_fleet import PlatformFleet, wait_until
+
+FORMATS = [
+    "id: {number}\ndata: {id} é\n\n",
+    "id: {number}\r\ndata: {id}\r\n\r\n",
+    "id: {number}\ndata: {id}\ndata:\ndata: two\n\n",
+    "id: {number}\ndata:\n\n",
+    ": ping\nid: {number}\nevent: token\ndata:{id}\n\n",
+]
+
+
+@pytest.fixture
+async def fleet():
+    async with PlatformFleet() as one:
+        yield ConversationFleet(one)
+
+
+def controllers(fleet):
+    return [one.application.conversation_controller for one in fleet.daemons]
+
+
+def forget(fleet):
+    """Let no daemon have anything in memory, as after the loss of all."""
+    for controller in controllers(fleet):
+        controller.cache = type(controller.cache)(8_000_000)
+        controller.directory.indexes.clear()
+
+
+def refuse(fleet, how):
+    for daemon in fleet.daemons:
+        daemon.faults.refusing = how
+
+
+class TestChains:
+    async def test_each_daemon_knows_the_turns_of_the_others(self, fleet):
+        await fleet.start()
+        texts = [f"input {number}\n".encode() for number in range(7)]
+        await fleet.say_all(texts)
+
+    @pytest.mark.parametrize("chunk_bytes", [0, 1, 7])
+    @pytest.mark.parametrize("event_format", FORMATS)
+    async def test_outputs_are_the_data_of_events(
+        self, fleet, event_format, chunk_bytes
+    ):
+        await fleet.start(event_format=event_format, chunk_bytes=chunk_bytes)
+        await fleet.say_all([b"a", b"\x00\xff\r\n", b"c"])
+
+    async def test_empty_inputs(self, fleet):
+        await fleet.start()
+        await fleet.say_all([b"", b"", b"c"])
+
+    async def test_two_turns_continue_from_one_at_two_daemons(self, fleet):
+        await fleet.start()
+        parent = await fleet.say_all([b"a", b"b"])
+        children = await asyncio.gather(
+            *(fleet.say(daemon, b"child", parent) for daemon in fleet.daemons)
+        )
+        for child in children:
+            assert fleet.bodies()[child.id] == parent.conversation + b"child"
+        await fleet.say_all([b"d"], children[0])
+        await fleet.say_all([b"e"], children[2])
+
+    async def test_the_engine_of_the_turn_before_is_preferred(self, fleet):
+        await fleet.start(engines=4)
+        said = await fleet.say(fleet.daemons[0], b"a")
+        for number in range(6):
+            said = await fleet.say(fleet.daemons[number % 3], b"b", said)
+        engines = [one for one in fleet.engines if one.ids()]
+        assert len(engines) == 1
+
+    async def test_a_turn_is_one_record(self, fleet):
+        await fleet.start()
+        await fleet.say_all([b"a", b"b", b"c"])
+        partitions = fleet.fleet.store.partitions.items()
+        records = [
+            one
+            for (topic, _), part in partitions
+            for one in part.records
+            if topic.startswith("turns-")
+        ]
+        assert len(records) == 3
+
+    async def test_long_inputs_take_several_records(self, fleet):
+        await fleet.start()
+        said = await fleet.say_all([b"a" * 700_000, b"b"])
+        forget(fleet)
+        await fleet.say_all([b"c"], said)
+
+    async def test_previous_turn_on_another_route_is_passed_on(self, fleet):
+        await fleet.start(routes=[talk_route(retainsContext=False)])
+        said = await fleet.say(fleet.daemons[0], b"a")
+        said = await fleet.say(fleet.daemons[0], b"b", said)
+        assert fleet.bodies()[said.id] == b"b"
+
+
+class TestLoss:
+    async def test_the_daemon_that_served_it_is_gone(self, fleet):
+        await fleet.start()
+        said = await fleet.say_all([b"a", b"b", b"c", b"d"])
+        await fleet.kill(fleet.daemons[0])
+        await fleet.say_all([b"e"], said)
+
+    async def test_all_daemons_are_gone(self, fleet):
+        await fleet.start()
+        said = await fleet.say_all([b"a", b"b", b"c"])
+        for daemon in list(fleet.daemons):
+            await fleet.kill(daemon)
+        await fleet.add_daemon()
+        await fleet.say_all([b"d", b"e"], said)
+
+    async def test_what_is_in_memory_is_only_a_cache(self, fleet):
+        await fleet.start()
+        said = await fleet.say_all([b"a", b"b", b"c"])
+        for number in range(3):
+            forget(fleet)
+            said = await fleet.say(fleet.daemons[number], b"d", said)
+            assert said.is_whole
+
+    async def test_a_turn_is_in_the_log_before_its_end(self, fleet):
+        await fleet.start(event_seconds=0.01)
+        daemon = fleet.daemons[0]
+        daemon.faults.slow_seconds = 0.3
+        task = asyncio.ensure_future(fleet.say(daemon, b"a"))
+        engine_runs = lambda: [run for one in fleet.engines for run in one.runs]
+        await wait_until(lambda: any(run.finished for run in engine_runs()))
+        await asyncio.sleep(0.1)
+        assert not task.done()
+        said = await task
+        assert said.is_whole
+
+    async def test_events_do_not_wait_for_the_log(self, fleet):
+        await fleet.start(event_seconds=0.01)
+        refuse(fleet, "silent")
+        request = fleet.fleet.request(f"{TALKS}x", "POST", b"a")
+        connection = await fleet.fleet.connect(fleet.daemons[0])
+        await connection.send(request)
+        received = b""
+        async with asyncio.timeout(0.3):
+            while received.count(b"\n\n") < 3:
+                received += await connection.read()
+        connection.close()
+
+
+class TestOutages:
+    async def test_a_turn_ends_once_the_log_is_back(self, fleet):
+        await fleet.start()
+        refuse(fleet, "busy")
+        task = asyncio.ensure_future(fleet.say(fleet.daemons[0], b"a"))
+        await asyncio.sleep(0.5)
+        assert not task.done()
+        refuse(fleet, "")
+        said = await task
+        assert said.is_whole
+        await fleet.say_all([b"b"], said)
+
+    async def test_a_turn_that_is_not_stored_has_no_end(self, fleet):
+        await fleet.start()
+        refuse(fleet, "reset")
+        said = await fleet.say(fleet.daemons[0], b"a", Deadline_Ms=600)
+        assert said.status == 200
+        assert not said.is_whole
+
+    async def test_turns_are_refused_while_they_could_not_end(self, fleet):
+        await fleet.start()
+        refuse(fleet, "silent")
+        await fleet.say(fleet.daemons[0], b"a", Deadline_Ms=1_200)
+        for _ in range(4):
+            refused = await fleet.say(fleet.daemons[0], b"b")
+            assert refused.status == 503
+            assert refused.id not in fleet.bodies()
+            await asyncio.sleep(0.2)
+
+    async def test_turns_are_served_soon_after_an_outage(self, fleet):
+        await fleet.start()
+        refuse(fleet, "silent")
+        await fleet.say(fleet.daemons[0], b"a", Deadline_Ms=1_200)
+        assert (await fleet.say(fleet.daemons[0], b"a")).status == 503
+        refuse(fleet, "")
+        await asyncio.sleep(1.2)
+        said = await fleet.say(fleet.daemons[0], b"b")
+        assert said.is_whole
+        assert (await fleet.say(fleet.daemons[0], b"c", said)).is_whole
+
+    @pytest.mark.parametrize("how", ["busy", "many", "reset", "silent"])
+    async def test_a_daemon_without_the_log_stores_through_a_peer(self, fleet, how):
+        await fleet.start()
+        said = await fleet.say(fleet.daemons[0], b"a")
+        fleet.daemons[1].faults.refusing = how
+        said = await fleet.say(fleet.daemons[1], b"b", said)
+        assert said.is_whole
+        forget(fleet)
+        await fleet.say_all([b"c"], said)
+
+    @pytest.mark.parametrize("fault", ["lose_answers", "late_answers"])
+    async def test_answers_of_the_log_are_lost(self, fleet, fault):
+        await fleet.start()
+        said = await fleet.say(fleet.daemons[0], b"a")
+        for daemon in fleet.daemons:
+            setattr(daemon.faults, fault, 2)
+        said = await fleet.say(fleet.daemons[1], b"b", said)
+        assert said.is_whole
+        for daemon in fleet.daemons:
+            setattr(daemon.faults, fault, 0)
+        await asyncio.sleep(0.3)
+        forget(fleet)
+        await fleet.say_all([b"c", b"d"], said)
+
+
+class TestUnknownTurns:
+    async def test_a_turn_that_never_was_is_not_found(self, fleet):
+        await fleet.start()
+        never = await fleet.say(fleet.daemons[0], b"a")
+        never.id = "never"
+        said = await fleet.say(fleet.daemons[1], b"b", never)
+        assert said.status == 404
+        assert said.id not in fleet.bodies()
+
+    async def test_unknown_is_not_absent(self, fleet):
+        await fleet.start()
+        said = await fleet.say(fleet.daemons[0], b"a")
+        forget(fleet)
+        refuse(fleet, "busy")
+        later = await fleet.say(fleet.daemons[1], b"b", said)
+        assert later.status == 503
+        assert later.id not in fleet.bodies()
+        refuse(fleet, "")
+        await asyncio.sleep(0.8)
+        await fleet.say_all([b"c"], said)
+
+    async def test_a_turn_that_broke_off_is_none(self, fleet):
+        await fleet.start(engines=1)
+        fleet.engines[0].faults.append(Fault.TRUNCATED)
+        broken = await fleet.say(fleet.daemons[0], b"a")
+        assert not broken.is_whole
+        assert (await fleet.say(fleet.daemons[1], b"b", broken)).status == 404
+
+    async def test_a_turn_that_failed_is_none(self, fleet):
+        await fleet.start(engines=1)
+        fleet.engines[0].faults.append(Fault.ERROR)
+        failed = await fleet.say(fleet.daemons[0], b"a")
+        assert failed.status == 500
+        assert (await fleet.say(fleet.daemons[1], b"b", failed)).status == 404
+
+    async def test_a_turn_is_kept_for_its_retention(self, fleet, monkeypatch):
+        margin = "RETENTION_MARGIN_SECONDS"
+        monkeypatch.setattr(conversation_controller, margin, 0.0)
+        await fleet.start(routes=[talk_route(retentionS=1.0)])
+        said = await fleet.say(fleet.daemons[0], b"a")
+        later = await fleet.say(fleet.daemons[1], b"b", said)
+        await asyncio.sleep(1.05)
+        assert (await fleet.say(fleet.daemons[2], b"c", said)).status == 404
+        later = await fleet.say(fleet.daemons[2], b"c", later)
+        assert later.is_whole or later.status == 404
+
+    async def test_a_bad_id_is_refused(self, fleet):
+        await fleet.start(daemons=1)
+        said = await fleet.say(fleet.daemons[0], b"a", Previous_Turn="x" * 300)
+        assert said.status == 400
+
+    async def test_a_conversation_over_the_limit_is_refused(self, fleet):
+        await fleet.start()
+        said = await fleet.say_all([b"a" * 1_400_000, b"b" * 1_400_000])
+        later = await fleet.say(fleet.daemons[2], b"c" * 1_400_000, said)
+        assert later.status == 413
+        assert later.id not in fleet.bodies()
+        await fleet.say_all([b"d"], said)
+
+
+class TestLongChains:
+    async def test_old_ancestors_are_written_again(self, fleet, monkeypatch):
+        monkeypatch.setattr(conversation_controller, "REWRITE_SECONDS", 0.3)
+        await fleet.start()
+        said = await fleet.say_all([b"a", b"b"])
+        await asyncio.sleep(0.4)
+        store = fleet.fleet.store
+        old_ends = {one: part.end for one, part in store.partitions.items()}
+        said = await fleet.say(fleet.daemons[2], b"c", said)
+        for place, end in old_ends.items():
+            if place[0].startswith("turns-"):
+                store.partitions[place].drop_before(end)
+        forget(fleet)
+        await fleet.say_all([b"d"], said)
+
+    async def test_records_that_nobody_needs_are_deleted(self, fleet, monkeypatch):
+        monkeypatch.setattr(conversation_controller, "TRIM_MARGIN_SECONDS", 0.0)
+        monkeypatch.setattr(conversation_controller, "REWRITE_SECONDS", 0.1)
+        await fleet.start(routes=[talk_route(retentionS=0.5)])
+        for controller in controllers(fleet):
+            controller.retention_seconds = 0.5
+        for number in range(40):
+            await fleet.say(fleet.daemons[number % 3], b"a")
+        await asyncio.sleep(0.7)
+        for number in range(40):
+            await fleet.say(fleet.daemons[number % 3], b"a")
+        for controller in controllers(fleet):
+            await controller.maintain()
+        assert fleet.fleet.store.calls["log-trim"] > 0
+        kept = [
+            one
+            for (topic, _), part in fleet.fleet.store.partitions.items()
+            for one in part.records
+            if topic.startswith("turns-")
+        ]
+        assert len(kept) < 60
+
+
+class TestResumedStreams:
+    async def start(self, fleet):
+        route = talk_route(resumable=True, maxAttempts=2)
+        await fleet.start(engines=1, routes=[route], events=8)
+        said = await fleet.say(fleet.daemons[0], b"a")
+        fleet.engines[0].faults.append(Fault.TRUNCATED)
+        broken = await fleet.say(fleet.daemons[1], b"b", said)
+        assert not broken.is_whole
+        return said, broken
+
+    async def resume(self, fleet, daemon, before, broken):
+        events = broken.received.count(b"\n\n")
+        said = await fleet.say(
+            daemon, b"b", before, Resumes=broken.id, Last_Event_Id=events
+        )
+        said.conversation = (
+            before.conversation + b"b" + data_of(broken.received + said.received)
+        )
+        return said
+
+    async def test_a_resumed_turn_has_all_its_events(self, fleet):
+        before, broken = await self.start(fleet)
+        said = await self.resume(fleet, fleet.daemons[2], before, broken)
+        assert said.is_whole
+        assert fleet.bodies()[said.id] == before.conversation + b"b"
+        said = await fleet.say_all([b"c"], said)
+
+    async def test_it_is_named_by_its_first_attempt_too(self, fleet):
+        before, broken = await self.start(fleet)
+        said = await self.resume(fleet, fleet.daemons[2], before, broken)
+        said.id = broken.id
+        await fleet.say_all([b"c"], said)
+
+    async def test_an_unknown_beginning_is_refused_as_not_run(self, fleet):
+        before, broken = await self.start(fleet)
+        broken.id = "unknown"
+        said = await self.resume(fleet, fleet.daemons[2], before, broken)
+        assert said.status == 503
+        assert said.id not in fleet.bodies()
+
+
+class TestPlacement:
+    async def test_keepers_are_the_same_at_all_daemons(self, fleet):
+        await fleet.start()
+        for number in range(20):
+            key = turn_key(f"r-{number}")
+            kept = {
+                tuple(entry.name for entry in one.directory.keepers(key)[:2])
+                for one in controllers(fleet)
+            }
+            assert len(kept) == 1
+            (names,) = kept
+            assert names[0][0] != names[1][0]
+
+    async def test_a_sticky_route_prefers_the_same_endpoint(self, fleet):
+        desk = talk_route(retainsContext=False) | {
+            "name": "kits",
+            "kind": "unsafe",
+            "service": "desk",
+            "pathPrefix": "/kits/",
+        }
+        await fleet.start(routes=[talk_route(), desk])
+        desks = [await fleet.fleet.endpoint("desk") for _ in range(4)]
+        for daemon in fleet.daemons:
+            registry = daemon.application.endpoint_registry
+            await wait_until(
+                lambda one=registry: all(d.id in one.entries for d in desks)
+            )
+        for number in range(12):
+            daemon = fleet.daemons[number % 3]
+            await fleet.fleet.call(
+                daemon, "/kits/x", "POST", b"o", Cookie="a=1; Affinity-Key=17; b=2"
+            )
+        assert sorted(len(one.runs) for one in desks) == [0, 0, 0, 12]
