--- a/src/eelgrasslock/conversations/turn_directory.py
+++ b/src/eelgrasslock/conversations/turn_directory.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 from loguru import logger
 
@@ -36,6 +36,7 @@
 # Each read may bring a whole partition, so that a flood of unknown ids is bounded.
 MAX_PARTITION_READS = 4
 
+_Result = TypeVar("_Result")
 _log = logger.bind(part="conversations")
 
 
@@ -136,27 +137,42 @@
     async def find(self, id: str) -> FoundTurn:
         """Return where a turn is, or that the log has none, as far as can be known.
 
-        The keepers are asked for what they know, then one of them reads the log,
-        and then this daemon does.
+        The keepers are asked at once for what they know, then one of them reads the
+        log, and then this daemon does.
         """
         key = turn_key(id)
+        place = self._index(key).find(key)
         keepers = self.keepers(key)[:KEEPERS]
-        own = self.ranking.registry.own
-        for entry in sorted(keepers, key=lambda one: one is not own):
-            found = await self._ask(entry, key, reads_log=False)
-            if found.place is not None:
-                return found
+        if place is None:
+            place = await self._ask_all(keepers, key)
+        if place is not None:
+            return FoundTurn(place=place, is_absent=False)
         for entry in keepers[:1]:
             found = await self._ask(entry, key, reads_log=True)
             if found.place is not None or found.is_absent:
                 return found
         return await self.look_up(key)
 
+    async def _ask_all(self, keepers: list[DaemonEntry], key: int) -> TurnPlace | None:
+        """Return the place that the first of several daemons gives who knows it."""
+        own = self.ranking.registry.own
+        pending = {
+            self._start(self._ask(entry, key, reads_log=False))
+            for entry in keepers
+            if entry is not own
+        }
+        while pending:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                if task.result().place is not None:
+                    return task.result().place
+        return None
+
     async def _ask(self, entry: DaemonEntry, key: int, reads_log: bool) -> FoundTurn:
         if entry is self.ranking.registry.own:
-            if reads_log:
-                return await self.look_up(key)
-            return FoundTurn(place=self._index(key).find(key), is_absent=False)
+            return await self.look_up(key)
         now = self.clock.monotonic()
         try:
             return await ask_place(self.mesh, entry, key, reads_log, now)
@@ -171,17 +187,20 @@
         if place is not None:
             return FoundTurn(place=place, is_absent=False)
         try:
-            await self._catch_up(self.turn_log.partition(key), index)
+            await self._catch_up(key, index)
         except LogError as error:
             _log.info("The partition of a turn can't be read: {}", error)
             return FoundTurn(place=index.find(key), is_absent=False)
         place = index.find(key)
         return FoundTurn(place=place, is_absent=place is None)
 
-    async def _catch_up(self, partition: TurnPartition, index: TurnIndex) -> None:
-        """Read a partition to its end, as it is when the read begins."""
+    async def _catch_up(self, key: int, index: TurnIndex) -> None:
+        """Read a partition to its end, unless another read finds the turn before."""
+        partition = self.turn_log.partition(key)
         lock = self._reading.setdefault(partition, asyncio.Lock())
         async with lock, self._read_slots:
+            if index.find(key) is not None:
+                return
             self.partition_reads += 1
             now = self.clock.monotonic()
             unreadable = await self.turn_log.catch_up(index, partition, now)
@@ -221,6 +240,8 @@
             for which this daemon is the first keeper.
         """
         self.health.forget_past()
+        registered = self.ranking.registry.entries.values()
+        self._unsupported &= {one.incarnation for one in registered}
         oldest = self.clock.monotonic() - seconds
         unneeded = []
         for partition, index in self.indexes.items():
@@ -248,7 +269,8 @@
             return
         self.health.record_silent(entry)
 
-    def _start(self, work: Coroutine[Any, Any, Any]) -> None:
+    def _start(self, work: Coroutine[Any, Any, _Result]) -> asyncio.Task[_Result]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
--- a/src/eelgrasslock/conversations/turn_messages.py
+++ b/src/eelgrasslock/conversations/turn_messages.py
@@ -12,8 +12,7 @@
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.peer_mesh import PeerMesh
 
-# A chain may be long and a link slow; the caller of the turn waits meanwhile.
-FETCH_TIMEOUT_SECONDS = 0.8
+# A daemon that is asked to read a partition waits for the log.
 READ_TIMEOUT_SECONDS = 0.8
 
 
@@ -136,7 +135,7 @@
     async def send(peer: Any) -> Any:
         return await peer.fetchTurns(ids=list(ids))
 
-    answer = await mesh.call(entry, send, FETCH_TIMEOUT_SECONDS)
+    answer = await mesh.call(entry, send)
     return [_decode_fetched(one) for one in answer.turns]
 
 
--- a/tests/conversation_model.py
+++ b/tests/conversation_model.py
@@ -208,6 +208,8 @@
         was.
     lost : list of str
         The turns that were told that the turn before them does not exist.
+    errors : list of Exception
+        What went wrong in any other way.
     """
 
     def __init__(self, seed, daemon_count):
@@ -226,6 +228,7 @@
         self.whole = []
         self.unasked = []
         self.lost = []
+        self.errors = []
         self.tries = self.served = self.refused = 0
         self.messages = self.appended = self.trimmed = 0
         for number in range(daemon_count):
@@ -234,6 +237,15 @@
     def make_peer(self, daemon):
         return ConversationPeer(daemon)
 
+    def start_task(self, work):
+        super().start_task(self.note_error(work))
+
+    async def note_error(self, work):
+        try:
+            await work
+        except Exception as error:
+            self.errors.append(error)
+
     def start_daemon(self, name, domain, run):
         daemon = ConversationDaemon(self, name, domain, f"{name}-{run}")
         self.daemons[name] = daemon
--- a/tests/test_conversation_model.py
+++ b/tests/test_conversation_model.py
@@ -104,6 +104,7 @@
         await kill_all(model, rng)
         await model.run(2.0, 0)
         stuck = await model.continue_all()
+        assert not model.errors
         assert not model.unasked
         assert not model.lost
         assert not stuck
--- a/tests/test_conversations.py
+++ b/tests/test_conversations.py
@@ -77,9 +77,11 @@
 
     async def test_the_engine_of_the_turn_before_is_preferred(self, fleet):
         await fleet.start(engines=4)
-        said = await fleet.say(fleet.daemons[0], b"a")
+        tokens = "20000,220"
+        said = await fleet.say(fleet.daemons[0], b"a", Token_Usage=tokens)
         for number in range(6):
-            said = await fleet.say(fleet.daemons[number % 3], b"b", said)
+            daemon = fleet.daemons[number % 3]
+            said = await fleet.say(daemon, b"b", said, Token_Usage=tokens)
         engines = [one for one in fleet.engines if one.ids()]
         assert len(engines) == 1
 
