--- a/src/eelgrasslock/conversations/turn_cache.py
+++ b/src/eelgrasslock/conversations/turn_cache.py
@@ -66,14 +66,15 @@
             self._turns.move_to_end(id)
         return cached
 
-    def put(self, turn: Turn, link: TurnLink, now: float) -> None:
-        """Add a turn, or replace it."""
+    def put(self, turn: Turn, link: TurnLink, now: float) -> CachedTurn:
+        """Add a turn, or replace it; one over the limit is not kept."""
         self._drop(turn.id)
         cached = CachedTurn(turn, link, now)
         self._turns[turn.id] = cached
         self.memory_bytes += cached.memory_bytes
         while self.memory_bytes > self.max_bytes:
             self._drop(next(iter(self._turns)))
+        return cached
 
     def drop_unused(self, since: float) -> None:
         """Drop the turns that were last used before a time."""
--- a/src/eelgrasslock/conversations/turn_directory.py
+++ b/src/eelgrasslock/conversations/turn_directory.py
@@ -51,8 +51,6 @@
         Calls the other daemons.
     turn_log : TurnLog
         The log.
-    incarnation : str
-        This daemon's incarnation.
     clock : Clock
         The source of time.
 
@@ -69,13 +67,11 @@
         ranking: DaemonRanking,
         mesh: PeerMesh,
         turn_log: TurnLog,
-        incarnation: str,
         clock: Clock,
     ) -> None:
         self.ranking = ranking
         self.mesh = mesh
         self.turn_log = turn_log
-        self.incarnation = incarnation
         self.clock = clock
         self.health = DaemonHealth(ranking, mesh, clock)
         self.indexes: dict[TurnPartition, TurnIndex] = {}
@@ -93,7 +89,7 @@
             key=turn_key(link.id),
             offset=link.offset,
             size=link.size,
-            holder=self.incarnation,
+            holder=self.ranking.registry.own.incarnation,
             stored_at=self.clock.monotonic(),
         )
         self._start(self._tell_keepers(place))
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -3,9 +3,7 @@
 import asyncio
 import random
 import secrets
-from typing import Protocol
 
-from attrs import frozen
 from loguru import logger
 
 from eelgrasslock.allowances.draw_ledger import DrawLedger
@@ -13,10 +11,6 @@
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
-from eelgrasslock.conversations.conversation_controller import (
-    ConversationController,
-    TrimmableLog,
-)
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.gateway.access_log import AccessLogger
 from eelgrasslock.gateway.attempts import AttemptRunner
@@ -27,37 +21,28 @@
 from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.gauges import register_gauges
 from eelgrasslock.gateway.handler import GatewayHandler
-from eelgrasslock.gateway.interfaces import MessageCodec, RecordDecoder
 from eelgrasslock.gateway.link_monitor import LinkMonitor
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadinessServer
+from eelgrasslock.gateway.log_followers import LogFollowers
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
 from eelgrasslock.gateway.peer_forwarder import NO_LINKS, PeerForwarder
 from eelgrasslock.gateway.peer_requests import PeerRequestHandler
+from eelgrasslock.gateway.platform_adapters import PlatformAdapters
 from eelgrasslock.gateway.routes import RequestLimits
 from eelgrasslock.gateway.routing import EndpointRegistryUpdater, RoutingState
 from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.gateway.settings import GatewaySettings
-from eelgrasslock.gateway.stream_versions import StreamVersions
+from eelgrasslock.gateway.shared_controllers import SharedControllers
 from eelgrasslock.http.pool import ConnectionPool
-from eelgrasslock.limits.limit_controller import LimitController
-from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
-from eelgrasslock.log.keyed_log import KeyedLog
-from eelgrasslock.log.partitioned_log import PartitionedLog
-from eelgrasslock.log.read_schedule import ReadSchedule, schedule_for_bound
-from eelgrasslock.peers import daemon_registry
 from eelgrasslock.peers.daemon_health import DaemonHealth
-from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.periodic import run_periodically
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
 from eelgrasslock.scheduling.load_shedding import LoadShedder
 from eelgrasslock.scheduling.scheduler import Scheduler
-from eelgrasslock.streams.stream_controller import StreamController
-from eelgrasslock.streams.version_watch import VersionWatch
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
-DAEMON_REGISTRY_READS = ReadSchedule(wait_seconds=8.0, pause_seconds=0.2)
 TICK_SECONDS = 0.1
 
 # The gateway gets no message when a program ends, so a finished program's context
@@ -69,29 +54,6 @@
 _log = logger.bind(part="daemon")
 
 
-class GatewayLog(KeyedLog, PartitionedLog, TrimmableLog, Protocol):
-    """The operations of the platform's log that the gateway uses."""
-
-
-@frozen(kw_only=True)
-class PlatformAdapters:
-    """The components that adapt the gateway to its platform.
-
-    Attributes
-    ----------
-    log : GatewayLog
-        The platform's log.
-    record_decoder : RecordDecoder
-        Decodes the records that the platform and its operators write to the log.
-    codec : MessageCodec
-        Decodes and encodes HTTP requests and responses.
-    """
-
-    log: GatewayLog
-    record_decoder: RecordDecoder
-    codec: MessageCodec
-
-
 class GatewayApplication:
     """One run of one gateway daemon; each start has an incarnation of its own.
 
@@ -158,33 +120,16 @@
         self.daemon_registry = self.peer_coordinator.daemon_registry
         self.load_exchange = self.peer_coordinator.load_exchange
         self.log = self.peer_coordinator.log
-        self.ranking = DaemonRanking(self.load_exchange, self.clock.monotonic)
-        self.limit_controller = LimitController(
-            self.ranking, self.mesh, self.scheduler, self.clock
-        )
-        self.version_watch = VersionWatch(self.clock, self._is_endpoints_view_current)
-        self.stream_controller = StreamController(
-            self.ranking, self.mesh, self.version_watch, self.clock
-        )
-        self.stream_versions = StreamVersions(self.stream_controller)
-        self.conversation_controller = ConversationController(
-            self.ranking,
-            self.mesh,
-            self.log,
+        self.shared = SharedControllers(
+            settings,
+            self.peer_coordinator,
             self.platform.log,
-            settings.store_partitions,
-            settings.conversation_cache_bytes,
+            self.scheduler,
+            lambda: self.followers.is_endpoints_view_current(),
             self.clock,
         )
-        self.limit_controller.on_tokens = self.dispatcher.wake_up
-        self.dispatcher.on_processed = self.limit_controller.request_tokens
-        callbacks = self.mesh.callbacks
-        callbacks.grant_requests = self.limit_controller.serve
-        callbacks.tell_streams = self.stream_controller.serve_tell
-        callbacks.find_stream = self.stream_controller.serve_find
-        callbacks.tell_turns = self.conversation_controller.directory.serve_tell
-        callbacks.find_turn = self.conversation_controller.directory.serve_find
-        callbacks.fetch_turns = self.conversation_controller.serve_fetch
+        self.shared.limits.on_tokens = self.dispatcher.wake_up
+        self.dispatcher.on_processed = self.shared.limits.request_tokens
 
     def _create_replicated_state(self) -> None:
         platform = self.platform
@@ -200,25 +145,16 @@
             self._update_scheduler,
             self._endpoint_reset,
         )
-        topics = platform.record_decoder.topics
-        self.configuration_follower = self._create_follower(
-            topics.configuration,
+        self.followers = LogFollowers(
+            platform.log,
+            platform.record_decoder.topics,
+            self.settings,
+            self.clock,
+            self.rng,
             self.routing,
-            schedule_for_bound(self.settings.configuration_apply_seconds),
-        )
-        self.endpoints_follower = self._create_follower(
-            topics.endpoints,
             self.registry_updater,
-            schedule_for_bound(self.settings.endpoint_leave_seconds),
+            self.daemon_registry,
         )
-        daemons_follower = self._create_follower(
-            daemon_registry.TOPIC, self.daemon_registry, DAEMON_REGISTRY_READS
-        )
-        self.followers = [
-            self.configuration_follower,
-            self.endpoints_follower,
-            daemons_follower,
-        ]
         ledger = DrawLedger(
             self.log,
             self.settings.store_partitions,
@@ -235,15 +171,8 @@
             self.settings.is_first_start,
         )
         self.peer_coordinator.register_callbacks(self.allowances)
-        self.peer_coordinator.last_log_response_at = self._last_log_response_at
-        self.peer_coordinator.log_outage_start = self._log_outage_start
-
-    def _create_follower(
-        self, topic: str, state: KeyedState, schedule: ReadSchedule
-    ) -> KeyedFollower:
-        return KeyedFollower(
-            self.platform.log, topic, state, self.clock, self.rng, schedule
-        )
+        self.peer_coordinator.last_log_response_at = self.followers.last_response_at
+        self.peer_coordinator.log_outage_start = self.followers.outage_start
 
     def _create_links(self) -> None:
         self.links = LinkMonitor(
@@ -254,7 +183,7 @@
         self.peer_forwarder = PeerForwarder(
             self.mesh,
             self.load_exchange,
-            DaemonHealth(self.ranking, self.mesh, self.clock),
+            DaemonHealth(self.shared.ranking, self.mesh, self.clock),
             self.links,
             self.clock,
             self.rng,
@@ -265,21 +194,21 @@
             self.endpoint_registry,
             self.scheduler,
             self.dispatcher,
-            self.limit_controller,
+            self.shared.limits,
             self.load_shedder,
             self.clock,
         )
         attempt_runner = AttemptRunner(
             self.pool,
             self.endpoint_registry,
-            self.endpoints_follower,
+            self.followers.endpoints,
             self.platform.codec,
             self.clock,
             self.metrics,
             self.settings.domain,
             self.scheduler.domain_breaker.is_tripped,
             self.links,
-            self.stream_versions,
+            self.shared.stream_versions,
             self.endpoint_reports,
         )
         forwarder = Forwarder(
@@ -293,7 +222,7 @@
         )
         self.handler = GatewayHandler(
             self.routing,
-            self.configuration_follower,
+            self.followers.configuration,
             self.allowances,
             forwarder,
             self.platform.codec,
@@ -301,8 +230,8 @@
             self.rng,
             AccessLogger(self.metrics, self.clock),
             self.load_shedder,
-            self.stream_versions,
-            Conversations(self.conversation_controller, self.clock),
+            self.shared.stream_versions,
+            Conversations(self.shared.conversations, self.clock),
             self.endpoint_registry,
         )
         self.peer_requests = PeerRequestHandler(
@@ -345,21 +274,8 @@
         current = self.routing.current
         return current.limits if current is not None else RequestLimits()
 
-    def _is_endpoints_view_current(self) -> bool:
-        follower = self.endpoints_follower
-        return follower.age() <= follower.schedule.max_age_seconds
-
-    def _watch_versions(self) -> None:
-        """Tell other daemons of streams under way once a second version serves."""
-        entries = self.endpoint_registry.entries.values()
-        self.version_watch.update((one.service, one.version) for one in entries)
-        self.stream_controller.tell_untold()
-
     def _configuration_changed(self) -> None:
-        self.version_watch.extend_window(self.routing.table.resume_seconds)
-        self.conversation_controller.extend_retention(
-            self.routing.table.turn_retention_seconds
-        )
+        self.shared.extend_times(self.routing.table)
         self.listener.reload_limits()
         self._update_scheduler()
 
@@ -367,8 +283,8 @@
         current = self.routing.current
         if current is None:
             return
-        self._watch_versions()
         entries = self.endpoint_registry.entries.values()
+        self.shared.watch_versions(entries)
         domains = sorted({entry.domain for entry in entries})
         self._daemon_count = 1 + len(self.daemon_registry.entries)
         self.scheduler.configure(
@@ -385,12 +301,6 @@
         self.scheduler.reset_endpoint(endpoint)
         self.endpoint_reports.forget(endpoint)
 
-    def _last_log_response_at(self) -> float:
-        return max(follower.last_response_at for follower in self.followers)
-
-    def _log_outage_start(self) -> float:
-        return min(follower.outage_started_at() for follower in self.followers)
-
     async def _tick(self) -> None:
         now = self.clock.monotonic()
         if self._last_tick_at:
@@ -400,9 +310,9 @@
         if self._daemon_count != 1 + len(self.daemon_registry.entries):
             self._update_scheduler()
         self.registry_updater.remove_expired()
-        self._watch_versions()
+        self.shared.watch_versions(self.endpoint_registry.entries.values())
         self.peer_forwarder.forget_past()
-        self.limit_controller.forget_others(self.endpoint_registry.entries.keys())
+        self.shared.limits.forget_others(self.endpoint_registry.entries.keys())
         self.scheduler.decay_reported_loads()
         self.dispatcher.wake_up()
 
@@ -413,7 +323,7 @@
         await self.pool.start()
         await self.dispatcher.start()
         await self.mesh.start()
-        runs = [follower.run() for follower in self.followers]
+        runs = [follower.run() for follower in self.followers.all]
         runs.append(self.peer_coordinator.register())
         runs.append(run_periodically(self.clock, lambda: TICK_SECONDS, self._tick))
         runs.append(
@@ -422,7 +332,7 @@
             )
         )
         runs += maintenance_loops(self.allowances, self.clock)
-        runs.append(self.conversation_controller.maintain_periodically())
+        runs.append(self.shared.conversations.maintain_periodically())
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.readiness_server.start()
         await self.metrics_server.start()
@@ -445,9 +355,7 @@
         await self.listener.stop()
         await self.readiness_server.stop()
         await self.metrics_server.stop()
-        await self.limit_controller.stop()
-        await self.stream_controller.stop()
-        await self.conversation_controller.stop()
+        await self.shared.stop()
         await self.links.stop()
         await self.dispatcher.stop()
         await self.mesh.stop()
--- a/src/eelgrasslock/gateway/conversations.py
+++ b/src/eelgrasslock/gateway/conversations.py
@@ -6,12 +6,9 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.conversations.conversation_controller import (
-    MAX_CHAIN_TURNS,
-    ConversationController,
-    History,
-)
+from eelgrasslock.conversations.conversation_controller import ConversationController
 from eelgrasslock.conversations.event_data import StreamEvent
+from eelgrasslock.conversations.history import History
 from eelgrasslock.conversations.refusals import conversation_too_long, turn_not_stored
 from eelgrasslock.conversations.turn import Turn
 from eelgrasslock.conversations.turn_codec import MAX_TURN_BYTES
@@ -26,6 +23,8 @@
 # How long a broken stream waits for the log before the caller sees that it broke.
 MAX_INTERRUPT_SECONDS = 0.1
 
+# The places of all turns of a chain are in the record of each turn.
+MAX_CHAIN_TURNS = 4_000
 # Left for the output and the list of ancestors in the records of a turn.
 _RECORD_RESERVE_BYTES = 400_000
 
@@ -66,13 +65,13 @@
             return None
         self.controller.check_can_store()
         started_at = self.clock.monotonic()
-        history = await self.controller.find_history(
+        history = await self.controller.finder.find_history(
             request.previous_turn, route.retention_seconds
         )
         _check_length(request, history, max_body_bytes)
         resumed = []
         if request.last_event_id:
-            resumed = await self.controller.find_interrupted(
+            resumed = await self.controller.finder.find_interrupted(
                 request.resumed_request, request.last_event_id
             )
         return TurnInProgress(
@@ -117,7 +116,10 @@
         )
         ids = {request.id, context.stream_id} - {""}
         await asyncio.gather(
-            *(self.controller.store(evolve(done, id=id), turn.history) for id in ids)
+            *(
+                self.controller.writer.store(evolve(done, id=id), turn.history)
+                for id in ids
+            )
         )
 
     def interrupt(
@@ -136,7 +138,7 @@
         self, context: RequestContext, events: list[StreamEvent]
     ) -> None:
         try:
-            await self.controller.store_interrupted(context.stream_id, events)
+            await self.controller.writer.store_interrupted(context.stream_id, events)
         except (LogUnavailable, AppendUnresolved) as error:
             _log.bind(request=context.request.id).info(
                 "The events of a stream that broke off are not stored: {}", error
--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -3,7 +3,6 @@
 from typing import Protocol
 
 from eelgrasslock.allowances.manager import AllowanceManager
-from eelgrasslock.conversations.conversation_controller import ConversationController
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.link_monitor import LinkMonitor
@@ -11,6 +10,7 @@
 from eelgrasslock.gateway.peer_forwarder import PeerForwarder
 from eelgrasslock.gateway.peer_requests import PeerRequestHandler
 from eelgrasslock.gateway.routing import RoutingState
+from eelgrasslock.gateway.shared_controllers import SharedControllers
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.load_shedding import LoadShedder
@@ -34,7 +34,7 @@
     links: LinkMonitor
     peer_forwarder: PeerForwarder
     peer_requests: PeerRequestHandler
-    conversation_controller: ConversationController
+    shared: SharedControllers
 
 
 def register_gauges(sources: GaugeSources) -> None:
@@ -75,12 +75,12 @@
         "Most calls for each engine place.",
         sources.load_shedder.max_load_ratio,
     )
-    conversations = sources.conversation_controller
-    watch("turns_stored", "Turns stored.", lambda: conversations.stored)
+    conversations = sources.shared.conversations
+    watch("turns_stored", "Turns stored.", lambda: conversations.writer.stored)
     watch(
         "turns_rewritten",
         "Turns of long conversations stored again.",
-        lambda: conversations.rewritten,
+        lambda: conversations.writer.rewritten,
     )
     watch(
         "turns_in_memory_bytes",
@@ -95,7 +95,7 @@
     watch(
         "turns_refused",
         "Whether turns are refused because they can't be stored.",
-        lambda: conversations.breaker.is_open,
+        lambda: conversations.writer.breaker.is_open,
     )
     watch("accounts", "Programs known.", lambda: len(sources.allowances.accounts))
     watch("peak_memory_bytes", "The most memory held.", peak_memory_bytes)
--- a/src/eelgrasslock/gateway/run.py
+++ b/src/eelgrasslock/gateway/run.py
@@ -9,7 +9,8 @@
 from loguru import logger
 
 from eelgrasslock.clock import SystemClock
-from eelgrasslock.gateway.application import GatewayApplication, PlatformAdapters
+from eelgrasslock.gateway.application import GatewayApplication
+from eelgrasslock.gateway.platform_adapters import PlatformAdapters
 from eelgrasslock.gateway.settings import GatewaySettings, load_gateway_settings
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.platform.headers import PlatformMessageCodec
--- a/src/eelgrasslock/gateway/turn_in_progress.py
+++ b/src/eelgrasslock/gateway/turn_in_progress.py
@@ -2,7 +2,7 @@
 
 from attrs import define
 
-from eelgrasslock.conversations.conversation_controller import History
+from eelgrasslock.conversations.history import History
 from eelgrasslock.gateway.messages import GatewayRequest
 from eelgrasslock.gateway.turn_recorder import TurnRecorder
 
--- a/tests/conversation_model.py
+++ b/tests/conversation_model.py
@@ -126,7 +126,7 @@
         self.check()
         self.fleet.messages += 1
         results = SimpleNamespace()
-        await self.daemon.controller.serve_fetch(message, results)
+        await self.daemon.controller.finder.serve_fetch(message, results)
         results.turns = [Message(**one) for one in results.turns]
         return results
 
@@ -306,7 +306,9 @@
         try:
             daemon.controller.check_can_store()
             parent = "" if previous is None else previous.id
-            history = await daemon.controller.find_history(parent, RETENTION_SECONDS)
+            history = await daemon.controller.finder.find_history(
+                parent, RETENTION_SECONDS
+            )
         except Refusal as refusal:
             self.note_refusal(refusal, said, previous, was_never)
             return None
@@ -332,7 +334,7 @@
         return said
 
     async def store(self, daemon, turn, history):
-        storing = asyncio.ensure_future(daemon.controller.store(turn, history))
+        storing = asyncio.ensure_future(daemon.controller.writer.store(turn, history))
         waiting = asyncio.ensure_future(self.clock.sleep(DEADLINE_SECONDS))
         await asyncio.wait({storing, waiting}, return_when=asyncio.FIRST_COMPLETED)
         is_stored = storing.done()
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -9,7 +9,8 @@
 from aiohttp.test_utils import TestServer
 
 from eelgrasslock.clock import SystemClock
-from eelgrasslock.gateway.application import GatewayApplication, PlatformAdapters
+from eelgrasslock.gateway.application import GatewayApplication
+from eelgrasslock.gateway.platform_adapters import PlatformAdapters
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectionPool
@@ -236,7 +237,7 @@
 
     def make_known(self, daemon, id, service="models", version="v1"):
         """Let a daemon know the version at which a stream began."""
-        controller = daemon.application.stream_controller
+        controller = daemon.application.shared.streams
         controller.begin(id, service, version, 10.0, True)
 
     async def turn(
--- a/tests/test_conversation_model.py
+++ b/tests/test_conversation_model.py
@@ -11,7 +11,7 @@
 import pytest
 
 from conversation_model import CACHE_BYTES, ConversationModel
-from eelgrasslock.conversations import conversation_controller
+from eelgrasslock.conversations import turn_writer
 from stream_model import DOMAINS
 
 SEEDS = [int(one) for one in os.environ.get("EELGRASSLOCK_SEEDS", "1,2").split(",")]
@@ -151,12 +151,12 @@
         assert model.trimmed
         assert not model.unasked
         assert not model.lost
-        rewritten = [one.controller.rewritten for one in model.daemons.values()]
+        rewritten = [one.controller.writer.rewritten for one in model.daemons.values()]
         assert sum(rewritten) > 100
         await model.stop()
 
     async def test_without_rewriting_a_long_chain_is_lost(self, monkeypatch):
-        monkeypatch.setattr(conversation_controller, "REWRITE_SECONDS", 1e9)
+        monkeypatch.setattr(turn_writer, "REWRITE_SECONDS", 1e9)
         model = ConversationModel(2, 3)
         await model.run(1.0, 0)
         model.start_task(model.run_program(turns=200))
--- a/tests/test_conversations.py
+++ b/tests/test_conversations.py
@@ -10,7 +10,11 @@
     data_of,
     talk_route,
 )
-from eelgrasslock.conversations import conversation_controller
+from eelgrasslock.conversations import (
+    conversation_controller,
+    history_finder,
+    turn_writer,
+)
 from eelgrasslock.conversations.turn import turn_key
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import PlatformFleet, wait_until
@@ -31,13 +35,13 @@
 
 
 def controllers(fleet):
-    return [one.application.conversation_controller for one in fleet.daemons]
+    return [one.application.shared.conversations for one in fleet.daemons]
 
 
 def forget(fleet):
     """Let no daemon have anything in memory, as after the loss of all."""
     for controller in controllers(fleet):
-        controller.cache = type(controller.cache)(8_000_000)
+        controller.cache.drop_unused(float("inf"))
         controller.directory.indexes.clear()
 
 
@@ -273,7 +277,7 @@
 
     async def test_a_turn_is_kept_for_its_retention(self, fleet, monkeypatch):
         margin = "RETENTION_MARGIN_SECONDS"
-        monkeypatch.setattr(conversation_controller, margin, 0.0)
+        monkeypatch.setattr(history_finder, margin, 0.0)
         await fleet.start(routes=[talk_route(retentionS=1.0)])
         said = await fleet.say(fleet.daemons[0], b"a")
         later = await fleet.say(fleet.daemons[1], b"b", said)
@@ -298,7 +302,7 @@
 
 class TestLongChains:
     async def test_old_ancestors_are_written_again(self, fleet, monkeypatch):
-        monkeypatch.setattr(conversation_controller, "REWRITE_SECONDS", 0.3)
+        monkeypatch.setattr(turn_writer, "REWRITE_SECONDS", 0.3)
         await fleet.start()
         said = await fleet.say_all([b"a", b"b"])
         await asyncio.sleep(0.4)
@@ -313,7 +317,7 @@
 
     async def test_records_that_nobody_needs_are_deleted(self, fleet, monkeypatch):
         monkeypatch.setattr(conversation_controller, "TRIM_MARGIN_SECONDS", 0.0)
-        monkeypatch.setattr(conversation_controller, "REWRITE_SECONDS", 0.1)
+        monkeypatch.setattr(turn_writer, "REWRITE_SECONDS", 0.1)
         await fleet.start(routes=[talk_route(retentionS=0.5)])
         for controller in controllers(fleet):
             controller.retention_seconds = 0.5
--- a/tests/test_endpoint_removal.py
+++ b/tests/test_endpoint_removal.py
@@ -36,7 +36,7 @@
         leaving = await fleet.endpoint()
         staying = await fleet.endpoint()
         daemon = await fleet.ready_daemon([leaving, staying])
-        follower = daemon.application.endpoints_follower
+        follower = daemon.application.followers.endpoints
         await self.hang_two_reads(daemon, follower)
         await asyncio.sleep(STABLE_WINDOW_SECONDS)
         fleet.unregister(leaving)
@@ -76,7 +76,7 @@
         leaving = await fleet.endpoint()
         staying = await fleet.endpoint()
         daemon = await fleet.ready_daemon([leaving, staying])
-        await lose_one_answer(daemon, daemon.application.endpoints_follower)
+        await lose_one_answer(daemon, daemon.application.followers.endpoints)
         if state == "gone":
             fleet.unregister(leaving)
         else:
@@ -88,7 +88,7 @@
         endpoint = await fleet.endpoint()
         daemon = await fleet.ready_daemon([endpoint])
         application = daemon.application
-        await lose_one_answer(daemon, application.configuration_follower)
+        await lose_one_answer(daemon, application.followers.configuration)
         fleet.configure(version=2)
         changed_at = time.monotonic()
         await wait_until(lambda: application.routing.current.version == 2)
@@ -173,7 +173,7 @@
         fleet.unregister(self.leaving)
         fleet.unregister(self.staying)
         another = await fleet.endpoint()
-        await self.grow_old(daemon.application.endpoints_follower)
+        await self.grow_old(daemon.application.followers.endpoints)
         call = asyncio.create_task(fleet.call(daemon, f"{LOOKUPS}x"))
         await asyncio.sleep(0.3)
         assert not call.done()
@@ -188,7 +188,7 @@
     async def test_a_request_waits_for_the_news_of_its_route(self, fleet, daemon):
         self.topics.add("keyed.op")
         fleet.configure(version=2, routes=[])
-        await self.grow_old(daemon.application.configuration_follower)
+        await self.grow_old(daemon.application.followers.configuration)
         call = asyncio.create_task(fleet.call(daemon, f"{LOOKUPS}x"))
         await asyncio.sleep(0.3)
         assert not call.done()
@@ -199,7 +199,7 @@
         self, fleet, daemon
     ):
         daemon.faults.refusing = "silent"
-        for follower in daemon.application.followers[:2]:
+        for follower in daemon.application.followers.all[:2]:
             await self.grow_old(follower)
         async with asyncio.timeout(1.0):
             assert (await fleet.call(daemon, f"{LOOKUPS}x"))[0] == 200
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -83,7 +83,7 @@
         arrivals = [run.arrived_at for run in limited.runs[told:]]
         assert any(not run.ran for run in limited.runs[told:])
         assert most_in_window(arrivals) <= allowed(5.0)
-        assert daemon.application.limit_controller.table.per_second(limited.id) == 5.0
+        assert daemon.application.shared.limits.table.per_second(limited.id) == 5.0
 
     async def test_another_daemon_grants_once_the_owner_is_gone(self, fleet):
         limited = await fleet.endpoint(limit="5.0")
@@ -92,7 +92,7 @@
             for number in range(3)
         ]
         await tell_all(fleet, daemons)
-        owners = daemons[0].application.limit_controller.owners
+        owners = daemons[0].application.shared.limits.owners
         name = owners.ranked(limited.id)[0].name
         owner = next(one for one in daemons if one.application.settings.name == name)
         await owner.application.stop()
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -56,7 +56,7 @@
         """Start daemons that have known one version for a while."""
         await self.start(versions=VERSIONS[:1])
         for daemon in self.daemons:
-            watch = daemon.application.version_watch
+            watch = daemon.application.shared.version_watch
             watch.window_seconds = WINDOW_SECONDS
         await wait_until(lambda: all(has_one_version(one) for one in self.daemons))
         return self
@@ -123,7 +123,7 @@
 
 
 def has_one_version(daemon):
-    return daemon.application.version_watch.only_version("models") == VERSIONS[0]
+    return daemon.application.shared.version_watch.only_version("models") == VERSIONS[0]
 
 
 @pytest.fixture
@@ -332,4 +332,4 @@
 
 
 def known_streams(daemon):
-    return len(daemon.application.stream_controller.table.origins)
+    return len(daemon.application.shared.streams.table.origins)
