--- a/tests/test_peer_costs.py
+++ b/tests/test_peer_costs.py
@@ -7,6 +7,18 @@
 import pytest
 
 from eelgrasslock.clock import SystemClock
+from eelgrasslock.conversations.history_finder import HistoryFinder
+from eelgrasslock.conversations.turn import Turn, TurnLink
+from eelgrasslock.conversations.turn_cache import TurnCache
+from eelgrasslock.conversations.turn_codec import encode_turn
+from eelgrasslock.conversations.turn_directory import TurnDirectory
+from eelgrasslock.conversations.turn_index import TurnIndex, TurnPlace
+from eelgrasslock.conversations.turn_log import TurnLog
+from eelgrasslock.conversations.turn_messages import (
+    ask_place,
+    fetch_turns,
+    tell_place,
+)
 from eelgrasslock.peers.heartbeat_codec import Heartbeat
 from eelgrasslock.peers.peer_callbacks import PeerCallbacks
 from eelgrasslock.peers.peer_connection import PeerConnection
@@ -21,6 +33,17 @@
 ENGINES = 22
 HEARTBEATS = 500
 ORIGINS = 2_000
+TURNS = 1_000
+MAX_CACHE_BYTES = 100_000
+LINK = TurnLink(id="r1", offset=7, size=19_000, stored_at=1_000.0)
+TURN = Turn(
+    id="r1",
+    parent="",
+    endpoint="e",
+    ended_at=1_000.0,
+    input=b"x" * 17_000,
+    output=b"y" * 1_600,
+)
 
 
 @pytest.fixture
@@ -33,6 +56,12 @@
         controller = StreamController(None, None, watch, clock)
         callbacks.tell_streams = controller.serve_tell
         callbacks.find_stream = controller.serve_find
+        finder = HistoryFinder(None, TurnCache(MAX_CACHE_BYTES), clock)
+        finder.cache.put(TURN, LINK, 0.0)
+        directory = TurnDirectory(None, None, TurnLog(None, 12), clock)
+        callbacks.tell_turns = directory.serve_tell
+        callbacks.find_turn = directory.serve_find
+        callbacks.fetch_turns = finder.serve_fetch
         server = PeerServer([], lambda: "server", callbacks, SystemClock())
         yield await server.start("127.0.0.1:0")
         await server.stop()
@@ -44,7 +73,7 @@
     def __init__(self, connection):
         self.connection = connection
 
-    async def call(self, entry, send):
+    async def call(self, entry, send, timeout_seconds=5.0):
         return await self.connection.call(send, 5.0)
 
 
@@ -106,3 +135,49 @@
         print(f"\norigin told: {seconds / ORIGINS * 1_000:.2f} ms, both sides")
         print(f"until it is known: {waited / ORIGINS * 1_000:.2f} ms on one machine")
         print(f"origin kept: {size:.0f} bytes")
+
+    async def test_turns_of_conversations(self, address):
+        connection = await PeerConnection.connect(
+            address, "server", "peer", [], SystemClock()
+        )
+        mesh = CountingMesh(connection)
+        tell = ask = fetch = 0.0
+        for number in range(TURNS):
+            place = make_place(number)
+            began = time.process_time()
+            await tell_place(mesh, None, [place], 0.0)
+            told = time.process_time()
+            found = await ask_place(mesh, None, number, False, 0.0)
+            asked = time.process_time()
+            fetched = await fetch_turns(mesh, None, ["r1"])
+            fetch += time.process_time() - asked
+            ask += asked - told
+            tell += told - began
+            assert found.place.offset == place.offset
+            assert fetched == [(TURN, LINK)]
+        began = time.process_time()
+        for _ in range(TURNS):
+            encode_turn(TURN)
+        encode = time.process_time() - began
+        tracemalloc.start()
+        index = TurnIndex()
+        for number in range(TURNS):
+            index.put(make_place(number))
+        size = tracemalloc.get_traced_memory()[0] / TURNS
+        tracemalloc.stop()
+        connection.close()
+        print(f"\nturn told: {tell / TURNS * 1_000:.2f} ms, both sides")
+        print(f"turn asked for: {ask / TURNS * 1_000:.2f} ms, both sides")
+        print(f"turn of 18.6 KB fetched: {fetch / TURNS * 1_000:.2f} ms, both sides")
+        print(f"turn encoded: {encode / TURNS * 1_000:.3f} ms")
+        print(f"place kept: {size:.0f} bytes")
+
+
+def make_place(number):
+    return TurnPlace(
+        key=number,
+        offset=2**40 + number,
+        size=19_000 + number,
+        holder=f"edge-a-{number % 7}-0123456789ab",
+        stored_at=float(number),
+    )
