--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import fcntl
 import os
 import pathlib
 import random
 import signal
 import socket
 import sys
+import tempfile
+from typing import TextIO
 
 import aiohttp
 
@@ -16,24 +19,53 @@
 _STOP_SECONDS = 30.0
 _POLL_SECONDS = 0.05
 _PORTS = range(20_000, 32_000)
+_BLOCK_PORTS = 1_500
 _RANDOM = random.SystemRandom()
+_LOCKS = pathlib.Path(tempfile.gettempdir()) / "eelgrasslock-test-ports"
+
+# The first ports of the blocks that this run has taken, with their lock files, which
+# stay open until it ends.
+_blocks: dict[int, TextIO] = {}
 
 
 def free_ports(count: int) -> list[int]:
     """Return loopback ports that nothing listens on now.
 
     They lie below the range that outgoing connections take theirs from, so
-    that a daemon which starts again finds its port free.
+    that a daemon which starts again finds its port free. They belong to blocks
+    that this run has locked, so that a run beside it takes others.
     """
     ports: list[int] = []
-    for port in _RANDOM.sample(_PORTS, len(_PORTS)):
-        if len(ports) == count:
+    while len(ports) < count:
+        taken = [port for first in _blocks for port in _block(first)]
+        for port in _RANDOM.sample(taken, len(taken)):
+            if len(ports) < count and port not in ports and _is_free(port):
+                ports.append(port)
+        if len(ports) < count and not _take_block():
             break
-        if _is_free(port):
-            ports.append(port)
     return ports
 
 
+def _block(first: int) -> range:
+    return range(first, min(first + _BLOCK_PORTS, _PORTS.stop))
+
+
+def _take_block() -> bool:
+    """Lock one more block of ports; return whether there was one."""
+    _LOCKS.mkdir(exist_ok=True)
+    firsts = [one for one in _PORTS[::_BLOCK_PORTS] if one not in _blocks]
+    for first in _RANDOM.sample(firsts, len(firsts)):
+        lock = (_LOCKS / str(first)).open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _blocks[first] = lock
+        return True
+    return False
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as one:
         try:
@@ -158,6 +190,9 @@
                 *arguments,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=sink,
+                # Else the kernel ends stopped daemons with SIGHUP when the shell
+                # that started the tests ends.
+                start_new_session=True,
                 env={**os.environ, "PYTHONPATH": str(_ROOT / "src"), **environment},
             )
         return process, errors
