--- a/tests/test_conversations.py
+++ b/tests/test_conversations.py
@@ -17,6 +17,7 @@
 )
 from eelgrasslock.conversations.turn import turn_key
 from eelgrasslock_standins.platform_engine import Fault
+from link_faults import Cut, LinkFaults
 from platform_fleet import PlatformFleet, wait_until
 
 FORMATS = [
@@ -379,6 +380,72 @@
         assert said.id not in fleet.bodies()
 
 
+class TestOtherParts:
+    async def test_a_daemon_without_links_says_turns_through_a_peer(self, fleet):
+        await fleet.start()
+        cut_off = fleet.daemons[0]
+        faults = LinkFaults(cut_off, fleet.engines)
+        said = await fleet.say(fleet.daemons[1], b"a")
+        faults.begin(Cut.REFUSE)
+        for _ in range(8):
+            await fleet.say(cut_off, b"other")
+        for daemon in [cut_off, fleet.daemons[2], cut_off]:
+            before = said.conversation
+            said = await fleet.say(daemon, b"b", said)
+            assert said.is_whole
+            assert fleet.bodies()[said.id] == before + b"b"
+
+    async def test_a_daemon_that_stops_ends_its_turns(self, fleet, monkeypatch):
+        module = "eelgrasslock.gateway.drainer"
+        monkeypatch.setattr(f"{module}.READINESS_PROPAGATION_SECONDS", 0.2)
+        await fleet.start(event_seconds=0.1)
+        stopping = fleet.daemons[0]
+        stopping.faults.slow_seconds = 0.2
+        texts = [f"input {number}".encode() for number in range(6)]
+        turns = [asyncio.ensure_future(fleet.say(stopping, one)) for one in texts]
+        engines = fleet.engines
+        await wait_until(lambda: sum(len(one.ids()) for one in engines) == 6)
+        await stopping.application.drain()
+        for said in await asyncio.gather(*turns):
+            assert said.is_whole
+            assert (await fleet.say(fleet.daemons[1], b"b", said)).is_whole
+
+    async def test_a_turn_of_another_program_may_be_continued(self, fleet):
+        await fleet.start()
+        said = await fleet.say(fleet.daemons[0], b"a", Program_Id="p1", Session_Id="s")
+        later = await fleet.say(
+            fleet.daemons[1], b"b", said, Program_Id="p2", Session_Id="t"
+        )
+        assert fleet.bodies()[later.id] == said.conversation + b"b"
+
+    async def test_a_repeated_id_names_the_last_of_its_turns(self, fleet):
+        await fleet.start()
+        await fleet.say(fleet.daemons[0], b"a", Request_Id="again")
+        said = await fleet.say(fleet.daemons[1], b"b", Request_Id="again")
+        forget(fleet)
+        later = await fleet.say(fleet.daemons[2], b"c", said)
+        assert fleet.bodies()[later.id] == said.conversation + b"c"
+
+    async def test_a_budget_counts_turns_of_a_conversation(self, fleet):
+        await fleet.start()
+        said = None
+        statuses = []
+        for number in range(6):
+            turn = await fleet.say(
+                fleet.daemons[number % 3],
+                b"a",
+                said,
+                Program_Id="p",
+                Session_Id="s",
+                Token_Budget=3 * 66,
+                Token_Usage="100,66",
+            )
+            statuses.append(turn.status)
+            said = turn if turn.is_whole else said
+        assert statuses[:3] == [200, 200, 200]
+        assert 402 in statuses[3:]
+
+
 class TestPlacement:
     async def test_keepers_are_the_same_at_all_daemons(self, fleet):
         await fleet.start()
