--- a/src/eelgrasslock/conversations/history_finder.py
+++ b/src/eelgrasslock/conversations/history_finder.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from attrs import evolve
 from loguru import logger
 
 from eelgrasslock.clock import Clock
@@ -90,7 +91,10 @@
         fetched = await self._fetch(holder, [id])
         if fetched:
             return fetched[id], "peer", holder
-        return await self._read(_link(id, found.place, self.clock)), "log", ""
+        cached = await self._read(_link(id, found.place, self.clock))
+        # An index that was read from the log does not know the age of its records.
+        cached.link = evolve(cached.link, stored_at=cached.turn.ended_at)
+        return cached, "log", ""
 
     async def _fetch_chain(
         self, holder: str, missing: Sequence[TurnLink]
--- a/tests/test_conversations.py
+++ b/tests/test_conversations.py
@@ -316,6 +316,18 @@
         forget(fleet)
         await fleet.say_all([b"d"], said)
 
+    async def test_the_age_of_a_record_is_known_after_a_restart(
+        self, fleet, monkeypatch
+    ):
+        monkeypatch.setattr(turn_writer, "REWRITE_SECONDS", 0.5)
+        await fleet.start()
+        said = await fleet.say_all([b"a"])
+        await asyncio.sleep(0.6)
+        forget(fleet)
+        await fleet.say(fleet.daemons[1], b"b", said)
+        rewritten = [one.writer.rewritten for one in controllers(fleet)]
+        assert rewritten == [0, 1, 0]
+
     async def test_records_that_nobody_needs_are_deleted(self, fleet, monkeypatch):
         monkeypatch.setattr(conversation_controller, "TRIM_MARGIN_SECONDS", 0.0)
         monkeypatch.setattr(turn_writer, "REWRITE_SECONDS", 0.1)
