Show that a request may end its engines again and again

Three daemons, engines that are back 0.8 s after their end, the request sent every 0.35 s to one daemon after the other.

--- a/src/eelgrasslock_standins/bare_server.py
+++ b/src/eelgrasslock_standins/bare_server.py
@@ -66,8 +66,9 @@
     _writers: set[asyncio.StreamWriter] = field(factory=set)
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port, or again on the one that it had."""
+        port = int(self.address.rpartition(":")[2]) if self.address else 0
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import enum
+import time
 from collections import deque
 
 from attrs import define, field
@@ -68,6 +69,10 @@
         What it says of its leaving with each answer, empty for nothing.
     crashes_on : bytes
         A body that ends the endpoint, empty for none.
+    crashes_on_target : str
+        A target that ends the endpoint, empty for none.
+    crashed_at : list of float
+        When it ended so, on the monotonic clock, in seconds.
     faults : deque of Fault
         One is used up by each request.
     """
@@ -81,6 +86,8 @@
     limit: str = ""
     leaving: str = ""
     crashes_on: bytes = b""
+    crashes_on_target: str = ""
+    crashed_at: list[float] = field(factory=list)
     faults: deque[Fault] = field(factory=deque)
     late: bytes = b""
 
@@ -117,7 +124,8 @@
             reset(writer)
             return False
         run.ran = True
-        if self.crashes_on and run.body == self.crashes_on:
+        if self._is_crashed_by(run):
+            self.crashed_at.append(time.monotonic())
             await self.stop()
             return False
         if fault is Fault.SILENT:
@@ -138,6 +146,11 @@
         await asyncio.sleep(self.work_seconds)
         return self._plain(run, fault, writer)
 
+    def _is_crashed_by(self, run: Run) -> bool:
+        if self.crashes_on and run.body == self.crashes_on:
+            return True
+        return run.target == self.crashes_on_target
+
     def _plain(self, run: Run, fault: Fault, writer: asyncio.StreamWriter) -> bool:
         body = f"answer to {run.id}".encode()
         stamp = self._stamp()
