Remember crashes of endpoints in the log, and recognise every one

What callers saw: a request that ends the engines that run it was sent to engines again and again, each time that the daemons that had seen it were replaced.

Causes: a request without a body had no digest, so that it was never a suspect; what a daemon saw of crashes was told by that daemon alone and lost with it; two endpoints that became unreachable at once, as by two copies of such a request, counted as a broken network; and one that restarted at once as a broken connection.

Change: each crash is a record of a keyed topic, which daemons follow and read before they are ready; a success removes the records. Every request has a digest, taken of what its caller sent and passed on to peers with it; copies are limited for those with a body, or once they are suspects. An endpoint that is unreachable beside others has crashed if one of its domain still takes connections, and one that restarted has crashed the calls that broke off just before. Crashes are kept by the daemon that saw them, so that a silent peer counts once and a withdrawn report hides no later crash. A stopping daemon writes crashes, draws and the end of its registration apart from each other.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -15,9 +15,11 @@
 from eelgrasslock.gateway.access_log import AccessLogger
 from eelgrasslock.gateway.attempts import AttemptRunner
 from eelgrasslock.gateway.conversations import Conversations
+from eelgrasslock.gateway.crash_records import CrashRecords
 from eelgrasslock.gateway.drainer import Drainer
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.endpoint_reports import EndpointReports
+from eelgrasslock.gateway.failure_classifier import FailureClassifier
 from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.gauges import register_gauges
 from eelgrasslock.gateway.handler import GatewayHandler
@@ -144,6 +146,14 @@
             self.endpoint_registry,
             self._update_scheduler,
             self._endpoint_reset,
+            self.scheduler.record_restart,
+        )
+        self.crash_records = CrashRecords(
+            platform.log,
+            self.scheduler.quarantine,
+            self.incarnation,
+            self.clock,
+            self.rng,
         )
         self.followers = LogFollowers(
             platform.log,
@@ -154,6 +164,7 @@
             self.routing,
             self.registry_updater,
             self.daemon_registry,
+            self.crash_records,
         )
         ledger = DrawLedger(
             self.log,
@@ -210,6 +221,9 @@
             self.links,
             self.shared.stream_versions,
             self.endpoint_reports,
+            FailureClassifier(
+                self.pool, self.endpoint_registry, self.links, self.clock
+            ),
         )
         forwarder = Forwarder(
             self.dispatcher,
@@ -259,6 +273,7 @@
             self.listener,
             self.allowances,
             self.peer_coordinator,
+            self.crash_records,
             self.settings,
         )
         register_gauges(self)
@@ -268,7 +283,8 @@
     def is_ready(self) -> bool:
         """Return whether the daemon accepts new connections."""
         has_endpoints = bool(self.endpoint_registry.entries)
-        return not self.draining and self.routing.current is not None and has_endpoints
+        is_informed = self.routing.current is not None and has_endpoints
+        return is_informed and self.followers.are_crashes_read and not self.draining
 
     def _request_limits(self) -> RequestLimits:
         current = self.routing.current
@@ -332,6 +348,14 @@
             )
         )
         runs += maintenance_loops(self.allowances, self.clock)
+        runs.append(self.crash_records.write_changes())
+        runs.append(
+            run_periodically(
+                self.clock,
+                self.crash_records.expiry_check_seconds,
+                self.crash_records.expire,
+            )
+        )
         runs.append(self.shared.conversations.maintain_periodically())
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.readiness_server.start()
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -9,6 +9,7 @@
 from eelgrasslock.gateway.attempt_result import AttemptOutcome, AttemptResult
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.gateway.endpoint_reports import EndpointReports
+from eelgrasslock.gateway.failure_classifier import FailureClassifier
 from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
 from eelgrasslock.gateway.link_monitor import LinkMonitor
 from eelgrasslock.gateway.messages import EndpointResponse
@@ -27,8 +28,6 @@
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 NON_IDEMPOTENT_MAX_IDLE_SECONDS = 2.5
-CORRELATION_DELAY_SECONDS = 0.05
-CORRELATION_WINDOW_SECONDS = 0.5
 MAX_BUFFERED_BODY_BYTES = 65_536
 MAX_DISCARDED_BODY_BYTES = 65_536
 DISCARD_SECONDS = 0.1
@@ -64,11 +63,8 @@
         Records at which versions streams begin.
     reports : EndpointReports
         Takes what endpoints say of themselves.
-
-    Attributes
-    ----------
-    unreachable_at : dict of str to float
-        When a connection to an endpoint last failed, on the monotonic clock.
+    failures : FailureClassifier
+        Tells crashes of endpoints from broken connections.
     """
 
     def __init__(
@@ -84,11 +80,12 @@
         links: LinkMonitor,
         stream_versions: StreamVersions,
         reports: EndpointReports,
+        failures: FailureClassifier,
     ) -> None:
+        self.failures = failures
         self.reports = reports
         self.links = links
         self.stream_versions = stream_versions
-        self.unreachable_at: dict[str, float] = {}
         self.domain = domain
         self.is_domain_tripped = is_domain_tripped
         self.metrics = metrics
@@ -119,8 +116,7 @@
         try:
             connection = await self.pool.acquire(record.address, max_idle_seconds)
         except ConnectFailed as error:
-            self.unreachable_at[record.id] = self.clock.monotonic()
-            self.links.record_failed(record)
+            self.failures.record_unreachable(record)
             _log.bind(request=context.request.id, endpoint=endpoint).info("{}", error)
             outcome = AttemptOutcome.NOT_SENT
             if self.links.is_lost:
@@ -167,7 +163,7 @@
                 first_byte_seconds
             )
         except ConnectionBroken as error:
-            return await self._classify_failure(context, record, error)
+            return await self._classify(context, record, error)
         context.response_framing = head.framing
         response = self.codec.decode_response(head, context.request.id)
         limit = response.request_limit
@@ -183,7 +179,7 @@
         try:
             await self._relay_response(context, record, response, connection)
         except ConnectionBroken as error:
-            result = await self._classify_failure(context, record, error)
+            result = await self._classify(context, record, error)
             if context.responder.started:
                 context.endpoint_crashed = result.outcome is AttemptOutcome.CRASHED
                 raise ResponseTruncated(str(error)) from error
@@ -287,43 +283,19 @@
             raise ConnectionBroken("The stream ended inside an event.", True)
         await responder.finish()
 
-    async def _classify_failure(
+    async def _classify(
         self, context: RequestContext, record: EndpointRecord, error: ConnectionBroken
     ) -> AttemptResult:
-        """Return whether an endpoint crashed or only lost the connection.
-
-        A crashed endpoint accepts no new connection. If the endpoint accepts one,
-        the connection is kept for the next request.
-        """
-        try:
-            connection = await self.pool.acquire(record.address, 0.0)
-        except ConnectFailed:
-            self.links.record_failed(record)
-            self.pool.drop(record.address)
-            is_isolated = await self._is_isolated_failure(record)
-            outcome = AttemptOutcome.CRASHED if is_isolated else AttemptOutcome.BROKEN
-        else:
-            self.links.record_opened()
-            outcome = AttemptOutcome.BROKEN
-            self.pool.release(record.address, connection, None)
+        """Return what became of the endpoint of a broken connection."""
+        outcome = await self.failures.classify(record)
         _log.bind(
-            request=context.request.id, endpoint=record.id, end=outcome.value
+            request=context.request.id,
+            digest=context.digest,
+            endpoint=record.id,
+            end=outcome.value,
         ).info("Connection lost before the response was complete: {}", error)
         return AttemptResult(outcome=outcome)
 
-    async def _is_isolated_failure(self, record: EndpointRecord) -> bool:
-        """Return whether this is the only endpoint that became unreachable.
-
-        Several endpoints that become unreachable at the same time have not crashed:
-        the network between them and this daemon is interrupted.
-        """
-        self.unreachable_at[record.id] = self.clock.monotonic()
-        await self.clock.sleep(CORRELATION_DELAY_SECONDS)
-        since = self.clock.monotonic() - CORRELATION_WINDOW_SECONDS
-        recent = {one for one, time in self.unreachable_at.items() if time >= since}
-        self.unreachable_at = {one: self.unreachable_at[one] for one in recent}
-        return recent <= {record.id}
-
 
 async def _discard_body(connection: HTTPConnection, framing: Framing) -> None:
     """Keep the connection if the body soon ends, else close it."""
--- /dev/null
+++ b/src/eelgrasslock/gateway/crash_records.py
@@ -0,0 +1,256 @@
+"""Crashes of endpoints in the log, so that they outlive the daemons that saw them.
+
+A keyed topic holds one record for each daemon and digest. A daemon writes the records
+of the crashes that it saw; any daemon removes the records of a request that has
+completed, and those that have expired.
+"""
+
+import asyncio
+import json
+import random
+
+from attrs import frozen
+from loguru import logger
+
+from eelgrasslock.backoff import Backoff
+from eelgrasslock.clock import Clock
+from eelgrasslock.exceptions import LogUnavailable, RecordError
+from eelgrasslock.log.keyed_log import KeyedLog, KeyedRecord
+from eelgrasslock.scheduling.quarantine import SUSPECT_EXPIRY_SECONDS, Quarantine
+
+TOPIC = "keyed.crashes"
+EXPIRY_CHECK_SECONDS = 60.0
+MAX_RECORDS = 10_000
+MAX_RECORDS_PER_WRITE = 200
+MAX_CRASHES = 1_000
+_KEY_SEPARATOR = "/"
+
+_log = logger.bind(part="crashes")
+
+
+@frozen(kw_only=True)
+class CrashRecord:
+    """The crashes during which one daemon had a request in flight.
+
+    Attributes
+    ----------
+    digest : str
+        The digest of the request.
+    author : str
+        The incarnation of the daemon.
+    crashes : int
+        How many crashes it saw.
+    at : float
+        When it saw the last one, in seconds since the epoch.
+    """
+
+    digest: str
+    author: str
+    crashes: int
+    at: float
+
+    @property
+    def key(self) -> str:
+        """The key of the record."""
+        return make_key(self.digest, self.author)
+
+    def encode(self) -> bytes:
+        """Return the value of the record."""
+        return json.dumps({"crashes": self.crashes, "at": self.at}).encode()
+
+
+def make_key(digest: str, author: str) -> str:
+    """Return the key of a record."""
+    return f"{digest}{_KEY_SEPARATOR}{author}"
+
+
+def decode_crash_record(record: KeyedRecord) -> CrashRecord:
+    """Decode a record; it has no crashes if it was removed.
+
+    Raises
+    ------
+    RecordError
+        If it can't be decoded.
+    """
+    digest, separator, author = record.key.partition(_KEY_SEPARATOR)
+    if not (digest and separator and author):
+        raise RecordError(f"{record.key!r} names no digest and daemon.")
+    if not record.value:
+        return CrashRecord(digest=digest, author=author, crashes=0, at=0.0)
+    try:
+        fields = json.loads(record.value)
+        crashes, at = fields["crashes"], float(fields["at"])
+    except (KeyError, TypeError, ValueError, OverflowError, RecursionError) as error:
+        raise RecordError(f"The value can't be read: {error!r}.") from error
+    if type(crashes) is not int or not 0 < crashes <= MAX_CRASHES:
+        raise RecordError("crashes is not a number of crashes.")
+    return CrashRecord(digest=digest, author=author, crashes=crashes, at=at)
+
+
+class CrashRecords:
+    """Keeps the quarantine and the topic of crashes in step.
+
+    Parameters
+    ----------
+    log : KeyedLog
+        The log that holds the topic.
+    quarantine : Quarantine
+        Counts the crashes.
+    incarnation : str
+        This daemon's incarnation.
+    clock : Clock
+        The source of time.
+    rng : random.Random
+        Draws the jitter of retries.
+
+    Attributes
+    ----------
+    records : dict of str to CrashRecord
+        The records in the log, by key.
+    pending : dict of str to None
+        The digests whose records must be written or removed.
+    written : dict of str to float
+        The times in this daemon's newest records, by digest.
+    """
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        quarantine: Quarantine,
+        incarnation: str,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.log = log
+        self.quarantine = quarantine
+        self.incarnation = incarnation
+        self.clock = clock
+        self.backoff = Backoff(rng)
+        self.rng = rng
+        self.records: dict[str, CrashRecord] = {}
+        self.pending: dict[str, None] = {}
+        self.written: dict[str, float] = {}
+        self._is_pending = asyncio.Event()
+        quarantine.on_change = self._note_change
+
+    # --- the log's records, see `keyed_follower.KeyedState` ---------------------
+
+    def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Apply a snapshot of the topic."""
+        kept = {record.key for record in records}
+        for key in self.records.keys() - kept:
+            self._remove(self.records[key])
+        self.apply(records)
+
+    def apply(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Apply later records, in order."""
+        for record in records:
+            try:
+                decoded = decode_crash_record(record)
+            except RecordError as error:
+                _log.warning("Ignored an unreadable record of a crash: {}", error)
+                continue
+            self._apply(decoded)
+
+    def set_log_unavailable(self, unavailable: bool, read_sent_at: float) -> None:
+        """Keep the records, whether the log is available or not."""
+
+    def _apply(self, record: CrashRecord) -> None:
+        if not record.crashes:
+            self._remove(record)
+        elif len(self.records) < MAX_RECORDS or record.key in self.records:
+            self.records[record.key] = record
+            if record.author != self.incarnation:
+                self.quarantine.load_record(
+                    record.author, record.digest, record.crashes
+                )
+
+    def _remove(self, record: CrashRecord) -> None:
+        """Clear the crashes of a record that was removed.
+
+        An own record that was written again since then has not been read yet.
+        """
+        removed = self.records.pop(record.key, None)
+        if record.author != self.incarnation:
+            self.quarantine.load_record(record.author, record.digest, 0)
+        elif removed is not None and removed.at == self.written.get(record.digest):
+            del self.written[record.digest]
+            self.quarantine.forget_own(record.digest)
+
+    # --- writing ----------------------------------------------------------------
+
+    async def write_changes(self) -> None:
+        """Write what has changed, until cancelled; repeat what the log did not take."""
+        while True:
+            await self._is_pending.wait()
+            try:
+                await self.flush()
+            except LogUnavailable as error:
+                _log.info("Records of crashes are not written yet: {}", error)
+                await self.clock.sleep(self.backoff.next())
+            else:
+                self.backoff.reset()
+
+    async def flush(self) -> None:
+        """Write the records of all digests that have changed.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log did not answer; the records are written later.
+        """
+        while self.pending:
+            digests = list(self.pending)[:MAX_RECORDS_PER_WRITE]
+            self.pending = {one: None for one in self.pending if one not in digests}
+            items = [item for digest in digests for item in self._items(digest)]
+            try:
+                if items:
+                    await self.log.put_all(TOPIC, items)
+            except BaseException:
+                self.pending = dict.fromkeys(digests) | self.pending
+                raise
+        self._is_pending.clear()
+
+    async def expire(self) -> None:
+        """Remove the records of crashes that are long past.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log did not answer.
+        """
+        oldest = self.clock.now() - SUSPECT_EXPIRY_SECONDS
+        expired = [one.key for one in self.records.values() if one.at < oldest]
+        if expired:
+            items = [(key, b"") for key in expired[:MAX_RECORDS_PER_WRITE]]
+            await self.log.put_all(TOPIC, items)
+
+    def expiry_check_seconds(self) -> float:
+        """Return the time to the next check, so that daemons don't check at once."""
+        return self.rng.uniform(0.5, 1.5) * EXPIRY_CHECK_SECONDS
+
+    def _note_change(self, digest: str) -> None:
+        self.pending[digest] = None
+        self._is_pending.set()
+
+    def _items(self, digest: str) -> list[tuple[str, bytes]]:
+        """Return the records to write for a digest; an empty value removes one.
+
+        A digest without crashes has completed, so that all records of it go.
+        """
+        crashes = len(self.quarantine.own_crashes.get(digest, ()))
+        if crashes:
+            record = CrashRecord(
+                digest=digest,
+                author=self.incarnation,
+                crashes=min(crashes, MAX_CRASHES),
+                at=self.clock.now(),
+            )
+            self.written[digest] = record.at
+            return [(record.key, record.encode())]
+        if self.quarantine.is_suspect(digest):
+            return []
+        keys = {one.key for one in self.records.values() if one.digest == digest}
+        if self.written.pop(digest, None) is not None:
+            keys.add(make_key(digest, self.incarnation))
+        return [(key, b"") for key in sorted(keys)]
--- a/src/eelgrasslock/gateway/drainer.py
+++ b/src/eelgrasslock/gateway/drainer.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from loguru import logger
 
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
+from eelgrasslock.gateway.crash_records import CrashRecords
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.listener import Listener
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
@@ -18,7 +20,7 @@
 
 READINESS_PROPAGATION_SECONDS = 3.0
 SHUTDOWN_RESERVE_SECONDS = 1.5
-RELEASE_TIMEOUT_SECONDS = 0.5
+SAVE_TIMEOUT_SECONDS = 0.8
 QUIET_PERIOD_SECONDS = 0.15
 MAX_QUIET_PERIODS = 4
 
@@ -38,6 +40,8 @@
         The allowances, whose unused tokens are returned at the end.
     peer_coordinator : PeerCoordinator
         Removes the registration.
+    crash_records : CrashRecords
+        The crashes that must be in the log before the daemon ends.
     settings : GatewaySettings
         Provide the time limit of the shutdown.
     """
@@ -48,12 +52,14 @@
         listener: Listener,
         allowances: AllowanceManager,
         peer_coordinator: PeerCoordinator,
+        crash_records: CrashRecords,
         settings: GatewaySettings,
     ) -> None:
         self.handler = handler
         self.listener = listener
         self.allowances = allowances
         self.peer_coordinator = peer_coordinator
+        self.crash_records = crash_records
         self.settings = settings
 
     async def run(self) -> None:
@@ -72,19 +78,29 @@
         except TimeoutError:
             count = self.handler.in_flight.count
             _log.warning("Drain timed out with {} requests in flight.", count)
-        await self._release_allowances()
+        await self._save_state()
         await self._wait_until_quiet()
 
-    async def _release_allowances(self) -> None:
+    async def _save_state(self) -> None:
+        """Write what must outlive the daemon; what fails doesn't keep the rest back."""
+        await asyncio.gather(
+            self._save("The crashes of endpoints", self.crash_records.flush),
+            self._save("The allowances", self._save_allowances),
+            self._save("The end of the registration", self.peer_coordinator.deregister),
+        )
+
+    async def _save_allowances(self) -> None:
+        await self.allowances.record_offline_draws()
+        await self.allowances.return_all()
+
+    async def _save(self, what: str, write: Callable[[], Awaitable[None]]) -> None:
         try:
-            async with asyncio.timeout(RELEASE_TIMEOUT_SECONDS):
-                await self.allowances.record_offline_draws()
-                await self.allowances.return_all()
-                await self.peer_coordinator.deregister()
+            async with asyncio.timeout(SAVE_TIMEOUT_SECONDS):
+                await write()
         except TimeoutError:
-            _log.info("Returning the allowances to the log timed out.")
+            _log.warning("{} could not be written in time.", what)
         except (LogUnavailable, AppendUnresolved) as error:
-            _log.info("Could not return all allowances to the log: {}", error)
+            _log.warning("{} could not be written: {}", what, error)
 
     async def _wait_until_quiet(self) -> None:
         """Wait until no request has arrived for one quiet period.
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import xxhash
 from loguru import logger
 
 from eelgrasslock.clock import Clock
@@ -228,26 +227,14 @@
         max_tokens=request.output_tokens,
         deadline=context.deadline,
         preferred_endpoint=context.preferred_endpoint,
-        digest=_request_digest(context),
+        digest=context.digest,
+        # Independent lookups that are merely equal don't wait for each other.
+        limits_copies=bool(request.body),
         excluded=frozenset(context.tried_endpoints),
         version=context.version,
     )
 
 
-def _request_digest(context: RequestContext) -> str:
-    """Return a digest that identifies repetitions of a request.
-
-    It is empty for requests without a body: the scheduler doesn't run requests of
-    the same digest concurrently, which would delay independent lookups that are
-    merely equal.
-    """
-    request = context.request
-    if not request.body:
-        return ""
-    text = f"{request.method} {request.target} {request.program}".encode()
-    return xxhash.xxh64_hexdigest(text + request.body)
-
-
 def _may_retry(context: RequestContext, result: AttemptResult) -> bool:
     route = context.route
     if result.outcome is AttemptOutcome.SILENT:
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -21,6 +21,7 @@
 from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
 from eelgrasslock.gateway.messages import GatewayRequest
 from eelgrasslock.gateway.request_context import RequestContext
+from eelgrasslock.gateway.request_digest import request_digest
 from eelgrasslock.gateway.responder import CallerResponder, ResponseTruncated
 from eelgrasslock.gateway.routes import Route, ServiceSpec
 from eelgrasslock.gateway.routing import RoutingState
@@ -167,6 +168,7 @@
             deadline=request.received_at + timeout_seconds,
             configuration_version=self.routing.current.version,
             origin=origin,
+            digest=request_digest(request),
         )
         log_entry.context = context
         await self._begin_turn(context)
--- a/src/eelgrasslock/gateway/log_followers.py
+++ b/src/eelgrasslock/gateway/log_followers.py
@@ -3,6 +3,7 @@
 import random
 
 from eelgrasslock.clock import Clock
+from eelgrasslock.gateway import crash_records
 from eelgrasslock.gateway.interfaces import Topics
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
@@ -11,6 +12,7 @@
 from eelgrasslock.peers import daemon_registry
 
 DAEMON_REGISTRY_READS = ReadSchedule(wait_seconds=8.0, pause_seconds=0.2)
+CRASH_READS = ReadSchedule(wait_seconds=8.0, pause_seconds=0.2)
 
 
 class LogFollowers:
@@ -28,12 +30,12 @@
         The source of time.
     rng : random.Random
         The generator for jitter.
-    configuration, endpoints, daemons : KeyedState
+    configuration, endpoints, daemons, crashes : KeyedState
         The states that take the records.
 
     Attributes
     ----------
-    configuration, endpoints, daemons : KeyedFollower
+    configuration, endpoints, daemons, crashes : KeyedFollower
         The followers of the topics.
     """
 
@@ -47,6 +49,7 @@
         configuration: KeyedState,
         endpoints: KeyedState,
         daemons: KeyedState,
+        crashes: KeyedState,
     ) -> None:
         configuration_reads = schedule_for_bound(settings.configuration_apply_seconds)
         endpoint_reads = schedule_for_bound(settings.endpoint_leave_seconds)
@@ -59,19 +62,32 @@
         self.daemons = KeyedFollower(
             log, daemon_registry.TOPIC, daemons, clock, rng, DAEMON_REGISTRY_READS
         )
+        self.crashes = KeyedFollower(
+            log, crash_records.TOPIC, crashes, clock, rng, CRASH_READS
+        )
 
     @property
     def all(self) -> list[KeyedFollower]:
         """All followers."""
+        return [*self.outage_signals, self.crashes]
+
+    @property
+    def outage_signals(self) -> list[KeyedFollower]:
+        """The followers whose reads tell whether the log is available."""
         return [self.configuration, self.endpoints, self.daemons]
 
     def last_response_at(self) -> float:
         """Return when the log last answered, on the monotonic clock."""
-        return max(follower.last_response_at for follower in self.all)
+        return max(follower.last_response_at for follower in self.outage_signals)
 
     def outage_start(self) -> float:
         """Return when a current or just ended outage began; infinite without one."""
-        return min(follower.outage_started_at() for follower in self.all)
+        return min(follower.outage_started_at() for follower in self.outage_signals)
+
+    @property
+    def are_crashes_read(self) -> bool:
+        """Whether the crashes that daemons saw before have been read."""
+        return self.crashes.offset is not None
 
     def is_endpoints_view_current(self) -> bool:
         """Return whether the view of the endpoints is young enough to be used."""
--- a/src/eelgrasslock/gateway/relay_messages.py
+++ b/src/eelgrasslock/gateway/relay_messages.py
@@ -12,6 +12,7 @@
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.gateway.interfaces import MessageCodec
 from eelgrasslock.gateway.request_context import RequestContext
+from eelgrasslock.gateway.request_digest import request_digest
 from eelgrasslock.gateway.responder import ResponseWriter
 from eelgrasslock.gateway.routes import Route, RouteKind, ServiceSpec, WeightedService
 from eelgrasslock.http.messages import Header
@@ -23,6 +24,7 @@
 _SERVICE = ":service"
 _VERSION = ":version"
 _PREFERRED = ":preferred"
+_DIGEST = ":digest"
 _REFUSAL = ":refusal"
 _ENDPOINT = ":endpoint"
 _ENDPOINT_VERSION = ":endpoint-version"
@@ -99,6 +101,7 @@
     fields[_SERVICE] = context.service.name
     fields[_VERSION] = context.version
     fields[_PREFERRED] = context.preferred_endpoint
+    fields[_DIGEST] = context.digest
     return Request(
         method=request.method,
         path=request.target,
@@ -128,6 +131,7 @@
     service = fields.pop(_SERVICE)
     version = fields.pop(_VERSION)
     preferred = fields.pop(_PREFERRED)
+    digest = fields.pop(_DIGEST, "")
     request = codec.decode_request(
         message.method, message.path, list(_split(fields)), message.body, now
     )
@@ -141,6 +145,7 @@
         preferred_endpoint=preferred,
         origin=origin if version else None,
         relayed_by=message.forwarded_by,
+        digest=digest or request_digest(request),
     )
 
 
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -62,6 +62,8 @@
         before that.
     turn : TurnInProgress or None
         The turn with its chain, None unless the route keeps turns.
+    digest : str
+        Identifies repetitions of the request.
     """
 
     request: GatewayRequest
@@ -86,6 +88,7 @@
     endpoint_version: str = ""
     endpoints_age_seconds: float | None = None
     turn: TurnInProgress | None = None
+    digest: str = ""
 
     @property
     def route_kind(self) -> str:
--- a/src/eelgrasslock/gateway/routing.py
+++ b/src/eelgrasslock/gateway/routing.py
@@ -86,6 +86,8 @@
         Called after the registry changed.
     on_endpoint_reset : callable
         Called with the id of an endpoint that restarted or was removed.
+    on_endpoint_restart : callable
+        Called with the id of an endpoint that restarted.
     """
 
     def __init__(
@@ -94,7 +96,9 @@
         endpoint_registry: EndpointRegistry,
         on_change: Callable[[], None],
         on_endpoint_reset: Callable[[str], None],
+        on_endpoint_restart: Callable[[str], None],
     ) -> None:
+        self.on_endpoint_restart = on_endpoint_restart
         self.record_decoder = record_decoder
         self.endpoint_registry = endpoint_registry
         self.on_change = on_change
@@ -164,6 +168,7 @@
         before = self.endpoint_registry.entries.get(entry.id)
         if before is not None and before.started_at_ms != entry.started_at_ms:
             _log.info("Endpoint {} restarted.", entry.id)
+            self.on_endpoint_restart(entry.id)
             self.on_endpoint_reset(entry.id)
 
     def _decode(self, record: KeyedRecord) -> EndpointRecord | None:
--- a/src/eelgrasslock/log/keyed_log.py
+++ b/src/eelgrasslock/log/keyed_log.py
@@ -115,3 +115,12 @@
         LogUnavailable
             If the log did not answer; the record may have been written.
         """
+
+    async def put_all(self, topic: str, items: list[tuple[str, bytes]]) -> None:
+        """Write the newest records of several keys in one call, all or none.
+
+        Raises
+        ------
+        LogUnavailable
+            If the log did not answer; the records may have been written.
+        """
--- a/src/eelgrasslock/operators/operator_reads.py
+++ b/src/eelgrasslock/operators/operator_reads.py
@@ -94,8 +94,7 @@
     """Return the requests that crashed endpoints or are refused."""
     quarantine = application.scheduler.quarantine
     by_operator = quarantine.configured_digests | quarantine.operator_digests
-    digests = {*quarantine.own_crashes, *by_operator}
-    digests.update(*quarantine.peer_crashes.values(), quarantine.departed_peer_crashes)
+    digests = quarantine.suspects() | by_operator
     views = [
         SuspectView(
             digest=digest,
--- a/src/eelgrasslock/platform/store_client.py
+++ b/src/eelgrasslock/platform/store_client.py
@@ -125,12 +125,15 @@
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write the newest record of a key; an empty value deletes the key."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + value
+        await self.put_all(topic, [(key, value)])
+
+    async def put_all(self, topic: str, items: list[tuple[str, bytes]]) -> None:
+        """Write the newest records of several keys in one call."""
+        records = [_encode_keyed(key, value) for key, value in items]
         target = f"{_APPEND_PATH}?topic={topic}&part=0"
         try:
             response = await self._call(
-                "POST", target, _frame_records([record]), STORE_TIMEOUT_SECONDS
+                "POST", target, _frame_records(records), STORE_TIMEOUT_SECONDS
             )
         except (ConnectFailed, ConnectionBroken, TimeoutError) as error:
             raise LogUnavailable(f"The store did not answer: {error!r}.") from error
@@ -261,6 +264,11 @@
     """Do nothing."""
 
 
+def _encode_keyed(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
 def _keyed_item(item: dict[str, Any]) -> KeyedRecord:
     return KeyedRecord(key=item["key"], value=base64.b64decode(item["value"]))
 
--- a/src/eelgrasslock/scheduling/call_starter.py
+++ b/src/eelgrasslock/scheduling/call_starter.py
@@ -216,7 +216,7 @@
     ) -> Choice | None:
         """Return the best endpoint for a call now, or None if there is none."""
         call = waiting.call
-        if self.in_flight_digests[call.digest] >= CRASHES_TO_QUARANTINE:
+        if self._has_enough_copies(call):
             return None
         preferred = call.preferred_endpoint or self.live_contexts.last_endpoint(
             call.program
@@ -229,6 +229,14 @@
             candidates = self._candidates(pool, waiting, pool.states, now)
         return self.placement.choose(call, waiting.output_tokens, candidates)
 
+    def _has_enough_copies(self, call: Call) -> bool:
+        """Return whether calls with its digest may crash as many endpoints already."""
+        copies = self.in_flight_digests[call.digest]
+        crashes = self.quarantine.crash_count(call.digest)
+        if not crashes and not call.limits_copies:
+            return False
+        return copies + crashes >= CRASHES_TO_QUARANTINE
+
     def _candidates(
         self,
         pool: EndpointPool,
--- a/src/eelgrasslock/scheduling/calls.py
+++ b/src/eelgrasslock/scheduling/calls.py
@@ -39,6 +39,9 @@
         other daemons, empty if none is known.
     digest : str
         Digest of the request, to find requests that crash endpoints.
+    limits_copies : bool
+        Whether a few calls with its digest run at once at most, although none has
+        crashed an endpoint.
     excluded : frozenset of str
         Endpoints on which this call has failed.
     version : str
@@ -57,6 +60,7 @@
     deadline: float | None = None
     preferred_endpoint: str = ""
     digest: str = ""
+    limits_copies: bool = True
     excluded: frozenset[str] = frozenset()
     version: str = ""
 
--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -14,6 +14,9 @@
 from eelgrasslock.scheduling.quarantine import Quarantine
 from eelgrasslock.scheduling.queueing import ProgramTable
 
+# A restart is known with the registration that follows it.
+RESTART_NOTICE_SECONDS = 5.0
+
 log = logger.bind(part="scheduler")
 
 
@@ -34,6 +37,11 @@
         The scheduling features that are on.
     domain_breaker : DomainBreaker
         Receives successes and failures by domain.
+
+    Attributes
+    ----------
+    broken_calls : dict of str to list of (float, str)
+        When connections broke of late, and the digests of their calls, by endpoint.
     """
 
     def __init__(
@@ -51,6 +59,7 @@
         self.programs = programs
         self.quarantine = quarantine
         self.features = features
+        self.broken_calls: dict[str, list[tuple[float, str]]] = {}
 
     def record_success(
         self, state: EndpointState, running: RunningCall, usage: Usage, now: float
@@ -94,6 +103,8 @@
             return
         if outcome in (CallOutcome.NOT_SENT, CallOutcome.SILENT):
             self.domain_breaker.record_failure(state.settings.domain, state.name, now)
+        if outcome is CallOutcome.BROKEN and not running.crash_counted:
+            self._record_broken(state.name, running.call.digest, now)
         crashed = outcome is CallOutcome.CRASHED
         was_allowed = state.breaker.allows(now)
         state.breaker.record_failure(running.call.id, now, crashed)
@@ -114,3 +125,24 @@
         log.warning(
             "Endpoint {} crashed with {} calls in flight.", state.name, len(digests)
         )
+
+    def record_restart(self, endpoint: str, now: float) -> None:
+        """Record a crash that showed only when the endpoint had started again.
+
+        Its connections broke, but it took new ones at once.
+        """
+        since = now - RESTART_NOTICE_SECONDS
+        broken = self.broken_calls.pop(endpoint, [])
+        digests = [digest for at, digest in broken if at >= since]
+        if digests:
+            self.quarantine.record_crash(digests, now)
+            log.warning(
+                "Endpoint {} restarted; {} calls had broken off.",
+                endpoint,
+                len(digests),
+            )
+
+    def _record_broken(self, endpoint: str, digest: str, now: float) -> None:
+        since = now - RESTART_NOTICE_SECONDS
+        kept = [one for one in self.broken_calls.get(endpoint, ()) if one[0] >= since]
+        self.broken_calls[endpoint] = [*kept, (now, digest)]
--- a/src/eelgrasslock/scheduling/quarantine.py
+++ b/src/eelgrasslock/scheduling/quarantine.py
@@ -1,11 +1,19 @@
 """Quarantine of requests that crash the endpoints that run them."""
 
 from collections import Counter, OrderedDict
+from collections.abc import Callable
+
+from eelgrasslock.scheduling.crash_reports import CrashReports
 
 CRASHES_TO_QUARANTINE = 2
-_SUSPECT_EXPIRY_SECONDS = 3_600.0
+SUSPECT_EXPIRY_SECONDS = 3_600.0
 _MAX_SUSPECTS = 1_000
 _MAX_REPORTED_SUSPECTS = 100
+_MAX_DEPARTED_PEERS = 1_000
+
+
+def _ignore_change(digest: str) -> None:
+    """Do nothing."""
 
 
 class Quarantine:
@@ -14,18 +22,29 @@
     All calls in flight on an endpoint that crashes become suspects. A suspect
     runs again at most once, and is then the only suspect on its endpoint: its
     success clears it, and a second crash puts it, but no other call there, into
-    quarantine. Crashes that peers observed are added to those of this daemon; a
-    peer reports a digest once for each crash.
+    quarantine. Crashes that other daemons saw are added to those of this one, also
+    after those daemons have left.
+
+    Attributes
+    ----------
+    own_crashes : OrderedDict of str to list of float
+        When this daemon saw crashes, by digest, on the monotonic clock.
+    crashes_by_author : OrderedDict of str to CrashReports
+        The crashes that other daemons saw, by incarnation.
+    departed : OrderedDict of str to None
+        The incarnations that left, the first one first.
+    on_change : callable
+        Called with a digest whose crashes must be recorded or cleared in the log.
     """
 
     def __init__(self) -> None:
         self.own_crashes: OrderedDict[str, list[float]] = OrderedDict()
-        self.peer_crashes: dict[str, Counter[str]] = {}
-        self.departed_peer_crashes: Counter[str] = Counter()
-        self.cleared_crashes: Counter[str] = Counter()
+        self.crashes_by_author: dict[str, CrashReports] = {}
+        self.departed: OrderedDict[str, None] = OrderedDict()
         self.configured_digests: frozenset[str] = frozenset()
         self.operator_digests: set[str] = set()
         self.has_new_crashes = False
+        self.on_change: Callable[[str], None] = _ignore_change
 
     def record_crash(self, digests: list[str], now: float) -> None:
         """Record the digests that were in flight on an endpoint that crashed."""
@@ -35,33 +54,50 @@
                 continue
             self.own_crashes.setdefault(digest, []).append(now)
             self.own_crashes.move_to_end(digest)
+            self.on_change(digest)
         while len(self.own_crashes) > _MAX_SUSPECTS:
             self.own_crashes.popitem(last=False)
 
     def update_peer(self, incarnation: str, digests: tuple[str, ...]) -> None:
-        """Record the crashes that a peer reports."""
-        self.has_new_crashes = self.has_new_crashes or bool(digests)
-        if digests or incarnation in self.peer_crashes:
-            self.peer_crashes[incarnation] = Counter(digests[:_MAX_REPORTED_SUSPECTS])
+        """Record the crashes that a peer reports, one entry for each crash."""
+        self.departed.pop(incarnation, None)
+        if digests or incarnation in self.crashes_by_author:
+            self.has_new_crashes = self.has_new_crashes or bool(digests)
+            reported = Counter(digests[-_MAX_REPORTED_SUSPECTS:])
+            self._reports_of(incarnation).report(reported)
 
     def remove_peer(self, incarnation: str) -> None:
-        """Remove a departed peer, but keep the crashes that it reported."""
-        crashes = self.peer_crashes.pop(incarnation, None)
-        if crashes is not None and len(self.departed_peer_crashes) < _MAX_SUSPECTS:
-            self.departed_peer_crashes.update(crashes)
+        """Note that a peer has departed; the crashes that it saw are kept."""
+        if incarnation not in self.crashes_by_author:
+            return
+        self.departed[incarnation] = None
+        while len(self.departed) > _MAX_DEPARTED_PEERS:
+            oldest, _ = self.departed.popitem(last=False)
+            del self.crashes_by_author[oldest]
+
+    def load_record(self, incarnation: str, digest: str, crashes: int) -> None:
+        """Take the crashes that the log holds of another daemon; 0 clears them."""
+        if crashes:
+            self.has_new_crashes = True
+            self._reports_of(incarnation).record(digest, crashes)
+        elif incarnation in self.crashes_by_author:
+            self.crashes_by_author[incarnation].remove_record(digest)
+
+    def forget_own(self, digest: str) -> None:
+        """Clear what this daemon saw: the request has completed at another one."""
+        self.own_crashes.pop(digest, None)
 
     def record_success(self, digest: str) -> None:
         """Clear a suspect that has completed."""
         if self.is_suspect(digest):
-            self.own_crashes.pop(digest, None)
-            self.cleared_crashes[digest] = self._reported_crashes(digest)
+            self._clear(digest)
 
     def crash_count(self, digest: str) -> int:
         """Return the number of known crashes during which a digest was in flight."""
         if not digest:
             return 0
-        reported = self._reported_crashes(digest) - self.cleared_crashes[digest]
-        return len(self.own_crashes.get(digest, ())) + max(0, reported)
+        others = sum(one.count(digest) for one in self.crashes_by_author.values())
+        return len(self.own_crashes.get(digest, ())) + others
 
     def is_suspect(self, digest: str) -> bool:
         """Return whether a request may run only as the sole suspect on an endpoint."""
@@ -76,19 +112,29 @@
     def release(self, digest: str) -> None:
         """Clear a digest at an operator's request."""
         self.operator_digests.discard(digest)
-        self.own_crashes.pop(digest, None)
-        self.cleared_crashes[digest] = self._reported_crashes(digest)
+        self._clear(digest)
+
+    def suspects(self) -> set[str]:
+        """Return the digests of which a crash is known."""
+        known = set(self.own_crashes)
+        return known.union(*(one.digests() for one in self.crashes_by_author.values()))
 
     def suspects_to_report(self, now: float) -> tuple[str, ...]:
         """Return this daemon's suspects, one entry for each crash, newest last."""
         reported: list[str] = []
         for digest in list(self.own_crashes):
-            if now - self.own_crashes[digest][-1] > _SUSPECT_EXPIRY_SECONDS:
+            if now - self.own_crashes[digest][-1] > SUSPECT_EXPIRY_SECONDS:
                 del self.own_crashes[digest]
+                self.on_change(digest)
         for digest in self.own_crashes:
             reported += [digest] * len(self.own_crashes[digest])
         return tuple(reported[-_MAX_REPORTED_SUSPECTS:])
 
-    def _reported_crashes(self, digest: str) -> int:
-        reported = sum(counts[digest] for counts in self.peer_crashes.values())
-        return reported + self.departed_peer_crashes[digest]
+    def _clear(self, digest: str) -> None:
+        self.own_crashes.pop(digest, None)
+        for reports in self.crashes_by_author.values():
+            reports.clear(digest)
+        self.on_change(digest)
+
+    def _reports_of(self, incarnation: str) -> CrashReports:
+        return self.crashes_by_author.setdefault(incarnation, CrashReports())
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -310,6 +310,10 @@
         for event in events:
             self.prefix_index.apply_event(endpoint, event)
 
+    def record_restart(self, endpoint: str) -> None:
+        """Record that an endpoint restarted: calls that broke off crashed it."""
+        self.outcome_recorder.record_restart(endpoint, self.clock.monotonic())
+
     def reset_endpoint(self, endpoint: str) -> None:
         """Reset an endpoint that restarted: its cache is empty, its breaker closed."""
         self.prefix_index.clear_endpoint(endpoint)
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -13,6 +13,7 @@
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.conversations.turn import turn_key
 from eelgrasslock.conversations.turn_log import TurnLog
+from eelgrasslock.gateway.crash_records import decode_crash_record
 from eelgrasslock.log.keyed_log import KeyedRecord
 from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry, DaemonRegistry
@@ -173,6 +174,17 @@
         registry.apply((KeyedRecord(key="a-1", value=ENTRY),))
         assert registry.entries["a-1"].encode() == ENTRY
 
+    def test_a_crash(self):
+        key, value = "00ab/b-2-1f", b'{"crashes": 2, "at": 1796433600.25}'
+        record = decode_crash_record(KeyedRecord(key=key, value=value))
+        assert (record.digest, record.author) == ("00ab", "b-2-1f")
+        assert (record.crashes, record.at) == (2, 1796433600.25)
+        assert (record.key, record.encode()) == (key, value)
+
+    def test_keys_of_a_crash_that_a_newer_build_adds_are_ignored(self):
+        value = b'{"crashes": 2, "at": 1.5, "of_a_newer_build": []}'
+        assert decode_crash_record(KeyedRecord(key="d/a", value=value)).crashes == 2
+
     def test_a_draw(self):
         assert encode_draw(DRAW).hex() == RECORDED["draw"]
         assert decode_draw(bytes.fromhex(RECORDED["draw"])) == DRAW
--- a/tests/test_gateway_responses.py
+++ b/tests/test_gateway_responses.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eelgrasslock.gateway.attempts import CORRELATION_WINDOW_SECONDS
+from eelgrasslock.gateway.failure_classifier import CORRELATION_WINDOW_SECONDS
 from eelgrasslock.gateway.scheduler_configuration import PLAIN_CALLS_PER_SLOT
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock_standins.platform_engine import Fault
--- a/tests/test_relay_messages.py
+++ b/tests/test_relay_messages.py
@@ -11,6 +11,7 @@
     encode_relayed_request,
 )
 from eelgrasslock.gateway.request_context import RequestContext
+from eelgrasslock.gateway.request_digest import request_digest
 from eelgrasslock.gateway.routes import (
     EngineSpec,
     Route,
@@ -92,6 +93,17 @@
         assert pass_on(make_context(origin=origin)).version == "v2"
         assert pass_on(make_context()).origin is None
 
+    def test_the_digest_is_that_of_the_request_as_its_caller_sent_it(self):
+        """A turn is passed on with its whole chain, which differs each time."""
+        assert pass_on(make_context(digest="d1")).digest == "d1"
+
+    def test_a_request_of_a_build_that_tells_no_digest_has_one(self):
+        context = make_context()
+        message = encode_relayed_request(context, 1.5, "asker-1")
+        del message.headers[":digest"]
+        found = decode_relayed_request(message, None, {}, CODEC, 100.0)
+        assert found.digest == request_digest(context.request)
+
     def test_a_header_of_the_caller_does_not_pass_for_a_field(self):
         context = make_context()
         fields = encode_relayed_request(context, 1.0, "a").headers
