Give small budgets a turn without the log only once the fleet is known

Cause: without the log, a daemon gives a small budget one turn if every daemon that it knows answers and remembers. Daemons that started together, and lost the log before they had read each other's registrations, knew only some of the others, and each gave that turn. If such a daemon is replaced in the same outage, what it gave is not recorded, so that the log holds the whole budget again.

Change: a daemon counts as one that knows all draws only once it has read the registrations some seconds after its own. One that stops in an outage gives the draws that it could not record to a peer, by a new call; the peer counts them as its own and records them.

--- a/src/eelgrasslock/allowances/account.py
+++ b/src/eelgrasslock/allowances/account.py
@@ -62,6 +62,19 @@
         """Whether no tokens are reserved, pending or missing from the log."""
         return not (self.reserved or self.offline_pending or self.offline_drawn)
 
+    def drop_unused_offline(self) -> None:
+        """Drop the tokens that were drawn without the log and are not needed."""
+        unused = max(0, min(self.offline_drawn, self.available))
+        self.offline_drawn -= unused
+        self.drawn -= unused
+
+    def adopt(self, tokens: int, now: float) -> None:
+        """Take over tokens that another daemon spent without the log."""
+        self.drawn += tokens
+        self.spent += tokens
+        self.offline_drawn += tokens
+        self.last_used_at = now
+
     def reserve(self, tokens: int, now: float) -> None:
         """Reserve the most tokens that a turn may generate."""
         self.reserved += tokens
--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -11,6 +11,7 @@
 from eelgrasslock.allowances.draw_ledger import DrawLedger, DrawRequest
 from eelgrasslock.allowances.offline import (
     OfflineUsageReport,
+    UnrecordedDraw,
     offline_limit,
     offline_remaining,
 )
@@ -298,13 +299,41 @@
         account = self.accounts.get(program)
         if account is None:
             return 0, self.ledger.total_drawn(program)
-        unused = max(0, min(account.offline_drawn, account.available))
-        account.offline_drawn -= unused
-        account.drawn -= unused
+        account.drop_unused_offline()
         return account.offline_drawn + account.offline_pending, self.ledger.total_drawn(
             program
         )
 
+    def unrecorded_draws(self) -> list[UnrecordedDraw]:
+        """Return what was spent without the log and is not recorded yet."""
+        for account in self.accounts.values():
+            account.drop_unused_offline()
+        return [
+            UnrecordedDraw(
+                program=account.program,
+                budget=account.budget,
+                tokens=account.offline_drawn,
+            )
+            for account in self.accounts.values()
+            if account.offline_drawn
+        ]
+
+    def adopt(self, draw: UnrecordedDraw) -> None:
+        """Take over a draw of a daemon that stops; it is recorded as an own one."""
+        account = self._get_account(draw.program, draw.budget)
+        account.adopt(draw.tokens, self.clock.monotonic())
+        self.on_tokens("adopted", draw.tokens)
+        _log.bind(program=draw.program, offline_tokens=draw.tokens).info(
+            "Took over {} tokens that a stopping daemon drew without the log.",
+            draw.tokens,
+        )
+
+    def forget_draw(self, draw: UnrecordedDraw) -> None:
+        """Note that another daemon records a draw."""
+        account = self.accounts.get(draw.program)
+        if account is not None:
+            account.offline_drawn = max(0, account.offline_drawn - draw.tokens)
+
     async def record_offline_draws(self) -> None:
         """Record the tokens that were drawn without the log.
 
--- a/src/eelgrasslock/allowances/offline.py
+++ b/src/eelgrasslock/allowances/offline.py
@@ -70,6 +70,25 @@
     has_full_history: bool = False
 
 
+@frozen(kw_only=True)
+class UnrecordedDraw:
+    """Tokens that a program spent without the log, and that it does not hold yet.
+
+    Attributes
+    ----------
+    program : str
+        The program's id.
+    budget : int
+        Tokens that all turns of the program may generate.
+    tokens : int
+        How many tokens were spent.
+    """
+
+    program: str
+    budget: int
+    tokens: int
+
+
 def may_spend_offline(
     own: str, members: Iterable[str], answered: Iterable[str]
 ) -> bool:
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -17,6 +17,7 @@
 from eelgrasslock.gateway.conversations import Conversations
 from eelgrasslock.gateway.crash_records import CrashRecords
 from eelgrasslock.gateway.drainer import Drainer
+from eelgrasslock.gateway.draw_handover import DrawHandover
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.endpoint_reports import EndpointReports
 from eelgrasslock.gateway.failure_classifier import FailureClassifier
@@ -38,6 +39,7 @@
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.daemon_registry import DaemonEntry
+from eelgrasslock.peers.load_exchange import REGISTRATION_GRACE_SECONDS
 from eelgrasslock.periodic import run_periodically
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
@@ -182,6 +184,11 @@
             self.settings.is_first_start,
         )
         self.peer_coordinator.register_callbacks(self.allowances)
+        self.peer_coordinator.knows_fleet = self._knows_fleet
+        self.draw_handover = DrawHandover(
+            self.allowances, self.mesh, self.load_exchange
+        )
+        self.draw_handover.register(self.mesh.callbacks)
         self.peer_coordinator.last_log_response_at = self.followers.last_response_at
         self.peer_coordinator.log_outage_start = self.followers.outage_start
 
@@ -274,6 +281,7 @@
             self.allowances,
             self.peer_coordinator,
             self.crash_records,
+            self.draw_handover,
             self.settings,
         )
         register_gauges(self)
@@ -286,6 +294,14 @@
         is_informed = self.routing.current is not None and has_endpoints
         return is_informed and self.followers.are_crashes_read and not self.draining
 
+    def _knows_fleet(self) -> bool:
+        """Return whether all daemons that started with this one are known to it.
+
+        They register within a moment of each other, and are read from the log.
+        """
+        known_at = self.peer_coordinator.registered_at + REGISTRATION_GRACE_SECONDS
+        return self.followers.daemons.last_response_at >= known_at
+
     def _request_limits(self) -> RequestLimits:
         current = self.routing.current
         return current.limits if current is not None else RequestLimits()
--- a/src/eelgrasslock/gateway/drainer.py
+++ b/src/eelgrasslock/gateway/drainer.py
@@ -13,6 +13,7 @@
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
 from eelgrasslock.gateway.crash_records import CrashRecords
+from eelgrasslock.gateway.draw_handover import DrawHandover
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.listener import Listener
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
@@ -21,6 +22,7 @@
 READINESS_PROPAGATION_SECONDS = 3.0
 SHUTDOWN_RESERVE_SECONDS = 1.5
 SAVE_TIMEOUT_SECONDS = 0.8
+RECORD_TIMEOUT_SECONDS = 0.35
 QUIET_PERIOD_SECONDS = 0.15
 MAX_QUIET_PERIODS = 4
 
@@ -42,6 +44,8 @@
         Removes the registration.
     crash_records : CrashRecords
         The crashes that must be in the log before the daemon ends.
+    handover : DrawHandover
+        Gives draws that can't be recorded to a peer.
     settings : GatewaySettings
         Provide the time limit of the shutdown.
     """
@@ -53,6 +57,7 @@
         allowances: AllowanceManager,
         peer_coordinator: PeerCoordinator,
         crash_records: CrashRecords,
+        handover: DrawHandover,
         settings: GatewaySettings,
     ) -> None:
         self.handler = handler
@@ -60,6 +65,7 @@
         self.allowances = allowances
         self.peer_coordinator = peer_coordinator
         self.crash_records = crash_records
+        self.handover = handover
         self.settings = settings
 
     async def run(self) -> None:
@@ -90,8 +96,13 @@
         )
 
     async def _save_allowances(self) -> None:
-        await self.allowances.record_offline_draws()
-        await self.allowances.return_all()
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT_SECONDS):
+                await self.allowances.record_offline_draws()
+                await self.allowances.return_all()
+        except (LogUnavailable, AppendUnresolved, TimeoutError) as error:
+            _log.info("The allowances could not be returned: {!r}", error)
+            await self.handover.hand_over()
 
     async def _save(self, what: str, write: Callable[[], Awaitable[None]]) -> None:
         try:
--- a/src/eelgrasslock/gateway/peer_coordinator.py
+++ b/src/eelgrasslock/gateway/peer_coordinator.py
@@ -67,6 +67,10 @@
         monotonic clock; infinite before.
     last_log_response_at : callable
         Returns when the log last responded to this daemon, on the monotonic clock.
+    registered_at : float
+        When this daemon was registered, on the monotonic clock; infinite before.
+    knows_fleet : callable
+        Returns whether this daemon knows all daemons that started with it.
     log_outage_start : callable
         Returns the start of a current or just ended outage of the log, on the
         monotonic clock; infinite without one.
@@ -82,6 +86,8 @@
     ) -> None:
         self.last_log_response_at: Callable[[], float] = clock.monotonic
         self.log_outage_start: Callable[[], float] = lambda: float("inf")
+        self.knows_fleet: Callable[[], bool] = lambda: True
+        self.registered_at = float("inf")
         self.allowances: AllowanceManager | None = None
         self.first_offline_query_at = float("inf")
         self.entry = entry
@@ -105,7 +111,9 @@
         callbacks.log = self.log.direct_log()
         callbacks.release_allowance = allowances.release
         callbacks.offline_usage = self._answer_offline_query
-        callbacks.has_full_history = lambda: allowances.has_full_history
+        callbacks.has_full_history = lambda: (
+            allowances.has_full_history and self.knows_fleet()
+        )
 
     async def register(self) -> None:
         """Write the registration to the log; retry until it succeeds."""
@@ -119,6 +127,7 @@
                 _log.info("Registration failed, retrying: {}", error)
                 await self.clock.sleep(backoff.next())
             else:
+                self.registered_at = self.clock.monotonic()
                 return
 
     async def deregister(self) -> None:
@@ -237,7 +246,8 @@
         assert self.allowances is not None
         retention_seconds = self.allowances.ledger.retention_seconds
         drew = self.load_exchange.seen_since(self.clock.monotonic() - retention_seconds)
-        return self.allowances.has_full_history and drew <= historians
+        knows_history = self.allowances.has_full_history and self.knows_fleet()
+        return knows_history and drew <= historians
 
     def _partitioned_during_outage(
         self, entries: list[DaemonEntry], responding_domains: list[str]
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -51,6 +51,12 @@
   storedAt @3 :Float64;    # seconds since the epoch
 }
 
+struct UnrecordedDraw {
+  program @0 :Text;
+  budget @1 :Int64;
+  tokens @2 :Int64;      # spent without the log, and not in it yet
+}
+
 enum Outcome {
   done @0;
   moved @1;        # the partition has another end, or holds only records from `end` on
@@ -88,5 +94,6 @@
   tellTurns @16 (turns :List(TurnPlace)) -> ();
   findTurn @17 (key :UInt64, readsLog :Bool) -> (isKnown :Bool, isAbsent :Bool, offset :Int64, size :UInt32, holder :Text, seconds :Float64);  # readsLog: read the turn's partition if it is not known; isAbsent: the partition was read to its end and has no such turn
   fetchTurns @18 (ids :List(Text)) -> (turns :List(FetchedTurn));  # those that are in memory
+  adoptDraws @19 (draws :List(UnrecordedDraw)) -> ();  # the receiver records them, as the sender stops
   release @11 (program :Text) -> (tokens :Int64);  # the tokens that the receiver gives up
 }
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -47,6 +47,8 @@
     tell_turns, find_turn, fetch_turns : callable
         Take note of where turns of conversations are, tell it, and give turns that
         are in memory.
+    adopt_draws : callable
+        Takes over draws that a stopping daemon could not record.
     has_full_history : callable
         Returns whether this daemon has run for as long as any program may have
         lasted.
@@ -67,6 +69,7 @@
         self.release_allowance: Callable[[str], int] = lambda program: 0
         self.offline_usage: Callable[[str], tuple[int, int]] = lambda program: (0, 0)
         self.has_full_history: Callable[[], bool] = lambda: False
+        self.adopt_draws: CallHandler = _refuse_call
         self.grant_requests: CallHandler = _refuse_call
         self.tell_streams: CallHandler = _refuse_call
         self.find_stream: CallHandler = _refuse_call
--- a/src/eelgrasslock/peers/peer_handlers.py
+++ b/src/eelgrasslock/peers/peer_handlers.py
@@ -239,6 +239,12 @@
         """Release the unspent tokens of a program."""
         _context.results.tokens = self.callbacks.release_allowance(program)
 
+    async def adoptDraws(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Take over draws that a stopping daemon could not record."""
+        await self.connection.run(self.callbacks.adopt_draws(message, _context.results))
+
     async def offline(self, program: str, _context: Any, **_: Any) -> None:
         """Return the tokens spent on a program without the log, and those drawn."""
         spent, drawn = self.callbacks.offline_usage(program)
--- a/tests/builds.py
+++ b/tests/builds.py
@@ -13,8 +13,10 @@
 from eelgrasslock.http.pool import ConnectFailed
 from platform_fleet import free_port
 
-# The last landed build before this one, and the first one that keeps turns.
-LAST_LANDED = "2f72a64b407ad8dd2b98c68165b67ee137f3c1f1"
+# The last landed build before this one, the one before it, and the first one that
+# keeps turns.
+LAST_LANDED = "b015cdf"
+LANDED_BEFORE = "2f72a64b407ad8dd2b98c68165b67ee137f3c1f1"
 FIRST_WITH_TURNS = "b739aca"
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -51,6 +53,12 @@
     return folder / "src"
 
 
+def knows_first_start(source):
+    """Return whether a build has the setting; others reject what they don't know."""
+    folder = source / "eelgrasslock"
+    return any("is_first_start" in one.read_text() for one in folder.rglob("*.py"))
+
+
 class BuildDaemon:
     """A daemon of one build, which may be replaced by one of another build.
 
@@ -86,7 +94,10 @@
     async def start(self, source, is_first_start=False):
         self.starts += 1
         settings = self.folder / f"{self.name}-{self.starts}.yaml"
-        settings.write_text(self.settings(is_first_start))
+        text = self.settings()
+        if knows_first_start(source):
+            text += f"is_first_start: {str(is_first_start).lower()}\n"
+        settings.write_text(text)
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -104,7 +115,7 @@
         await self.wait_ready()
         self.takes_requests = True
 
-    def settings(self, is_first_start):
+    def settings(self):
         return (
             f"name: {self.name}\n"
             f"domain: {self.domain}\n"
@@ -115,7 +126,6 @@
             "store_partitions: 4\n"
             "store_retention_seconds: 300\n"
             f"drain_seconds: {DRAIN_SECONDS}\n"
-            f"is_first_start: {str(is_first_start).lower()}\n"
         )
 
     async def wait_ready(self):
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -29,6 +29,7 @@
     "StreamOrigin": "key service version seconds",
     "TurnPlace": "key offset size holder seconds",
     "FetchedTurn": "records offset size storedAt",
+    "UnrecordedDraw": "program budget tokens",
 }
 # Calls in the order of their numbers, with the fields of question and answer.
 CALLS = {
@@ -73,6 +74,7 @@
             "isKnown isAbsent offset size holder seconds",
         ),
         ("fetchTurns", "ids", "turns"),
+        ("adoptDraws", "draws", ""),
     ],
 }
 OUTCOMES = ["done", "moved", "unavailable", "unresolved"]
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -181,8 +181,11 @@
 
     @pytest.mark.parametrize("is_first_start", [True, False])
     async def test_a_small_budget_needs_daemons_that_know_all_draws(
-        self, fleet, is_first_start
+        self, fleet, is_first_start, monkeypatch
     ):
+        monkeypatch.setattr(
+            "eelgrasslock.gateway.application.REGISTRATION_GRACE_SECONDS", 0.0
+        )
         engine = await fleet.endpoint("models", events=5)
         one, two = [
             await fleet.ready_daemon([engine], name=name, is_first_start=is_first_start)
@@ -190,10 +193,43 @@
         ]
         load_exchange = one.application.load_exchange
         await wait_until(lambda: load_exchange.last_contact)
+        await wait_until(lambda: one.application.peer_coordinator.knows_fleet())
         one.faults.refusing = two.faults.refusing = "busy"
         status, _ = await fleet.turn(one, "p", budget=440, max_tokens=220)
         assert status == (200 if is_first_start else 503)
 
+    async def test_a_small_budget_waits_until_the_fleet_is_known(self, fleet):
+        """Two daemons that had not read each other's entry each gave a turn."""
+        engine = await fleet.endpoint("models", events=5)
+        one, two = [
+            await fleet.ready_daemon([engine], name=name, is_first_start=True)
+            for name in ("a-1", "a-2")
+        ]
+        await wait_until(lambda: one.application.load_exchange.last_contact)
+        one.faults.refusing = two.faults.refusing = "busy"
+        status, _ = await fleet.turn(one, "p", budget=440, max_tokens=220)
+        assert status == 503
+
+
+class TestStopInAnOutage:
+    async def test_a_peer_records_what_was_drawn_without_the_log(self, fleet):
+        """A daemon replaced in an outage took what it had given with it."""
+        engine = await fleet.endpoint("models", events=5)
+        one, two = [
+            await fleet.ready_daemon([engine], name=name) for name in ("a-1", "a-2")
+        ]
+        await wait_until(lambda: two.application.load_exchange.live_peers)
+        await wait_until(lambda: one.application.load_exchange.live_peers)
+        one.faults.refusing = two.faults.refusing = "busy"
+        assert (await fleet.turn(one, "p"))[0] == 200
+        await one.application.drain()
+        await one.application.stop()
+        allowances = two.application.allowances
+        assert allowances.offline_usage("p")[0] == 5 * 22
+        two.faults.refusing = ""
+        await wait_until(lambda: allowances.ledger.total_drawn("p") == 5 * 22)
+        assert allowances.offline_usage("p")[0] == 0
+
 
 class TestManyDaemons:
     """With 82 daemons and 22 engines, load reports arrive seconds late."""
--- a/tests/test_offline_queries.py
+++ b/tests/test_offline_queries.py
@@ -145,6 +145,7 @@
     async def with_peers(self, peer_coordinator, monkeypatch):
         now = peer_coordinator.clock.monotonic()
         peer_coordinator.allowances.is_first_start = True
+        peer_coordinator.knows_fleet = lambda: True
         self.add_peer(peer_coordinator, "a-2", "a", now)
         self.add_peer(peer_coordinator, "b-1", "b", now)
         peer_coordinator.log.lost_at = now
@@ -157,6 +158,12 @@
     async def test_all_that_drew_answer(self, with_peers):
         assert await self.has_full_history(with_peers)
 
+    async def test_a_fleet_that_is_not_known_yet_may_have_drawn(self, with_peers):
+        with_peers.knows_fleet = lambda: False
+        assert not await self.has_full_history(with_peers)
+        with_peers.register_callbacks(with_peers.allowances)
+        assert not with_peers.mesh.callbacks.has_full_history()
+
     async def test_one_that_started_later_may_have_lost_draws(self, with_peers):
         self.started_later = {"b-1"}
         assert not await self.has_full_history(with_peers)
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -12,6 +12,7 @@
 
 from builds import (
     FIRST_WITH_TURNS,
+    LANDED_BEFORE,
     LAST_LANDED,
     THIS_BUILD,
     BuildDaemon,
@@ -31,7 +32,11 @@
 def builds(tmp_path_factory):
     """Give the sources of the builds by name, None for one that is not there."""
     folder = tmp_path_factory.mktemp("builds")
-    commits = {"landed": LAST_LANDED, "turns": FIRST_WITH_TURNS}
+    commits = {
+        "landed": LAST_LANDED,
+        "before": LANDED_BEFORE,
+        "turns": FIRST_WITH_TURNS,
+    }
     found = {name: extract(one, folder / name) for name, one in commits.items()}
     return {"this": THIS_BUILD, **found}
 
@@ -87,7 +92,9 @@
 
 class TestReplacement:
     @pytest.mark.parametrize("seed", SEEDS)
-    @pytest.mark.parametrize(("old", "new"), [("landed", "this"), ("this", "landed")])
+    @pytest.mark.parametrize(
+        ("old", "new"), [("landed", "this"), ("this", "landed"), ("before", "this")]
+    )
     async def test_no_promise_is_broken(self, fleet, builds, tmp_path, old, new, seed):
         require(builds, old, new)
         engines = [await fleet.endpoint("models", events=EVENTS) for _ in range(2)]
