Leave out single records of other writers, and keep loops running

What operators saw elsewhere, and what holds here: one odd entry among those of the engines (nested 200,000 deep, a number too large, a port out of range) ended the follower of the list, so that daemons heard of no later engine and those that started were never ready.

Cause: bounds were checked where a value is used, if at all, and an error that a decoder did not know of ended the loop that read the record.

Change: foreign JSON is parsed and checked in one module: depth, finite numbers, ranges, addresses, texts. The decoders of endpoints, routes, daemons, draws and crashes use it. A follower applies records one by one if they fail together, and leaves out those that fail; followers and other loops start again after an error that nobody foresaw. Numbers in headers are ASCII digits of bounded length; ids are printable; an engine's unreadable Content-Length no longer refuses the request.

--- a/src/eelgrasslock/allowances/draws.py
+++ b/src/eelgrasslock/allowances/draws.py
@@ -11,11 +11,13 @@
 
 from attrs import define, field, frozen
 
+from eelgrasslock.checked_json import parse_json
 from eelgrasslock.exceptions import RecordError
 
 _FORMAT_VERSION = 1
 _MAX_RECENT_IDS = 64
 _ID_BYTES = 8
+MAX_TOKENS = 2**53
 _ID_SEPARATOR = "."
 
 
@@ -52,7 +54,7 @@
         seconds, separator, _ = self.id.partition(_ID_SEPARATOR)
         try:
             return float(int(seconds, 16)) if separator else None
-        except ValueError:
+        except (OverflowError, ValueError):
             return None
 
 
@@ -87,7 +89,7 @@
         If the record is not a draw.
     """
     try:
-        version, program, id, holder, tokens, total, *rest = json.loads(data)
+        version, program, id, holder, tokens, total, *rest = parse_json(data)
         # Records of earlier versions have no preferred endpoint.
         (preferred_endpoint,) = rest or [""]
     except (TypeError, ValueError) as error:
@@ -99,6 +101,8 @@
     )
     if not is_draw or not all(type(value) is int for value in integers):
         raise RecordError("The record does not have the fields of a draw.")
+    if max(abs(value) for value in integers) > MAX_TOKENS:
+        raise RecordError("The record has more tokens than any program.")
     return Draw(
         program=program,
         id=id,
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -40,7 +40,7 @@
 from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.load_exchange import REGISTRATION_GRACE_SECONDS
-from eelgrasslock.periodic import run_periodically
+from eelgrasslock.periodic import keep_running, run_periodically
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
 from eelgrasslock.scheduling.load_shedding import LoadShedder
@@ -355,8 +355,13 @@
         await self.pool.start()
         await self.dispatcher.start()
         await self.mesh.start()
-        runs = [follower.run() for follower in self.followers.all]
-        runs.append(self.peer_coordinator.register())
+        runs = [
+            keep_running(self.clock, f"Following {follower.topic}", follower.run)
+            for follower in self.followers.all
+        ]
+        runs.append(
+            keep_running(self.clock, "Registering", self.peer_coordinator.register)
+        )
         runs.append(run_periodically(self.clock, lambda: TICK_SECONDS, self._tick))
         runs.append(
             run_periodically(
@@ -364,7 +369,11 @@
             )
         )
         runs += maintenance_loops(self.allowances, self.clock)
-        runs.append(self.crash_records.write_changes())
+        runs.append(
+            keep_running(
+                self.clock, "Writing crashes", self.crash_records.write_changes
+            )
+        )
         runs.append(
             run_periodically(
                 self.clock,
@@ -372,7 +381,13 @@
                 self.crash_records.expire,
             )
         )
-        runs.append(self.shared.conversations.maintain_periodically())
+        runs.append(
+            keep_running(
+                self.clock,
+                "Maintaining conversations",
+                self.shared.conversations.maintain_periodically,
+            )
+        )
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.readiness_server.start()
         await self.metrics_server.start()
--- a/src/eelgrasslock/gateway/crash_records.py
+++ b/src/eelgrasslock/gateway/crash_records.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from eelgrasslock.backoff import Backoff
+from eelgrasslock.checked_json import check_integer, check_number, parse_json
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import LogUnavailable, RecordError
 from eelgrasslock.log.keyed_log import KeyedLog, KeyedRecord
@@ -23,6 +24,7 @@
 MAX_RECORDS = 10_000
 MAX_RECORDS_PER_WRITE = 200
 MAX_CRASHES = 1_000
+MAX_TIME_SECONDS = 2.0**43
 _KEY_SEPARATOR = "/"
 
 _log = logger.bind(part="crashes")
@@ -78,12 +80,13 @@
     if not record.value:
         return CrashRecord(digest=digest, author=author, crashes=0, at=0.0)
     try:
-        fields = json.loads(record.value)
-        crashes, at = fields["crashes"], float(fields["at"])
-    except (KeyError, TypeError, ValueError, OverflowError, RecursionError) as error:
+        fields = parse_json(record.value)
+        crashes = check_integer(fields["crashes"], "crashes", MAX_CRASHES)
+        at = check_number(fields["at"], "at", MAX_TIME_SECONDS)
+    except (KeyError, TypeError, ValueError) as error:
         raise RecordError(f"The value can't be read: {error!r}.") from error
-    if type(crashes) is not int or not 0 < crashes <= MAX_CRASHES:
-        raise RecordError("crashes is not a number of crashes.")
+    if not crashes:
+        raise RecordError("A record without a value has no crashes, and no other.")
     return CrashRecord(digest=digest, author=author, crashes=crashes, at=at)
 
 
--- a/src/eelgrasslock/log/keyed_follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -155,7 +155,7 @@
             snapshot = await self.log.snapshot(self.topic, self._answer_seconds())
             self._set_unavailable(unavailable=False)
             self.last_response_at = self.clock.monotonic()
-            self.state.replace_all(snapshot.records)
+            self._replace_all(snapshot.records)
             self.offset = snapshot.end
             self.confirmed_at = self.read_sent_at
             return False
@@ -167,11 +167,38 @@
         self.last_response_at = self.clock.monotonic()
         self.offset = changes.end
         if changes.records:
-            self.state.apply(changes.records)
+            self._apply(changes.records)
         if not changes.is_behind:
             self.confirmed_at = self.read_sent_at
         return changes.is_behind
 
+    def _replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
+        try:
+            self.state.replace_all(records)
+        except Exception:
+            _log.exception("A snapshot of topic {} failed as a whole.", self.topic)
+            self._apply_singly(records)
+
+    def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
+        try:
+            self.state.apply(records)
+        except Exception:
+            _log.exception("Records of topic {} failed together.", self.topic)
+            self._apply_singly(records)
+
+    def _apply_singly(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Apply the records that can be applied; applying one twice is harmless."""
+        for record in records:
+            try:
+                self.state.apply((record,))
+            except Exception as error:
+                _log.error(
+                    "Left out the record {!r} of topic {}: {!r}",
+                    record.key,
+                    self.topic,
+                    error,
+                )
+
     def _answer_seconds(self) -> float:
         """Return how long an answer may take; longer once the log is unavailable."""
         return ANSWER_SECONDS if self.unavailable else self.schedule.answer_seconds
--- a/src/eelgrasslock/peers/daemon_registry.py
+++ b/src/eelgrasslock/peers/daemon_registry.py
@@ -6,6 +6,7 @@
 from attrs import asdict, frozen
 from loguru import logger
 
+from eelgrasslock.checked_json import check_address, check_text, parse_json
 from eelgrasslock.log.keyed_log import KeyedRecord
 
 TOPIC = "keyed.daemons"
@@ -35,6 +36,21 @@
         return json.dumps(asdict(self), separators=(",", ":")).encode()
 
 
+def decode_daemon_entry(value: bytes) -> DaemonEntry:
+    """Decode the entry of a daemon.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If it is none.
+    """
+    fields = parse_json(value)
+    for name in ("name", "incarnation", "domain"):
+        check_text(fields[name], name)
+    check_address(fields["address"], "address")
+    return DaemonEntry(**fields)
+
+
 class DaemonRegistry:
     """The other registered daemons by name.
 
@@ -65,8 +81,8 @@
                 self.entries.pop(record.key, None)
                 continue
             try:
-                entry = DaemonEntry(**json.loads(record.value))
-            except (TypeError, ValueError) as error:
+                entry = decode_daemon_entry(record.value)
+            except (KeyError, TypeError, ValueError) as error:
                 _log.warning(
                     "Ignored an unreadable registry entry of {}: {}", record.key, error
                 )
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -72,6 +72,9 @@
     }
 )
 _MAX_DIGITS = 18
+# A prompt of more tokens fits no engine; its length must not cost time here.
+_MAX_TOKENS = 4_000_000
+_MAX_CALLS = 1_000_000
 _MAX_ID_CHARACTERS = 256
 
 
@@ -94,7 +97,7 @@
         kept = [pair for pair in headers if pair[0].lower() not in dropped]
         prompt_tokens, output_tokens = _token_usage(values.get(_TOKEN_USAGE, ""))
         return GatewayRequest(
-            id=values.get(_REQUEST_ID, ""),
+            id=_id(values, _REQUEST_ID),
             method=method,
             host=values.get("host", ""),
             target=target,
@@ -102,15 +105,15 @@
             body=body,
             received_at=received_at,
             caller_timeout_seconds=_seconds_from_milliseconds(values, _DEADLINE_MS),
-            program=values.get(_PROGRAM_ID, ""),
-            session=values.get(_SESSION_ID, ""),
+            program=_id(values, _PROGRAM_ID),
+            session=_id(values, _SESSION_ID),
             program_time_left_seconds=_remaining_seconds(values, _FINISH_MS),
             budget_tokens=_integer(values, _TOKEN_BUDGET),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             prompt_parts=_prompt_parts(values.get(_PROMPT_PREFIX, "")),
             last_event_id=_integer(values, _LAST_EVENT_ID),
-            resumed_request=values.get(_RESUMES, ""),
+            resumed_request=_id(values, _RESUMES),
             previous_turn=_id(values, _PREVIOUS_TURN),
             affinity_key=_cookie(headers, _AFFINITY_KEY),
         )
@@ -151,7 +154,7 @@
             ),
             load=_endpoint_load(values.get(_SERVER_LOAD, "")),
             request_limit=_request_limit(values.get(_SERVER_LIMIT)),
-            content_length=_integer(values, "content-length"),
+            content_length=_digits(values.get("content-length", "")),
             keep_alive_seconds=_keep_alive_seconds(values.get("keep-alive", "")),
             retry_after_seconds=_retry_after_seconds(values.get("retry-after", "")),
         )
@@ -184,8 +187,16 @@
     text = values.get(name)
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit() or len(text) > _MAX_DIGITS:
+    number = _digits(text)
+    if number is None:
         raise Refusal("bad_header", f"The header {name} is no whole number.", 400)
+    return number
+
+
+def _digits(text: str) -> int | None:
+    """Return the number that a text of ASCII digits stands for, else None."""
+    if not text.isascii() or not text.isdigit() or len(text) > _MAX_DIGITS:
+        return None
     return int(text)
 
 
@@ -210,27 +221,34 @@
 
 def _token_usage(text: str) -> tuple[int, int]:
     prompt, _, output = text.partition(",")
-    if prompt.strip().isdigit() and output.strip().isdigit():
-        return int(prompt), int(output)
-    return 0, 0
+    numbers = _digits(prompt.strip()), _digits(output.strip())
+    if numbers[0] is None or numbers[1] is None:
+        return 0, 0
+    return min(numbers[0], _MAX_TOKENS), min(numbers[1], _MAX_TOKENS)
 
 
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
     """Return the parts before the first invalid one."""
     parts = []
+    total = 0
     for entry in text.split(","):
-        name, _, tokens = entry.strip().rpartition(":")
-        if not name or not tokens.isdigit():
+        name, _, text = entry.strip().rpartition(":")
+        tokens = _digits(text)
+        if not name.isprintable() or not name or tokens is None:
+            break
+        total += tokens
+        if total > _MAX_TOKENS:
             break
-        parts.append(PromptPart(id=name, tokens=int(tokens)))
+        parts.append(PromptPart(id=name, tokens=tokens))
     return tuple(parts)
 
 
 def _endpoint_load(text: str) -> EndpointLoadHeader | None:
-    numbers = [number.strip() for number in text.split(",")]
-    if len(numbers) != 3 or not all(number.isdigit() for number in numbers):
+    numbers = [_digits(number.strip()) for number in text.split(",")]
+    known = [one for one in numbers if one is not None and one <= _MAX_CALLS]
+    if len(numbers) != 3 or len(known) != 3:
         return None
-    running, waiting, slots = (int(number) for number in numbers)
+    running, waiting, slots = known
     return EndpointLoadHeader(running=running, waiting=waiting, slots=slots)
 
 
@@ -249,13 +267,15 @@
 def _keep_alive_seconds(text: str) -> float | None:
     for parameter in text.lower().split(","):
         name, _, value = parameter.strip().partition("=")
-        if name == "timeout" and value.isdigit():
-            return float(value)
+        seconds = _digits(value)
+        if name == "timeout" and seconds is not None:
+            return float(seconds)
     return None
 
 
 def _retry_after_seconds(text: str) -> float | None:
     try:
-        return max(0.0, float(text))
+        seconds = float(text)
     except ValueError:
         return None
+    return max(0.0, seconds) if math.isfinite(seconds) else None
--- a/src/eelgrasslock/platform/record_decoder.py
+++ b/src/eelgrasslock/platform/record_decoder.py
@@ -1,10 +1,16 @@
 """Decoding of the records that the platform and its operators write."""
 
-import json
 from collections.abc import Callable
 from functools import partial
 from typing import Any
 
+from eelgrasslock.checked_json import (
+    check_address,
+    check_integer,
+    check_number,
+    check_text,
+    parse_json,
+)
 from eelgrasslock.exceptions import Finding, RecordError
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord
 from eelgrasslock.gateway.interfaces import Topics
@@ -26,6 +32,12 @@
 }
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 _DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+MAX_SLOTS = 100_000
+MAX_COUNT = 2**53
+MAX_WEIGHT = 1e9
+MAX_MILLISECONDS = 86_400_000
+MAX_RETENTION_SECONDS = 86_400 * 365
+MAX_TIME_MS = 2**53
 
 
 class PlatformRecordDecoder:
@@ -36,17 +48,17 @@
     def decode_endpoint(self, key: str, value: bytes) -> EndpointRecord:
         """Decode an endpoint's entry."""
         try:
-            entry = json.loads(value)
+            entry = parse_json(value)
             return EndpointRecord(
-                id=key,
-                service=_non_empty_string(entry, "service"),
-                address=_address(entry),
-                domain=_non_empty_string(entry, "zone"),
-                slots=_non_negative_integer(entry, "slots"),
+                id=_endpoint_id(key),
+                service=_text(entry, "service"),
+                address=check_address(entry["address"], "address"),
+                domain=_text(entry, "zone"),
+                slots=check_integer(entry["slots"], "slots", MAX_SLOTS),
                 leaving=_LEAVING_BY_STATE[entry["state"]],
-                warmup_seconds=entry.get("coldLeftMs", 0) / 1_000,
-                started_at_ms=int(entry.get("born", 0)),
-                version=_non_empty_string(entry, "version"),
+                warmup_seconds=_cold_seconds(entry.get("coldLeftMs", 0)),
+                started_at_ms=check_integer(entry.get("born", 0), "born", MAX_TIME_MS),
+                version=_text(entry, "version"),
             )
         except _DECODE_ERRORS as error:
             raise RecordError(f"The entry of {key} is invalid: {error!r}") from error
@@ -58,10 +70,10 @@
         if key != _CONFIGURATION_KEY:
             return None
         try:
-            entry = json.loads(value)
+            entry = parse_json(value)
             services = [_service(item) for item in entry["services"]]
             return RoutingConfiguration(
-                version=_non_negative_integer(entry, "version"),
+                version=_version(entry),
                 routes=tuple(_route(item) for item in entry["routes"]),
                 services={service.name: service for service in services},
                 limits=_limits(entry.get("limits", {})),
@@ -73,13 +85,13 @@
 def configuration_findings(file: str, value: bytes) -> list[Finding]:
     """Return all faults of a configuration document, with their paths."""
     try:
-        entry = json.loads(value)
+        entry = parse_json(value)
     except ValueError as error:
         return [Finding(f"The file is not JSON: {error}.", file)]
     if not isinstance(entry, dict):
         return [Finding("The document is not an object.", file)]
     findings = [
-        *_findings(file, "version", lambda: _non_negative_integer(entry, "version")),
+        *_findings(file, "version", lambda: _version(entry)),
         *_findings(file, "limits", lambda: _limits(entry.get("limits", {}))),
     ]
     for name, decode in (("routes", _route), ("services", _service)):
@@ -102,20 +114,6 @@
     return []
 
 
-def _non_empty_string(entry: dict[str, Any], name: str) -> str:
-    value = entry[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} is not a non-empty string.")
-    return value
-
-
-def _non_negative_integer(entry: dict[str, Any], name: str) -> int:
-    value = entry[name]
-    if type(value) is not int or value < 0:
-        raise ValueError(f"{name} is not a whole number of 0 or more.")
-    return value
-
-
 def _flag(entry: dict[str, Any], name: str) -> bool:
     value = entry.get(name, False)
     if type(value) is not bool:
@@ -123,40 +121,42 @@
     return value
 
 
-def _address(entry: dict[str, Any]) -> str:
-    address = _non_empty_string(entry, "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError("address is not an IP and a port.")
-    return address
+def _endpoint_id(key: str) -> str:
+    """Return the id of an endpoint, which is sent as the value of a header."""
+    if not key or not key.isascii() or not key.isprintable():
+        raise ValueError("The key is not printable ASCII.")
+    return key
 
 
 def _route(entry: dict[str, Any]) -> Route:
     split = entry.get("trafficSplit")
     if split:
         services = tuple(
-            WeightedService(service=part["service"], weight=float(part["weight"]))
+            WeightedService(
+                service=_text(part, "service"),
+                weight=check_number(part["weight"], "weight", MAX_WEIGHT),
+            )
             for part in split
         )
     else:
-        services = (
-            WeightedService(service=_non_empty_string(entry, "service"), weight=1.0),
-        )
+        services = (WeightedService(service=_text(entry, "service"), weight=1.0),)
     kind = _ROUTE_KINDS[entry["kind"]]
     return Route(
-        name=_non_empty_string(entry, "name"),
-        host=_non_empty_string(entry, "host"),
-        prefix=_non_empty_string(entry, "pathPrefix"),
+        name=_text(entry, "name"),
+        host=_text(entry, "host"),
+        prefix=_text(entry, "pathPrefix"),
         kind=kind,
         services=services,
-        timeout_seconds=entry["timeoutMs"] / 1_000,
-        target_latency_seconds=entry.get("targetLatencyMs", entry["timeoutMs"]) / 1_000,
-        max_endpoints=int(entry.get("maxAttempts", 1)),
-        priority=int(entry.get("priority", 0)),
+        timeout_seconds=_seconds(entry, "timeoutMs"),
+        target_latency_seconds=_seconds(entry, "targetLatencyMs", entry["timeoutMs"]),
+        max_endpoints=_count(entry, "maxAttempts", 1),
+        priority=_count(entry, "priority", 0),
         is_turn="retainsContext" in entry and kind is RouteKind.STREAM,
         resumable=bool(entry.get("resumable", False)),
-        max_event_gap_seconds=entry.get("gapAimMs", 0) / 1_000,
-        retention_seconds=float(entry.get("retentionS", 0.0)),
+        max_event_gap_seconds=_seconds(entry, "gapAimMs", 0),
+        retention_seconds=check_number(
+            entry.get("retentionS", 0.0), "retentionS", MAX_RETENTION_SECONDS
+        ),
         keeps_turns=kind is RouteKind.STREAM and _flag(entry, "retainsContext"),
         is_sticky=_flag(entry, "sticky"),
     )
@@ -165,31 +165,54 @@
 def _service(entry: dict[str, Any]) -> ServiceSpec:
     engine = entry.get("engine")
     return ServiceSpec(
-        name=_non_empty_string(entry, "name"),
-        max_connections=int(entry.get("maxConns", 0)),
+        name=_text(entry, "name"),
+        max_connections=_count(entry, "maxConns", 0),
         engine=None if engine is None else _engine(engine),
     )
 
 
 def _engine(entry: dict[str, Any]) -> EngineSpec:
     return EngineSpec(
-        slots=_non_negative_integer(entry, "slots"),
-        cache_tokens=int(entry.get("kvCapacityTokens", 0)),
-        tokens_per_event=int(entry.get("tokensPerEvent", 1)),
+        slots=check_integer(entry["slots"], "slots", MAX_SLOTS),
+        cache_tokens=_count(entry, "kvCapacityTokens", 0),
+        tokens_per_event=_count(entry, "tokensPerEvent", 1),
     )
 
 
 def _limits(entry: dict[str, Any]) -> RequestLimits:
     default = RequestLimits()
-    header_timeout_seconds = entry.get(
-        "headerTimeoutMs", default.header_timeout_seconds * 1_000
-    )
-    idle_timeout_seconds = entry.get(
-        "idleTimeoutMs", default.idle_timeout_seconds * 1_000
-    )
     return RequestLimits(
-        max_header_bytes=int(entry.get("maxHeaderBytes", default.max_header_bytes)),
-        max_body_bytes=int(entry.get("maxBodyBytes", default.max_body_bytes)),
-        header_timeout_seconds=header_timeout_seconds / 1_000,
-        idle_timeout_seconds=idle_timeout_seconds / 1_000,
+        max_header_bytes=_count(entry, "maxHeaderBytes", default.max_header_bytes),
+        max_body_bytes=_count(entry, "maxBodyBytes", default.max_body_bytes),
+        header_timeout_seconds=_seconds(
+            entry, "headerTimeoutMs", default.header_timeout_seconds * 1_000
+        ),
+        idle_timeout_seconds=_seconds(
+            entry, "idleTimeoutMs", default.idle_timeout_seconds * 1_000
+        ),
     )
+
+
+def _text(entry: dict[str, Any], name: str) -> str:
+    return check_text(entry[name], name)
+
+
+def _version(entry: dict[str, Any]) -> int:
+    return check_integer(entry["version"], "version", MAX_COUNT)
+
+
+def _count(entry: dict[str, Any], name: str, default: int) -> int:
+    return check_integer(entry.get(name, default), name, MAX_COUNT)
+
+
+def _seconds(entry: dict[str, Any], name: str, default: Any = None) -> float:
+    """Return a field in milliseconds as seconds; without a default it must exist."""
+    value = entry[name] if default is None else entry.get(name, default)
+    return check_number(value, name, MAX_MILLISECONDS) / 1_000
+
+
+def _cold_seconds(value: Any) -> float:
+    """Return how long an endpoint is still slow; 0 if that time has passed."""
+    is_past = type(value) in (int, float) and value < 0
+    milliseconds = 0 if is_past else value
+    return check_number(milliseconds, "coldLeftMs", MAX_MILLISECONDS) / 1_000
--- a/src/eelgrasslock/platform/store_client.py
+++ b/src/eelgrasslock/platform/store_client.py
@@ -321,6 +321,6 @@
     """Raise an error of a type if a response can't be decoded."""
     try:
         yield
-    except (KeyError, TypeError, ValueError, struct.error) as error:
+    except (KeyError, TypeError, ValueError, RecursionError, struct.error) as error:
         message = f"The store's response can't be decoded: {error!r}."
         raise error_type(message) from error
--- a/src/eelgrasslock/scheduling/dispatch.py
+++ b/src/eelgrasslock/scheduling/dispatch.py
@@ -7,6 +7,7 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Refusal
+from eelgrasslock.periodic import keep_running
 from eelgrasslock.requests.usage import Usage
 from eelgrasslock.scheduling.calls import Assignment, Call, CallOutcome
 
@@ -89,7 +90,9 @@
     async def start(self) -> None:
         """Start the task that processes the queue."""
         if self._task is None:
-            self._task = asyncio.create_task(self._run())
+            self._task = asyncio.create_task(
+                keep_running(self.clock, "Dispatching", self._run)
+            )
 
     async def stop(self) -> None:
         """Stop the task; the callers must cancel the calls that wait."""
