Trust a refusal only with the id of its request

What operators saw elsewhere: an engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that an engine ran.

A refusal without an id passed for the answer to whichever request waited on the connection: the request counted as not run, was sent to a second engine, and its caller was told that it had not run.

Change: a response that does not echo the id of its request promises nothing. Its connection is closed, the outcome is unknown, and only what is idempotent is sent again.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -166,6 +166,9 @@
             return await self._classify(context, record, error)
         context.response_framing = head.framing
         response = self.codec.decode_response(head, context.request.id)
+        if not response.is_own:
+            connection.close()
+            return AttemptResult(outcome=AttemptOutcome.UNSOUND, response=response)
         limit = response.request_limit
         context.named_limit = None if limit is None else limit.per_second
         self.reports.record(context.service.name, record, response, sent_at)
--- a/src/eelgrasslock/gateway/messages.py
+++ b/src/eelgrasslock/gateway/messages.py
@@ -132,6 +132,9 @@
         Whether another endpoint answered than the one that was expected.
     is_leaving : bool
         Whether the endpoint says that it leaves.
+    is_own : bool
+        Whether it echoes the request's id. Without it, a response may be the copy of
+        one to another request, and promises nothing.
     is_valid : bool
         Whether a success may be passed on: it must be signed, not encoded, and echo
         the request's id.
@@ -151,6 +154,7 @@
     headers: tuple[Header, ...]
     not_run: bool
     is_valid: bool
+    is_own: bool = True
     is_misdirected: bool = False
     is_leaving: bool = False
     load: EndpointLoadHeader | None = None
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -140,17 +140,17 @@
         dropped |= _connection_options(values)
         kept = [pair for pair in head.headers if pair[0].lower() not in dropped]
         misdirected = head.status == 421
+        is_own = not request_id or values.get(_REQUEST_ID) == request_id
         encoding = values.get("content-encoding", "identity").lower()
         return EndpointResponse(
             status=head.status,
             headers=tuple(kept),
-            not_run=misdirected or _NOT_RUN in values,
+            not_run=is_own and (misdirected or _NOT_RUN in values),
+            is_own=is_own,
             is_misdirected=misdirected,
             is_leaving=values.get(_SERVER_LEAVING) == _LEAVING,
             is_valid=(
-                _SERVER_STAMP in values
-                and encoding in ("", "identity")
-                and (not request_id or values.get(_REQUEST_ID) == request_id)
+                _SERVER_STAMP in values and encoding in ("", "identity") and is_own
             ),
             load=_endpoint_load(values.get(_SERVER_LOAD, "")),
             request_limit=_request_limit(values.get(_SERVER_LIMIT)),
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -29,6 +29,8 @@
 
     NONE = "none"
     FULL = "full"
+    FULL_COPIED = "full_copied"
+    FULL_COPIED_BARE = "full_copied_bare"
     ERROR = "error"
     SILENT = "silent"
     RESET_BEFORE = "reset_before"
@@ -75,6 +77,8 @@
         When it ended so, on the monotonic clock, in seconds.
     faults : deque of Fault
         One is used up by each request.
+    copies : dict of StreamWriter to bytes
+        Refusals that are sent once more when the next request comes.
     """
 
     events: int = 0
@@ -90,6 +94,7 @@
     crashed_at: list[float] = field(factory=list)
     faults: deque[Fault] = field(factory=deque)
     late: bytes = b""
+    copies: dict[asyncio.StreamWriter, bytes] = field(factory=dict)
 
     def ids(self) -> list[str]:
         """Return the ids of the requests that ran."""
@@ -100,6 +105,8 @@
     ) -> bool:
         """Answer one request; return whether another one may follow."""
         run = await read_head(reader)
+        if copy := self.copies.pop(writer, b""):
+            writer.write(copy)
         fault = self.faults.popleft() if self.faults else Fault.NONE
         self.runs.append(run)
         if fault is not Fault.EARLY:
@@ -117,8 +124,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        if fault is Fault.FULL:
-            writer.write(_whole(run, 503, b"", f"Not-Run: 1\r\n{self._leaving()}"))
+        if fault in _FULL:
+            refusal = _whole(run, 503, b"", f"Not-Run: 1\r\n{self._leaving()}")
+            if fault is Fault.FULL_COPIED_BARE:
+                refusal = refusal.replace(f"Request-Id: {run.id}\r\n".encode(), b"")
+            writer.write(refusal)
+            if fault is not Fault.FULL:
+                self.copies[writer] = refusal
             return True
         if fault is Fault.RESET_BEFORE:
             reset(writer)
@@ -247,6 +259,7 @@
         return f"Server-Leaving: {self.leaving}\r\n" if self.leaving else ""
 
 
+_FULL = frozenset({Fault.FULL, Fault.FULL_COPIED, Fault.FULL_COPIED_BARE})
 _CUT_INSIDE = frozenset({Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT})
 _UNFRAMED = _CUT_INSIDE | {Fault.UNFRAMED}
 
--- a/tests/test_gateway_responses.py
+++ b/tests/test_gateway_responses.py
@@ -1,10 +1,12 @@
 """Each caller gets its own complete response, whatever endpoints send."""
 
 import asyncio
+import json
 
 import pytest
 
 from eelgrasslock.gateway.failure_classifier import CORRELATION_WINDOW_SECONDS
+from eelgrasslock.gateway.forwarder import FULL_ENDPOINT_RETRY_SECONDS
 from eelgrasslock.gateway.scheduler_configuration import PLAIN_CALLS_PER_SLOT
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock_standins.platform_engine import Fault
@@ -156,6 +158,43 @@
         assert engine.runs[1].body == b"y"
 
 
+class TestCopiedRefusals:
+    """An engine sends an earlier refusal once more on a connection that was kept."""
+
+    @pytest.mark.parametrize("fault", [Fault.FULL_COPIED, Fault.FULL_COPIED_BARE])
+    @pytest.mark.parametrize(
+        ("path", "method"), [(f"{POSTS}x", "POST"), (f"{LOOKUPS}x", "GET")]
+    )
+    async def test_the_next_request_runs_once_and_gets_its_answer(
+        self, fleet, fault, path, method
+    ):
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(fault)
+        await fleet.call(daemon, path, method, Request_Id="refused")
+        await asyncio.sleep(FULL_ENDPOINT_RETRY_SECONDS * 1.5)
+        status, _, body = await fleet.call(daemon, path, method, Request_Id="next")
+        assert (status, body) == (200, b"answer to next")
+        assert engine.ids().count("next") == 1
+
+    async def test_a_refusal_without_an_id_is_no_promise(self, fleet):
+        """It may be the copy of one that another request got."""
+        engine = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.FULL_COPIED_BARE)
+        status, _, body = await fleet.call(daemon, f"{POSTS}x", "POST")
+        assert (status, json.loads(body)["error"]["ran"]) == (502, "unknown")
+
+    async def test_a_turn_behind_a_copy_is_served(self, fleet):
+        engine = await fleet.endpoint("models", events=3)
+        daemon = await fleet.ready_daemon([engine])
+        engine.faults.append(Fault.FULL_COPIED)
+        await fleet.turn(daemon, "p")
+        await asyncio.sleep(FULL_ENDPOINT_RETRY_SECONDS * 1.5)
+        status, body = await fleet.turn(daemon, "p")
+        assert (status, body.count(b"data:")) == (200, 3)
+
+
 class TestNotRun:
     async def test_a_full_endpoint_is_skipped(self, fleet):
         engines = [await fleet.endpoint() for _ in range(2)]
