Let no second head follow a response that a peer relays

What operators saw elsewhere: a stream had begun and broke off, the next engine answered with an error, and callers found its text or head in their stream.

By reading, a peer could have sent a refusal after the head of a response, which would have ended the caller's stream as complete.

--- a/src/eelgrasslock/gateway/peer_forwarder.py
+++ b/src/eelgrasslock/gateway/peer_forwarder.py
@@ -60,7 +60,15 @@
         self.body: bytearray | None = None
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
-        """Take the head, and pass it on unless it is a refusal."""
+        """Take the head, and pass it on unless it is a refusal.
+
+        Raises
+        ------
+        PeerUnavailable
+            If there was a head before: another answer follows one that has begun.
+        """
+        if self.head is not None:
+            raise PeerUnavailable("The peer sent a second head.", Ran.UNKNOWN)
         self.head = decode_head(status, headers)
         context = self.context
         context.endpoint = self.head.endpoint
--- a/src/eelgrasslock/gateway/peer_requests.py
+++ b/src/eelgrasslock/gateway/peer_requests.py
@@ -14,6 +14,7 @@
     encode_refusal,
 )
 from eelgrasslock.gateway.request_context import RequestContext
+from eelgrasslock.gateway.responder import ResponseTruncated
 from eelgrasslock.http.messages import Header
 from eelgrasslock.requests.exchange import Request, Responder
 
@@ -118,7 +119,19 @@
             with self.handler.in_flight.enter():
                 await self._forward(message, writer)
         except Refusal as refusal:
-            await writer.refuse(refusal)
+            await self.refuse(writer, refusal)
+
+    async def refuse(self, writer: PeerResponder, refusal: Refusal) -> None:
+        """Send a refusal as the only response.
+
+        Raises
+        ------
+        ResponseTruncated
+            If a response has started.
+        """
+        if writer.started:
+            raise ResponseTruncated(refusal.sentence)
+        await writer.refuse(refusal)
 
     def _check(self) -> None:
         if self.handler.stopping or self.handler.routing.current is None:
