--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,4 +8,6 @@
 fi
 rm -rf target/deps/eelgrasslock
 cp -r src/eelgrasslock target/deps/eelgrasslock
+find src/eelgrasslock -name '*.py' -o -name '*.capnp' | LC_ALL=C sort | xargs cat |
+    sha256sum | cut -c1-12 > target/deps/eelgrasslock/build_id.txt
 python3 -m compileall -q target/deps/eelgrasslock
--- a/src/eelgrasslock/allowances/maintenance.py
+++ b/src/eelgrasslock/allowances/maintenance.py
@@ -29,7 +29,7 @@
         The time.
     """
     record = _log_unavailability(
-        allowances.record_offline_draws,
+        allowances.unrecorded.record,
         "Tokens spent during a log outage are not recorded yet",
     )
     refresh = _log_unavailability(allowances.refresh, "Draws are not refreshed yet")
--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -2,28 +2,36 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from eelgrasslock.allowances.account import Account, Reservation
-from eelgrasslock.allowances.draw_ledger import DrawLedger, DrawRequest
+from eelgrasslock.allowances.callbacks import (
+    OnTokens,
+    QueryOfflineUsage,
+    RequestRelease,
+    SuggestEndpoint,
+    ignore_tokens,
+    no_offline_usage,
+    no_peer_to_release,
+)
+from eelgrasslock.allowances.draw_ledger import DrawLedger
+from eelgrasslock.allowances.draw_request import DrawRequest
 from eelgrasslock.allowances.offline import (
-    OfflineUsageReport,
-    UnrecordedDraw,
     offline_limit,
     offline_remaining,
 )
+from eelgrasslock.allowances.reclaim import reclaim
 from eelgrasslock.allowances.refusals import (
     budget_spent_refusal,
     budget_unknown_refusal,
 )
+from eelgrasslock.allowances.unrecorded_draws import UnrecordedDraws
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import (
     AppendUnresolved,
     LogUnavailable,
-    PeerUnavailable,
 )
 from eelgrasslock.scheduling.load_shedding import ProgramStage
 
@@ -33,26 +41,9 @@
 MAX_ACCOUNTS = 20_000
 RECLAIM_INTERVAL_SECONDS = 1.0
 
-RequestRelease = Callable[[str, str], Awaitable[int]]
-OnTokens = Callable[[str, int], None]
-SuggestEndpoint = Callable[[], str]
-QueryOfflineUsage = Callable[[str], Awaitable[OfflineUsageReport | None]]
-
 _log = logger.bind(part="allowances")
 
 
-async def _no_peer_to_release(holder: str, program: str) -> int:
-    raise PeerUnavailable(f"Peer {holder} can't be called.")
-
-
-async def _no_offline_usage(program: str) -> OfflineUsageReport | None:
-    return None
-
-
-def _ignore_tokens(action: str, tokens: int) -> None:
-    """Do nothing."""
-
-
 class AllowanceManager:
     """Manages the token accounts of programs at this daemon.
 
@@ -72,15 +63,22 @@
         Called with an action, such as ``drawn``, and a number of tokens.
     is_first_start : bool
         Whether this daemon started with the whole fleet, for the first time.
+
+    Attributes
+    ----------
+    accounts : OrderedDict of str to Account
+        The accounts by program, the least recently used first.
+    unrecorded : UnrecordedDraws
+        Their draws that the log does not hold yet.
     """
 
     def __init__(
         self,
         ledger: DrawLedger,
         clock: Clock,
-        request_release: RequestRelease = _no_peer_to_release,
-        query_offline_usage: QueryOfflineUsage = _no_offline_usage,
-        on_tokens: OnTokens = _ignore_tokens,
+        request_release: RequestRelease = no_peer_to_release,
+        query_offline_usage: QueryOfflineUsage = no_offline_usage,
+        on_tokens: OnTokens = ignore_tokens,
         is_first_start: bool = False,
     ) -> None:
         self.is_first_start = is_first_start
@@ -91,6 +89,9 @@
         self.request_release = request_release
         self.query_offline_usage = query_offline_usage
         self.accounts: OrderedDict[str, Account] = OrderedDict()
+        self.unrecorded = UnrecordedDraws(
+            self.accounts, self._get_account, ledger, clock, on_tokens
+        )
         self._return_tasks: set[asyncio.Task[None]] = set()
 
     async def reserve(
@@ -212,7 +213,7 @@
         account.drawn += result.tokens
         account.preferred_endpoint = result.preferred_endpoint
         self.on_tokens("drawn", result.tokens)
-        if not result.tokens and not await self._reclaim(account):
+        if not result.tokens and not await self._reclaim_once(account):
             self._decision_log(account, request, max_generated_tokens).info(
                 "The program's budget is spent."
             )
@@ -291,68 +292,6 @@
         uptime_seconds = self.clock.monotonic() - self.started_at
         return self.is_first_start or uptime_seconds >= self.ledger.retention_seconds
 
-    def offline_usage(self, program: str) -> tuple[int, int]:
-        """Return tokens spent here without the log, and those drawn by all.
-
-        Unspent offline tokens are dropped, since the querying peer needs some now.
-        """
-        account = self.accounts.get(program)
-        if account is None:
-            return 0, self.ledger.total_drawn(program)
-        account.drop_unused_offline()
-        return account.offline_drawn + account.offline_pending, self.ledger.total_drawn(
-            program
-        )
-
-    def unrecorded_draws(self) -> list[UnrecordedDraw]:
-        """Return what was spent without the log and is not recorded yet."""
-        for account in self.accounts.values():
-            account.drop_unused_offline()
-        return [
-            UnrecordedDraw(
-                program=account.program,
-                budget=account.budget,
-                tokens=account.offline_drawn,
-            )
-            for account in self.accounts.values()
-            if account.offline_drawn
-        ]
-
-    def adopt(self, draw: UnrecordedDraw) -> None:
-        """Take over a draw of a daemon that stops; it is recorded as an own one."""
-        account = self._get_account(draw.program, draw.budget)
-        account.adopt(draw.tokens, self.clock.monotonic())
-        self.on_tokens("adopted", draw.tokens)
-        _log.bind(program=draw.program, offline_tokens=draw.tokens).info(
-            "Took over {} tokens that a stopping daemon drew without the log.",
-            draw.tokens,
-        )
-
-    def forget_draw(self, draw: UnrecordedDraw) -> None:
-        """Note that another daemon records a draw."""
-        account = self.accounts.get(draw.program)
-        if account is not None:
-            account.offline_drawn = max(0, account.offline_drawn - draw.tokens)
-
-    async def record_offline_draws(self) -> None:
-        """Record the tokens that were drawn without the log.
-
-        Raises
-        ------
-        LogUnavailable, AppendUnresolved
-            If an append failed; the rest is retried later. An append of unknown
-            outcome is repeated: tokens may count twice, but never not at all.
-        """
-        for account in list(self.accounts.values()):
-            tokens = account.offline_drawn
-            if not tokens:
-                continue
-            await self.ledger.record_draw(account.program, tokens)
-            account.offline_drawn = max(0, account.offline_drawn - tokens)
-            _log.bind(program=account.program).info(
-                "Recorded {} tokens that were drawn without the log.", tokens
-            )
-
     async def refresh(self) -> None:
         """Write totals again before the log drops them, and evict idle accounts.
 
@@ -372,29 +311,13 @@
                 await self.ledger.record_draw(account.program, 0)
         self.ledger.drop_expired()
 
-    async def _reclaim(self, account: Account) -> bool:
-        """Reclaim unspent tokens of other daemons; return whether there were any."""
+    async def _reclaim_once(self, account: Account) -> bool:
+        """Reclaim tokens unless that was tried just now; return whether it gave any."""
         now = self.clock.monotonic()
         if now < account.last_reclaim_at + RECLAIM_INTERVAL_SECONDS:
             return False
         account.last_reclaim_at = now
-        log = _log.bind(program=account.program)
-        reclaimed = 0
-        for holder in self.ledger.other_holders(account.program):
-            try:
-                tokens = await self.request_release(holder, account.program)
-                if tokens:
-                    await self.ledger.record_release(account.program, holder, tokens)
-            except PeerUnavailable as error:
-                log.info(
-                    "Unspent tokens of peer {} were not released: {}", holder, error
-                )
-                continue
-            except (LogUnavailable, AppendUnresolved) as error:
-                log.info("Released tokens of peer {} are lost: {}", holder, error)
-                continue
-            reclaimed += tokens
-        return reclaimed > 0
+        return await reclaim(account.program, self.ledger, self.request_release)
 
     def _decision_log(
         self, account: Account, request: str, max_generated_tokens: int
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -3,41 +3,35 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Coroutine
+from typing import Any
 
 from loguru import logger
 
 from eelgrasslock.allowances.draw_ledger import DrawLedger
 from eelgrasslock.allowances.maintenance import maintenance_loops
 from eelgrasslock.allowances.manager import AllowanceManager
+from eelgrasslock.build_id import read_build_id
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.gateway.access_log import AccessLogger
-from eelgrasslock.gateway.attempts import AttemptRunner
-from eelgrasslock.gateway.conversations import Conversations
 from eelgrasslock.gateway.crash_records import CrashRecords
 from eelgrasslock.gateway.drainer import Drainer
 from eelgrasslock.gateway.draw_handover import DrawHandover
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
-from eelgrasslock.gateway.endpoint_reports import EndpointReports
-from eelgrasslock.gateway.failure_classifier import FailureClassifier
-from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.gauges import register_gauges
-from eelgrasslock.gateway.handler import GatewayHandler
-from eelgrasslock.gateway.link_monitor import LinkMonitor
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadinessServer
 from eelgrasslock.gateway.log_followers import LogFollowers
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
-from eelgrasslock.gateway.peer_forwarder import NO_LINKS, PeerForwarder
-from eelgrasslock.gateway.peer_requests import PeerRequestHandler
+from eelgrasslock.gateway.peer_forwarder import NO_LINKS
 from eelgrasslock.gateway.platform_adapters import PlatformAdapters
+from eelgrasslock.gateway.request_path import RequestPath
 from eelgrasslock.gateway.routes import RequestLimits
 from eelgrasslock.gateway.routing import EndpointRegistryUpdater, RoutingState
 from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.gateway.shared_controllers import SharedControllers
 from eelgrasslock.http.pool import ConnectionPool
-from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.load_exchange import REGISTRATION_GRACE_SECONDS
 from eelgrasslock.periodic import keep_running, run_periodically
@@ -97,8 +91,7 @@
         self._create_scheduler()
         self._create_peers()
         self._create_replicated_state()
-        self._create_links()
-        self._create_request_handler()
+        self._create_request_path()
         self._create_servers()
 
     def _create_scheduler(self) -> None:
@@ -192,72 +185,15 @@
         self.peer_coordinator.last_log_response_at = self.followers.last_response_at
         self.peer_coordinator.log_outage_start = self.followers.outage_start
 
-    def _create_links(self) -> None:
-        self.links = LinkMonitor(
-            self.endpoint_registry, self.pool, self.clock, self.rng
-        )
+    def _create_request_path(self) -> None:
+        path = RequestPath(self)
+        self.links = path.links
         self.links.on_lost = self._links_lost
         self.links.on_regained = self.scheduler.close_breakers
-        self.peer_forwarder = PeerForwarder(
-            self.mesh,
-            self.load_exchange,
-            DaemonHealth(self.shared.ranking, self.mesh, self.clock),
-            self.links,
-            self.clock,
-            self.rng,
-        )
-
-    def _create_request_handler(self) -> None:
-        self.endpoint_reports = EndpointReports(
-            self.endpoint_registry,
-            self.scheduler,
-            self.dispatcher,
-            self.shared.limits,
-            self.load_shedder,
-            self.clock,
-        )
-        attempt_runner = AttemptRunner(
-            self.pool,
-            self.endpoint_registry,
-            self.followers.endpoints,
-            self.platform.codec,
-            self.clock,
-            self.metrics,
-            self.settings.domain,
-            self.scheduler.domain_breaker.is_tripped,
-            self.links,
-            self.shared.stream_versions,
-            self.endpoint_reports,
-            FailureClassifier(
-                self.pool, self.endpoint_registry, self.links, self.clock
-            ),
-        )
-        forwarder = Forwarder(
-            self.dispatcher,
-            self.scheduler,
-            attempt_runner,
-            self.links,
-            self.peer_forwarder,
-            self.clock,
-            self.metrics,
-        )
-        self.handler = GatewayHandler(
-            self.routing,
-            self.followers.configuration,
-            self.allowances,
-            forwarder,
-            self.platform.codec,
-            self.clock,
-            self.rng,
-            AccessLogger(self.metrics, self.clock),
-            self.load_shedder,
-            self.shared.stream_versions,
-            Conversations(self.shared.conversations, self.clock),
-            self.endpoint_registry,
-        )
-        self.peer_requests = PeerRequestHandler(
-            self.handler, forwarder, self.platform.codec, self.clock
-        )
+        self.peer_forwarder = path.peer_forwarder
+        self.endpoint_reports = path.endpoint_reports
+        self.handler = path.handler
+        self.peer_requests = path.peer_requests
         self.mesh.callbacks.serve_request = self.peer_requests.serve
 
     def _create_servers(self) -> None:
@@ -350,51 +286,40 @@
 
     # --- life cycle -------------------------------------------------------------
 
+    def _loops(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the loops that run until the daemon stops."""
+        clock = self.clock
+        crashes = self.crash_records
+        conversations = self.shared.conversations
+        loops = {
+            "Registering": self.peer_coordinator.register,
+            "Writing crashes": crashes.write_changes,
+            "Maintaining conversations": conversations.maintain_periodically,
+        }
+        for follower in self.followers.all:
+            loops[f"Following {follower.topic}"] = follower.run
+        exchange = self.load_exchange
+        return [
+            *(keep_running(clock, name, loop) for name, loop in loops.items()),
+            *maintenance_loops(self.allowances, clock),
+            run_periodically(clock, lambda: TICK_SECONDS, self._tick),
+            run_periodically(clock, exchange.interval, exchange.exchange),
+            run_periodically(clock, crashes.expiry_check_seconds, crashes.expire),
+        ]
+
     async def start(self) -> None:
         """Start all components, the servers last."""
         await self.pool.start()
         await self.dispatcher.start()
         await self.mesh.start()
-        runs = [
-            keep_running(self.clock, f"Following {follower.topic}", follower.run)
-            for follower in self.followers.all
-        ]
-        runs.append(
-            keep_running(self.clock, "Registering", self.peer_coordinator.register)
-        )
-        runs.append(run_periodically(self.clock, lambda: TICK_SECONDS, self._tick))
-        runs.append(
-            run_periodically(
-                self.clock, self.load_exchange.interval, self.load_exchange.exchange
-            )
-        )
-        runs += maintenance_loops(self.allowances, self.clock)
-        runs.append(
-            keep_running(
-                self.clock, "Writing crashes", self.crash_records.write_changes
-            )
-        )
-        runs.append(
-            run_periodically(
-                self.clock,
-                self.crash_records.expiry_check_seconds,
-                self.crash_records.expire,
-            )
-        )
-        runs.append(
-            keep_running(
-                self.clock,
-                "Maintaining conversations",
-                self.shared.conversations.maintain_periodically,
-            )
-        )
-        self._tasks = [asyncio.create_task(run) for run in runs]
+        self._tasks = [asyncio.create_task(loop) for loop in self._loops()]
         await self.readiness_server.start()
         await self.metrics_server.start()
         await self.listener.start()
         _log.info(
-            "Started as incarnation {}{}.",
+            "Started as incarnation {} of build {}{}.",
             self.incarnation,
+            read_build_id(),
             ", with the whole fleet" if self.settings.is_first_start else "",
         )
 
--- a/src/eelgrasslock/gateway/drainer.py
+++ b/src/eelgrasslock/gateway/drainer.py
@@ -98,7 +98,7 @@
     async def _save_allowances(self) -> None:
         try:
             async with asyncio.timeout(RECORD_TIMEOUT_SECONDS):
-                await self.allowances.record_offline_draws()
+                await self.allowances.unrecorded.record()
                 await self.allowances.return_all()
         except (LogUnavailable, AppendUnresolved, TimeoutError) as error:
             _log.info("The allowances could not be returned: {!r}", error)
--- a/src/eelgrasslock/gateway/draw_handover.py
+++ b/src/eelgrasslock/gateway/draw_handover.py
@@ -46,7 +46,7 @@
 
     async def hand_over(self) -> None:
         """Give all unrecorded draws to one peer; those left are logged."""
-        draws = self.allowances.unrecorded_draws()
+        draws = self.allowances.unrecorded.all()
         if not draws:
             return
         message = [
@@ -64,7 +64,7 @@
                 _log.info("{} did not take over draws: {}", entry.name, error)
                 continue
             for draw in draws:
-                self.allowances.forget_draw(draw)
+                self.allowances.unrecorded.forget(draw)
             _log.info("{} took over {} unrecorded draws.", entry.name, len(draws))
             return
         for draw in draws:
@@ -77,7 +77,7 @@
         """Take over the draws of a peer that stops."""
         for one in message["draws"]:
             if one.tokens > 0:
-                self.allowances.adopt(
+                self.allowances.unrecorded.adopt(
                     UnrecordedDraw(
                         program=one.program, budget=one.budget, tokens=one.tokens
                     )
--- a/src/eelgrasslock/gateway/peer_coordinator.py
+++ b/src/eelgrasslock/gateway/peer_coordinator.py
@@ -290,7 +290,7 @@
             self.first_offline_query_at = now
         self.first_offline_query_at = min(self.first_offline_query_at, now)
         assert self.allowances is not None
-        return self.allowances.offline_usage(program)
+        return self.allowances.unrecorded.usage(program)
 
     def _active_since_outage(self, entries: list[DaemonEntry]) -> list[DaemonEntry]:
         """Return the daemons that may have served requests during the outage.
--- /dev/null
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -0,0 +1,148 @@
+"""The components that a request passes between its caller and the endpoints."""
+
+import random
+from typing import Protocol
+
+from eelgrasslock.allowances.manager import AllowanceManager
+from eelgrasslock.clock import Clock
+from eelgrasslock.gateway.access_log import AccessLogger
+from eelgrasslock.gateway.attempts import AttemptRunner
+from eelgrasslock.gateway.conversations import Conversations
+from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
+from eelgrasslock.gateway.endpoint_reports import EndpointReports
+from eelgrasslock.gateway.failure_classifier import FailureClassifier
+from eelgrasslock.gateway.forwarder import Forwarder
+from eelgrasslock.gateway.handler import GatewayHandler
+from eelgrasslock.gateway.link_monitor import LinkMonitor
+from eelgrasslock.gateway.log_followers import LogFollowers
+from eelgrasslock.gateway.peer_forwarder import PeerForwarder
+from eelgrasslock.gateway.peer_requests import PeerRequestHandler
+from eelgrasslock.gateway.platform_adapters import PlatformAdapters
+from eelgrasslock.gateway.routing import RoutingState
+from eelgrasslock.gateway.settings import GatewaySettings
+from eelgrasslock.gateway.shared_controllers import SharedControllers
+from eelgrasslock.http.pool import ConnectionPool
+from eelgrasslock.peers.daemon_health import DaemonHealth
+from eelgrasslock.peers.load_exchange import LoadExchange
+from eelgrasslock.peers.peer_mesh import PeerMesh
+from eelgrasslock.scheduling.dispatch import Dispatcher
+from eelgrasslock.scheduling.load_shedding import LoadShedder
+from eelgrasslock.scheduling.scheduler import Scheduler
+from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
+
+
+class RequestPathSources(Protocol):
+    """The components of a daemon that requests use on their way."""
+
+    allowances: AllowanceManager
+    clock: Clock
+    dispatcher: Dispatcher
+    endpoint_registry: EndpointRegistry
+    followers: LogFollowers
+    load_exchange: LoadExchange
+    load_shedder: LoadShedder
+    mesh: PeerMesh
+    metrics: GatewayMetrics
+    platform: PlatformAdapters
+    pool: ConnectionPool
+    rng: random.Random
+    routing: RoutingState
+    scheduler: Scheduler
+    settings: GatewaySettings
+    shared: SharedControllers
+
+
+class RequestPath:
+    """Creates what serves the requests of callers and of peers.
+
+    Parameters
+    ----------
+    sources : RequestPathSources
+        The daemon's components.
+
+    Attributes
+    ----------
+    links : LinkMonitor
+        Watches the connections to the endpoints.
+    peer_forwarder : PeerForwarder
+        Passes requests on to peers.
+    endpoint_reports : EndpointReports
+        Takes what endpoints say of themselves.
+    handler : GatewayHandler
+        Handles the requests of callers.
+    peer_requests : PeerRequestHandler
+        Handles those that peers pass on.
+    """
+
+    def __init__(self, sources: RequestPathSources) -> None:
+        self.sources = sources
+        self.links = LinkMonitor(
+            sources.endpoint_registry, sources.pool, sources.clock, sources.rng
+        )
+        self.peer_forwarder = PeerForwarder(
+            sources.mesh,
+            sources.load_exchange,
+            DaemonHealth(sources.shared.ranking, sources.mesh, sources.clock),
+            self.links,
+            sources.clock,
+            sources.rng,
+        )
+        self.endpoint_reports = EndpointReports(
+            sources.endpoint_registry,
+            sources.scheduler,
+            sources.dispatcher,
+            sources.shared.limits,
+            sources.load_shedder,
+            sources.clock,
+        )
+        forwarder = self._create_forwarder()
+        self.handler = self._create_handler(forwarder)
+        self.peer_requests = PeerRequestHandler(
+            self.handler, forwarder, sources.platform.codec, sources.clock
+        )
+
+    def _create_forwarder(self) -> Forwarder:
+        sources = self.sources
+        failures = FailureClassifier(
+            sources.pool, sources.endpoint_registry, self.links, sources.clock
+        )
+        attempt_runner = AttemptRunner(
+            sources.pool,
+            sources.endpoint_registry,
+            sources.followers.endpoints,
+            sources.platform.codec,
+            sources.clock,
+            sources.metrics,
+            sources.settings.domain,
+            sources.scheduler.domain_breaker.is_tripped,
+            self.links,
+            sources.shared.stream_versions,
+            self.endpoint_reports,
+            failures,
+        )
+        return Forwarder(
+            sources.dispatcher,
+            sources.scheduler,
+            attempt_runner,
+            self.links,
+            self.peer_forwarder,
+            sources.clock,
+            sources.metrics,
+        )
+
+    def _create_handler(self, forwarder: Forwarder) -> GatewayHandler:
+        sources = self.sources
+        return GatewayHandler(
+            sources.routing,
+            sources.followers.configuration,
+            sources.allowances,
+            forwarder,
+            sources.platform.codec,
+            sources.clock,
+            sources.rng,
+            AccessLogger(sources.metrics, sources.clock),
+            sources.load_shedder,
+            sources.shared.stream_versions,
+            Conversations(sources.shared.conversations, sources.clock),
+            sources.endpoint_registry,
+        )
--- a/tests/budget_model.py
+++ b/tests/budget_model.py
@@ -214,13 +214,13 @@
         if self.fleet.clock.monotonic() >= self.recorded_at + RECORD_SECONDS:
             self.recorded_at = self.fleet.clock.monotonic()
             with contextlib.suppress(LogUnavailable, AppendUnresolved):
-                await self.allowances.record_offline_draws()
+                await self.allowances.unrecorded.record()
                 await self.allowances.refresh()
 
     async def leave(self):
         """End as after SIGTERM."""
         with contextlib.suppress(LogUnavailable, AppendUnresolved):
-            await self.allowances.record_offline_draws()
+            await self.allowances.unrecorded.record()
             await self.allowances.return_all()
             await self.coordinator.deregister()
         self.alive = False
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from eelgrasslock.allowances.draw_ledger import DrawRequest
+from eelgrasslock.allowances.draw_request import DrawRequest
 from eelgrasslock.gateway.endpoint_registry import (
     EndpointRecord,
 )
@@ -225,10 +225,10 @@
         await one.application.drain()
         await one.application.stop()
         allowances = two.application.allowances
-        assert allowances.offline_usage("p")[0] == 5 * 22
+        assert allowances.unrecorded.usage("p")[0] == 5 * 22
         two.faults.refusing = ""
         await wait_until(lambda: allowances.ledger.total_drawn("p") == 5 * 22)
-        assert allowances.offline_usage("p")[0] == 0
+        assert allowances.unrecorded.usage("p")[0] == 0
 
 
 class TestManyDaemons:
--- a/tests/test_offline_allowances.py
+++ b/tests/test_offline_allowances.py
@@ -61,7 +61,7 @@
                 return None
             await asyncio.sleep(0)
             others = [one for key, one in self.daemons.items() if key != name]
-            usages = [one.offline_usage(program) for one in others]
+            usages = [one.unrecorded.usage(program) for one in others]
             usages = [
                 OfflineUsage(domain="a", spent=spent, drawn=drawn)
                 for spent, drawn in usages
@@ -163,7 +163,7 @@
         spent = await turns_until_refused(group, 1_000, TURN_TOKENS)
         log.up = True
         for one in group.daemons.values():
-            await one.record_offline_draws()
+            await one.unrecorded.record()
         assert log.total_drawn() == spent
         spent += await turns_until_refused(group, 1_000, TURN_TOKENS)
         assert spent <= log.total_drawn() <= 1_000
@@ -233,7 +233,7 @@
         log.late_appends = 4
         for one in group.daemons.values():
             with contextlib.suppress(AppendUnresolved):
-                await one.record_offline_draws()
+                await one.unrecorded.record()
         log.up = False
         assert await turns_until_refused(group, 2 * TURN_TOKENS, TURN_TOKENS) == 0
 
@@ -256,13 +256,13 @@
         log.up = False
         await run_turn(group[0], 2 * TURN_TOKENS, TURN_TOKENS)
         log.blocked_until = asyncio.Event()
-        recording = asyncio.create_task(group[0].record_offline_draws())
+        recording = asyncio.create_task(group[0].unrecorded.record())
         await asyncio.sleep(0)
-        assert group[0].offline_usage("p") == (TURN_TOKENS, 0)
+        assert group[0].unrecorded.usage("p") == (TURN_TOKENS, 0)
         log.up = True
         log.blocked_until.set()
         await recording
-        assert group[0].offline_usage("p") == (0, TURN_TOKENS)
+        assert group[0].unrecorded.usage("p") == (0, TURN_TOKENS)
 
 
 class TestSecondOfflineTurn:
@@ -280,7 +280,7 @@
             spent += await turns_until_refused(domains[2], budget, TURN_TOKENS)
             logs[cut_off].up = True
             for one in domains[cut_off].daemons.values():
-                await one.record_offline_draws()
+                await one.unrecorded.record()
         assert spent <= budget + TURN_TOKENS
 
     @pytest.mark.parametrize("turns", [2, 3])
@@ -294,7 +294,7 @@
         spent += await turns_until_refused(Group(log, 2), budget, TURN_TOKENS)
         cut_off.up = True
         for one in domain.daemons.values():
-            await one.record_offline_draws()
+            await one.unrecorded.record()
         log.up = False
         started_later = Group(log, 4, is_first_start=False)
         spent += await turns_until_refused(started_later, budget, TURN_TOKENS)
