Tell requests by digest, and test crashes through peers and in conversations

Lines of requests have the digest by which a request is recognised, and a gauge counts suspects. A daemon waits five seconds for the records of crashes at most, so that a topic that can't be read does not keep it from serving. Tests: a request that crashes its endpoints at a daemon without links, the same input after another turn, and a topic that can't be read.

--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -122,6 +122,7 @@
         "through": context.relayed_through,
         "wanted_version": context.version,
         "version_source": "" if origin is None else origin.source,
+        "digest": context.digest,
         "sent": context.possible_executions,
         "waited_ms": round(context.queued_seconds * _MILLISECONDS),
         "endpoints_age_ms": _milliseconds(context.endpoints_age_seconds),
--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -97,6 +97,12 @@
         "Whether turns are refused because they can't be stored.",
         lambda: conversations.writer.breaker.is_open,
     )
+    quarantine = sources.scheduler.quarantine
+    watch(
+        "suspects",
+        "Requests that were in flight on an endpoint as it crashed.",
+        lambda: len(quarantine.suspects()),
+    )
     watch("accounts", "Programs known.", lambda: len(sources.allowances.accounts))
     watch("peak_memory_bytes", "The most memory held.", peak_memory_bytes)
 
--- a/src/eelgrasslock/gateway/log_followers.py
+++ b/src/eelgrasslock/gateway/log_followers.py
@@ -12,6 +12,7 @@
 from eelgrasslock.peers import daemon_registry
 
 DAEMON_REGISTRY_READS = ReadSchedule(wait_seconds=8.0, pause_seconds=0.2)
+MAX_CRASH_WAIT_SECONDS = 5.0
 CRASH_READS = ReadSchedule(wait_seconds=8.0, pause_seconds=0.2)
 
 
@@ -51,6 +52,8 @@
         daemons: KeyedState,
         crashes: KeyedState,
     ) -> None:
+        self.clock = clock
+        self.started_at = clock.monotonic()
         configuration_reads = schedule_for_bound(settings.configuration_apply_seconds)
         endpoint_reads = schedule_for_bound(settings.endpoint_leave_seconds)
         self.configuration = KeyedFollower(
@@ -86,8 +89,14 @@
 
     @property
     def are_crashes_read(self) -> bool:
-        """Whether the crashes that daemons saw before have been read."""
-        return self.crashes.offset is not None
+        """Whether the crashes that daemons saw before have been read.
+
+        A daemon does not wait for them for ever: it serves without them if only
+        their topic can't be read.
+        """
+        waited_seconds = self.clock.monotonic() - self.started_at
+        is_too_long = waited_seconds >= MAX_CRASH_WAIT_SECONDS
+        return self.crashes.offset is not None or is_too_long
 
     def is_endpoints_view_current(self) -> bool:
         """Return whether the view of the endpoints is young enough to be used."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,14 +4,18 @@
 
 import pytest
 
+from conversation_fleet import ConversationFleet
 from crashing_requests import (
     BODILESS,
+    HEARTBEAT_SECONDS,
     POISON,
     TURN_HEADERS,
     TURN_PATH,
     CrashingFleet,
 )
-from platform_fleet import LOOKUPS
+from link_faults import Cut
+from platform_fleet import LOOKUPS, POSTS, wait_until
+from test_stranded_daemons import StrandedFleet
 
 CALM_SECONDS = 8.0
 REPLACED_SECONDS = 16.0
@@ -106,3 +110,54 @@
         let_crash(fleet, body=POISON)
         await fleet.send_for(CALM_SECONDS, f"{LOOKUPS}x", "POST", POISON)
         fleet.check()
+
+
+class TestStrandedDaemon:
+    async def test_what_peers_run_for_it_is_quarantined(self, fleet):
+        """Its peers see the crashes, of the request as its caller sent it."""
+        stranded = await StrandedFleet(fleet).start()
+        daemon = stranded.daemons[0]
+        await stranded.strand(daemon, cut=Cut.REFUSE)
+        for desk in stranded.desks:
+            desk.crashes_on = POISON
+        statuses = []
+        for _ in range(6):
+            statuses.append((await fleet.call(daemon, f"{POSTS}x", "POST", POISON))[0])
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+        assert sum(len(desk.crashed_at) for desk in stranded.desks) <= 3, statuses
+        assert statuses[-1] == 503
+
+
+class TestConversations:
+    async def test_an_input_is_recognised_after_another_turn(self, fleet):
+        """Its whole chain, which the engine gets, differs each time."""
+        talks = ConversationFleet(fleet)
+        await talks.start(daemons=1)
+        (daemon,) = talks.daemons
+        dispatcher = daemon.application.dispatcher
+        acquire, digests = dispatcher.acquire, []
+
+        async def record(call):
+            digests.append(call.digest)
+            return await acquire(call)
+
+        dispatcher.acquire = record
+        for first in (b"a", b"b"):
+            said = await talks.say(daemon, first, Program_Id="p")
+            await talks.say(daemon, POISON, said, Program_Id="p")
+        assert len(set(digests)) == 3
+        assert digests[1] == digests[3]
+
+
+class TestUnreadableTopic:
+    async def test_a_daemon_does_not_wait_for_the_records_for_ever(
+        self, fleet, monkeypatch
+    ):
+        monkeypatch.setattr(
+            "eelgrasslock.gateway.log_followers.MAX_CRASH_WAIT_SECONDS", 0.4
+        )
+        fleet.store.newest["keyed.crashes"] = None
+        endpoint = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([endpoint])
+        assert not daemon.application.is_ready()
+        await wait_until(daemon.application.is_ready)
