Look up the crashes of a digest by digest

crash_count added up the reports of every daemon, for each call that was placed: at 320 daemons, and as many that had left, hundreds of lookups a call. An index by digest makes it one for the requests that never crashed anything. The tests hold the index in step with the reports. A test took a negative time for one of a record, which the decoder rejects since the records of other writers are checked.

--- a/src/eelgrasslock/scheduling/quarantine.py
+++ b/src/eelgrasslock/scheduling/quarantine.py
@@ -29,8 +29,10 @@
     ----------
     own_crashes : OrderedDict of str to list of float
         When this daemon saw crashes, by digest, on the monotonic clock.
-    crashes_by_author : OrderedDict of str to CrashReports
+    crashes_by_author : dict of str to CrashReports
         The crashes that other daemons saw, by incarnation.
+    authors_by_digest : dict of str to set of str
+        The daemons that know of a crash, by digest: most digests have none.
     departed : OrderedDict of str to None
         The incarnations that left, the first one first.
     on_change : callable
@@ -40,6 +42,7 @@
     def __init__(self) -> None:
         self.own_crashes: OrderedDict[str, list[float]] = OrderedDict()
         self.crashes_by_author: dict[str, CrashReports] = {}
+        self.authors_by_digest: dict[str, set[str]] = {}
         self.departed: OrderedDict[str, None] = OrderedDict()
         self.configured_digests: frozenset[str] = frozenset()
         self.operator_digests: set[str] = set()
@@ -63,8 +66,11 @@
         self.departed.pop(incarnation, None)
         if digests or incarnation in self.crashes_by_author:
             self.has_new_crashes = self.has_new_crashes or bool(digests)
-            reported = Counter(digests[-_MAX_REPORTED_SUSPECTS:])
-            self._reports_of(incarnation).report(reported)
+            reports = self._reports_of(incarnation)
+            before = reports.digests()
+            reports.report(Counter(digests[-_MAX_REPORTED_SUSPECTS:]))
+            for digest in before | reports.digests():
+                self._index(incarnation, digest)
 
     def remove_peer(self, incarnation: str) -> None:
         """Note that a peer has departed; the crashes that it saw are kept."""
@@ -73,7 +79,9 @@
         self.departed[incarnation] = None
         while len(self.departed) > _MAX_DEPARTED_PEERS:
             oldest, _ = self.departed.popitem(last=False)
-            del self.crashes_by_author[oldest]
+            reports = self.crashes_by_author.pop(oldest)
+            for digest in reports.digests():
+                self._index(oldest, digest)
 
     def load_record(self, incarnation: str, digest: str, crashes: int) -> None:
         """Take the crashes that the log holds of another daemon; 0 clears them."""
@@ -82,6 +90,7 @@
             self._reports_of(incarnation).record(digest, crashes)
         elif incarnation in self.crashes_by_author:
             self.crashes_by_author[incarnation].remove_record(digest)
+        self._index(incarnation, digest)
 
     def forget_own(self, digest: str) -> None:
         """Clear what this daemon saw: the request has completed at another one."""
@@ -96,7 +105,8 @@
         """Return the number of known crashes during which a digest was in flight."""
         if not digest:
             return 0
-        others = sum(one.count(digest) for one in self.crashes_by_author.values())
+        authors = self.authors_by_digest.get(digest, ())
+        others = sum(self.crashes_by_author[one].count(digest) for one in authors)
         return len(self.own_crashes.get(digest, ())) + others
 
     def is_suspect(self, digest: str) -> bool:
@@ -116,8 +126,7 @@
 
     def suspects(self) -> set[str]:
         """Return the digests of which a crash is known."""
-        known = set(self.own_crashes)
-        return known.union(*(one.digests() for one in self.crashes_by_author.values()))
+        return self.own_crashes.keys() | self.authors_by_digest.keys()
 
     def suspects_to_report(self, now: float) -> tuple[str, ...]:
         """Return this daemon's suspects, one entry for each crash, newest last."""
@@ -132,9 +141,20 @@
 
     def _clear(self, digest: str) -> None:
         self.own_crashes.pop(digest, None)
-        for reports in self.crashes_by_author.values():
-            reports.clear(digest)
+        for author in self.authors_by_digest.get(digest, ()):
+            self.crashes_by_author[author].clear(digest)
         self.on_change(digest)
 
+    def _index(self, author: str, digest: str) -> None:
+        """Keep the index by digest in step with the reports of a daemon."""
+        reports = self.crashes_by_author.get(author)
+        if reports is not None and digest in reports.digests():
+            self.authors_by_digest.setdefault(digest, set()).add(author)
+            return
+        authors = self.authors_by_digest.get(digest, set())
+        authors.discard(author)
+        if not authors:
+            self.authors_by_digest.pop(digest, None)
+
     def _reports_of(self, incarnation: str) -> CrashReports:
         return self.crashes_by_author.setdefault(incarnation, CrashReports())
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -135,7 +135,7 @@
         one.quarantine.record_crash(["d"], 2.0)
         await one.records.flush()
         key = make_key("d", "a")
-        older = CrashRecord(digest="d", author="a", crashes=1, at=-1.0)
+        older = CrashRecord(digest="d", author="a", crashes=1, at=0.25)
         one.records.apply((KeyedRecord(key=key, value=older.encode()),))
         one.records.apply((KeyedRecord(key=key, value=b""),))
         assert one.quarantine.crash_count("d") == 2
@@ -158,6 +158,31 @@
         assert not other.quarantine.is_suspect("d")
 
 
+class TestIndex:
+    """The count of a digest is looked up for each call; it must not cost by daemon."""
+
+    def test_it_holds_no_digest_without_a_crash(self):
+        quarantine = Quarantine()
+        for number in range(400):
+            quarantine.update_peer(f"peer {number}", (f"d{number % 7}",))
+            quarantine.load_record(f"peer {number}", "d", 1)
+        assert len(quarantine.suspects()) == 8
+        assert quarantine.crash_count("d") == 400
+        for number in range(400):
+            quarantine.update_peer(f"peer {number}", ())
+            quarantine.load_record(f"peer {number}", "d", 0)
+        assert not quarantine.authors_by_digest
+        assert quarantine.crash_count("d") == 0
+
+    def test_daemons_that_departed_long_ago_are_forgotten(self):
+        quarantine = Quarantine()
+        for number in range(1_200):
+            quarantine.update_peer(f"peer {number}", ("d",))
+            quarantine.remove_peer(f"peer {number}")
+        assert quarantine.crash_count("d") == 1_000
+        assert len(quarantine.crashes_by_author) == 1_000
+
+
 class TestForeignRecords:
     @pytest.mark.parametrize(
         ("key", "value"),
