Repeat the removal of a crash's record that the log did not take

A daemon forgot that it had written a record before the log had taken its removal: if that failed, and the record had not been read back, it stayed. A removal also cleared a crash that had not been written yet. One test of two fails before: the record of a request that had completed remained in the log.

--- a/src/eelgrasslock/gateway/crash_records.py
+++ b/src/eelgrasslock/gateway/crash_records.py
@@ -171,12 +171,14 @@
     def _remove(self, record: CrashRecord) -> None:
         """Clear the crashes of a record that was removed.
 
-        An own record that was written again since then has not been read yet.
+        An own record may have been written again since then, or is about to be.
         """
         removed = self.records.pop(record.key, None)
         if record.author != self.incarnation:
             self.quarantine.load_record(record.author, record.digest, 0)
-        elif removed is not None and removed.at == self.written.get(record.digest):
+            return
+        is_newest = removed and removed.at == self.written.get(record.digest)
+        if is_newest and record.digest not in self.pending:
             del self.written[record.digest]
             self.quarantine.forget_own(record.digest)
 
@@ -254,6 +256,6 @@
         if self.quarantine.is_suspect(digest):
             return []
         keys = {one.key for one in self.records.values() if one.digest == digest}
-        if self.written.pop(digest, None) is not None:
+        if digest in self.written:
             keys.add(make_key(digest, self.incarnation))
         return [(key, b"") for key in sorted(keys)]
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -140,6 +140,27 @@
         one.records.apply((KeyedRecord(key=key, value=b""),))
         assert one.quarantine.crash_count("d") == 2
 
+    async def test_a_crash_that_is_not_written_yet_is_not_cleared(self, join, topic):
+        one, other = join("a"), join("b")
+        await one.crash("d")
+        one.quarantine.record_crash(["d"], 2.0)
+        await other.succeed("d")
+        assert one.quarantine.crash_count("d") == 2
+        await one.records.flush()
+        assert other.quarantine.crash_count("d") == 2
+
+    async def test_a_removal_that_the_log_did_not_take_is_repeated(self, join, topic):
+        """The own record had not been read back when the request completed."""
+        one = join("a")
+        followers, topic.followers = topic.followers, []
+        await one.crash("d")
+        topic.is_down = True
+        with pytest.raises(LogUnavailable):
+            await one.succeed("d")
+        topic.is_down, topic.followers = False, followers
+        await one.records.flush()
+        assert not topic.values
+
     async def test_a_report_that_was_withdrawn_hides_no_later_crash(self):
         """A cleared number stayed, so that the next crash did not count."""
         quarantine = Quarantine()
