Let the test of one version not depend on how old a view is

A process that is stopped for 1.6 s between two steps shows the same failure in 2 of 6 runs (the others fail while they start), none in 6 runs of 1.1 s: the view of the endpoints is then older than its bound, and streams are told, as they must be. The view counts as current in these tests; what an old view does is tested by itself now. 6 of 6 runs with stops of 1.6 s pass.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -58,6 +58,8 @@
         for daemon in self.daemons:
             watch = daemon.application.shared.version_watch
             watch.window_seconds = WINDOW_SECONDS
+            # A process that is held up has an old view: see test_version_watch.
+            watch.is_view_current = lambda: True
         await wait_until(lambda: all(has_one_version(one) for one in self.daemons))
         return self
 
