Show ends of engines that no connection shows to their request

The users saw a request sent on and on under which servers had ended. The first fix counts an end only if its request sees its connection break, and lives until the endpoint has been looked at.

--- a/src/eelgrasslock_standins/bare_server.py
+++ b/src/eelgrasslock_standins/bare_server.py
@@ -74,11 +74,15 @@
 
     async def stop(self) -> None:
         """Stop, and reset all connections."""
-        if self._server is not None:
-            self._server.close()
+        self.close()
         for writer in list(self._writers):
             reset(writer)
 
+    def close(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
     @property
     def busy(self) -> bool:
         """Whether a caller is connected."""
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -73,12 +73,19 @@
         A body that ends the endpoint, empty for none.
     crashes_on_target : str
         A target that ends the endpoint, empty for none.
+    crash_seconds : float
+        How long such a request runs before the end.
+    crashes_silently : bool
+        Whether its connections then stay open without a word, as after a loss of
+        power, in place of being reset.
     crashed_at : list of float
         When it ended so, on the monotonic clock, in seconds.
     faults : deque of Fault
         One is used up by each request.
     copies : dict of StreamWriter to bytes
         Refusals that are sent once more when the next request comes.
+    silent : set of StreamWriter
+        Connections from before a silent end, on which nothing is sent any more.
     """
 
     events: int = 0
@@ -91,10 +98,13 @@
     leaving: str = ""
     crashes_on: bytes = b""
     crashes_on_target: str = ""
+    crash_seconds: float = 0.0
+    crashes_silently: bool = False
     crashed_at: list[float] = field(factory=list)
     faults: deque[Fault] = field(factory=deque)
     late: bytes = b""
     copies: dict[asyncio.StreamWriter, bytes] = field(factory=dict)
+    silent: set[asyncio.StreamWriter] = field(factory=set)
 
     def ids(self) -> list[str]:
         """Return the ids of the requests that ran."""
@@ -105,6 +115,8 @@
     ) -> bool:
         """Answer one request; return whether another one may follow."""
         run = await read_head(reader)
+        if writer in self.silent:
+            return await _ignore(reader)
         if copy := self.copies.pop(writer, b""):
             writer.write(copy)
         fault = self.faults.popleft() if self.faults else Fault.NONE
@@ -137,12 +149,9 @@
             return False
         run.ran = True
         if self._is_crashed_by(run):
-            self.crashed_at.append(time.monotonic())
-            await self.stop()
-            return False
+            return await self._crash(reader)
         if fault is Fault.SILENT:
-            await reader.read(1)
-            return False
+            return await _ignore(reader)
         if fault is Fault.EARLY:
             writer.write(_whole(run, 413, b"too long", self._stamp()))
             await read_body(reader, run)
@@ -158,6 +167,16 @@
         await asyncio.sleep(self.work_seconds)
         return self._plain(run, fault, writer)
 
+    async def _crash(self, reader: asyncio.StreamReader) -> bool:
+        await asyncio.sleep(self.crash_seconds)
+        self.crashed_at.append(time.monotonic())
+        if not self.crashes_silently:
+            await self.stop()
+            return False
+        self.close()
+        self.silent |= self._writers
+        return await _ignore(reader)
+
     def _is_crashed_by(self, run: Run) -> bool:
         if self.crashes_on and run.body == self.crashes_on:
             return True
@@ -264,6 +283,13 @@
 _UNFRAMED = _CUT_INSIDE | {Fault.UNFRAMED}
 
 
+async def _ignore(reader: asyncio.StreamReader) -> bool:
+    """Read what a caller sends until it leaves."""
+    while await reader.read(1_024):
+        pass
+    return False
+
+
 def _whole(run: Run, status: int, body: bytes, more: str) -> bytes:
     head = (
         f"HTTP/1.1 {status} Status\r\nRequest-Id: {run.id}\r\n{more}"
--- a/tests/crashing_requests.py
+++ b/tests/crashing_requests.py
@@ -24,6 +24,9 @@
     def __init__(self):
         super().__init__()
         self.return_seconds = RETURN_SECONDS
+        # After how long an ended engine is no longer registered; it then comes
+        # back under another id and address. None: under the same ones.
+        self.removal_seconds = None
         self.engines = []
         self.daemon_numbers = {domain: 0 for domain in "abc"}
         self.statuses = []
@@ -47,13 +50,21 @@
                 await asyncio.sleep(0.02)
                 if len(engine.crashed_at) > returned:
                     returned = len(engine.crashed_at)
-                    await asyncio.sleep(self.return_seconds)
-                    await engine.start()
-                    self.register(engine, service, born=returned + 1)
+                    await self.bring_back(engine, service)
 
         task = asyncio.create_task(restart())
         self.stack.callback(task.cancel)
 
+    async def bring_back(self, engine, service):
+        if self.removal_seconds is not None:
+            await asyncio.sleep(self.removal_seconds)
+            self.unregister(engine)
+            engine.id = f"i-{next(self.ids)}"
+            engine.address = ""
+        await asyncio.sleep(self.return_seconds)
+        await engine.start()
+        self.register(engine, service, born=round(time.time() * 1_000))
+
     async def add_daemon(self, domain):
         self.daemon_numbers[domain] += 1
         name = f"{domain}-{self.daemon_numbers[domain]}"
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -19,6 +19,7 @@
 
 CALM_SECONDS = 8.0
 REPLACED_SECONDS = 16.0
+SILENT_SECONDS = 0.5
 
 
 @pytest.fixture
@@ -112,6 +113,35 @@
         fleet.check()
 
 
+class TestUnseenEnds:
+    """Ends that no connection shows to the request that caused them."""
+
+    async def send_lookups(self, fleet, **headers):
+        let_crash(fleet, body=POISON)
+        path = f"{LOOKUPS}x"
+        await fleet.send_for(CALM_SECONDS, path, "POST", POISON, **headers)
+        fleet.check()
+
+    async def test_a_deadline_just_after_a_crash_does_not_hide_it(self, fleet):
+        """The request timed out while its lost connection was looked into."""
+        await fleet.start(crash_seconds=0.1)
+        await self.send_lookups(fleet, Deadline_Ms=130)
+
+    async def test_a_silent_endpoint_that_is_removed_has_crashed(self, fleet):
+        fleet.removal_seconds = SILENT_SECONDS
+        await fleet.start(crashes_silently=True)
+        await self.send_lookups(fleet)
+
+    async def test_a_silent_endpoint_that_starts_again_has_crashed(self, fleet):
+        await fleet.start(crashes_silently=True)
+        await self.send_lookups(fleet)
+
+    async def test_callers_that_leave_hide_no_silent_crash(self, fleet):
+        fleet.removal_seconds = SILENT_SECONDS
+        await fleet.start(crashes_silently=True)
+        await self.send_lookups(fleet, Deadline_Ms=300)
+
+
 class TestStrandedDaemon:
     async def test_what_peers_run_for_it_is_quarantined(self, fleet):
         """Its peers see the crashes, of the request as its caller sent it."""
