Count ends of engines that no connection shows to their request

Callers could end engine after engine with one request if their deadline passed just after each crash, or if the engines fell silent. Cause: the request itself looked into what became of its engine, and nothing was kept of requests that ended first. A check now belongs to the daemon, one for all requests that lost their connection. Calls that ended without an answer are kept for 8 s; they and those in flight count once their engine starts again, another one starts at its address, or it is removed without a word and takes no connection while the network works.

An engine that is removed and goes on has crashed nothing (test). Lost calls and the states of removed engines are dropped; the latter were kept for ever.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -18,6 +18,7 @@
 from eelgrasslock.gateway.crash_records import CrashRecords
 from eelgrasslock.gateway.drainer import Drainer
 from eelgrasslock.gateway.draw_handover import DrawHandover
+from eelgrasslock.gateway.endpoint_ends import EndpointEnds
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.gauges import register_gauges
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadinessServer
@@ -136,12 +137,13 @@
         self.routing = RoutingState(
             platform.record_decoder, self._configuration_changed
         )
+        self.endpoint_ends = EndpointEnds(self.scheduler, self.clock)
         self.registry_updater = EndpointRegistryUpdater(
             platform.record_decoder,
             self.endpoint_registry,
             self._update_scheduler,
-            self._endpoint_reset,
-            self.scheduler.record_restart,
+            self.endpoint_ends.record_replaced,
+            self.endpoint_ends.record_removed,
         )
         self.crash_records = CrashRecords(
             platform.log,
@@ -192,6 +194,9 @@
         self.links.on_regained = self.scheduler.close_breakers
         self.peer_forwarder = path.peer_forwarder
         self.endpoint_reports = path.endpoint_reports
+        self.failures = path.failures
+        self.endpoint_ends.check = path.failures.check
+        self.endpoint_ends.forget_reports = path.endpoint_reports.forget
         self.handler = path.handler
         self.peer_requests = path.peer_requests
         self.mesh.callbacks.serve_request = self.peer_requests.serve
@@ -265,10 +270,6 @@
         sentence = "This daemon has lost its links to the endpoints."
         self.dispatcher.refuse_waiting(Refusal(NO_LINKS, sentence, 503))
 
-    def _endpoint_reset(self, endpoint: str) -> None:
-        self.scheduler.reset_endpoint(endpoint)
-        self.endpoint_reports.forget(endpoint)
-
     async def _tick(self) -> None:
         now = self.clock.monotonic()
         if self._last_tick_at:
@@ -282,6 +283,7 @@
         self.peer_forwarder.forget_past()
         self.shared.limits.forget_others(self.endpoint_registry.entries.keys())
         self.scheduler.decay_reported_loads()
+        self.scheduler.forget_past_calls()
         self.dispatcher.wake_up()
 
     # --- life cycle -------------------------------------------------------------
@@ -336,6 +338,7 @@
         await self.readiness_server.stop()
         await self.metrics_server.stop()
         await self.shared.stop()
+        await self.failures.stop()
         await self.links.stop()
         await self.dispatcher.stop()
         await self.mesh.stop()
--- a/src/eelgrasslock/gateway/endpoint_registry.py
+++ b/src/eelgrasslock/gateway/endpoint_registry.py
@@ -164,15 +164,14 @@
         ]
         return any(changed) or any(removed)
 
-    def remove_expired(self) -> list[str]:
-        """Remove the endpoints whose grace period has ended; return their ids."""
+    def remove_expired(self) -> list[EndpointRecord]:
+        """Remove and return the endpoints whose grace period has ended."""
         now = self.clock.monotonic()
         expired = [one for one, time in self.grace_ends_at.items() if time <= now]
         for endpoint in expired:
             del self.grace_ends_at[endpoint]
             self.said_leaving.pop(endpoint, None)
-            self.entries.pop(endpoint, None)
-        return expired
+        return [self.entries.pop(one) for one in expired if one in self.entries]
 
     def _grace_ends(self) -> float:
         """Return when the grace period of the last outage ends.
--- a/src/eelgrasslock/gateway/failure_classifier.py
+++ b/src/eelgrasslock/gateway/failure_classifier.py
@@ -1,5 +1,8 @@
 """Tells an endpoint that crashed from a connection or a network that broke."""
 
+import asyncio
+from collections.abc import Callable
+
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.attempt_result import AttemptOutcome
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
@@ -23,6 +26,9 @@
         Is told which connections open and which fail.
     clock : Clock
         The source of time.
+    on_crash : callable
+        Called with the id of an endpoint that crashed, and when it had done so at
+        the latest, on the monotonic clock.
 
     Attributes
     ----------
@@ -36,12 +42,15 @@
         endpoint_registry: EndpointRegistry,
         links: LinkMonitor,
         clock: Clock,
+        on_crash: Callable[[str, float], None],
     ) -> None:
+        self.on_crash = on_crash
         self.pool = pool
         self.endpoint_registry = endpoint_registry
         self.links = links
         self.clock = clock
         self.unreachable_at: dict[str, float] = {}
+        self._checks: dict[str, asyncio.Task[bool]] = {}
 
     def record_unreachable(self, record: EndpointRecord) -> None:
         """Record that no connection to an endpoint could be opened."""
@@ -51,15 +60,42 @@
     async def classify(self, record: EndpointRecord) -> AttemptOutcome:
         """Return whether an endpoint crashed or only lost a connection.
 
-        A crashed endpoint accepts no new connection. If the endpoint accepts one,
-        the connection is kept for the next request.
+        The check is shared by all requests that lost theirs, and goes on if these
+        end first.
         """
+        is_crash = await asyncio.shield(self.check(record))
+        return AttemptOutcome.CRASHED if is_crash else AttemptOutcome.BROKEN
+
+    def check(self, record: EndpointRecord) -> asyncio.Task[bool]:
+        """Return the task that finds out whether an endpoint has crashed."""
+        task = self._checks.get(record.id)
+        if task is None:
+            task = asyncio.create_task(self._check(record))
+            self._checks[record.id] = task
+            task.add_done_callback(lambda _: self._checks.pop(record.id))
+        return task
+
+    async def _check(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint takes no connection though the network works.
+
+        If it takes one, the connection is kept for the next request.
+        """
+        ended_at = self.clock.monotonic()
         if await self._opens(record):
-            return AttemptOutcome.BROKEN
+            return False
         self.pool.drop(record.address)
         self.record_unreachable(record)
         is_crash = await self._is_network_intact(record)
-        return AttemptOutcome.CRASHED if is_crash else AttemptOutcome.BROKEN
+        if is_crash:
+            self.on_crash(record.id, ended_at)
+        return is_crash
+
+    async def stop(self) -> None:
+        """Stop the checks."""
+        checks = list(self._checks.values())
+        for check in checks:
+            check.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
 
     async def _is_network_intact(self, record: EndpointRecord) -> bool:
         """Return whether the network to an unreachable endpoint works.
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -68,6 +68,8 @@
         Passes requests on to peers.
     endpoint_reports : EndpointReports
         Takes what endpoints say of themselves.
+    failures : FailureClassifier
+        Tells crashes of endpoints from broken connections.
     handler : GatewayHandler
         Handles the requests of callers.
     peer_requests : PeerRequestHandler
@@ -95,6 +97,13 @@
             sources.load_shedder,
             sources.clock,
         )
+        self.failures = FailureClassifier(
+            sources.pool,
+            sources.endpoint_registry,
+            self.links,
+            sources.clock,
+            sources.scheduler.record_end,
+        )
         forwarder = self._create_forwarder()
         self.handler = self._create_handler(forwarder)
         self.peer_requests = PeerRequestHandler(
@@ -103,9 +112,6 @@
 
     def _create_forwarder(self) -> Forwarder:
         sources = self.sources
-        failures = FailureClassifier(
-            sources.pool, sources.endpoint_registry, self.links, sources.clock
-        )
         attempt_runner = AttemptRunner(
             sources.pool,
             sources.endpoint_registry,
@@ -118,7 +124,7 @@
             self.links,
             sources.shared.stream_versions,
             self.endpoint_reports,
-            failures,
+            self.failures,
         )
         return Forwarder(
             sources.dispatcher,
--- a/src/eelgrasslock/gateway/routing.py
+++ b/src/eelgrasslock/gateway/routing.py
@@ -84,10 +84,11 @@
         The registry to update.
     on_change : callable
         Called after the registry changed.
-    on_endpoint_reset : callable
-        Called with the id of an endpoint that restarted or was removed.
-    on_endpoint_restart : callable
-        Called with the id of an endpoint that restarted.
+    on_endpoint_replaced : callable
+        Called with the former registration of an endpoint, and with the one under
+        which it, or another one at its address, has started.
+    on_endpoint_removed : callable
+        Called with the registration of an endpoint that was removed.
     """
 
     def __init__(
@@ -95,14 +96,14 @@
         record_decoder: RecordDecoder,
         endpoint_registry: EndpointRegistry,
         on_change: Callable[[], None],
-        on_endpoint_reset: Callable[[str], None],
-        on_endpoint_restart: Callable[[str], None],
+        on_endpoint_replaced: Callable[[EndpointRecord, EndpointRecord], None],
+        on_endpoint_removed: Callable[[EndpointRecord], None],
     ) -> None:
-        self.on_endpoint_restart = on_endpoint_restart
+        self.on_endpoint_replaced = on_endpoint_replaced
+        self.on_endpoint_removed = on_endpoint_removed
         self.record_decoder = record_decoder
         self.endpoint_registry = endpoint_registry
         self.on_change = on_change
-        self.on_endpoint_reset = on_endpoint_reset
 
     def set_log_unavailable(self, unavailable: bool, read_sent_at: float) -> None:
         """Record whether the log is unavailable."""
@@ -113,8 +114,13 @@
         decoded = [self._decode(record) for record in records if record.value]
         entries = [entry for entry in decoded if entry is not None]
         for entry in entries:
-            self._detect_restart(entry)
-        if self.endpoint_registry.replace(entries):
+            self._detect_start(entry)
+        before = list(self.endpoint_registry.entries.values())
+        changed = self.endpoint_registry.replace(entries)
+        for one in before:
+            if one.id not in self.endpoint_registry.entries:
+                self.on_endpoint_removed(one)
+        if changed:
             self.on_change()
 
     def apply(self, records: tuple[KeyedRecord, ...]) -> None:
@@ -126,11 +132,11 @@
     def remove_expired(self) -> None:
         """Remove the endpoints that did not register again within the grace period."""
         expired = self.endpoint_registry.remove_expired()
-        for endpoint in expired:
+        for record in expired:
             _log.info(
-                "Removed endpoint {}: it did not register again in time.", endpoint
+                "Removed endpoint {}: it did not register again in time.", record.id
             )
-            self.on_endpoint_reset(endpoint)
+            self.on_endpoint_removed(record)
         if expired:
             self.on_change()
 
@@ -140,7 +146,7 @@
         entry = self._decode(record)
         if entry is None:
             return False
-        self._detect_restart(entry)
+        self._detect_start(entry)
         before = self.endpoint_registry.entries.get(entry.id)
         if before is None or before.leaving != entry.leaving:
             state = "leaving" if entry.leaving else "ready"
@@ -150,11 +156,12 @@
         return self.endpoint_registry.put(entry)
 
     def _remove(self, endpoint: str) -> bool:
+        before = self.endpoint_registry.entries.get(endpoint)
         removed = self.endpoint_registry.remove(endpoint)
         grace_seconds = self.endpoint_registry.grace_seconds(endpoint)
-        if removed:
+        if before is not None and removed:
             _log.info("Removed endpoint {}.", endpoint)
-            self.on_endpoint_reset(endpoint)
+            self.on_endpoint_removed(before)
         elif grace_seconds is not None:
             _log.info(
                 "Endpoint {} was removed just after an outage; it has {:.2f} s to"
@@ -164,12 +171,22 @@
             )
         return removed
 
-    def _detect_restart(self, entry: EndpointRecord) -> None:
+    def _detect_start(self, entry: EndpointRecord) -> None:
+        """Note that an endpoint has started in the place of a registered one."""
         before = self.endpoint_registry.entries.get(entry.id)
-        if before is not None and before.started_at_ms != entry.started_at_ms:
-            _log.info("Endpoint {} restarted.", entry.id)
-            self.on_endpoint_restart(entry.id)
-            self.on_endpoint_reset(entry.id)
+        if before is None:
+            before = self._find_at_address(entry.address)
+        elif before.started_at_ms == entry.started_at_ms:
+            return
+        if before is not None:
+            _log.info("Endpoint {} has started where {} was.", entry.id, before.id)
+            self.on_endpoint_replaced(before, entry)
+
+    def _find_at_address(self, address: str) -> EndpointRecord | None:
+        for entry in self.endpoint_registry.entries.values():
+            if entry.address == address and not entry.leaving:
+                return entry
+        return None
 
     def _decode(self, record: KeyedRecord) -> EndpointRecord | None:
         try:
--- a/src/eelgrasslock/scheduling/endpoint_table.py
+++ b/src/eelgrasslock/scheduling/endpoint_table.py
@@ -61,6 +61,11 @@
         """Return an endpoint, including one that was removed with calls in flight."""
         return self.states.get(endpoint) or self.removed_states.get(endpoint)
 
+    def drop_removed(self) -> None:
+        """Drop the removed endpoints whose last call has ended."""
+        removed = self.removed_states.items()
+        self.removed_states = {name: one for name, one in removed if one.running}
+
     def mark_changed(self, endpoint: str) -> None:
         """Mark an endpoint as one that may have a free slot."""
         for pool in self.pools_by_endpoint.get(endpoint, ()):
--- /dev/null
+++ b/src/eelgrasslock/scheduling/lost_calls.py
@@ -0,0 +1,73 @@
+"""Calls whose endpoint gave no whole answer, for a few seconds."""
+
+from attrs import frozen
+
+# An endpoint that ended in silence is known by its removal or its new registration:
+# three heartbeats of 1.2 s, the next one, and the reads of a daemon.
+NOTICE_SECONDS = 8.0
+
+
+@frozen
+class LostCall:
+    """A call that ended without a whole answer.
+
+    Attributes
+    ----------
+    digest : str
+        The digest of its request.
+    ended_at : float
+        When it ended, on the monotonic clock, in seconds.
+    is_broken : bool
+        Whether its connection broke; if not, it was given up.
+    """
+
+    digest: str
+    ended_at: float
+    is_broken: bool
+
+
+class LostCalls:
+    """Calls that may have crashed their endpoint, which shows only later.
+
+    Attributes
+    ----------
+    by_endpoint : dict of str to list of LostCall
+        The calls by the name of their endpoint, the oldest one first.
+    """
+
+    def __init__(self) -> None:
+        self.by_endpoint: dict[str, list[LostCall]] = {}
+
+    def add(self, endpoint: str, call: LostCall) -> None:
+        """Add a call that has just ended."""
+        recent = self._recent(endpoint, call.ended_at)
+        self.by_endpoint[endpoint] = [*recent, call]
+
+    def record_answer(self, endpoint: str) -> None:
+        """Drop the calls that were given up: their endpoint is still there.
+
+        One that has broken connections may have started again since.
+        """
+        calls = self.by_endpoint.pop(endpoint, ())
+        if broken := [one for one in calls if one.is_broken]:
+            self.by_endpoint[endpoint] = broken
+
+    def has_any(self, endpoint: str, now: float) -> bool:
+        """Return whether calls to an endpoint were lost of late."""
+        return bool(self._recent(endpoint, now))
+
+    def take(self, endpoint: str, now: float) -> list[str]:
+        """Return the digests of the lost calls to an endpoint, and forget them."""
+        digests = [one.digest for one in self._recent(endpoint, now)]
+        self.by_endpoint.pop(endpoint, None)
+        return digests
+
+    def drop_past(self, now: float) -> None:
+        """Drop the calls that were lost too long ago."""
+        recent = {one: self._recent(one, now) for one in self.by_endpoint}
+        self.by_endpoint = {one: calls for one, calls in recent.items() if calls}
+
+    def _recent(self, endpoint: str, now: float) -> list[LostCall]:
+        oldest = now - NOTICE_SECONDS
+        calls = self.by_endpoint.get(endpoint, ())
+        return [one for one in calls if one.ended_at >= oldest]
--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -9,14 +9,12 @@
 from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
 from eelgrasslock.scheduling.endpoint_table import EndpointTable
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
+from eelgrasslock.scheduling.lost_calls import LostCall, LostCalls
 from eelgrasslock.scheduling.placement import expected_seconds
 from eelgrasslock.scheduling.prefix_index import PrefixIndex
 from eelgrasslock.scheduling.quarantine import Quarantine
 from eelgrasslock.scheduling.queueing import ProgramTable
 
-# A restart is known with the registration that follows it.
-RESTART_NOTICE_SECONDS = 5.0
-
 log = logger.bind(part="scheduler")
 
 
@@ -40,8 +38,8 @@
 
     Attributes
     ----------
-    broken_calls : dict of str to list of (float, str)
-        When connections broke of late, and the digests of their calls, by endpoint.
+    lost_calls : LostCalls
+        The calls that may have crashed their endpoint, which is not known yet.
     """
 
     def __init__(
@@ -59,7 +57,7 @@
         self.programs = programs
         self.quarantine = quarantine
         self.features = features
-        self.broken_calls: dict[str, list[tuple[float, str]]] = {}
+        self.lost_calls = LostCalls()
 
     def record_success(
         self, state: EndpointState, running: RunningCall, usage: Usage, now: float
@@ -67,6 +65,7 @@
         """Record a call that completed."""
         call = running.call
         seconds = now - running.started_at
+        self.lost_calls.record_answer(state.name)
         state.breaker.record_success(call.id)
         self.domain_breaker.record_success(state.settings.domain)
         state.backoff_until = min(state.backoff_until, now)
@@ -95,16 +94,17 @@
         endpoint responds and the request may be at fault.
         """
         if outcome is CallOutcome.REFUSED:
+            self.lost_calls.record_answer(state.name)
             state.breaker.record_inconclusive(running.call.id)
             if retry_after is not None:
                 state.backoff_until = now + retry_after
             return
+        if outcome in (CallOutcome.BROKEN, CallOutcome.SILENT):
+            self.record_lost(state, running, outcome is CallOutcome.BROKEN, now)
         if not self.features.breakers:
             return
         if outcome in (CallOutcome.NOT_SENT, CallOutcome.SILENT):
             self.domain_breaker.record_failure(state.settings.domain, state.name, now)
-        if outcome is CallOutcome.BROKEN and not running.crash_counted:
-            self._record_broken(state.name, running.call.digest, now)
         crashed = outcome is CallOutcome.CRASHED
         was_allowed = state.breaker.allows(now)
         state.breaker.record_failure(running.call.id, now, crashed)
@@ -113,36 +113,47 @@
                 "Circuit breaker of {} opened after {}.", state.name, outcome.value
             )
 
+    def record_lost(
+        self, state: EndpointState, running: RunningCall, is_broken: bool, now: float
+    ) -> None:
+        """Record a call that ended without a whole answer."""
+        if not running.crash_counted:
+            lost = LostCall(running.call.digest, now, is_broken)
+            self.lost_calls.add(state.name, lost)
+
     def record_crash(self, state: EndpointState, call_id: str, now: float) -> None:
         """Record a crash, once for all calls that were in flight on the endpoint."""
         self.prefix_index.clear_endpoint(state.name)
-        if state.running[call_id].crash_counted:
-            return
-        for running in state.running.values():
-            running.crash_counted = True
-        digests = [running.call.digest for running in state.running.values()]
-        self.quarantine.record_crash(digests, now)
-        log.warning(
-            "Endpoint {} crashed with {} calls in flight.", state.name, len(digests)
-        )
-
-    def record_restart(self, endpoint: str, now: float) -> None:
-        """Record a crash that showed only when the endpoint had started again.
-
-        Its connections broke, but it took new ones at once.
+        if not state.running[call_id].crash_counted:
+            self.record_end(state.name, state, now, now)
+
+    def record_end(
+        self, endpoint: str, state: EndpointState | None, ended_at: float, now: float
+    ) -> None:
+        """Record that an endpoint has ended: its calls in flight have crashed it.
+
+        So have the calls that were lost just before.
+
+        Parameters
+        ----------
+        endpoint : str
+            The endpoint's id.
+        state : EndpointState or None
+            Its state, None if it was removed with no call in flight.
+        ended_at : float
+            When it ended at the latest; later calls have met its next start.
+        now : float
+            The time, on the monotonic clock.
         """
-        since = now - RESTART_NOTICE_SECONDS
-        broken = self.broken_calls.pop(endpoint, [])
-        digests = [digest for at, digest in broken if at >= since]
+        digests = self.lost_calls.take(endpoint, now)
+        for running in state.running.values() if state is not None else ():
+            if running.started_at <= ended_at and not running.crash_counted:
+                running.crash_counted = True
+                digests.append(running.call.digest)
         if digests:
             self.quarantine.record_crash(digests, now)
             log.warning(
-                "Endpoint {} restarted; {} calls had broken off.",
+                "Endpoint {} crashed with {} calls in flight or just lost.",
                 endpoint,
                 len(digests),
             )
-
-    def _record_broken(self, endpoint: str, digest: str, now: float) -> None:
-        since = now - RESTART_NOTICE_SECONDS
-        kept = [one for one in self.broken_calls.get(endpoint, ()) if one[0] >= since]
-        self.broken_calls[endpoint] = [*kept, (now, digest)]
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -241,6 +241,7 @@
             self.outcome_recorder.record_success(state, running, usage, now)
         elif outcome is CallOutcome.CANCELLED:
             state.breaker.record_inconclusive(call_id)
+            self.outcome_recorder.record_lost(state, running, False, now)
         else:
             self.outcome_recorder.record_failure(
                 state, running, outcome, retry_after, now
@@ -310,9 +311,24 @@
         for event in events:
             self.prefix_index.apply_event(endpoint, event)
 
-    def record_restart(self, endpoint: str) -> None:
-        """Record that an endpoint restarted: calls that broke off crashed it."""
-        self.outcome_recorder.record_restart(endpoint, self.clock.monotonic())
+    def record_end(self, endpoint: str, ended_at: float) -> None:
+        """Record that an endpoint had ended by a time on the monotonic clock."""
+        state = self.endpoint_table.find(endpoint)
+        now = self.clock.monotonic()
+        self.outcome_recorder.record_end(endpoint, state, ended_at, now)
+
+    def may_have_crashed(self, endpoint: str) -> bool:
+        """Return whether calls to an endpoint are in flight or were lost of late."""
+        state = self.endpoint_table.find(endpoint)
+        if state is not None and state.running:
+            return True
+        lost_calls = self.outcome_recorder.lost_calls
+        return lost_calls.has_any(endpoint, self.clock.monotonic())
+
+    def forget_past_calls(self) -> None:
+        """Drop what no end of an endpoint can be put down to any more."""
+        self.outcome_recorder.lost_calls.drop_past(self.clock.monotonic())
+        self.endpoint_table.drop_removed()
 
     def reset_endpoint(self, endpoint: str) -> None:
         """Reset an endpoint that restarted: its cache is empty, its breaker closed."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,6 +1,8 @@
 """Requests that end the engines that run them, at several daemons."""
 
 import asyncio
+import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -20,6 +22,7 @@
 CALM_SECONDS = 8.0
 REPLACED_SECONDS = 16.0
 SILENT_SECONDS = 0.5
+CALLS = 6
 
 
 @pytest.fixture
@@ -142,6 +145,44 @@
         await self.send_lookups(fleet, Deadline_Ms=300)
 
 
+class TestEndpointsThatGoOn:
+    """Requests that no end of an endpoint can be put down to."""
+
+    @pytest.fixture
+    async def quarantine(self, fleet):
+        await fleet.start(count=1, work_seconds=0.7)
+        return fleet.daemons[0].application.scheduler.quarantine
+
+    async def run_all_while(self, fleet, change):
+        calls = [fleet.send_to_next(f"{LOOKUPS}{one}") for one in range(CALLS)]
+        calls = [asyncio.create_task(one) for one in calls]
+        await wait_until(lambda: sum(len(one.runs) for one in fleet.engines) == CALLS)
+        for engine in fleet.engines[1:]:
+            change(engine)
+        await asyncio.gather(*calls)
+
+    async def test_one_that_is_removed_and_goes_on_has_not_crashed(
+        self, fleet, quarantine
+    ):
+        await self.run_all_while(fleet, fleet.unregister)
+        assert fleet.statuses == [200] * CALLS
+        assert not quarantine.suspects()
+
+    async def test_one_whose_address_a_new_one_has_has_crashed(self, fleet, quarantine):
+        """It is found at once, before the registration of the former goes."""
+        for engine in fleet.engines:
+            engine.crashes_silently = True
+        fleet.return_seconds = 60.0
+        let_crash(fleet, target=BODILESS)
+        call = asyncio.create_task(fleet.send_to_next(BODILESS))
+        await wait_until(fleet.has_ends)
+        (ended,) = [one for one in fleet.engines if one.crashed_at]
+        new = SimpleNamespace(id="i-new", address=ended.address)
+        fleet.register(new, born=round(time.time() * 1_000))
+        await wait_until(quarantine.suspects)
+        await call
+
+
 class TestStrandedDaemon:
     async def test_what_peers_run_for_it_is_quarantined(self, fleet):
         """Its peers see the crashes, of the request as its caller sent it."""
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -67,7 +67,7 @@
         end_outage(endpoint_registry)
         endpoint_registry.replace([])
         clock.advance(REREGISTRATION_GRACE_SECONDS + 0.1)
-        assert endpoint_registry.remove_expired() == ["i"]
+        assert [one.id for one in endpoint_registry.remove_expired()] == ["i"]
         assert not endpoint_registry.entries
 
     def test_the_grace_period_ends_before_the_log_is_stable(self):
@@ -77,7 +77,7 @@
         end_outage(endpoint_registry, hung_seconds=2.1)
         assert not endpoint_registry.remove("i")
         clock.advance(0.8)
-        assert endpoint_registry.remove_expired() == ["i"]
+        assert [one.id for one in endpoint_registry.remove_expired()] == ["i"]
 
     def test_a_removal_in_a_stable_log_is_final(self):
         clock = ManualClock()
