--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -1,6 +1,5 @@
 """Keeps programs within their token budgets across all daemons."""
 
-import asyncio
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
@@ -28,6 +27,7 @@
     budget_unknown_refusal,
 )
 from eelgrasslock.allowances.unrecorded_draws import UnrecordedDraws
+from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import (
     AppendUnresolved,
@@ -92,7 +92,7 @@
         self.unrecorded = UnrecordedDraws(
             self.accounts, self._get_account, ledger, clock, on_tokens
         )
-        self._return_tasks: set[asyncio.Task[None]] = set()
+        self.returns = BackgroundTasks()
 
     async def reserve(
         self,
@@ -145,9 +145,7 @@
         self.settle(reservation, 0)
         if account.reserved or account.spent or account.offline_drawn:
             return
-        task = asyncio.create_task(self._return_unused(account))
-        self._return_tasks.add(task)
-        task.add_done_callback(self._return_tasks.discard)
+        self.returns.start(self._return_unused(account))
 
     def release(self, program: str) -> int:
         """Release the tokens of a program that are not spent or reserved.
--- a/src/eelgrasslock/conversations/conversation_controller.py
+++ b/src/eelgrasslock/conversations/conversation_controller.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.conversations.history_finder import HistoryFinder
 from eelgrasslock.conversations.refusals import turns_not_stored
@@ -90,7 +91,7 @@
         self.writer = TurnWriter(self.directory, self.cache, clock)
         self.retention_seconds = 0.0
         self._probe_task: asyncio.Task[None] | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
 
     def check_can_store(self) -> None:
         """Refuse a turn that could not end.
@@ -132,15 +133,9 @@
 
     def start_task(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Do some work beside the requests, until this daemon stops."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        return self.tasks.start(work)
 
     async def stop(self) -> None:
         """Stop storing and telling other daemons."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.tasks.stop()
         await self.directory.stop()
--- a/src/eelgrasslock/conversations/turn_directory.py
+++ b/src/eelgrasslock/conversations/turn_directory.py
@@ -8,11 +8,11 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
 from typing import Any, TypeVar
 
 from loguru import logger
 
+from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.conversations.turn import TurnLink, turn_key
 from eelgrasslock.conversations.turn_index import TurnIndex, TurnPlace
@@ -79,7 +79,7 @@
         self._reading: dict[TurnPartition, asyncio.Lock] = {}
         self._read_slots = asyncio.Semaphore(MAX_PARTITION_READS)
         self._unsupported: set[str] = set()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self.tasks = BackgroundTasks()
 
     # --- turns that end ---------------------------------------------------------
 
@@ -92,7 +92,7 @@
             holder=self.ranking.registry.own.incarnation,
             stored_at=self.clock.monotonic(),
         )
-        self._start(self._tell_keepers(place))
+        self.tasks.start(self._tell_keepers(place))
 
     async def _tell_keepers(self, place: TurnPlace) -> None:
         told = 0
@@ -153,7 +153,7 @@
         """Return the place that the first of several daemons gives who knows it."""
         own = self.ranking.registry.own
         pending = {
-            self._start(self._ask(entry, key, reads_log=False))
+            self.tasks.start(self._ask(entry, key, reads_log=False))
             for entry in keepers
             if entry is not own
         }
@@ -249,10 +249,7 @@
 
     async def stop(self) -> None:
         """Stop telling."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.tasks.stop()
 
     def _index(self, key: int) -> TurnIndex:
         return self.indexes.setdefault(self.turn_log.partition(key), TurnIndex())
@@ -264,9 +261,3 @@
             _log.info("{} is of a build that keeps no turns.", entry.name)
             return
         self.health.record_silent(entry)
-
-    def _start(self, work: Coroutine[Any, Any, _Result]) -> asyncio.Task[_Result]:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/src/eelgrasslock/gateway/failure_classifier.py
+++ b/src/eelgrasslock/gateway/failure_classifier.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.attempt_result import AttemptOutcome
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
@@ -50,6 +51,7 @@
         self.links = links
         self.clock = clock
         self.unreachable_at: dict[str, float] = {}
+        self.tasks = BackgroundTasks()
         self._checks: dict[str, asyncio.Task[bool]] = {}
 
     def record_unreachable(self, record: EndpointRecord) -> None:
@@ -70,7 +72,7 @@
         """Return the task that finds out whether an endpoint has crashed."""
         task = self._checks.get(record.id)
         if task is None:
-            task = asyncio.create_task(self._check(record))
+            task = self.tasks.start(self._check(record))
             self._checks[record.id] = task
             task.add_done_callback(lambda _: self._checks.pop(record.id))
         return task
@@ -92,10 +94,7 @@
 
     async def stop(self) -> None:
         """Stop the checks."""
-        checks = list(self._checks.values())
-        for check in checks:
-            check.cancel()
-        await asyncio.gather(*checks, return_exceptions=True)
+        await self.tasks.stop()
 
     async def _is_network_intact(self, record: EndpointRecord) -> bool:
         """Return whether the network to an unreachable endpoint works.
--- a/src/eelgrasslock/gateway/link_monitor.py
+++ b/src/eelgrasslock/gateway/link_monitor.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
@@ -70,7 +71,7 @@
         self.on_lost: Callable[[], None] = lambda: None
         self.on_regained: Callable[[], None] = lambda: None
         self._next_check_at = float("-inf")
-        self._checks: set[asyncio.Task[None]] = set()
+        self.checks = BackgroundTasks()
 
     # --- what became of connections ---------------------------------------------
 
@@ -143,19 +144,14 @@
             return
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_SECONDS
-            self._start_check(MIN_FAILED_ENDPOINTS)
+            self.checks.start(self._check(MIN_FAILED_ENDPOINTS))
 
     def check_return(self) -> None:
         """Open connections if the links may be back; called with each request."""
         now = self.clock.monotonic()
         if self.is_lost and now >= self._next_check_at:
             self._next_check_at = now + RETURN_CHECK_SECONDS
-            self._start_check(RETURN_CHECK_ENDPOINTS)
-
-    def _start_check(self, count: int) -> None:
-        task = asyncio.create_task(self._check(count))
-        self._checks.add(task)
-        task.add_done_callback(self._checks.discard)
+            self.checks.start(self._check(RETURN_CHECK_ENDPOINTS))
 
     async def _check(self, count: int) -> None:
         """Open connections to some endpoints; the links are back if all succeed."""
@@ -191,6 +187,4 @@
 
     async def stop(self) -> None:
         """Stop the checks."""
-        for task in self._checks:
-            task.cancel()
-        await asyncio.gather(*self._checks, return_exceptions=True)
+        await self.checks.stop()
--- a/src/eelgrasslock/limits/limit_controller.py
+++ b/src/eelgrasslock/limits/limit_controller.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable
 from eelgrasslock.limits.grant_messages import (
@@ -95,7 +96,7 @@
         self.daemon_health = DaemonHealth(owners, mesh, clock)
         self._own = owners.registry.own
         self._asking: dict[str, asyncio.Task[None]] = {}
-        self._telling: set[asyncio.Task[Grant]] = set()
+        self.tasks = BackgroundTasks()
 
     # --- limits -----------------------------------------------------------------
 
@@ -162,9 +163,7 @@
 
     def _tell_owner(self, endpoint: str) -> None:
         """Tell the owner of a changed limit, which the other daemons learn from it."""
-        task = asyncio.create_task(self._ask_owners(endpoint, 0, URGENT))
-        self._telling.add(task)
-        task.add_done_callback(self._telling.discard)
+        self.tasks.start(self._ask_owners(endpoint, 0, URGENT))
 
     # --- asking -----------------------------------------------------------------
 
@@ -174,15 +173,12 @@
             return
         for demand in self.scheduler.token_demands():
             if demand.endpoint not in self._asking:
-                task = asyncio.create_task(self._obtain(demand))
+                task = self.tasks.start(self._obtain(demand))
                 self._asking[demand.endpoint] = task
 
     async def stop(self) -> None:
         """Stop asking."""
-        tasks = [*self._asking.values(), *self._telling]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.tasks.stop()
 
     async def _obtain(self, demand: TokenDemand) -> None:
         """Ask once, and wait until it is worth asking again."""
--- a/src/eelgrasslock/peers/membership.py
+++ b/src/eelgrasslock/peers/membership.py
@@ -8,6 +8,7 @@
 from attrs import evolve
 from loguru import logger
 
+from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import DaemonSettings
 from eelgrasslock.exceptions import LogError
@@ -115,7 +116,7 @@
         )
         self._joined = asyncio.Event()
         self._retired_callbacks: list[Callable[[], None]] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks()
         self.retired = False
         peers.answer_heartbeat = self.answer_heartbeat
         peers.encode_members = self.table.snapshot
@@ -132,18 +133,15 @@
         self.own_record = self.retirement.own_record = self._make_join_record(
             self.incarnation
         )
-        self._spawn(self._join())
-        self._spawn(self.join_barrier.wait(self._joined))
-        self._spawn(self._tick())
-        self._spawn(self._refresh())
-        self._spawn(self.gossip.pull_from_seeds(self._seed_addresses))
+        self.tasks.start(self._join())
+        self.tasks.start(self.join_barrier.wait(self._joined))
+        self.tasks.start(self._tick())
+        self.tasks.start(self._refresh())
+        self.tasks.start(self.gossip.pull_from_seeds(self._seed_addresses))
 
     async def stop(self) -> None:
         """Stop all tasks; `leave` appends the record of leaving."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.tasks.stop()
         await self.gossip.stop()
         await self.monitor.stop()
 
@@ -245,7 +243,7 @@
 
     def _answer_challenge(self, challenge: DomainChallenged) -> None:
         if challenge.domain == self.own_record.domain and not self.retired:
-            self._spawn(self._append_refresh())
+            self.tasks.start(self._append_refresh())
 
     def _check_own_retirement(self) -> None:
         if self.retired or not self.table.is_retired(self.incarnation):
@@ -311,11 +309,6 @@
             http_address=self.settings.http_address,
         )
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _no_load() -> PeerLoad:
     return PeerLoad(incarnation="", in_flight={})
--- a/src/eelgrasslock/streams/stream_controller.py
+++ b/src/eelgrasslock/streams/stream_controller.py
@@ -8,12 +8,13 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Coroutine, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from attrs import frozen
 from loguru import logger
 
+from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable
 from eelgrasslock.peers.daemon_health import DaemonHealth
@@ -88,7 +89,7 @@
         self.clock = clock
         self.table = StreamTable()
         self.health = DaemonHealth(ranking, mesh, clock)
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self.tasks = BackgroundTasks()
 
     # --- streams that begin -----------------------------------------------------
 
@@ -131,7 +132,7 @@
             return None
         origin.is_told = True
         told: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._start(self._tell_keepers(origin, told))
+        self.tasks.start(self._tell_keepers(origin, told))
         return told
 
     def tell_untold(self) -> None:
@@ -146,7 +147,7 @@
                 entries[entry.name] = entry
                 by_daemon[entry.name].append(origin)
         for name, origins in by_daemon.items():
-            self._start(self._tell(entries[name], origins))
+            self.tasks.start(self._tell(entries[name], origins))
         self.health.forget_past()
 
     async def _tell_keepers(
@@ -244,7 +245,7 @@
     async def _ask(self, key: int, service: str) -> list[FoundOrigin]:
         """Return the answers of several daemons, up to the first that knows."""
         asked = self._answering(key)[:MAX_DAEMONS_ASKED]
-        pending = {self._start(self._ask_one(one, key, service)) for one in asked}
+        pending = {self.tasks.start(self._ask_one(one, key, service)) for one in asked}
         answers: list[FoundOrigin] = []
         while pending:
             done, pending = await asyncio.wait(
@@ -283,18 +284,9 @@
 
     # --- life cycle -------------------------------------------------------------
 
-    def _start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     async def stop(self) -> None:
         """Stop telling and asking."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.tasks.stop()
 
 
 def _set_done(future: asyncio.Future[None]) -> None:
