--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -283,7 +283,7 @@
         self.peer_forwarder.forget_past()
         self.shared.limits.forget_others(self.endpoint_registry.entries.keys())
         self.scheduler.decay_reported_loads()
-        self.scheduler.forget_past_calls()
+        self.endpoint_ends.drop_past()
         self.dispatcher.wake_up()
 
     # --- life cycle -------------------------------------------------------------
--- a/src/eelgrasslock/gateway/endpoint_ends.py
+++ b/src/eelgrasslock/gateway/endpoint_ends.py
@@ -1,4 +1,4 @@
-"""Tells the scheduler which endpoints have ended, by their registrations."""
+"""Tells the scheduler which endpoints have ended."""
 
 from collections.abc import Callable
 
@@ -12,7 +12,9 @@
 
 
 class EndpointEnds:
-    """Watches for ends that no connection has shown.
+    """Puts ends of endpoints down to the calls that may have caused them.
+
+    Many an end is not seen by its calls: they end first, or see only silence.
 
     Parameters
     ----------
@@ -23,6 +25,8 @@
 
     Attributes
     ----------
+    outcomes : OutcomeRecorder
+        Knows the calls in flight and those just lost.
     check : callable
         Finds out whether an endpoint has crashed, by its registration.
     forget_reports : callable
@@ -31,24 +35,34 @@
 
     def __init__(self, scheduler: Scheduler, clock: Clock) -> None:
         self.scheduler = scheduler
+        self.outcomes = scheduler.outcome_recorder
         self.clock = clock
         self.check: Callable[[EndpointRecord], object] = _ignore
         self.forget_reports: Callable[[str], None] = _ignore
 
+    def record_crash(self, endpoint: str, ended_at: float) -> None:
+        """Record that an endpoint had crashed by a time on the monotonic clock."""
+        self.outcomes.record_end(endpoint, ended_at, self.clock.monotonic())
+
     def record_replaced(self, before: EndpointRecord, entry: EndpointRecord) -> None:
         """Record the end of an endpoint whose id or address another start has."""
         age_seconds = max(0.0, self.clock.now() - entry.started_at_ms / 1_000.0)
         ended_at = self.clock.monotonic() - age_seconds
-        self.scheduler.record_end(before.id, ended_at)
+        self.record_crash(before.id, ended_at)
         if before.id == entry.id:
             self._reset(entry.id)
 
     def record_removed(self, record: EndpointRecord) -> None:
         """Find out whether an endpoint has ended that did not say that it leaves."""
         self._reset(record.id)
-        if not record.leaving and self.scheduler.may_have_crashed(record.id):
+        now = self.clock.monotonic()
+        if not record.leaving and self.outcomes.may_have_crashed(record.id, now):
             self.check(record)
 
+    def drop_past(self) -> None:
+        """Drop what no end can be put down to any more."""
+        self.outcomes.drop_past(self.clock.monotonic())
+
     def _reset(self, endpoint: str) -> None:
         self.scheduler.reset_endpoint(endpoint)
         self.forget_reports(endpoint)
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/gateway/forwarder.py
@@ -88,7 +88,7 @@
         """Return the calls that limits keep waiting for each that runs."""
         service = context.service
         model = service.name if service.engine else ""
-        return self.scheduler.limited_wait_ratio(service.name, model)
+        return self.scheduler.limited_calls.wait_ratio(service.name, model)
 
     async def forward(self, context: RequestContext) -> None:
         """Send a request to endpoints until one response has been relayed.
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -8,6 +8,7 @@
 from eelgrasslock.gateway.access_log import AccessLogger
 from eelgrasslock.gateway.attempts import AttemptRunner
 from eelgrasslock.gateway.conversations import Conversations
+from eelgrasslock.gateway.endpoint_ends import EndpointEnds
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.endpoint_reports import EndpointReports
 from eelgrasslock.gateway.failure_classifier import FailureClassifier
@@ -37,6 +38,7 @@
     allowances: AllowanceManager
     clock: Clock
     dispatcher: Dispatcher
+    endpoint_ends: EndpointEnds
     endpoint_registry: EndpointRegistry
     followers: LogFollowers
     load_exchange: LoadExchange
@@ -102,7 +104,7 @@
             sources.endpoint_registry,
             self.links,
             sources.clock,
-            sources.scheduler.record_end,
+            sources.endpoint_ends.record_crash,
         )
         forwarder = self._create_forwarder()
         self.handler = self._create_handler(forwarder)
--- a/src/eelgrasslock/gateway/shared_controllers.py
+++ b/src/eelgrasslock/gateway/shared_controllers.py
@@ -65,7 +65,9 @@
     ) -> None:
         mesh = peer_coordinator.mesh
         self.ranking = DaemonRanking(peer_coordinator.load_exchange, clock.monotonic)
-        self.limits = LimitController(self.ranking, mesh, scheduler, clock)
+        self.limits = LimitController(
+            self.ranking, mesh, scheduler.limited_calls, clock
+        )
         self.version_watch = VersionWatch(clock, is_endpoints_view_current)
         self.streams = StreamController(self.ranking, mesh, self.version_watch, clock)
         self.stream_versions = StreamVersions(self.streams)
--- a/src/eelgrasslock/limits/limit_controller.py
+++ b/src/eelgrasslock/limits/limit_controller.py
@@ -38,10 +38,10 @@
 _log = logger.bind(part="limits")
 
 
-class TokenScheduler(Protocol):
+class LimitedCallQueue(Protocol):
     """The scheduler's interface for limits and tokens."""
 
-    def set_request_limit(self, endpoint: str, per_second: float | None) -> None:
+    def set_limit(self, endpoint: str, per_second: float | None) -> None:
         """Let calls of an endpoint need tokens, or none."""
 
     def add_tokens(
@@ -49,7 +49,7 @@
     ) -> None:
         """Add tokens, and set when further ones are expected."""
 
-    def token_demands(self) -> list[TokenDemand]:
+    def demands(self) -> list[TokenDemand]:
         """Return the tokens that waiting calls need."""
 
 
@@ -62,7 +62,7 @@
         Says which daemon grants the requests to an endpoint.
     mesh : PeerMesh
         Calls the other daemons.
-    scheduler : TokenScheduler
+    limited_calls : LimitedCallQueue
         Takes limits and tokens.
     clock : Clock
         The source of time.
@@ -82,12 +82,12 @@
         self,
         owners: DaemonRanking,
         mesh: PeerMesh,
-        scheduler: TokenScheduler,
+        limited_calls: LimitedCallQueue,
         clock: Clock,
     ) -> None:
         self.owners = owners
         self.mesh = mesh
-        self.scheduler = scheduler
+        self.limited_calls = limited_calls
         self.clock = clock
         self.table = LimitTable()
         self.queues: dict[str, GrantQueue] = {}
@@ -133,7 +133,7 @@
         self.table.forget(endpoint)
         self.queues.pop(endpoint, None)
         self.fallback_queues.pop(endpoint, None)
-        self.scheduler.set_request_limit(endpoint, None)
+        self.limited_calls.set_limit(endpoint, None)
 
     def forget_others(self, endpoints: Set[str]) -> None:
         """Forget all endpoints but these."""
@@ -151,7 +151,7 @@
             if per_second is None
             else f"takes {per_second} requests a second",
         )
-        self.scheduler.set_request_limit(endpoint, per_second)
+        self.limited_calls.set_limit(endpoint, per_second)
         if per_second is None:
             self.queues.pop(endpoint, None)
             self.fallback_queues.pop(endpoint, None)
@@ -171,7 +171,7 @@
         """Ask for the tokens that waiting calls need; called after each assignment."""
         if not self.table.limits:
             return
-        for demand in self.scheduler.token_demands():
+        for demand in self.limited_calls.demands():
             if demand.endpoint not in self._asking:
                 task = self.tasks.start(self._obtain(demand))
                 self._asking[demand.endpoint] = task
@@ -188,7 +188,7 @@
             rate = self.table.per_second(endpoint)
             if rate is not None:
                 interval = grant.askers / max(rate, MIN_REQUESTS_PER_SECOND)
-                self.scheduler.add_tokens(
+                self.limited_calls.add_tokens(
                     endpoint, grant.count, grant.wait_seconds, interval
                 )
                 self.on_tokens()
--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -125,11 +125,9 @@
         """Record a crash, once for all calls that were in flight on the endpoint."""
         self.prefix_index.clear_endpoint(state.name)
         if not state.running[call_id].crash_counted:
-            self.record_end(state.name, state, now, now)
+            self.record_end(state.name, now, now)
 
-    def record_end(
-        self, endpoint: str, state: EndpointState | None, ended_at: float, now: float
-    ) -> None:
+    def record_end(self, endpoint: str, ended_at: float, now: float) -> None:
         """Record that an endpoint has ended: its calls in flight have crashed it.
 
         So have the calls that were lost just before.
@@ -138,15 +136,13 @@
         ----------
         endpoint : str
             The endpoint's id.
-        state : EndpointState or None
-            Its state, None if it was removed with no call in flight.
         ended_at : float
             When it ended at the latest; later calls have met its next start.
         now : float
             The time, on the monotonic clock.
         """
         digests = self.lost_calls.take(endpoint, now)
-        for running in state.running.values() if state is not None else ():
+        for running in self._running(endpoint):
             if running.started_at <= ended_at and not running.crash_counted:
                 running.crash_counted = True
                 digests.append(running.call.digest)
@@ -157,3 +153,16 @@
                 endpoint,
                 len(digests),
             )
+
+    def may_have_crashed(self, endpoint: str, now: float) -> bool:
+        """Return whether calls to an endpoint are in flight or were lost of late."""
+        return bool(self._running(endpoint)) or self.lost_calls.has_any(endpoint, now)
+
+    def drop_past(self, now: float) -> None:
+        """Drop what no end of an endpoint can be put down to any more."""
+        self.lost_calls.drop_past(now)
+        self.endpoint_table.drop_removed()
+
+    def _running(self, endpoint: str) -> list[RunningCall]:
+        state = self.endpoint_table.find(endpoint)
+        return [] if state is None else list(state.running.values())
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -1,17 +1,15 @@
 """The scheduler: chooses which waiting call starts next, and on which endpoint."""
 
-import heapq
 import random
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
-from eelgrasslock.exceptions import Ran
 from eelgrasslock.requests.usage import Usage
 from eelgrasslock.scheduling.admission import (
     AdmissionControl,
     ExpiredCall,
-    quarantine_refusal,
 )
+from eelgrasslock.scheduling.call_expiry import CallExpiry
 from eelgrasslock.scheduling.call_starter import CallStarter
 from eelgrasslock.scheduling.calls import (
     Assignment,
@@ -26,6 +24,7 @@
 from eelgrasslock.scheduling.endpoint_state import EndpointState, EndpointView
 from eelgrasslock.scheduling.endpoint_table import EndpointTable
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
+from eelgrasslock.scheduling.limited_calls import LimitedCalls
 from eelgrasslock.scheduling.outcome_recorder import OutcomeRecorder
 from eelgrasslock.scheduling.prefix_index import PrefixIndex, chunk_keys
 from eelgrasslock.scheduling.quarantine import Quarantine
@@ -38,7 +37,6 @@
 )
 from eelgrasslock.scheduling.retry_budget import RetryBudgets
 from eelgrasslock.scheduling.slot_allocator import SlotAllocator
-from eelgrasslock.scheduling.token_demand import TokenDemand, token_demands
 
 ALL_FEATURES = FeatureFlags()
 _NO_USAGE = Usage()
@@ -106,10 +104,11 @@
             configuration.limits,
             features,
         )
+        self.limited_calls = LimitedCalls(self.endpoint_table, self.programs, clock)
         self.waiting: dict[str, WaitingCall] = {}
         self.has_new_endpoints = False
         self.endpoint_by_call: dict[str, str] = {}
-        self.expiry_heap: list[tuple[float, str]] = []
+        self.expiry = CallExpiry(self.admission, self.quarantine)
         self.configure(configuration)
 
     def configure(self, configuration: Configuration) -> None:
@@ -149,8 +148,7 @@
         )
         self.waiting[call.id] = waiting
         pool.add(waiting)
-        expires_at = self.admission.expires_at(call, now)
-        heapq.heappush(self.expiry_heap, (expires_at, call.id))
+        self.expiry.add(call, now)
 
     def suggest(self, call: Call) -> str:
         """Return the endpoint that would run a call now, empty if there is none."""
@@ -160,8 +158,13 @@
         return self.starter.suggest(pool, call, self.clock.monotonic())
 
     def withdraw(self, call_id: str) -> None:
-        """Remove a waiting call that its caller has cancelled."""
-        self._leave_queue(call_id)
+        """Remove a waiting call, if it still waits."""
+        waiting = self.waiting.pop(call_id, None)
+        if waiting is None:
+            return
+        pool = self.endpoint_table.pool(waiting.call)
+        if pool is not None:
+            pool.remove(waiting)
 
     def assign(self) -> list[Assignment]:
         """Return the calls that start now, and count them as in flight."""
@@ -183,22 +186,12 @@
 
     def expire(self) -> list[ExpiredCall]:
         """Remove and return the waiting calls that expired or were quarantined."""
-        now = self.clock.monotonic()
-        expired: list[ExpiredCall] = []
-        while self.expiry_heap and self.expiry_heap[0][0] <= now:
-            _, call_id = heapq.heappop(self.expiry_heap)
-            waiting = self.waiting.get(call_id)
-            if waiting is not None:
-                refusal = self.admission.expiry_refusal(waiting.call, now)
-                expired.append(ExpiredCall(waiting.call, refusal))
-        for waiting in self._newly_quarantined():
-            ran = Ran.UNKNOWN if waiting.call.excluded else Ran.NO
-            expired.append(ExpiredCall(waiting.call, quarantine_refusal(ran)))
+        expired = self.expiry.take_expired(self.waiting, self.clock.monotonic())
         if self.has_new_endpoints:
             self.has_new_endpoints = False
             expired += self.admission.without_version(self.waiting.values())
         for one in expired:
-            self._leave_queue(one.call.id)
+            self.withdraw(one.call.id)
         return expired
 
     def progress(self, call_id: str, completion_tokens: int) -> None:
@@ -280,56 +273,11 @@
                 state.reported_others_in_flight *= _REPORT_DECAY_FACTOR
                 self.endpoint_table.mark_changed(state.name)
 
-    def set_request_limit(self, endpoint: str, per_second: float | None) -> None:
-        """Let the calls of an endpoint need tokens, or none."""
-        self.endpoint_table.set_request_limit(endpoint, per_second)
-
-    def add_tokens(
-        self, endpoint: str, count: int, wait_seconds: float, interval_seconds: float
-    ) -> None:
-        """Add tokens of an endpoint, and set when further ones are expected."""
-        state = self.endpoint_table.find(endpoint)
-        if state is None or state.tokens is None:
-            return
-        now = self.clock.monotonic()
-        state.tokens.add(count, now)
-        state.tokens.expect(now + wait_seconds, interval_seconds, now)
-        self.endpoint_table.place_again(endpoint)
-
-    def limited_wait_ratio(self, service: str, model: str) -> float:
-        """Return the calls that limits keep waiting for each that runs."""
-        pool = self.endpoint_table.pools.get((service, model))
-        return 0.0 if pool is None else pool.limited_wait_ratio()
-
-    def token_demands(self) -> list[TokenDemand]:
-        """Return the tokens that waiting calls need."""
-        now = self.clock.monotonic()
-        return token_demands(self.endpoint_table, self.programs, now)
-
     def observe_cache(self, endpoint: str, events: list[CacheEvent]) -> None:
         """Apply cache events of an engine."""
         for event in events:
             self.prefix_index.apply_event(endpoint, event)
 
-    def record_end(self, endpoint: str, ended_at: float) -> None:
-        """Record that an endpoint had ended by a time on the monotonic clock."""
-        state = self.endpoint_table.find(endpoint)
-        now = self.clock.monotonic()
-        self.outcome_recorder.record_end(endpoint, state, ended_at, now)
-
-    def may_have_crashed(self, endpoint: str) -> bool:
-        """Return whether calls to an endpoint are in flight or were lost of late."""
-        state = self.endpoint_table.find(endpoint)
-        if state is not None and state.running:
-            return True
-        lost_calls = self.outcome_recorder.lost_calls
-        return lost_calls.has_any(endpoint, self.clock.monotonic())
-
-    def forget_past_calls(self) -> None:
-        """Drop what no end of an endpoint can be put down to any more."""
-        self.outcome_recorder.lost_calls.drop_past(self.clock.monotonic())
-        self.endpoint_table.drop_removed()
-
     def reset_endpoint(self, endpoint: str) -> None:
         """Reset an endpoint that restarted: its cache is empty, its breaker closed."""
         self.prefix_index.clear_endpoint(endpoint)
@@ -388,7 +336,7 @@
             return None
         pools = self.endpoint_table.pools.values()
         times = [pool.review_at for pool in pools if pool.total_waiting]
-        times.append(self.expiry_heap[0][0])
+        times.append(self.expiry.next_at)
         return min(times)
 
     # --- helpers ----------------------------------------------------------
@@ -398,23 +346,5 @@
             return self.ranking.by_program(call, program, now)
         return self.ranking.by_arrival(now)
 
-    def _newly_quarantined(self) -> list[WaitingCall]:
-        """Return the waiting calls with a digest quarantined since the last check."""
-        if not self.quarantine.has_new_crashes:
-            return []
-        self.quarantine.has_new_crashes = False
-        waiting = self.waiting.values()
-        return [
-            one for one in waiting if self.quarantine.is_quarantined(one.call.digest)
-        ]
-
-    def _leave_queue(self, call_id: str) -> None:
-        waiting = self.waiting.pop(call_id, None)
-        if waiting is None:
-            return
-        pool = self.endpoint_table.pool(waiting.call)
-        if pool is not None:
-            pool.remove(waiting)
-
     def _state_of(self, call_id: str) -> EndpointState | None:
         return self.endpoint_table.find(self.endpoint_by_call.get(call_id, ""))
--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -105,7 +105,9 @@
             self.mesh, self.registry, self.scheduler, self.clock
         )
         owners = DaemonRanking(self.exchange, self.clock.monotonic)
-        self.controller = LimitController(owners, self.mesh, self.scheduler, self.clock)
+        self.controller = LimitController(
+            owners, self.mesh, self.scheduler.limited_calls, self.clock
+        )
         self.controller.on_tokens = self.dispatcher.wake_up
         self.dispatcher.on_processed = self.controller.request_tokens
         self.next_exchange_at = 0.0
