Count one end of an endpoint once for equal calls

Two equal calls in flight at one crash, or lost just before, were two crashes, so that a lookup that nothing was wrong with was refused for an hour after a single crash: since every request has a digest, and lost calls count, that is no longer rare. One end counts once for each digest. The test failed before: two crashes for one end.

--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -130,7 +130,7 @@
     def record_end(self, endpoint: str, ended_at: float, now: float) -> None:
         """Record that an endpoint has ended: its calls in flight have crashed it.
 
-        So have the calls that were lost just before.
+        So have the calls that were lost just before. Equal ones count once.
 
         Parameters
         ----------
@@ -147,7 +147,7 @@
                 running.crash_counted = True
                 digests.append(running.call.digest)
         if digests:
-            self.quarantine.record_crash(digests, now)
+            self.quarantine.record_crash(list(dict.fromkeys(digests)), now)
             log.warning(
                 "Endpoint {} crashed with {} calls in flight or just lost.",
                 endpoint,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -41,6 +41,16 @@
             clock.advance(30.0)
         assert len(lost) == 2
 
+    def test_one_end_counts_once_for_equal_calls(self):
+        """Two equal lookups in flight were refused at once, after a single crash."""
+        scheduler, _ = make_scheduler(engines=1, batch_limit=4)
+        calls = [make_call(f"p{one}", digest="same") for one in range(3)]
+        for call in calls:
+            start(scheduler, call)
+        scheduler.finish(calls[0].id, CallOutcome.CANCELLED)
+        crash(scheduler, "e0")
+        assert scheduler.quarantine.crash_count("same") == 1
+
     def test_suspects_run_on_different_endpoints(self):
         scheduler, clock = make_scheduler(engines=2, batch_limit=4)
         scheduler.mark_leaving("e1", True, "vm-list")
