--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,7 +2,13 @@
 
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.scheduling.calls import CallOutcome
-from scheduler_factory import make_call, make_scheduler, peer_load, start
+from scheduler_factory import (
+    make_call,
+    make_configuration,
+    make_scheduler,
+    peer_load,
+    start,
+)
 
 
 def crash(scheduler, endpoint):
@@ -118,3 +124,19 @@
         scheduler, _ = make_scheduler()
         scheduler.quarantine_digest("d")
         assert scheduler.retry_delay(make_call(digest="d"), "e0", 1) is None
+
+
+class TestRemovedEndpoints:
+    def test_one_is_forgotten_with_its_last_call(self):
+        scheduler, clock = make_scheduler(engines=2)
+        call = make_call()
+        endpoint = start(scheduler, call).endpoint
+        smaller = make_configuration(engines=2)
+        del smaller.endpoints[endpoint]
+        scheduler.configure(smaller)
+        table = scheduler.endpoint_table
+        scheduler.outcome_recorder.drop_past(clock.monotonic())
+        assert table.find(endpoint) is not None
+        scheduler.finish(call.id, CallOutcome.DONE)
+        scheduler.outcome_recorder.drop_past(clock.monotonic())
+        assert table.find(endpoint) is None
