--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -57,6 +57,17 @@
         crash(scheduler, "e0")
         assert scheduler.quarantine.crash_count("same") == 1
 
+    def test_a_call_of_the_next_start_has_crashed_nothing(self):
+        """It was sent before the daemon had read of that start."""
+        scheduler, clock = make_scheduler(engines=1, batch_limit=4)
+        start(scheduler, make_call("p1", digest="before"))
+        clock.advance(1.0)
+        ended_at = clock.monotonic()
+        clock.advance(1.0)
+        start(scheduler, make_call("p2", digest="after"))
+        scheduler.outcome_recorder.record_end("e0", ended_at, clock.monotonic())
+        assert scheduler.quarantine.suspects() == {"before"}
+
     def test_suspects_run_on_different_endpoints(self):
         scheduler, clock = make_scheduler(engines=2, batch_limit=4)
         scheduler.mark_leaving("e1", True, "vm-list")
