--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -116,6 +116,18 @@
         fleet.check()
 
 
+class TestCutOff:
+    async def test_a_daemon_without_peers_and_log_remembers(self, fleet):
+        await fleet.start()
+        alone = fleet.daemons[0]
+        alone.faults.refusing = "silent"
+        await alone.application.mesh.stop()
+        fleet.daemons = [alone]
+        let_crash(fleet, body=POISON)
+        await fleet.send_for(CALM_SECONDS, f"{LOOKUPS}x", "POST", POISON)
+        fleet.check()
+
+
 class TestUnseenEnds:
     """Ends that no connection shows to the request that caused them."""
 
