Leave out of time limits the time in which a daemon is held up

A daemon that was frozen, or had no processor for longer than 0.25 s, found its timers due before it had handled what came in meanwhile. Connections that had opened were given up, so that a request with one endpoint waited until its deadline (504), a sound endpoint was taken for crashed and the calls on it became suspects (twice, and a sound request is refused for an hour), an answer that had come was asked for at a second endpoint, a peer that had answered was dropped, and the log was taken for lost.

RunningTimeout counts a limit in five steps, and a step that ends late counts only as long as it was planned. It is used where others are judged by their answers; deadlines of callers stay on the clock. The limit of a call of the log now covers the opening of its connection, which took up to 0.25 s more before.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -25,6 +25,7 @@
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.messages import Framing, OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import MAX_IDLE_SECONDS, ConnectFailed, ConnectionPool
+from eelgrasslock.running_timeout import is_done_within
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 NON_IDEMPOTENT_MAX_IDLE_SECONDS = 2.5
@@ -199,19 +200,17 @@
         """Send a request; return the response's head, None on a timeout."""
         is_remote_domain = record.domain != self.domain
         check_seconds = response_check_seconds(context.route, is_remote_domain)
-        started_at = self.clock.monotonic()
+        waited_seconds = 0.0
         response_task = asyncio.ensure_future(connection.send(outgoing))
         try:
-            while True:
-                done, _ = await asyncio.wait({response_task}, timeout=check_seconds)
-                if done:
-                    break
+            while not await is_done_within(response_task, check_seconds):
+                waited_seconds += check_seconds
                 self.links.check_silence()
                 is_tripped = is_remote_domain and self.is_domain_tripped(record.domain)
                 response_wait = ResponseWait(
                     is_unreachable=is_tripped or not self.links.are_old_alive,
                     possible_executions=context.possible_executions,
-                    waited_seconds=self.clock.monotonic() - started_at,
+                    waited_seconds=waited_seconds,
                 )
                 if should_fail_over(context.route, response_wait):
                     _log.bind(request=context.request.id, endpoint=record.id).info(
--- a/src/eelgrasslock/http/pool.py
+++ b/src/eelgrasslock/http/pool.py
@@ -8,6 +8,7 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError
 from eelgrasslock.http.connection import HTTPConnection
+from eelgrasslock.running_timeout import RunningTimeout
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_IDLE_SECONDS = 10.0
@@ -89,7 +90,7 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            async with RunningTimeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
                     HTTPConnection, host, int(port)
                 )
--- a/src/eelgrasslock/peers/peer_connection.py
+++ b/src/eelgrasslock/peers/peer_connection.py
@@ -17,6 +17,7 @@
 from eelgrasslock.peers.peer_schema import encode_fields, schema
 from eelgrasslock.peers.sink_handler import SinkHandler
 from eelgrasslock.requests.exchange import Request, Responder
+from eelgrasslock.running_timeout import RunningTimeout
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
 _PING_TIMEOUT_SECONDS = 3.0
@@ -113,7 +114,7 @@
         host, _, port = address.rpartition(":")
         connection = None
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_SECONDS):
+            async with RunningTimeout(_CONNECT_TIMEOUT_SECONDS):
                 stream = await capnp.AsyncIoStream.create_connection(host, int(port))
                 client = capnp.TwoPartyClient(
                     stream, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
@@ -195,7 +196,7 @@
             If the peer's build does not know the call; the connection is kept.
         """
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with RunningTimeout(timeout_seconds):
                 answer = await send(self.peer)
         except (capnp.KjException, OSError) as error:
             if getattr(error, "type", "") == _UNIMPLEMENTED:
--- a/src/eelgrasslock/peers/peer_mesh.py
+++ b/src/eelgrasslock/peers/peer_mesh.py
@@ -14,6 +14,7 @@
 from eelgrasslock.peers.peer_connection import ConnectionLost, PeerConnection
 from eelgrasslock.peers.peer_server import PeerServer
 from eelgrasslock.requests.exchange import Request, Responder
+from eelgrasslock.running_timeout import RunningTimeout
 
 CALL_TIMEOUT_SECONDS = 0.3
 CONNECT_RETRY_SECONDS = 1.0
@@ -111,7 +112,7 @@
             With ``ran`` as ``NO`` if the request did not start at the daemon and
             never will, else ``UNKNOWN``.
         """
-        connection = await self._connect(entry, CALL_TIMEOUT_SECONDS)
+        connection = await self._connect(entry, RunningTimeout(CALL_TIMEOUT_SECONDS))
         await forward_once(
             connection,
             lambda: self._reconnect(entry),
@@ -122,10 +123,10 @@
 
     async def _reconnect(self, entry: DaemonEntry) -> PeerConnection:
         self._drop(entry.incarnation)
-        return await self._connect(entry, CALL_TIMEOUT_SECONDS)
+        return await self._connect(entry, RunningTimeout(CALL_TIMEOUT_SECONDS))
 
     async def _connect(
-        self, entry: DaemonEntry, timeout_seconds: float
+        self, entry: DaemonEntry, limit: RunningTimeout
     ) -> PeerConnection:
         """Return a connection, an existing one if there is one."""
         if self.clock.monotonic() < self.reconnect_at.get(entry.incarnation, 0.0):
@@ -133,7 +134,7 @@
                 f"{entry.name} could not be reached a moment ago.", Ran.NO
             )
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with limit:
                 return await self._get_connection(entry)
         except (ConnectionLost, HandshakeFailed, TimeoutError) as error:
             self._drop(entry.incarnation)
@@ -147,10 +148,10 @@
         call: Callable[[PeerConnection], Awaitable[_Answer]],
         timeout_seconds: float,
     ) -> _Answer:
-        ends_at = self.clock.monotonic() + timeout_seconds
-        connection = await self._connect(entry, timeout_seconds)
+        limit = RunningTimeout(timeout_seconds)
+        connection = await self._connect(entry, limit)
         try:
-            async with asyncio.timeout(ends_at - self.clock.monotonic()):
+            async with limit:
                 return await call(connection)
         except (ConnectionLost, TimeoutError) as error:
             self._drop(entry.incarnation)
--- a/src/eelgrasslock/platform/store_client.py
+++ b/src/eelgrasslock/platform/store_client.py
@@ -1,6 +1,5 @@
 """Client of the platform's store, a log of topics and partitions."""
 
-import asyncio
 import base64
 import contextlib
 import json
@@ -14,7 +13,7 @@
     LogUnavailable,
     RecordsExpired,
 )
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
 from eelgrasslock.log.keyed_log import (
@@ -29,6 +28,7 @@
     AppendConflict,
     PartitionRead,
 )
+from eelgrasslock.running_timeout import RunningTimeout
 
 STORE_TIMEOUT_SECONDS = 0.6
 MAX_READ_KILOBYTES = 1_024
@@ -241,16 +241,16 @@
         self, method: str, target: str, body: bytes, timeout_seconds: float
     ) -> StoreResponse:
         """Send a request; the time limit includes opening a connection."""
-        ends_at = asyncio.get_running_loop().time() + timeout_seconds
+        limit = RunningTimeout(timeout_seconds)
         request = OutgoingRequest(
             method=method,
             target=target,
             headers=(("Host", self.address),),
             body=body,
         )
-        connection = await self.pool.acquire(self.address)
+        connection = await self._connect(limit)
         try:
-            async with asyncio.timeout_at(ends_at):
+            async with limit:
                 head = await connection.send(request)
                 response_body = await connection.read_all()
         except BaseException:
@@ -259,6 +259,14 @@
         self.pool.release(self.address, connection, None)
         return StoreResponse(head.status, response_body)
 
+    async def _connect(self, limit: RunningTimeout) -> HTTPConnection:
+        try:
+            async with limit:
+                return await self.pool.acquire(self.address)
+        except TimeoutError as error:
+            message = f"Could not connect to {self.address} in time."
+            raise ConnectFailed(message) from error
+
 
 def _ignore_call(name: str, result: str, seconds: float) -> None:
     """Do nothing."""
