Count what the daemon reads for a slow caller, not what the sockets hold

It counted what the endpoint had sent, and so also what the sockets on both sides held: up to 36 MB each here (tcp_rmem 32 MB, tcp_wmem 4 MB), 6 MB and 4 MB elsewhere, grown by the kernel as it sees fit.

It counts the bytes that the daemon reads now, with a bound of 8 MiB in place of 16: the daemon's socket to the caller holds 4 MiB at most, and the caller's is kept small.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,10 +1,12 @@
 """Bytes that never end cost an endpoint's request little memory and time."""
 
+import socket
 import time
+from collections import Counter
 
 import pytest
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.messages import Framing
 from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
 from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet, wait_until
@@ -15,6 +17,10 @@
 LETTERS = b"a" * 4_096
 # The bound on what is read, and what the sockets between two processes hold.
 MAX_SENT_BYTES = 16 * 1_048_576
+# What the daemon reads for a caller that does not: its socket to that caller holds
+# 4 MiB at most. What the sockets to the endpoint hold is up to the kernel.
+MAX_READ_BYTES = 8 * 1_048_576
+CALLER_BUFFER_BYTES = 65_536
 
 ENDLESS_HEADS = {
     "no HTTP": (b"", b"\x00" * 4_096),
@@ -38,6 +44,21 @@
 }
 
 
+@pytest.fixture
+def received(monkeypatch):
+    """Count the bytes that are read of each server."""
+    counts = Counter()
+    data_received = HTTPConnection.data_received
+
+    def count(connection, data):
+        host, port = connection.transport.get_extra_info("peername")
+        counts[f"{host}:{port}"] += len(data)
+        data_received(connection, data)
+
+    monkeypatch.setattr(HTTPConnection, "data_received", count)
+    return counts
+
+
 @pytest.fixture
 async def fleet():
     async with PlatformFleet() as fleet:
@@ -101,17 +122,21 @@
         assert time.monotonic() - started < 2.0
         await wait_until(lambda: not engine.busy, 1.0)
 
-    async def test_a_slow_caller_bounds_what_is_read(self, fleet, path, parts):
+    async def test_a_slow_caller_bounds_what_is_read(
+        self, fleet, received, path, parts
+    ):
         engine = await fleet.raw_endpoint(
             endless(parts), "models" if path == TURNS else "desk"
         )
         daemon = await fleet.ready_daemon([engine])
         connection = await fleet.connect(daemon)
+        caller = connection.transport.get_extra_info("socket")
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_BUFFER_BYTES)
         request = fleet.request(f"{path}x", "POST", b"x", Deadline_Ms=1_000)
         await connection.send(request)
         await wait_until(lambda: not engine.busy, 2.0)
         connection.close()
-        assert engine.sent_bytes < MAX_SENT_BYTES
+        assert 0 < received[engine.address] < MAX_READ_BYTES
 
 
 async def assert_posts_are_served(fleet, daemon):
