Wait for the new incarnation itself in a test of retirements

The test waited for names, and these were those of the former incarnation until the peer had read the retirement that it had written. It waits for the new incarnation now, and then checks the names and the retirement, too.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -163,8 +163,9 @@
             assert one.owner(f"a~{one.incarnation}~0").name == "a2"
             await daemons["a1"].stop()
             again = await Daemon("a1", "a", log, daemons["a1"].peers.address).start()
-            await until(lambda: daemons["a2"].live_names() == {"a1", "a2"})
-            assert daemons["a2"].table.find(again.incarnation)
+            await until(lambda: daemons["a2"].table.find(again.incarnation))
+            assert daemons["a2"].live_names() == {"a1", "a2"}
+            assert daemons["a2"].table.is_retired(member.incarnation)
             assert retirements(log) == ["silent"]
             await again.stop()
 
