--- a/tests/test_conversation_model.py
+++ b/tests/test_conversation_model.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from conversation_model import CACHE_BYTES, ConversationModel
+from conversation_model import ConversationModel
+from conversation_model_daemon import CACHE_BYTES
 from eelgrasslock.conversations import turn_writer
 from stream_model import DOMAINS
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -29,7 +29,8 @@
 from eelgrasslock.log.records import PositionedRecord, journal_stream
 from eelgrasslock.programs.journal import Journal
 from eelgrasslock.programs.journal_records import ProgramLimits
-from fleet import DOMAIN, FakeEngine, Fleet, model_call, plain_call, user
+from fleet import DOMAIN, Fleet, model_call, plain_call, user
+from fleet_fakes import FakeEngine
 
 LIMITS = ProgramLimits(tokens=3_000, turns=40, age=1e6)
 SMALL_LIMITS = ProgramLimits(tokens=300, turns=40, age=1e6)
