Say that a task has ended that ends with its time limit

A request whose answer came in the same pass of the event loop in which its check of 0.4 to 0.9 s was due could be sent to a second endpoint: is_done_within said "not done" of a task that was. It asks the task now.

--- a/src/eelgrasslock/running_timeout.py
+++ b/src/eelgrasslock/running_timeout.py
@@ -1,6 +1,7 @@
 """Time limits that leave out the time in which the process did not run."""
 
 import asyncio
+import contextlib
 from types import TracebackType
 from typing import Any
 
@@ -37,6 +38,7 @@
         self._timeout = asyncio.timeout(None)
 
     async def __aenter__(self) -> "RunningTimeout":
+        # It can be entered only once, so that each part has one of its own.
         self._timeout = asyncio.timeout(None)
         await self._timeout.__aenter__()
         self._start_step()
@@ -72,9 +74,7 @@
 
 async def is_done_within(task: asyncio.Future[Any], seconds: float) -> bool:
     """Wait for a task, and return whether it ended in time; it is not cancelled."""
-    try:
+    with contextlib.suppress(TimeoutError):
         async with RunningTimeout(seconds):
             await asyncio.wait({task})
-    except TimeoutError:
-        return False
-    return True
+    return task.done()
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -9,7 +9,7 @@
 from eelgrasslock.gateway.response_timeouts import RESPONSE_TIMEOUT_SECONDS
 from eelgrasslock.http.pool import CONNECT_TIMEOUT_SECONDS, ConnectFailed
 from eelgrasslock.peers.peer_mesh import CALL_TIMEOUT_SECONDS
-from eelgrasslock.running_timeout import RunningTimeout
+from eelgrasslock.running_timeout import RunningTimeout, is_done_within
 from platform_fleet import LOOKUPS, POSTS, PlatformFleet, wait_until
 
 HELD_UP_SECONDS = 0.5
@@ -57,6 +57,16 @@
         with pytest.raises(TimeoutError):
             await self.wait(limit, 0.5)
 
+    async def test_a_task_that_ends_with_the_time_has_ended(self):
+        ended = asyncio.get_running_loop().create_future()
+        ended.set_result(None)
+        assert await is_done_within(ended, 0.0)
+
+    async def test_a_task_that_takes_longer_goes_on(self):
+        task = asyncio.create_task(asyncio.sleep(0.1, "result"))
+        assert not await is_done_within(task, 0.02)
+        assert await task == "result"
+
     async def test_a_cancelled_task_stays_cancelled(self):
         task = asyncio.create_task(self.wait(RunningTimeout(1.0), 2.0))
         await asyncio.sleep(0.01)
