--- a/review/1/case.py
+++ b/review/1/case.py
@@ -61,7 +61,7 @@
     loop = asyncio.get_running_loop()
     runs = [asyncio.create_task(run_others(fleet, rng, len(programs)))]
     if has_trouble():
-        fleet.set_store(Refusing.RESET)
+        fleet.set_store(Refusing.BUSY)
     ends_at = loop.time() + OUTAGE_SECONDS
     step = (FIRST_STARTS_BEFORE_END - LAST_STARTS_BEFORE_END) / (PROGRAMS - 1)
     for number in range(PROGRAMS):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -37,7 +37,7 @@
     await restart(first)
     await asyncio.sleep(CALM_SECONDS)
     if has_trouble():
-        fleet.set_store(Refusing.RESET)
+        fleet.set_store(Refusing.BUSY)
     await asyncio.sleep(RETURNS_AFTER_SECONDS)
     fleet.note("the program returns", program=program.id, handed=program.tokens)
     back = asyncio.create_task(run_on(program, others))
