--- a/review/kit/engine.py
+++ b/review/kit/engine.py
@@ -27,6 +27,10 @@
         How long a plain answer takes.
     slots : int
         How many requests it runs at once; others wait.
+    first_seconds : float
+        How long it reads a prompt before the first event; a stream runs from then on.
+    drops : bool
+        Whether it drops a stream whose connection closes, as most engines do.
     """
 
     def __init__(
@@ -37,12 +41,16 @@
         event_seconds: float = 0.01,
         work_seconds: float = 0.02,
         slots: int = 12,
+        first_seconds: float = 0.0,
+        drops: bool = True,
     ) -> None:
         self.id = id
         self.note = note
         self.events = events
         self.event_seconds = event_seconds
         self.work_seconds = work_seconds
+        self.first_seconds = first_seconds
+        self.drops = drops
         self.slots = asyncio.Semaphore(slots)
         self.slot_count = slots
         self.runs: list[str] = []
@@ -100,6 +108,13 @@
         gone = asyncio.ensure_future(reader.read(1))
         try:
             async with self.slots:
+                await asyncio.wait({gone}, timeout=self.first_seconds)
+                if gone.done() and self.drops:
+                    self.note("drops unrun", engine=self.id, request=id)
+                    return False
+                if gone.done():
+                    passed = deadline - time.monotonic()
+                    await asyncio.sleep(max(0.0, min(self.first_seconds, passed)))
                 self.runs.append(id)
                 self.note("runs", engine=self.id, request=id, line=first, body=body)
                 return await self._run(id, echo, headers, deadline, gone, writer)
@@ -132,7 +147,7 @@
         start = int(headers.get("last-event-id", "0")) + 1
         for number in range(start, self.events + 1):
             await asyncio.wait({gone}, timeout=self.event_seconds)
-            if gone.done() or time.monotonic() > deadline:
+            if (gone.done() and self.drops) or time.monotonic() > deadline:
                 self.note("ends early", engine=self.id, request=id, events=number - 1)
                 return False
             event = f"id: {number}\ndata: {id}\n\n".encode()
--- a/review/kit/fleet.py
+++ b/review/kit/fleet.py
@@ -304,6 +304,11 @@
         }
         self.store.put("keyed.servers", engine.id, json.dumps(entry).encode())
 
+    async def crash(self, engine: Engine) -> None:
+        """End an engine without a word; its entry stays until it expires."""
+        del self._services[engine.id]
+        await engine.stop()
+
     async def daemon(self, zone: str) -> Daemon:
         """Add a machine; its daemon is not started yet."""
         daemon = Daemon(self, len(self.daemons) + 1, zone)
