--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.."
+PYTHONPATH=target/review:target/deps exec python3 review/4/case.py
