--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,107 +1,69 @@
-"""Two plain services end, and streams of the same domain's engines run twice."""
+"""A daemon is killed in an outage of the store, with the tokens it gave out."""
 
 import asyncio
-import collections
 import pathlib
+import signal
 
-from review_kit.client import attempt
-from review_kit.fleet import (
-    HOST,
-    Daemon,
-    Fleet,
-    has_trouble,
-    route,
-    run,
-    turn_route,
-)
+from review_kit.fleet import CannotRun, Fleet, has_trouble, run, turn_route
+from review_kit.program import LoopingProgram
 
-CALM_SECONDS = 4.0
-LOOKUPS_PER_SECOND = 60
-LOOKUP_SECONDS = 0.08
-# The engines' domains, and whether they drop a stream whose connection closes.
-ENGINES = (("a", True), ("a", True), ("b", False), ("b", False), ("c", True))
-STREAMS = 36
-START_SECONDS = 0.5
+from eelgrasslock_standins.platform_store import Refusing
+
+ZONES = ("a", "a", "b", "b", "c", "c")
+PROGRAM_TURNS = 8
 EVENTS = 8
-FIRST_SECONDS = 1.3
-CRASH_AFTER_SECONDS = 0.15
-PLAY_SECONDS = 5.0
-MOST = 3
+CALM_SECONDS = 5.0
+STARTS_AFTER_SECONDS = 1.5
+OUTAGE_SECONDS = 6.0
+DOWN_SECONDS = 3.0
+STORE_SECONDS = 0.004
 
 
 async def play(fleet: Fleet) -> bool:
-    """Return whether more than three streams ran on more than one engine."""
-    fleet.configure(3, [turn_route(), route("look", "safe", "desk", maxAttempts=2)])
-    for zone, drops in ENGINES:
-        await fleet.engine(
-            "models", zone, events=EVENTS, first_seconds=FIRST_SECONDS, drops=drops
-        )
-    for zone in "abb":
-        await fleet.engine("desk", zone, work_seconds=LOOKUP_SECONDS, slots=6)
-    for zone in "aaabb":
+    """Return whether the program was handed more than its budget and one turn."""
+    fleet.configure(3, [turn_route()])
+    for zone in "abc":
+        await fleet.engine("models", zone, events=EVENTS)
+    for zone in ZONES:
         await fleet.daemon(zone)
+        fleet.daemons[-1].door.faults.slow_seconds = STORE_SECONDS
     await fleet.start_all()
     await asyncio.sleep(CALM_SECONDS)
-    near = fleet.daemons[:3]
-    lookups = asyncio.create_task(look_up(near))
-    await asyncio.sleep(1.0)
-    streams = [
-        asyncio.create_task(stream(fleet, near[number % 3], number))
-        for number in range(STREAMS)
-    ]
-    await asyncio.sleep(CRASH_AFTER_SECONDS)
+    program = LoopingProgram(fleet, "p0", PROGRAM_TURNS, EVENTS, 39)
+    first, others = fleet.daemons[0], fleet.daemons[2:]
+    ends_at = asyncio.get_running_loop().time() + OUTAGE_SECONDS
     if has_trouble():
-        for engine in fleet.engines[-2:]:
-            fleet.note("crashes", engine=engine.id)
-            await fleet.crash(engine)
-    await asyncio.gather(*streams, lookups)
-    await asyncio.sleep(1.0)
-    ran_on: dict[str, set[str]] = collections.defaultdict(set)
-    for engine in fleet.engines:
-        for id in engine.runs:
-            ran_on[id].add(engine.id)
-    twice = sorted(id for id, engines in ran_on.items() if len(engines) > 1)
-    streams_twice = [id for id in twice if id.startswith("s")]
-    fleet.note("ran on more than one engine", streams=streams_twice)
-    return len(streams_twice) > MOST
-
-
-async def look_up(daemons: list[Daemon]) -> None:
-    """Look something up at a constant rate."""
-    calls = []
-    for number in range(int(LOOKUPS_PER_SECOND * PLAY_SECONDS)):
-        headers = {"Host": HOST, "Request-Id": f"l{number:x}", "Deadline-Ms": 1_200}
-        daemon = daemons[number % len(daemons)]
-        call = attempt(daemon.front, "GET", f"/look/{number}", headers, b"", 1.2)
-        calls.append(asyncio.create_task(call))
-        await asyncio.sleep(1.0 / LOOKUPS_PER_SECOND)
-    await asyncio.gather(*calls)
+        fleet.set_store(Refusing.BUSY)
+    await asyncio.sleep(STARTS_AFTER_SECONDS)
+    for _ in range(PROGRAM_TURNS // 2):
+        if not await program.turn("p0", [first]):
+            raise CannotRun("The first half of the budget was not handed out.")
+    killed = asyncio.create_task(kill(first)) if has_trouble() else None
+    await asyncio.sleep(ends_at - asyncio.get_running_loop().time())
+    if has_trouble():
+        fleet.set_store(Refusing.NOT)
+    if killed is not None:
+        await killed
+    while await program.turn("p0", others):
+        pass
+    fleet.note(
+        "program",
+        id=program.id,
+        budget=program.budget,
+        one_turn=program.turn_tokens,
+        handed=program.tokens,
+        over=program.is_over,
+    )
+    return program.is_over
 
 
-async def stream(fleet: Fleet, daemon: Daemon, number: int) -> None:
-    """Run one turn."""
-    id = f"s{number:x}"
-    await asyncio.sleep(START_SECONDS * number / STREAMS)
-    fleet.note("sent", request=id, daemon=daemon.name)
-    answer = await attempt(
-        daemon.front,
-        "POST",
-        "/turns/x",
-        {
-            "Host": HOST,
-            "Request-Id": id,
-            "Program-Id": id,
-            "Session-Id": id,
-            "Finish-Ms": 5_200,
-            "Token-Usage": "33600,176",
-            "Model": "m",
-            "Prompt-Prefix": f"{number + 256:x}:25200,{number + 1:x}:8400",
-            "Deadline-Ms": 3_000,
-        },
-        id.encode(),
-        3.0,
-    )
-    fleet.note("answered", request=id, status=answer.status, whole=answer.whole)
+async def kill(daemon) -> None:
+    """Kill a daemon and start it again."""
+    daemon.signal(signal.SIGKILL)
+    await daemon.wait_end()
+    await asyncio.sleep(DOWN_SECONDS)
+    daemon.start(bootstrap=False)
+    await daemon.wait_ready()
 
 
 run(play, pathlib.Path(__file__).resolve().parent)
--- a/review/kit/engine.py
+++ b/review/kit/engine.py
@@ -108,13 +108,15 @@
         gone = asyncio.ensure_future(reader.read(1))
         try:
             async with self.slots:
+                first_at = time.monotonic() + self.first_seconds
                 await asyncio.wait({gone}, timeout=self.first_seconds)
                 if gone.done() and self.drops:
                     self.note("drops unrun", engine=self.id, request=id)
                     return False
-                if gone.done():
-                    passed = deadline - time.monotonic()
-                    await asyncio.sleep(max(0.0, min(self.first_seconds, passed)))
+                await asyncio.sleep(max(0.0, first_at - time.monotonic()))
+                if time.monotonic() > deadline:
+                    self.note("ends unrun", engine=self.id, request=id)
+                    return False
                 self.runs.append(id)
                 self.note("runs", engine=self.id, request=id, line=first, body=body)
                 return await self._run(id, echo, headers, deadline, gone, writer)
--- a/review/kit/fleet.py
+++ b/review/kit/fleet.py
@@ -309,6 +309,10 @@
         del self._services[engine.id]
         await engine.stop()
 
+    def expire(self, engine: Engine) -> None:
+        """Remove the entry of an engine that has been silent for long enough."""
+        self.store.put("keyed.servers", engine.id, b"")
+
     async def daemon(self, zone: str) -> Daemon:
         """Add a machine; its daemon is not started yet."""
         daemon = Daemon(self, len(self.daemons) + 1, zone)
