--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 from eelgrasslock_standins.platform_store import Refusing
 
 ZONES = ("a", "a", "b", "b", "c", "c")
-OUTAGES = 4
+OUTAGES = 3
 OUTAGE_SECONDS = 5.0
 CALM_SECONDS = 6.0
 STORE_SECONDS = 0.004
@@ -20,7 +20,7 @@
 OTHER_TURNS = 4
 OTHER_BUDGET_TURNS = 6
 # Looping programs, each with a main line and sub-agents.
-PROGRAMS = 6
+PROGRAMS = 8
 PROGRAM_TURNS = 20
 AGENTS = 4
 FIRST_STARTS_BEFORE_END = 1.5
