Tell in the lines which turns have begun, and what a check of an endpoint found

Change: a line as tokens are reserved; 'logs budgets' counts turns without an end as possible, beside what was relayed; a line for each check of an endpoint. Measured: the new test of test_log_stories fails before and passes now.

--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -128,6 +128,10 @@
             suggested = "" if account.preferred_endpoint else suggest_endpoint()
             stage = await self._draw(account, max_generated_tokens, request, suggested)
         account.reserve(max_generated_tokens, self.clock.monotonic())
+        decision_log = self._decision_log(account, request, max_generated_tokens)
+        decision_log.bind(reserved_tokens=max_generated_tokens).info(
+            "Reserved {} tokens for a turn.", max_generated_tokens
+        )
         return Reservation(account=account, tokens=max_generated_tokens, stage=stage)
 
     def settle(self, reservation: Reservation, used: int) -> None:
--- a/src/eelgrasslock/gateway/failure_classifier.py
+++ b/src/eelgrasslock/gateway/failure_classifier.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from loguru import logger
+
 from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.attempt_result import AttemptOutcome
@@ -13,6 +15,8 @@
 CORRELATION_DELAY_SECONDS = 0.05
 CORRELATION_WINDOW_SECONDS = 0.5
 
+_log = logger.bind(part="endpoints")
+
 
 class FailureClassifier:
     """Classifies lost connections by what becomes of new ones.
@@ -84,10 +88,16 @@
         """
         ended_at = self.clock.monotonic()
         if await self._opens(record):
+            _log.info("Endpoint {} takes connections: it has not ended.", record.id)
             return False
         self.pool.drop(record.address)
         self.record_unreachable(record)
         is_crash = await self._is_network_intact(record)
+        _log.info(
+            "Endpoint {} takes no connection; {}.",
+            record.id,
+            "it has ended" if is_crash else "others are out of reach, too",
+        )
         if is_crash:
             self.on_crash(record.id, ended_at)
         return is_crash
--- a/src/eelgrasslock/operators/budget_totals.py
+++ b/src/eelgrasslock/operators/budget_totals.py
@@ -25,6 +25,9 @@
         How many requests used tokens.
     offline_draws : list of str
         Time, daemon and tokens of each draw without the log.
+    open_turns : dict of str to int
+        Tokens that are reserved for turns without a line of their end, by request: a
+        daemon that is killed writes none.
     """
 
     program: str
@@ -33,6 +36,12 @@
     used_tokens: int = 0
     turns: int = 0
     offline_draws: list[str] = field(factory=list)
+    open_turns: dict[str, int] = field(factory=dict)
+
+    @property
+    def most_used_tokens(self) -> int:
+        """The most tokens that the program can have used, by its lines."""
+        return self.used_tokens + sum(self.open_turns.values())
 
     @property
     def excess_tokens(self) -> int:
@@ -50,6 +59,10 @@
         if "offline_tokens" in inputs:
             draw = f"{line.time} {line.daemon} {inputs['offline_tokens']}"
             self.offline_draws.append(draw)
+        if "reserved_tokens" in inputs:
+            self.open_turns[line.request] = int(inputs["reserved_tokens"])
+        if "outcome" in inputs:
+            self.open_turns.pop(line.request, None)
         tokens = int(inputs.get("tokens") or 0)
         if "outcome" not in inputs or not tokens or inputs.get("budget") is None:
             return
--- a/src/eelgrasslock/operators/cli_logs.py
+++ b/src/eelgrasslock/operators/cli_logs.py
@@ -78,7 +78,8 @@
     if as_json:
         print_json([asdict(total) for total in totals[:most]])
     else:
-        columns = ["program", "budget", "turn", "used", "excess", "turns", "offline"]
+        columns = ["program", "budget", "turn", "used", "at most"]
+        columns += ["excess", "turns", "offline"]
         print_table(
             "Programs by excess",
             columns,
@@ -88,6 +89,7 @@
                     total.budget,
                     total.max_turn_tokens,
                     total.used_tokens,
+                    total.most_used_tokens,
                     total.excess_tokens,
                     total.turns,
                     "; ".join(total.offline_draws),
--- a/tests/test_log_stories.py
+++ b/tests/test_log_stories.py
@@ -163,6 +163,19 @@
         assert len(total["offline_draws"]) == 1
         assert result.exit_code == 0
 
+    def test_a_turn_without_an_end_counts_as_possible(self, tmp_path):
+        """A daemon that is killed writes no line of the turns that it relays."""
+        reserved = {"program": "p", "reserved_tokens": 100}
+        result = self.write(
+            tmp_path,
+            line("Reserved 100 tokens.", request="r1", **reserved),
+            line("Relayed.", request="r1", tokens=40, **TURN),
+            line("Reserved 100 tokens.", request="r2", **reserved),
+        )
+        (total,) = json.loads(result.stdout)
+        assert total["used_tokens"] == 40
+        assert total["open_turns"] == {"r2": 100}
+
     def test_more_than_the_budget_and_one_turn_is_a_finding(self, tmp_path):
         turns = [line("Relayed.", tokens=100, **TURN) for _ in range(4)]
         assert self.write(tmp_path, *turns).exit_code == 1
