--- a/tests/budget_model.py
+++ b/tests/budget_model.py
@@ -20,17 +20,25 @@
 class ModelProgram:
     """A program that loops: it uses all that it is given."""
 
-    def __init__(self, id, budget, now):
+    def __init__(self, id, budget, now, uses_little=False):
         self.id = id
         self.budget = budget
+        self.uses_little = uses_little
         self.tokens = 0
         self.seen_at = now
 
+    def use(self, rng):
+        """Return what a turn uses: about a fifteenth, or mostly all that it may."""
+        if self.uses_little:
+            return rng.randint(2, 13)
+        return TURN_TOKENS if rng.random() < 0.8 else rng.randrange(100)
+
 
 class ModelFleet:
     """The daemons, their faults and the programs."""
 
-    def __init__(self, seed, budgets):
+    def __init__(self, seed, budgets, uses_little=False):
+        self.uses_little = uses_little
         self.rng = random.Random(seed)
         self.budgets = budgets
         self.clock = ManualClock()
@@ -136,7 +144,7 @@
         if len(self.programs) < 6 or self.rng.random() < 0.02:
             id = f"p{len(self.finished) + len(self.programs)}"
             budget = self.rng.choice(self.budgets) * TURN_TOKENS
-            self.programs.append(ModelProgram(id, budget, now))
+            self.programs.append(ModelProgram(id, budget, now, self.uses_little))
         return self.rng.choice(self.programs)
 
     async def run_turn(self):
@@ -154,7 +162,7 @@
             return
         if not daemon.alive:
             return
-        used = TURN_TOKENS if self.rng.random() < 0.8 else self.rng.randrange(100)
+        used = program.use(self.rng)
         program.tokens += used
         until = self.clock.monotonic() + self.rng.uniform(0.0, 0.6)
         self.in_flight.append((until, daemon, reservation, used))
