Give a stream up only when its own engine is out of reach

Cause: evidence about others was taken for evidence about the engine. Two refused connections to any endpoints of a domain trip its breaker, and three of two domains look like lost links; a stream without a head after 0.9 s was then sent again, which its limit does not count as the engine is thought to be cut off. Change: such a stream is given up only if a new connection to this very engine stays without an answer. One that is refused shows that the engine is there, unless all endpoints refuse. Lookups are as before: they count every endpoint. The breaker still keeps new calls away from its domain.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -212,7 +212,10 @@
                     possible_executions=context.possible_executions,
                     waited_seconds=waited_seconds,
                 )
-                if should_fail_over(context.route, response_wait):
+                if not should_fail_over(context.route, response_wait):
+                    continue
+                may_give_up = await self._may_give_up(context, record)
+                if may_give_up and not response_task.done():
                     _log.bind(request=context.request.id, endpoint=record.id).info(
                         "No response after {} s; trying another endpoint.",
                         check_seconds,
@@ -224,6 +227,18 @@
         finally:
             response_task.cancel()
 
+    async def _may_give_up(
+        self, context: RequestContext, record: EndpointRecord
+    ) -> bool:
+        """Return whether another endpoint may be tried while this one may still run.
+
+        A stream may run again only if this very endpoint is out of reach: failures of
+        others, and of its domain, say nothing of what it does.
+        """
+        if context.route.kind is RouteKind.SAFE:
+            return True
+        return await self.links.is_out_of_reach(record)
+
     async def _relay_response(
         self,
         context: RequestContext,
--- a/src/eelgrasslock/gateway/link_monitor.py
+++ b/src/eelgrasslock/gateway/link_monitor.py
@@ -14,6 +14,7 @@
 from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
+from eelgrasslock.http.connection import HTTPConnection
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
 
 MIN_FAILED_ENDPOINTS = 3
@@ -132,6 +133,20 @@
             return True
         return self.are_old_alive and bool(self.pool.idle.get(record.address))
 
+    async def is_out_of_reach(self, record: EndpointRecord) -> bool:
+        """Return whether nothing is heard of an endpoint on a new connection.
+
+        One that refuses it is there, and may still work on what it has, unless all
+        endpoints refuse.
+        """
+        try:
+            connection = await self.pool.connect(record.address)
+        except ConnectFailed as error:
+            self.record_failed(record)
+            return not (error.was_refused and self.are_old_alive)
+        self._keep(record, connection)
+        return False
+
     # --- checks -----------------------------------------------------------------
 
     def check_silence(self) -> None:
@@ -181,9 +196,13 @@
         except ConnectFailed:
             self.record_failed(record)
             return False
+        self._keep(record, connection)
+        return True
+
+    def _keep(self, record: EndpointRecord, connection: HTTPConnection) -> None:
+        """Keep a connection that was opened to see whether one opens."""
         self.record_opened()
         self.pool.release(record.address, connection, None)
-        return True
 
     async def stop(self) -> None:
         """Stop the checks."""
--- a/src/eelgrasslock/http/pool.py
+++ b/src/eelgrasslock/http/pool.py
@@ -21,7 +21,17 @@
 
 
 class ConnectFailed(EelgrassError):
-    """No connection could be opened, so nothing was sent."""
+    """No connection could be opened, so nothing was sent.
+
+    Attributes
+    ----------
+    was_refused : bool
+        Whether the other side answered that it takes none.
+    """
+
+    def __init__(self, sentence: str, was_refused: bool = False) -> None:
+        super().__init__(sentence)
+        self.was_refused = was_refused
 
 
 class ConnectionPool:
@@ -96,7 +106,10 @@
                 )
         except (OSError, ValueError) as error:
             name = type(error).__name__
-            raise ConnectFailed(f"Could not connect to {address}: {name}.") from error
+            raise ConnectFailed(
+                f"Could not connect to {address}: {name}.",
+                was_refused=isinstance(error, ConnectionError),
+            ) from error
         self.opened += 1
         return connection
 
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -59,6 +59,8 @@
         The bytes of an event, with the fields `number` and `id`.
     chunk_bytes : int
         The length of the chunks in which events are sent, 0 for one chunk an event.
+    first_seconds : float
+        The pause before the head of a stream, in which the prompt is read.
     event_seconds : float
         The pause before each event.
     work_seconds : float
@@ -91,6 +93,7 @@
     events: int = 0
     event_format: str = "id: {number}\ndata: {id}\n\n"
     chunk_bytes: int = 0
+    first_seconds: float = 0.0
     event_seconds: float = 0.0
     work_seconds: float = 0.0
     load: str = ""
@@ -226,6 +229,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        await asyncio.sleep(self.first_seconds)
         head = (
             f"HTTP/1.1 200 OK\r\nRequest-Id: {run.id}\r\n{self._stamp()}"
             "Content-Type: text/event-stream\r\n"
