Count the ends of engines that fall silent, whoever waited for them

What callers saw: a request that ends the engines which run it was sent on and on where these fall silent: 11 of 11 tries ended one while daemons were replaced one by one, and 8 turns or 14 engines in calm where the port still took connections. Cause, two of one class (what a process knew alone, and a sign that says less than was read from it): only the daemon that waited for the engine could count its end, and it was gone before the engine's registration; and a port that opens was taken for an engine that works, though the kernel of a process that stands still takes connections. Change: calls for which nothing is heard of their endpoint for a second are told to three other daemons by rank of the endpoint, each second again. If it ends, they write the crash in the name of the daemon that waited, unless that one is heard of and counts it itself; the record has its name, so that several write the same one. A removed endpoint that takes a connection is asked at its health path; without any answer for 2 s, and nothing heard on other connections, it has ended. One that leaves answers.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -33,6 +33,7 @@
 from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.gateway.shared_controllers import SharedControllers
+from eelgrasslock.gateway.silent_calls import SilentCalls
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.periodic import keep_running, run_periodically
@@ -137,14 +138,6 @@
         self.routing = RoutingState(
             platform.record_decoder, self._configuration_changed
         )
-        self.endpoint_ends = EndpointEnds(self.scheduler, self.clock)
-        self.registry_updater = EndpointRegistryUpdater(
-            platform.record_decoder,
-            self.endpoint_registry,
-            self._update_scheduler,
-            self.endpoint_ends.record_replaced,
-            self.endpoint_ends.record_removed,
-        )
         self.crash_records = CrashRecords(
             platform.log,
             self.scheduler.quarantine,
@@ -152,6 +145,22 @@
             self.clock,
             self.rng,
         )
+        self.silent_calls = SilentCalls(
+            self.scheduler,
+            self.crash_records,
+            self.shared.ranking,
+            self.mesh,
+            self.clock,
+        )
+        self.silent_calls.register(self.mesh.callbacks)
+        self.endpoint_ends = EndpointEnds(self.scheduler, self.silent_calls, self.clock)
+        self.registry_updater = EndpointRegistryUpdater(
+            platform.record_decoder,
+            self.endpoint_registry,
+            self._update_scheduler,
+            self.endpoint_ends.record_replaced,
+            self.endpoint_ends.record_removed,
+        )
         self.followers = LogFollowers(
             platform.log,
             platform.record_decoder.topics,
@@ -198,7 +207,7 @@
         self.peer_forwarder = path.peer_forwarder
         self.endpoint_reports = path.endpoint_reports
         self.failures = path.failures
-        self.endpoint_ends.check = path.failures.check
+        self.endpoint_ends.check = path.failures.check_removed
         self.endpoint_ends.forget_reports = path.endpoint_reports.forget
         self.handler = path.handler
         self.peer_requests = path.peer_requests
@@ -341,6 +350,7 @@
         await self.metrics_server.stop()
         await self.shared.stop()
         await self.draw_keepers.stop()
+        await self.silent_calls.stop()
         await self.failures.stop()
         await self.links.stop()
         await self.dispatcher.stop()
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -66,6 +66,8 @@
         Takes what endpoints say of themselves.
     failures : FailureClassifier
         Tells crashes of endpoints from broken connections.
+    on_heard : callable
+        Called with the id of an endpoint from which something was received.
     """
 
     def __init__(
@@ -82,7 +84,9 @@
         stream_versions: StreamVersions,
         reports: EndpointReports,
         failures: FailureClassifier,
+        on_heard: Callable[[str], None],
     ) -> None:
+        self.on_heard = on_heard
         self.failures = failures
         self.reports = reports
         self.links = links
@@ -223,6 +227,7 @@
                     return None
             head = await response_task
             self.links.record_answer()
+            self.on_heard(record.id)
             return head
         finally:
             response_task.cancel()
@@ -294,6 +299,7 @@
         recording = self.stream_versions.begin(context, record.version)
         while (chunk := await connection.read()) is not None:
             await recording.wait()
+            self.on_heard(record.id)
             context.event_counter.feed(chunk)
             await responder.write(chunk)
         if not context.is_stream_whole:
--- a/src/eelgrasslock/gateway/crash_records.py
+++ b/src/eelgrasslock/gateway/crash_records.py
@@ -112,6 +112,8 @@
         The records in the log, by key.
     pending : dict of str to None
         The digests whose records must be written or removed.
+    pending_for_others : dict of str to CrashRecord
+        Records that must be written for daemons which are gone, by key.
     written : dict of str to float
         The times in this daemon's newest records, by digest.
     """
@@ -132,6 +134,7 @@
         self.rng = rng
         self.records: dict[str, CrashRecord] = {}
         self.pending: dict[str, None] = {}
+        self.pending_for_others: dict[str, CrashRecord] = {}
         self.written: dict[str, float] = {}
         self._is_pending = asyncio.Event()
         quarantine.on_change = self._note_change
@@ -204,6 +207,7 @@
         LogUnavailable
             If the log did not answer; the records are written later.
         """
+        await self._flush_for_others()
         while self.pending:
             digests = list(self.pending)[:MAX_RECORDS_PER_WRITE]
             self.pending = {one: None for one in self.pending if one not in digests}
@@ -216,6 +220,28 @@
                 raise
         self._is_pending.clear()
 
+    async def _flush_for_others(self) -> None:
+        records = self.pending_for_others
+        self.pending_for_others = {}
+        try:
+            if records:
+                items = [(key, one.encode()) for key, one in records.items()]
+                await self.log.put_all(TOPIC, items)
+        except BaseException:
+            self.pending_for_others = records | self.pending_for_others
+            raise
+
+    def write_for(self, author: str, digest: str, crashes: int) -> None:
+        """Write the record of a daemon that is gone; several may write the same."""
+        record = CrashRecord(
+            digest=digest,
+            author=author,
+            crashes=min(crashes, MAX_CRASHES),
+            at=self.clock.now(),
+        )
+        self.pending_for_others[record.key] = record
+        self._is_pending.set()
+
     async def expire(self) -> None:
         """Remove the records of crashes that are long past.
 
--- a/src/eelgrasslock/gateway/endpoint_ends.py
+++ b/src/eelgrasslock/gateway/endpoint_ends.py
@@ -4,6 +4,7 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord
+from eelgrasslock.gateway.silent_calls import SilentCalls
 from eelgrasslock.scheduling.scheduler import Scheduler
 
 
@@ -31,9 +32,14 @@
         Finds out whether an endpoint has crashed, by its registration.
     forget_reports : callable
         Drops what an endpoint said of itself, by its id.
+    silent_calls : SilentCalls
+        Knows the calls of other daemons to endpoints that are silent.
     """
 
-    def __init__(self, scheduler: Scheduler, clock: Clock) -> None:
+    def __init__(
+        self, scheduler: Scheduler, silent_calls: SilentCalls, clock: Clock
+    ) -> None:
+        self.silent_calls = silent_calls
         self.scheduler = scheduler
         self.outcomes = scheduler.outcome_recorder
         self.clock = clock
@@ -43,6 +49,12 @@
     def record_crash(self, endpoint: str, ended_at: float) -> None:
         """Record that an endpoint had crashed by a time on the monotonic clock."""
         self.outcomes.record_end(endpoint, ended_at, self.clock.monotonic())
+        self.silent_calls.record_end(endpoint)
+
+    def record_silence(self, endpoint: str, since: float) -> None:
+        """Record that an endpoint answered no probe: it has ended if it is silent."""
+        if self.silent_calls.heard_at.get(endpoint, since) <= since:
+            self.record_crash(endpoint, since)
 
     def record_replaced(self, before: EndpointRecord, entry: EndpointRecord) -> None:
         """Record the end of an endpoint whose id or address another start has."""
@@ -56,11 +68,15 @@
         """Find out whether an endpoint has ended that did not say that it leaves."""
         self._reset(record.id)
         now = self.clock.monotonic()
-        if not record.leaving and self.outcomes.may_have_crashed(record.id, now):
+        may_have_crashed = self.outcomes.may_have_crashed(
+            record.id, now
+        ) or self.silent_calls.has_any(record.id)
+        if not record.leaving and may_have_crashed:
             self.check(record)
 
     def drop_past(self) -> None:
         """Drop what no end can be put down to any more."""
+        self.silent_calls.update()
         self.outcomes.drop_past(self.clock.monotonic())
 
     def _reset(self, endpoint: str) -> None:
--- a/src/eelgrasslock/gateway/failure_classifier.py
+++ b/src/eelgrasslock/gateway/failure_classifier.py
@@ -10,10 +10,15 @@
 from eelgrasslock.gateway.attempt_result import AttemptOutcome
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.gateway.link_monitor import LinkMonitor
+from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
+from eelgrasslock.running_timeout import RunningTimeout
 
 CORRELATION_DELAY_SECONDS = 0.05
 CORRELATION_WINDOW_SECONDS = 0.5
+# A sound endpoint may be silent for a second or so.
+ANSWER_SECONDS = 2.0
 
 _log = logger.bind(part="endpoints")
 
@@ -31,9 +36,13 @@
         Is told which connections open and which fail.
     clock : Clock
         The source of time.
+    make_probe : callable
+        Returns a request to which an endpoint answers in any state.
     on_crash : callable
         Called with the id of an endpoint that crashed, and when it had done so at
         the latest, on the monotonic clock.
+    on_silence : callable
+        Called with the id of an endpoint that answers no probe, and since when.
 
     Attributes
     ----------
@@ -47,13 +56,17 @@
         endpoint_registry: EndpointRegistry,
         links: LinkMonitor,
         clock: Clock,
+        make_probe: Callable[[EndpointRecord], OutgoingRequest],
         on_crash: Callable[[str, float], None],
+        on_silence: Callable[[str, float], None],
     ) -> None:
+        self.on_silence = on_silence
         self.on_crash = on_crash
         self.pool = pool
         self.endpoint_registry = endpoint_registry
         self.links = links
         self.clock = clock
+        self.make_probe = make_probe
         self.unreachable_at: dict[str, float] = {}
         self.tasks = BackgroundTasks()
         self._checks: dict[str, asyncio.Task[bool]] = {}
@@ -81,6 +94,40 @@
             task.add_done_callback(lambda _: self._checks.pop(record.id))
         return task
 
+    def check_removed(self, record: EndpointRecord) -> None:
+        """Find out whether an endpoint has ended that is registered no more.
+
+        One that leaves without a word goes on, and answers.
+        """
+        self.tasks.start(self._check_removed(record))
+
+    async def _check_removed(self, record: EndpointRecord) -> None:
+        ended_at = self.clock.monotonic()
+        if await asyncio.shield(self.check(record)):
+            return
+        if record.id in self.unreachable_at or await self._answers(record):
+            return
+        _log.info("Endpoint {} takes connections and answers nothing.", record.id)
+        self.pool.drop(record.address)
+        self.on_silence(record.id, ended_at)
+
+    async def _answers(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint answers, be it by ending the connection."""
+        try:
+            connection = await self.pool.connect(record.address)
+        except ConnectFailed:
+            return False
+        try:
+            async with RunningTimeout(ANSWER_SECONDS):
+                await connection.send(self.make_probe(record))
+        except ConnectionBroken:
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            connection.close()
+        return True
+
     async def _check(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint takes no connection though the network works.
 
--- a/src/eelgrasslock/gateway/interfaces.py
+++ b/src/eelgrasslock/gateway/interfaces.py
@@ -37,6 +37,9 @@
             If a required header is invalid.
         """
 
+    def encode_probe(self, path: str, endpoint: str) -> OutgoingRequest:
+        """Return a request that asks an endpoint whether it is healthy."""
+
     def encode_request(
         self, request: GatewayRequest, endpoint: str, seconds: float
     ) -> OutgoingRequest:
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -9,7 +9,7 @@
 from eelgrasslock.gateway.attempts import AttemptRunner
 from eelgrasslock.gateway.conversations import Conversations
 from eelgrasslock.gateway.endpoint_ends import EndpointEnds
-from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
+from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.gateway.endpoint_reports import EndpointReports
 from eelgrasslock.gateway.failure_classifier import FailureClassifier
 from eelgrasslock.gateway.forwarder import Forwarder
@@ -19,9 +19,12 @@
 from eelgrasslock.gateway.peer_forwarder import PeerForwarder
 from eelgrasslock.gateway.peer_requests import PeerRequestHandler
 from eelgrasslock.gateway.platform_adapters import PlatformAdapters
+from eelgrasslock.gateway.routes import ServiceSpec
 from eelgrasslock.gateway.routing import RoutingState
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.gateway.shared_controllers import SharedControllers
+from eelgrasslock.gateway.silent_calls import SilentCalls
+from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.load_exchange import LoadExchange
@@ -52,6 +55,7 @@
     scheduler: Scheduler
     settings: GatewaySettings
     shared: SharedControllers
+    silent_calls: SilentCalls
 
 
 class RequestPath:
@@ -104,7 +108,9 @@
             sources.endpoint_registry,
             self.links,
             sources.clock,
+            self._make_probe,
             sources.endpoint_ends.record_crash,
+            sources.endpoint_ends.record_silence,
         )
         forwarder = self._create_forwarder()
         self.handler = self._create_handler(forwarder)
@@ -112,6 +118,13 @@
             self.handler, forwarder, sources.platform.codec, sources.clock
         )
 
+    def _make_probe(self, record: EndpointRecord) -> OutgoingRequest:
+        """Return a request that asks an endpoint whether it is healthy."""
+        current = self.sources.routing.current
+        services = {} if current is None else current.services
+        spec = services.get(record.service, ServiceSpec(name=record.service))
+        return self.sources.platform.codec.encode_probe(spec.health_path, record.id)
+
     def _create_forwarder(self) -> Forwarder:
         sources = self.sources
         attempt_runner = AttemptRunner(
@@ -127,6 +140,7 @@
             sources.shared.stream_versions,
             self.endpoint_reports,
             self.failures,
+            sources.silent_calls.record_heard,
         )
         return Forwarder(
             sources.dispatcher,
--- a/src/eelgrasslock/gateway/routes.py
+++ b/src/eelgrasslock/gateway/routes.py
@@ -157,10 +157,13 @@
         How many connections one endpoint accepts from all callers.
     engine : EngineSpec or None
         The properties of the model engines, None for other services.
+    health_path : str
+        Where endpoints say whether they are healthy.
     """
 
     name: str
     max_connections: int = 0
+    health_path: str = "/"
     engine: EngineSpec | None = None
 
 
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -49,6 +49,8 @@
         are in memory.
     adopt_draws : callable
         Takes over draws that a stopping daemon could not record.
+    tell_silent : callable
+        Takes note of calls of other daemons whose endpoint is silent.
     keep_draw, give_draws, fetch_draws : callable
         Keep draws without the log for other daemons, and tell of them.
     """
@@ -71,6 +73,7 @@
         self.keep_draw: CallHandler = _refuse_call
         self.give_draws: CallHandler = _refuse_call
         self.fetch_draws: CallHandler = _refuse_call
+        self.tell_silent: CallHandler = _refuse_call
         self.grant_requests: CallHandler = _refuse_call
         self.tell_streams: CallHandler = _refuse_call
         self.find_stream: CallHandler = _refuse_call
--- a/src/eelgrasslock/peers/peer_handlers.py
+++ b/src/eelgrasslock/peers/peer_handlers.py
@@ -259,6 +259,12 @@
         """Keep a draw without the log, and tell what is known of the program."""
         await self.connection.run(self.callbacks.keep_draw(message, _context.results))
 
+    async def tellSilent(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Take note of calls of a peer whose endpoint is silent."""
+        await self.connection.run(self.callbacks.tell_silent(message, _context.results))
+
     async def giveDraws(  # noqa: N802
         self, _context: Any, **message: Any
     ) -> None:
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -1,6 +1,7 @@
 """Headers of requests and responses on the platform."""
 
 import math
+import secrets
 
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.gateway.messages import (
@@ -12,6 +13,7 @@
 )
 from eelgrasslock.http.messages import Header, OutgoingRequest, ResponseHead
 
+_ID_BYTES = 8
 READY_PATH = "/eelgrasslock/readyz"
 
 _REQUEST_ID = "request-id"
@@ -118,6 +120,15 @@
             affinity_key=_cookie(headers, _AFFINITY_KEY),
         )
 
+    def encode_probe(self, path: str, endpoint: str) -> OutgoingRequest:
+        """Return a request that asks an endpoint whether it is healthy."""
+        headers = (
+            ("Host", endpoint),
+            ("Request-Id", secrets.token_hex(_ID_BYTES)),
+            ("Expect-Instance", endpoint),
+        )
+        return OutgoingRequest(method="GET", target=path, headers=headers, body=b"")
+
     def encode_request(
         self, request: GatewayRequest, endpoint: str, seconds: float
     ) -> OutgoingRequest:
--- a/src/eelgrasslock/platform/record_decoder.py
+++ b/src/eelgrasslock/platform/record_decoder.py
@@ -167,10 +167,16 @@
     return ServiceSpec(
         name=_text(entry, "name"),
         max_connections=_count(entry, "maxConns", 0),
+        health_path=_health_path(entry),
         engine=None if engine is None else _engine(engine),
     )
 
 
+def _health_path(entry: dict[str, Any]) -> str:
+    path = entry.get("healthPath", "")
+    return path if isinstance(path, str) and path.startswith("/") else "/"
+
+
 def _engine(entry: dict[str, Any]) -> EngineSpec:
     return EngineSpec(
         slots=check_integer(entry["slots"], "slots", MAX_SLOTS),
--- a/src/eelgrasslock/scheduling/endpoint_table.py
+++ b/src/eelgrasslock/scheduling/endpoint_table.py
@@ -1,6 +1,7 @@
 """The endpoints of a deployment, and the pools that they form."""
 
 import random
+from collections.abc import Iterator
 
 from eelgrasslock.configuration.settings import (
     Configuration,
@@ -10,7 +11,11 @@
 from eelgrasslock.scheduling.calls import Call, PeerLoad
 from eelgrasslock.scheduling.circuit_breaker import CircuitBreaker
 from eelgrasslock.scheduling.endpoint_pool import EndpointPool
-from eelgrasslock.scheduling.endpoint_state import CONFIGURATION_SOURCE, EndpointState
+from eelgrasslock.scheduling.endpoint_state import (
+    CONFIGURATION_SOURCE,
+    EndpointState,
+    RunningCall,
+)
 from eelgrasslock.scheduling.prefix_index import PrefixIndex
 from eelgrasslock.scheduling.request_tokens import (
     MIN_REQUESTS_PER_SECOND,
@@ -99,6 +104,13 @@
         for pool in self.pools_by_endpoint.get(endpoint, ()):
             pool.requeue_all(endpoint)
 
+    def all_running(self) -> Iterator[tuple[str, RunningCall]]:
+        """Return the calls in flight with their endpoints, removed ones included."""
+        for states in (self.states, self.removed_states):
+            for state in states.values():
+                for running in state.running.values():
+                    yield state.name, running
+
     def in_flight(self) -> dict[str, int]:
         """Return the number of this daemon's calls in flight on each busy endpoint."""
         states = self.states.values()
--- a/src/eelgrasslock/scheduling/quarantine.py
+++ b/src/eelgrasslock/scheduling/quarantine.py
@@ -109,6 +109,11 @@
         others = sum(self.crashes_by_author[one].count(digest) for one in authors)
         return len(self.own_crashes.get(digest, ())) + others
 
+    def crashes_by(self, author: str, digest: str) -> int:
+        """Return the number of crashes that one other daemon has counted."""
+        reports = self.crashes_by_author.get(author)
+        return 0 if reports is None else reports.count(digest)
+
     def is_suspect(self, digest: str) -> bool:
         """Return whether a request may run only as the sole suspect on an endpoint."""
         return self.crash_count(digest) > 0
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -80,6 +80,8 @@
     crashes_silently : bool
         Whether its connections then stay open without a word, as after a loss of
         power, in place of being reset.
+    keeps_port : bool
+        Whether it then still takes connections, as a process that stands still.
     crashed_at : list of float
         When it ended so, on the monotonic clock, in seconds.
     faults : deque of Fault
@@ -103,6 +105,7 @@
     crashes_on_target: str = ""
     crash_seconds: float = 0.0
     crashes_silently: bool = False
+    keeps_port: bool = False
     crashed_at: list[float] = field(factory=list)
     faults: deque[Fault] = field(factory=deque)
     late: bytes = b""
@@ -118,7 +121,7 @@
     ) -> bool:
         """Answer one request; return whether another one may follow."""
         run = await read_head(reader)
-        if writer in self.silent:
+        if writer in self.silent or (self.keeps_port and self.crashed_at):
             return await _ignore(reader)
         if copy := self.copies.pop(writer, b""):
             writer.write(copy)
@@ -176,7 +179,8 @@
         if not self.crashes_silently:
             await self.stop()
             return False
-        self.close()
+        if not self.keeps_port:
+            self.close()
         self.silent |= self._writers
         return await _ignore(reader)
 
--- a/tests/crashing_requests.py
+++ b/tests/crashing_requests.py
@@ -56,6 +56,12 @@
         self.stack.callback(task.cancel)
 
     async def bring_back(self, engine, service):
+        if engine.keeps_port:
+            await asyncio.sleep(self.removal_seconds)
+            self.unregister(engine)
+            await asyncio.sleep(self.return_seconds)
+            await self.start_like(engine, service)
+            return
         if self.removal_seconds is not None:
             await asyncio.sleep(self.removal_seconds)
             self.unregister(engine)
@@ -65,6 +71,19 @@
         await engine.start()
         self.register(engine, service, born=round(time.time() * 1_000))
 
+    async def start_like(self, engine, service):
+        """Start another engine, which the same requests end."""
+        other = await self.endpoint(
+            service=service,
+            events=engine.events,
+            crashes_on=engine.crashes_on,
+            crashes_silently=True,
+            keeps_port=True,
+            entry={"born": round(time.time() * 1_000)},
+        )
+        self.engines.append(other)
+        self.keep_running(other, service)
+
     async def add_daemon(self, domain):
         self.daemon_numbers[domain] += 1
         name = f"{domain}-{self.daemon_numbers[domain]}"
@@ -85,6 +104,19 @@
             await asyncio.sleep(REPLACE_SECONDS)
             await self.replace(self.daemons[0])
 
+    async def replace_abruptly(self, pause_seconds):
+        """Replace one daemon after the other, which tell nothing as they end."""
+        while True:
+            await asyncio.sleep(pause_seconds)
+            await self.replace_at_once(self.daemons[0])
+
+    async def replace_at_once(self, daemon):
+        """Start another daemon, and end this one without a word."""
+        await self.add_daemon(daemon.application.settings.domain)
+        self.daemons.remove(daemon)
+        daemon.faults.refusing = "reset"
+        await daemon.application.stop()
+
     async def stop_replacing(self, replacing):
         replacing.cancel()
         await asyncio.gather(replacing, *self.leaving, return_exceptions=True)
@@ -118,6 +150,13 @@
             await asyncio.sleep(SEND_SECONDS)
         await asyncio.gather(*sent)
 
+    async def send_one_by_one(self, seconds, *request, **headers):
+        """Send the request again as soon as it is known what became of it."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await self.send_to_next(*request, **headers)
+            await asyncio.sleep(SEND_SECONDS)
+
     async def stop_beside_crashes(self, bystander):
         """Stop an endpoint for a moment at each crash of another one."""
         seen = 0
