Refuse at once what would outlast a daemon that stops as planned

What operators of other systems saw: requests taken late in the grace of a planned stop were cut at its end with no answer. Here, by reading: a daemon that drains takes requests for 3 s and may end 6.7 s after the signal; a request whose deadline is 4 s away may still run then. Change: from the signal on, a request whose deadline lies beyond the end is refused as not run, with a time to come back; so are those that peers pass on.

--- a/src/eelgrasslock/gateway/drainer.py
+++ b/src/eelgrasslock/gateway/drainer.py
@@ -73,10 +73,10 @@
         self.listener.close_after_response = True
         count = self.handler.in_flight.count
         _log.info("Draining with {} requests in flight.", count)
+        seconds = self.settings.drain_seconds - SHUTDOWN_RESERVE_SECONDS
+        self.handler.ends_at = self.handler.clock.monotonic() + seconds
         try:
-            async with asyncio.timeout(
-                self.settings.drain_seconds - SHUTDOWN_RESERVE_SECONDS
-            ):
+            async with asyncio.timeout(seconds):
                 await asyncio.sleep(READINESS_PROPAGATION_SECONDS)
                 self.handler.stopping = True
                 self.listener.close_idle()
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -73,6 +73,8 @@
         The requests in progress.
     stopping : bool
         Whether new requests are refused because the daemon is stopping.
+    ends_at : float
+        When this daemon ends, on the monotonic clock; infinite unless it drains.
     refused_while_stopping : int
         How many requests were refused for that reason.
     """
@@ -106,6 +108,7 @@
         self.rng = rng
         self.in_flight = InFlight()
         self.stopping = False
+        self.ends_at = float("inf")
         self.refused_while_stopping = 0
 
     async def handle(self, request: GatewayRequest, responder: CallerResponder) -> None:
@@ -171,6 +174,7 @@
             digest=request_digest(request),
         )
         log_entry.context = context
+        self.check_end(context.deadline)
         await self._begin_turn(context)
         reservation = await self._reserve(context)
         self._prefer_endpoint(context)
@@ -182,6 +186,12 @@
         if context.turn is not None:
             await self.conversations.end(context.turn, context)
 
+    def check_end(self, deadline: float) -> None:
+        """Refuse a request that may outlast this daemon, which drains."""
+        if deadline > self.ends_at:
+            self.refused_while_stopping += 1
+            raise _stopping_refusal()
+
     async def _begin_turn(self, context: RequestContext) -> None:
         """Let a turn whose chain the fleet keeps carry the whole conversation."""
         current = self.routing.current
--- a/src/eelgrasslock/gateway/peer_requests.py
+++ b/src/eelgrasslock/gateway/peer_requests.py
@@ -146,6 +146,7 @@
             message, writer, current.services, self.codec, self.clock.monotonic()
         )
         writer.context = context
+        self.handler.check_end(context.deadline)
         self.served += 1
         _log.bind(
             request=context.request.id,
--- a/src/eelgrasslock_standins/raw_server.py
+++ b/src/eelgrasslock_standins/raw_server.py
@@ -14,6 +14,7 @@
 from eelgrasslock_standins.bare_server import BareServer, read_request, reset
 
 _RESET_DELAY_SECONDS = 0.05
+_PIECE_SECONDS = 0.001
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -56,11 +57,14 @@
         What follows them.
     filler : bytes
         What is repeated by `Ending.ENDLESS`.
+    piece_bytes : int
+        The length of the pieces in which the bytes are sent, 0 for all at once.
     """
 
     data: bytes
     ending: Ending = Ending.FIN
     filler: bytes = b""
+    piece_bytes: int = 0
 
 
 @define(eq=False, kw_only=True)
@@ -89,7 +93,12 @@
         run.ran = True
         self.runs.append(run)
         answer = self.queued.popleft() if self.queued else self.answer
-        await self._write(writer, answer.data.replace(b"{id}", run.id.encode()))
+        data = answer.data.replace(b"{id}", run.id.encode())
+        size = answer.piece_bytes or len(data) or 1
+        for start in range(0, len(data), size):
+            await self._write(writer, data[start : start + size])
+            if answer.piece_bytes:
+                await asyncio.sleep(_PIECE_SECONDS)
         if answer.ending is Ending.NEXT:
             return True
         if answer.ending is Ending.RESET:
--- /dev/null
+++ b/tests/test_late_requests.py
@@ -0,0 +1,116 @@
+"""Requests that come late in the grace of a planned stop.
+
+Those of other systems were taken, passed on, and cut at its end with no answer.
+"""
+
+import asyncio
+
+import pytest
+
+from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.pool import ConnectFailed
+from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet
+
+GRACE_SECONDS = 8.0
+SEND_SECONDS = 0.22
+EVENTS = 10
+
+
+@pytest.fixture
+async def fleet():
+    async with PlatformFleet() as fleet:
+        yield fleet
+
+
+class Stop:
+    """Clients of a daemon that stops as planned."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.outcomes = []
+        self.desk = None
+        self.engine = None
+
+    async def start(self, work_seconds):
+        self.desk = await self.fleet.endpoint(work_seconds=work_seconds)
+        self.fleet.register(self.desk, slots=200)
+        self.engine = await self.fleet.endpoint(
+            "models", events=EVENTS, event_seconds=work_seconds / EVENTS
+        )
+        self.fleet.register(self.engine, "models", slots=200)
+        self.daemon = await self.fleet.ready_daemon(
+            [self.desk, self.engine], drain_seconds=GRACE_SECONDS
+        )
+
+    async def send(self, path, connection=None):
+        """Send a request, and keep what became of it."""
+        id = f"q{next(self.fleet.ids)}"
+        body = b"" if path == LOOKUPS else b"x"
+        headers = {"Request_Id": id, "Deadline_Ms": 4_000}
+        if path == TURNS:
+            headers |= {"Program_Id": id, "Session_Id": "s", "Prompt_Prefix": "5c1e:9"}
+            headers |= {"Token_Budget": 9_000, "Token_Usage": "100,220"}
+        method = "GET" if path == LOOKUPS else "POST"
+        try:
+            if connection is None:
+                connection = await self.fleet.connect(self.daemon)
+            answer = await self.fleet.send(
+                connection, f"{path}x", method, body, **headers
+            )
+            status = answer[0]
+        except (ConnectionBroken, ConnectFailed):
+            status = 0
+        self.outcomes.append((id, status))
+
+    async def send_slowly(self, path, seconds):
+        """Send a body whose last byte comes some seconds later."""
+        id = f"q{next(self.fleet.ids)}"
+        host, _, port = self.daemon.front_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f"POST {path}x HTTP/1.1\r\nHost: fleet.example\r\nRequest-Id: {id}\r\n"
+            "Deadline-Ms: 3900\r\nContent-Length: 2\r\n\r\nx"
+        )
+        writer.write(head.encode())
+        await asyncio.sleep(seconds)
+        status = 0
+        try:
+            writer.write(b"y")
+            line = await reader.readline()
+            status = int(line.split()[1]) if line else 0
+        except (ConnectionError, IndexError):
+            pass
+        writer.close()
+        self.outcomes.append((id, status))
+
+    def cut(self):
+        """Return the requests that ran and have no answer."""
+        ran = {*self.desk.ids(), *self.engine.ids()}
+        return [id for id, status in self.outcomes if not status and id in ran]
+
+
+@pytest.mark.parametrize("work_seconds", [0.4, 2.5, 3.8])
+class TestPlannedStop:
+    async def test_nothing_that_was_passed_on_is_cut(self, fleet, work_seconds):
+        stop = Stop(fleet)
+        await stop.start(work_seconds)
+        kept = [await fleet.connect(stop.daemon) for _ in range(3)]
+        draining = asyncio.create_task(self.stop(stop.daemon))
+        sent = [
+            asyncio.create_task(stop.send_slowly(POSTS, seconds))
+            for seconds in (1.0, 2.0, 2.9, 3.1, 4.5, 6.0)
+        ]
+        while not draining.done():
+            for path in (LOOKUPS, POSTS, TURNS):
+                sent.append(asyncio.create_task(stop.send(path)))
+                if kept:
+                    sent.append(asyncio.create_task(stop.send(path, kept.pop())))
+            await asyncio.sleep(SEND_SECONDS)
+        await asyncio.gather(*sent)
+        assert len(stop.outcomes) > 40
+        assert [status for _, status in stop.outcomes].count(200) > 10
+        assert stop.cut() == []
+
+    async def stop(self, daemon):
+        await daemon.application.drain()
+        await daemon.application.stop()
