Know from the own entry that all older registrations were read

Cause: a daemon that starts asked the other keepers only after the answer of a read that came after its registration; a long poll could have answered just before, so that it counted as a keeper seconds late and turns beyond the log's part were refused. Change: the registry says when the own entry was read. Tests of single restarted daemons state that they start with the fleet where they need keepers; test_formats lists the new calls and messages; test_held_up holds up the call to a keeper in place of the query.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -196,7 +196,6 @@
         )
         self.peer_coordinator.register_callbacks(self.allowances)
         self.draw_keepers.needed_draw = self.allowances.unrecorded.needed_draw
-        self.draw_keepers.transfer.is_registered = self._is_registered
         DrawHandover(self.allowances.unrecorded).register(self.mesh.callbacks)
 
     def _create_request_path(self) -> None:
@@ -247,11 +246,6 @@
         is_informed = self.routing.current is not None and has_endpoints
         return is_informed and self.followers.are_crashes_read and not self.draining
 
-    def _is_registered(self) -> bool:
-        """Return whether this daemon has read the registrations since its own."""
-        registered_at = self.peer_coordinator.registered_at
-        return self.followers.daemons.last_response_at >= registered_at
-
     def _request_limits(self) -> RequestLimits:
         current = self.routing.current
         return current.limits if current is not None else RequestLimits()
--- a/src/eelgrasslock/gateway/kept_draw_transfer.py
+++ b/src/eelgrasslock/gateway/kept_draw_transfer.py
@@ -1,7 +1,6 @@
 """Lets keepers learn what was drawn without the log, as daemons come and go."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -43,9 +42,6 @@
 
     Attributes
     ----------
-    is_registered : callable
-        Returns whether this daemon is registered, and has read the registrations
-        since.
     is_caught_up : bool
         Whether enough keepers have told what they know.
     is_leaving : bool
@@ -66,7 +62,6 @@
         self.clock = clock
         self.is_first_start = is_first_start
         self.started_at = clock.monotonic()
-        self.is_registered: Callable[[], bool] = lambda: True
         self.is_caught_up = False
         self.is_leaving = False
 
@@ -93,7 +88,7 @@
 
     async def try_to_catch_up(self) -> None:
         """Ask the other keepers once."""
-        if self.is_informed or not self.is_registered():
+        if self.is_informed or not self.keeper_map.registry.is_own_read:
             return
         keepers = self.keeper_map.own_keepers()
         answers = await asyncio.gather(*(self._fetch(one) for one in keepers.others))
--- a/src/eelgrasslock/gateway/listener.py
+++ b/src/eelgrasslock/gateway/listener.py
@@ -135,6 +135,9 @@
         self._active_connections.add(request.protocol)
         try:
             return await self._respond(request)
+        except ConnectionError as error:
+            _log.info("A caller left while its response was written: {}", error)
+            raise asyncio.CancelledError from None
         finally:
             self._active_connections.discard(request.protocol)
 
--- a/src/eelgrasslock/peers/daemon_registry.py
+++ b/src/eelgrasslock/peers/daemon_registry.py
@@ -60,12 +60,20 @@
         This daemon's entry, which the registry leaves out.
     rng : random.Random
         Shuffles the peers within a domain.
+
+    Attributes
+    ----------
+    entries : dict of str to DaemonEntry
+        The entries of the others.
+    is_own_read : bool
+        Whether the own entry was read, and so all that are older.
     """
 
     def __init__(self, own: DaemonEntry, rng: random.Random) -> None:
         self.own = own
         self.rng = rng
         self.entries: dict[str, DaemonEntry] = {}
+        self.is_own_read = False
 
     def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Replace all entries by the newest record of each key."""
@@ -76,6 +84,7 @@
         """Apply later records, in order; an empty value removes an entry."""
         for record in records:
             if record.key == self.own.name:
+                self.is_own_read |= record.value == self.own.encode()
                 continue
             if not record.value:
                 self.entries.pop(record.key, None)
--- a/tests/budget_model_daemon.py
+++ b/tests/budget_model_daemon.py
@@ -179,9 +179,6 @@
         )
         self.coordinator.register_callbacks(self.allowances)
         self.keepers.needed_draw = self.allowances.unrecorded.needed_draw
-        self.keepers.transfer.is_registered = lambda: (
-            self.registered_at <= self.follower.last_response_at
-        )
         self.follower = KeyedFollower(
             log,
             "keyed.daemons",
--- a/tests/conversation_fleet.py
+++ b/tests/conversation_fleet.py
@@ -110,12 +110,16 @@
         domain = "abc"[number % 3]
         name = f"{domain}-{number}"
         self.daemons.append(
-            await self.fleet.ready_daemon(self.engines, name=name, domain=domain)
+            await self.fleet.ready_daemon(
+                self.engines, name=name, domain=domain, is_first_start=True
+            )
         )
         return self.daemons[-1]
 
     async def meet(self):
-        """Wait until all daemons know each other."""
+        """Wait until all daemons know each other, and what was drawn before."""
+        transfers = [one.application.draw_keepers.transfer for one in self.daemons]
+        await wait_until(lambda: all(one.is_informed for one in transfers))
         count = len(self.daemons) - 1
         for daemon in self.daemons:
             exchange = daemon.application.load_exchange
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,13 +1,25 @@
 """What callers see of responses that break off, and of their own requests."""
 
 import asyncio
+import logging
 
 import pytest
+from aiohttp import ClientConnectionResetError
 
+from eelgrasslock.http.caller_body import CallerBody
+from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock.requests.front import Front
 from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
-from platform_fleet import HOST, POSTS, TURNS, PlatformFleet, free_port, wait_until
+from platform_fleet import (
+    HOST,
+    LOOKUPS,
+    POSTS,
+    TURNS,
+    PlatformFleet,
+    free_port,
+    wait_until,
+)
 
 STAMP = "Server-Stamp: s\r\n"
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -166,3 +178,24 @@
         head, received, end = await self.serve(version, handle)
         assert EVENTS in received
         assert is_complete(head, received, end, EVENTS)
+
+
+class TestCallersThatLeave:
+    async def test_a_caller_that_leaves_costs_one_line(self, fleet, monkeypatch):
+        """Each left a traceback of twenty lines on the standard error."""
+        errors = []
+        monkeypatch.setattr(
+            logging.getLogger("aiohttp.server"), "handle", errors.append
+        )
+        endpoint = await fleet.endpoint()
+        daemon = await fleet.ready_daemon([endpoint])
+
+        async def fail(body):
+            raise ClientConnectionResetError("Cannot write to closing transport")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(CallerBody, "finish", fail)
+            with pytest.raises(ConnectionBroken):
+                await fleet.call(daemon, f"{LOOKUPS}x")
+        assert errors == []
+        assert (await fleet.call(daemon, f"{LOOKUPS}x"))[0] == 200
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -184,3 +184,16 @@
         assert (status, body) == (200, b"whole")
         await wait_until(lambda: not engine.busy, 0.5)
         assert engine.sent_bytes < MAX_SENT_BYTES
+
+
+class TestEndlessRefusal:
+    async def test_a_refusal_without_end_stays_a_refusal(self, fleet):
+        head = frame(b"", Framing.CLOSE, status=503, more="Not-Run: 1\r\n")
+        engine = await fleet.raw_endpoint(endless((head, LETTERS)))
+        daemon = await fleet.ready_daemon([engine])
+        started = time.monotonic()
+        status, _, _ = await fleet.call(daemon, f"{POSTS}x", "POST", b"x")
+        assert status in (429, 503)
+        assert time.monotonic() - started < 3.5
+        await wait_until(lambda: not engine.busy, 1.0)
+        assert engine.sent_bytes < MAX_SENT_BYTES
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -30,6 +30,8 @@
     "TurnPlace": "key offset size holder seconds",
     "FetchedTurn": "records offset size storedAt",
     "UnrecordedDraw": "program budget tokens",
+    "OfflineDraw": "holder sequence tokens recorded",
+    "KeptProgram": "program isClosed draws",
 }
 # Calls in the order of their numbers, with the fields of question and answer.
 CALLS = {
@@ -75,6 +77,14 @@
         ),
         ("fetchTurns", "ids", "turns"),
         ("adoptDraws", "draws", ""),
+        (
+            "keepDraw",
+            "program holder sequence tokens recorded closes",
+            "counts known",
+        ),
+        ("giveDraws", "programs", ""),
+        ("fetchDraws", "joiner", "counts programs"),
+        ("tellSilent", "owner endpoint digests", ""),
     ],
 }
 OUTCOMES = ["done", "moved", "unavailable", "unresolved"]
--- a/tests/test_gateway_load_shedding.py
+++ b/tests/test_gateway_load_shedding.py
@@ -21,9 +21,9 @@
         yield fleet
 
 
-async def overloaded_daemon(fleet, engine, name):
+async def overloaded_daemon(fleet, engine, name, **more):
     """Return a daemon that served a program and received reports of overload."""
-    daemon = await fleet.ready_daemon([engine], name=name)
+    daemon = await fleet.ready_daemon([engine], name=name, **more)
     assert (await fleet.turn(daemon, "old"))[0] == 200
     for _ in range(MIN_OBSERVATIONS):
         daemon.application.load_shedder.record_load("models", SLOTS, 3 * SLOTS, SLOTS)
@@ -80,9 +80,11 @@
 
     async def test_without_the_log_no_program_counts_as_new(self, fleet):
         engine = await fleet.endpoint("models", events=3)
-        daemon = await overloaded_daemon(fleet, engine, "a-1")
-        await fleet.ready_daemon([engine], name="a-2")
+        first = {"is_first_start": True}
+        daemon = await overloaded_daemon(fleet, engine, "a-1", **first)
+        other = await fleet.ready_daemon([engine], name="a-2", **first)
         await wait_until(lambda: daemon.application.load_exchange.live_peers)
+        await wait_until(lambda: other.application.draw_keepers.transfer.is_informed)
         for one in fleet.daemons:
             one.faults.refusing = "busy"
         assert (await fleet.turn(daemon, "new"))[0] == 200
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -131,11 +131,12 @@
 
 class TestPeers:
     async def test_a_peer_that_answered_is_not_dropped(self, fleet):
-        one = (await fleet.daemon("a-1")).application.peer_coordinator
-        other = (await fleet.daemon("a-2")).application.peer_coordinator
-        await wait_until(lambda: one.daemon_registry.find(other.entry.incarnation))
-        usage = one._query_peer(other.entry, "program")
-        assert await hold_up(asyncio.create_task(usage)) is not None
+        one = (await fleet.daemon("a-1")).application.draw_keepers
+        other = (await fleet.daemon("a-2")).application.draw_keepers
+        entry = other.registry.own
+        await wait_until(lambda: one.registry.find(entry.incarnation))
+        asking = one._ask_one(entry, "program", None, False)
+        assert await hold_up(asyncio.create_task(asking)) is not None
         assert CALL_TIMEOUT_SECONDS < HELD_UP_SECONDS
 
 
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -14,6 +14,8 @@
 GRACE_SECONDS = 8.0
 SEND_SECONDS = 0.22
 EVENTS = 10
+CLIENT_SECONDS = 5.0
+LATE_SECONDS = 2.9
 
 
 @pytest.fixture
@@ -52,13 +54,14 @@
             headers |= {"Token_Budget": 9_000, "Token_Usage": "100,220"}
         method = "GET" if path == LOOKUPS else "POST"
         try:
-            if connection is None:
-                connection = await self.fleet.connect(self.daemon)
-            answer = await self.fleet.send(
-                connection, f"{path}x", method, body, **headers
-            )
+            async with asyncio.timeout(CLIENT_SECONDS):
+                if connection is None:
+                    connection = await self.fleet.connect(self.daemon)
+                answer = await self.fleet.send(
+                    connection, f"{path}x", method, body, **headers
+                )
             status = answer[0]
-        except (ConnectionBroken, ConnectFailed):
+        except (ConnectionBroken, ConnectFailed, TimeoutError):
             status = 0
         self.outcomes.append((id, status))
 
@@ -76,10 +79,11 @@
         status = 0
         try:
             writer.write(b"y")
-            line = await reader.readline()
+            async with asyncio.timeout(CLIENT_SECONDS):
+                line = await reader.readline()
             status = int(line.split()[1]) if line else 0
-        except (ConnectionError, IndexError):
-            pass
+        except (ConnectionError, IndexError, TimeoutError):
+            status = 0
         writer.close()
         self.outcomes.append((id, status))
 
@@ -89,8 +93,20 @@
         return [id for id, status in self.outcomes if not status and id in ran]
 
 
-@pytest.mark.parametrize("work_seconds", [0.4, 2.5, 3.8])
 class TestPlannedStop:
+    @pytest.mark.parametrize("path", [LOOKUPS, POSTS, TURNS])
+    async def test_a_long_request_that_comes_late_is_not_cut(self, fleet, path):
+        """Nothing else is sent, so that the daemon ends as soon as it may."""
+        stop = Stop(fleet)
+        await stop.start(3.9)
+        draining = asyncio.create_task(self.stop(stop.daemon))
+        await asyncio.sleep(LATE_SECONDS)
+        await asyncio.gather(*(stop.send(path) for _ in range(3)))
+        await draining
+        assert len(stop.outcomes) == 3
+        assert stop.cut() == []
+
+    @pytest.mark.parametrize("work_seconds", [0.4, 2.5, 3.8])
     async def test_nothing_that_was_passed_on_is_cut(self, fleet, work_seconds):
         stop = Stop(fleet)
         await stop.start(work_seconds)
