Let each of two daemons that start know of the other one's domain

Cause: the same class once more: each daemon that had read its own registration only took its domain for the only one, and so for the keeper of every program. The 5 s for which a daemon did not count before had covered that; they were given up as a program in calm could not draw beyond the log's part meanwhile. Change: a daemon that starts tells all that are registered, of whichever domain, and counts once all have answered (with the fleet's first start), or once it has read the registrations 5 s later. Of two daemons the one that registered later has read the other's entry, so that any two that count know of each other's domain.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -195,6 +195,9 @@
             self.metrics.tokens_moved,
         )
         self.peer_coordinator.register_callbacks(self.allowances)
+        self.draw_keepers.transfer.last_log_response_at = lambda: (
+            self.followers.daemons.last_response_at
+        )
         self.draw_keepers.needed_draw = self.allowances.unrecorded.needed_draw
         DrawHandover(self.allowances.unrecorded).register(self.mesh.callbacks)
 
--- a/src/eelgrasslock/gateway/keeper_map.py
+++ b/src/eelgrasslock/gateway/keeper_map.py
@@ -64,7 +64,7 @@
         self.clock = clock
         self.retention_seconds = retention_seconds
         self._domains_seen_at: dict[str, float] = {}
-        self._joined_at: dict[str, float] = {}
+        self._joined_at: dict[tuple[str, str], float] = {}
 
     def keepers(self, program: str) -> Keepers:
         """Return the keepers of a program."""
@@ -76,21 +76,23 @@
         entries = self.registry.entries.values()
         others = [entry for entry in entries if entry.domain == domain]
         has_own = self.registry.own.domain == domain
-        joining = self._joined_at.keys() - {one.name for one in others}
+        registered = {one.name for one in others}
+        joining = [
+            name
+            for name, joined_domain in self._joined_at
+            if joined_domain == domain and name not in registered
+        ]
         return Keepers(
-            domain=domain,
-            others=others,
-            has_own=has_own,
-            joining=len(joining) if has_own else 0,
+            domain=domain, others=others, has_own=has_own, joining=len(joining)
         )
 
     def own_keepers(self) -> Keepers:
         """Return the daemons of this daemon's domain."""
         return self.keepers_in(self.registry.own.domain)
 
-    def note_joined(self, name: str) -> None:
-        """Count a daemon of this domain whose registration may not be read yet."""
-        self._joined_at[name] = self.clock.monotonic()
+    def note_joined(self, name: str, domain: str) -> None:
+        """Count a daemon of a domain whose registration may not be read yet."""
+        self._joined_at[name, domain] = self.clock.monotonic()
 
     def update(self) -> None:
         """Note which domains have daemons, and drop what is past."""
@@ -109,6 +111,8 @@
         seen_at[self.registry.own.domain] = now
         for entry in self.registry.entries.values():
             seen_at[entry.domain] = now
+        for (_, domain), at in self._joined_at.items():
+            seen_at[domain] = max(at, seen_at.get(domain, at))
         oldest = now - self.retention_seconds
         self._domains_seen_at = {one: at for one, at in seen_at.items() if at >= oldest}
         return sorted(self._domains_seen_at)
--- a/src/eelgrasslock/gateway/kept_draw_transfer.py
+++ b/src/eelgrasslock/gateway/kept_draw_transfer.py
@@ -1,6 +1,7 @@
 """Lets keepers learn what was drawn without the log, as daemons come and go."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -42,6 +43,8 @@
 
     Attributes
     ----------
+    last_log_response_at : callable
+        Returns when the registrations were last read, on the monotonic clock.
     is_caught_up : bool
         Whether enough keepers have told what they know.
     is_leaving : bool
@@ -62,6 +65,7 @@
         self.clock = clock
         self.is_first_start = is_first_start
         self.started_at = clock.monotonic()
+        self.last_log_response_at: Callable[[], float] = clock.monotonic
         self.is_caught_up = False
         self.is_leaving = False
 
@@ -77,6 +81,11 @@
             return False
         return self.is_caught_up or self._runs_for(self.keeper_map.retention_seconds)
 
+    def _is_fleet_there(self) -> bool:
+        """Return whether the registrations of all that started together were read."""
+        known_at = self.started_at + FLEET_START_SECONDS
+        return self.last_log_response_at() >= known_at
+
     def _runs_for(self, seconds: float) -> bool:
         return self.clock.monotonic() >= self.started_at + seconds
 
@@ -91,11 +100,17 @@
         if self.is_informed or not self.keeper_map.registry.is_own_read:
             return
         keepers = self.keeper_map.own_keepers()
-        answers = await asyncio.gather(*(self._fetch(one) for one in keepers.others))
-        informed = [one for one in answers if one is not None and one.counts]
+        fleet = list(self.keeper_map.registry.entries.values())
+        answers = await asyncio.gather(*(self._fetch(one) for one in fleet))
+        informed = [
+            answer
+            for entry, answer in zip(fleet, answers, strict=True)
+            if entry.domain == keepers.domain and answer is not None and answer.counts
+        ]
         is_enough = len(informed) >= keepers.reading_quorum
-        if self.is_first_start and not self._runs_for(FLEET_START_SECONDS):
-            is_enough = len(informed) == len(answers)
+        if self.is_first_start and not self._is_fleet_there():
+            # Of two daemons the one that registered later tells the other one.
+            is_enough = all(one is not None and one.counts for one in answers)
         if not is_enough:
             return
         for answer in informed:
@@ -111,8 +126,10 @@
         )
 
     async def _fetch(self, entry: DaemonEntry) -> Any:
+        own = self.keeper_map.registry.own
+
         async def fetch(peer: Any) -> Any:
-            return await peer.fetchDraws(joiner=self.keeper_map.registry.own.name)
+            return await peer.fetchDraws(joiner=own.name, domain=own.domain)
 
         try:
             return await self.mesh.call(entry, fetch)
@@ -161,9 +178,9 @@
 
     async def serve_fetch(self, message: dict[str, Any], results: Any) -> None:
         """Tell all that is known to a daemon that joins, which counts from now on."""
-        self.keeper_map.note_joined(message["joiner"])
+        self.keeper_map.note_joined(message["joiner"], message["domain"])
         # Nothing can be kept before the fleet's first start.
         results.counts = self.is_informed or self.is_first_start
-        results.programs = [
-            encode_kept(program, kept) for program, kept in self.kept.programs.items()
-        ]
+        if message["domain"] == self.keeper_map.registry.own.domain:
+            programs = self.kept.programs.items()
+            results.programs = [encode_kept(*one) for one in programs]
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -110,7 +110,7 @@
   adoptDraws @19 (draws :List(UnrecordedDraw)) -> ();  # the receiver records them, as the sender stops
   keepDraw @20 (program :Text, holder :Text, sequence :Int64, tokens :Int64, recorded :Int64, closes :Bool) -> (counts :Bool, known :KeptProgram);  # counts: the receiver is a keeper of the program that knows all that it may have kept; without a holder, the receiver gives up what it does not need and tells what it drew
   giveDraws @21 (programs :List(KeptProgram)) -> ();
-  fetchDraws @22 (joiner :Text) -> (counts :Bool, programs :List(KeptProgram));  # all that the receiver keeps, for a daemon named so that joins its domain
+  fetchDraws @22 (joiner :Text, domain :Text) -> (counts :Bool, programs :List(KeptProgram));  # a daemon named so joins that domain; all that the receiver keeps, if it is of the same one
   tellSilent @23 (owner :Text, endpoint :Text, digests :List(Text)) -> ();  # calls of the sender for which nothing is heard of the endpoint
   release @11 (program :Text) -> (tokens :Int64);  # the tokens that the receiver gives up
 }
--- a/tests/budget_model_daemon.py
+++ b/tests/budget_model_daemon.py
@@ -113,9 +113,9 @@
     async def giveDraws(self, programs):  # noqa: N802
         await self.callbacks.give_draws({"programs": to_message(programs)}, None)
 
-    async def fetchDraws(self, joiner):  # noqa: N802
-        results = SimpleNamespace()
-        await self.callbacks.fetch_draws({"joiner": joiner}, results)
+    async def fetchDraws(self, joiner, domain):  # noqa: N802
+        results = SimpleNamespace(programs=[])
+        await self.callbacks.fetch_draws({"joiner": joiner, "domain": domain}, results)
         return to_message(vars(results))
 
     async def release(self, program):
@@ -177,6 +177,9 @@
             self.coordinator.request_release,
             self.keepers,
         )
+        self.keepers.transfer.last_log_response_at = lambda: (
+            self.follower.last_response_at
+        )
         self.coordinator.register_callbacks(self.allowances)
         self.keepers.needed_draw = self.allowances.unrecorded.needed_draw
         self.follower = KeyedFollower(
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -83,7 +83,7 @@
             "counts known",
         ),
         ("giveDraws", "programs", ""),
-        ("fetchDraws", "joiner", "counts programs"),
+        ("fetchDraws", "joiner domain", "counts programs"),
         ("tellSilent", "owner endpoint digests", ""),
     ],
 }
--- a/tests/test_offline_allowances.py
+++ b/tests/test_offline_allowances.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from budget_model import ModelFleet
 from eelgrasslock.allowances.offline import log_limit, offline_limit
-from eelgrasslock.exceptions import AppendUnresolved, Refusal
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, Refusal
 from memory_log import RETENTION, TURN_TOKENS, run_turn
 from offline_group import (
     daemons_of,
@@ -349,6 +350,21 @@
             spent += await turns_until_refused([daemon], 800, TURN_TOKENS)
         assert spent <= 400
 
+    async def test_domains_that_start_as_the_log_goes_give_one_share(self):
+        """Each daemon took its own domain for the only one: 5 turns of 2."""
+        for program in ("p1", "p2", "p3", "p4", "p5", "p6"):
+            fleet = ModelFleet(1, domains="", daemons_per_domain=0)
+            spent = 0
+            for domain in "abc":
+                fleet.start(f"{domain}-0", domain, True)
+                with contextlib.suppress(LogUnavailable):
+                    await fleet.daemons[f"{domain}-0"].step()
+            fleet.is_log_down = True
+            await pass_time(fleet, 2.0)
+            for daemon in daemons_of(fleet):
+                spent += await turns_until_refused([daemon], 800, TURN_TOKENS, program)
+            assert spent <= 400
+
     async def test_the_domain_of_a_daemon_that_restarts_keeps_its_programs(self):
         fleet = await start_fleet("ab", 1)
         program = program_kept_in(fleet, "a")
