--- a/tests/crashing_requests.py
+++ b/tests/crashing_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.pool import ConnectFailed
 from platform_fleet import LOOKUPS, TURNS, PlatformFleet
 
 STABLE_WINDOW_SECONDS = 3.0
@@ -137,7 +139,7 @@
         try:
             async with asyncio.timeout(2.5):
                 status, _, _ = await self.call(daemon, path, method, body, **headers)
-        except (ConnectionError, TimeoutError):
+        except (ConnectionBroken, ConnectFailed, TimeoutError):
             status = 0
         self.statuses.append(status)
 
