--- a/src/eelgrasslock/platform/store_client.py
+++ b/src/eelgrasslock/platform/store_client.py
@@ -6,6 +6,7 @@
 import struct
 from collections.abc import Callable, Iterator
 from typing import Any
+from urllib.parse import quote
 
 from eelgrasslock.exceptions import (
     AppendUnresolved,
@@ -105,7 +106,9 @@
                 has_more = bool(page.get("hasMore"))
             if not has_more or not page["items"]:
                 return KeyedSnapshot(records=tuple(records), end=end)
-            after = f"&after={records[-1].key}"
+            before, after = after, f"&after={quote(records[-1].key, safe='')}"
+            if after == before:
+                raise LogUnavailable(f"A page of topic {topic} was sent twice.")
 
     async def changes(
         self,
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -139,6 +139,17 @@
         await wait_until(lambda: engines[0].id not in endpoint_registry.entries)
         assert engines[1].id in endpoint_registry.entries
 
+    @pytest.mark.parametrize("prefix", ["+", "%41", "&part=1#"])
+    async def test_a_page_may_end_with_any_key(self, fleet, prefix):
+        """The next page was the same one, or one far behind."""
+        daemon = await fleet.daemon()
+        keys = [f"{prefix}{number:04}" for number in range(1_001)]
+        for key in keys:
+            fleet.store.put("keyed.other", key, b"x")
+        async with asyncio.timeout(5.0):
+            read = await daemon.application.platform.log.snapshot("keyed.other")
+        assert [record.key for record in read.records] == keys
+
     async def test_requests_are_served_while_the_store_is_unavailable(self, fleet):
         engine = await fleet.endpoint()
         daemon = await fleet.ready_daemon([engine])
--- a/tests/test_store_responses.py
+++ b/tests/test_store_responses.py
@@ -1,5 +1,6 @@
 """A response of the store that broke off is never taken for a whole one."""
 
+import asyncio
 import json
 import struct
 import time
@@ -155,6 +156,17 @@
             await append(client)
 
 
+class TestPages:
+    async def test_a_page_that_comes_again_is_an_error(self, store):
+        page = json.dumps({"items": [ITEM], "hasMore": True, "end": 2}).encode()
+        client, _ = await store(
+            RawAnswer(data=frame(page, Framing.LENGTH), ending=Ending.NEXT)
+        )
+        async with asyncio.timeout(5.0):
+            with pytest.raises(LogUnavailable):
+                await snapshot(client)
+
+
 class TestKeptConnections:
     async def test_a_second_answer_is_not_the_next_calls(self, store):
         client, server = await store(
