Let the store's stand-in drop every other call that it resets

What was seen (review): a call that the stand-in answered with a reset took effect all the same, so tests with 'reset' played lost answers only, and what a daemon without the log wrote was in the log. Every first of two such calls has no effect now, the second one takes effect as before, so that both kinds come in each test.

--- a/src/eelgrasslock_standins/platform_store.py
+++ b/src/eelgrasslock_standins/platform_store.py
@@ -26,7 +26,10 @@
 
 
 class Refusing(enum.StrEnum):
-    """How the store turns a caller away."""
+    """How the store turns a caller away.
+
+    Of the calls that are reset, each second one takes effect.
+    """
 
     NOT = ""
     BUSY = "busy"
@@ -165,6 +168,7 @@
     def __init__(self, store: PlatformStoreStandin) -> None:
         self.store = store
         self.faults = DoorFaults()
+        self.resets = 0
         self._late: set[asyncio.Task[None]] = set()
 
     def application(self) -> web.Application:
@@ -191,6 +195,9 @@
             await asyncio.sleep(_SILENCE_SECONDS)
         if self.faults.refusing == Refusing.RESET:
             drop_connection(request)
+            self.resets += 1
+            if self.resets % 2:
+                return web.Response()
         name = request.path.rpartition("/")[2]
         self.store.calls[name] = self.store.calls.get(name, 0) + 1
         return await handler(request)
