Give the components of budgets their own object, and drop what is unused

LoadExchange.seen_since, FallbackLog.lost_at, LogFollowers.outage_start and PeerCoordinator.registered_at have had no use since the query of all daemons went. Measured: 254 tests of four files pass (35 s); no behaviour changes.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -8,17 +8,14 @@
 
 from loguru import logger
 
-from eelgrasslock.allowances.draw_ledger import DrawLedger
 from eelgrasslock.allowances.maintenance import maintenance_loops
-from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.build_id import read_build_id
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
 from eelgrasslock.exceptions import Refusal
+from eelgrasslock.gateway.budget_controllers import BudgetControllers
 from eelgrasslock.gateway.crash_records import CrashRecords
 from eelgrasslock.gateway.drainer import Drainer
-from eelgrasslock.gateway.draw_handover import DrawHandover
-from eelgrasslock.gateway.draw_keepers import DrawKeepers
 from eelgrasslock.gateway.endpoint_ends import EndpointEnds
 from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.gauges import register_gauges
@@ -172,34 +169,15 @@
             self.daemon_registry,
             self.crash_records,
         )
-        ledger = DrawLedger(
-            self.log,
-            self.settings.store_partitions,
-            self.incarnation,
-            self.clock,
-            self.settings.store_retention_seconds,
-        )
-        self.draw_keepers = DrawKeepers(
-            self.daemon_registry,
-            self.mesh,
-            self.clock,
-            self.settings.store_retention_seconds,
-            self.settings.is_first_start,
-        )
-        self.draw_keepers.register(self.mesh.callbacks)
-        self.allowances = AllowanceManager(
-            ledger,
+        budgets = BudgetControllers(
+            self.settings,
+            self.peer_coordinator,
+            self.followers,
+            self.metrics,
             self.clock,
-            self.peer_coordinator.request_release,
-            self.draw_keepers,
-            self.metrics.tokens_moved,
-        )
-        self.peer_coordinator.register_callbacks(self.allowances)
-        self.draw_keepers.transfer.last_log_response_at = lambda: (
-            self.followers.daemons.last_response_at
         )
-        self.draw_keepers.needed_draw = self.allowances.unrecorded.needed_draw
-        DrawHandover(self.allowances.unrecorded).register(self.mesh.callbacks)
+        self.draw_keepers = budgets.keepers
+        self.allowances = budgets.allowances
 
     def _create_request_path(self) -> None:
         path = RequestPath(self)
--- a/src/eelgrasslock/gateway/log_followers.py
+++ b/src/eelgrasslock/gateway/log_followers.py
@@ -83,10 +83,6 @@
         """Return when the log last answered, on the monotonic clock."""
         return max(follower.last_response_at for follower in self.outage_signals)
 
-    def outage_start(self) -> float:
-        """Return when a current or just ended outage began; infinite without one."""
-        return min(follower.outage_started_at() for follower in self.outage_signals)
-
     @property
     def are_crashes_read(self) -> bool:
         """Whether the crashes that daemons saw before have been read.
--- a/src/eelgrasslock/gateway/peer_coordinator.py
+++ b/src/eelgrasslock/gateway/peer_coordinator.py
@@ -46,8 +46,6 @@
         The registered daemons, the connections to them, and their load.
     log : FallbackLog
         The log, reached through a peer if the direct connection fails.
-    registered_at : float
-        When this daemon was registered, on the monotonic clock; infinite before.
     """
 
     def __init__(
@@ -58,7 +56,6 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self.registered_at = float("inf")
         self.entry = entry
         self.direct_log = log
         self.clock = clock
@@ -89,7 +86,6 @@
                 _log.info("Registration failed, retrying: {}", error)
                 await self.clock.sleep(backoff.next())
             else:
-                self.registered_at = self.clock.monotonic()
                 return
 
     async def deregister(self) -> None:
--- a/src/eelgrasslock/peers/fallback_log.py
+++ b/src/eelgrasslock/peers/fallback_log.py
@@ -51,8 +51,6 @@
         Until when the log is not called directly, on the monotonic clock.
     skip_peers_until : float
         Until when no peer is called, on the monotonic clock.
-    lost_at : float
-        When direct calls last began to fail, on the monotonic clock.
     preferred_peer : str
         The incarnation of the peer that made the last call.
     relayed_calls : int
@@ -72,7 +70,6 @@
         self.clock = clock
         self.skip_direct_until = float("-inf")
         self.skip_peers_until = float("-inf")
-        self.lost_at = float("inf")
         self.preferred_peer = ""
         self.relayed_calls = 0
 
@@ -124,7 +121,6 @@
 
     def _note_direct_failure(self, error: Exception) -> None:
         if self.skip_direct_until == float("-inf"):
-            self.lost_at = self.clock.monotonic()
             _log.info("The log is unreachable; calling it through peers: {}", error)
         self.skip_direct_until = self.clock.monotonic() + DIRECT_RETRY_SECONDS
 
--- a/src/eelgrasslock/peers/load_exchange.py
+++ b/src/eelgrasslock/peers/load_exchange.py
@@ -121,21 +121,6 @@
             < self.first_seen.get(entry.incarnation, now) + REGISTRATION_GRACE_SECONDS
         )
 
-    def seen_since(self, since: float) -> set[str]:
-        """Return the incarnations that were heard of after a time, gone or not."""
-        contacted = {
-            incarnation
-            for incarnation, last_contact_at in self.last_contact.items()
-            if last_contact_at >= since
-        }
-        listed = {
-            entry.incarnation
-            for entry in self.daemon_registry.entries.values()
-            if entry.incarnation not in self.last_contact
-            and self.first_seen.get(entry.incarnation, since) >= since
-        }
-        return contacted | listed
-
     def _update_first_seen(self) -> None:
         """Record when the registry first listed each daemon."""
         now = self.clock.monotonic()
--- a/tests/budget_model_daemon.py
+++ b/tests/budget_model_daemon.py
@@ -190,7 +190,7 @@
             fleet.rng,
             ReadSchedule(wait_seconds=0.0, pause_seconds=0.0),
         )
-        self.registered_at = float("inf")
+        self.is_registered = False
 
     @property
     def serves(self):
@@ -220,11 +220,11 @@
 
     async def step(self):
         try:
-            if self.registered_at == float("inf"):
+            if not self.is_registered:
                 await self.coordinator.direct_log.put(
                     "keyed.daemons", self.name, self.entry.encode()
                 )
-                self.registered_at = self.fleet.clock.monotonic()
+                self.is_registered = True
             await self.follower.read_once()
         except LogUnavailable as error:
             self.follower._set_unavailable(unavailable=True, reason=str(error))
