Ask an endpoint whose address another entry claims, and hear that it is another

What callers saw (review, by reading): an entry of another writer that names the address of a sound engine was taken for that engine's end, and the requests under way were suspected of it; after a second such entry they are refused with 503. The other way round, an engine that had ended and whose address a new one had taken before its entry went was held for alive, as the new one answered the check: its end counted for nothing, and the request went on to end engines. Cause: a sign was read for more than it says, an entry for an end, an answer for this endpoint's answer. The probe names the endpoint that is expected; only that one answers with anything but 421 (misdirected). Change: EndpointProbe tells answered, misdirected, broken and silent apart. A claimed address is asked before an end is recorded; a removed endpoint whose address answers for another one has ended.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -187,7 +187,8 @@
         self.peer_forwarder = path.peer_forwarder
         self.endpoint_reports = path.endpoint_reports
         self.failures = path.failures
-        self.endpoint_ends.check = path.failures.check_removed
+        self.endpoint_ends.check_removed = path.failures.check_removed
+        self.endpoint_ends.check_replaced = path.failures.check_replaced
         self.endpoint_ends.forget_reports = path.endpoint_reports.forget
         self.handler = path.handler
         self.peer_requests = path.peer_requests
--- a/src/eelgrasslock/gateway/endpoint_ends.py
+++ b/src/eelgrasslock/gateway/endpoint_ends.py
@@ -8,7 +8,7 @@
 from eelgrasslock.scheduling.scheduler import Scheduler
 
 
-def _ignore(record: EndpointRecord | str) -> None:
+def _ignore(*arguments: object) -> None:
     """Do nothing."""
 
 
@@ -28,8 +28,11 @@
     ----------
     outcomes : OutcomeRecorder
         Knows the calls in flight and those just lost.
-    check : callable
+    check_removed : callable
         Finds out whether an endpoint has crashed, by its registration.
+    check_replaced : callable
+        Finds out the same of one whose address another one claims, by its
+        registration and when it has ended at the latest.
     forget_reports : callable
         Drops what an endpoint said of itself, by its id.
     silent_calls : SilentCalls
@@ -43,7 +46,8 @@
         self.scheduler = scheduler
         self.outcomes = scheduler.outcome_recorder
         self.clock = clock
-        self.check: Callable[[EndpointRecord], object] = _ignore
+        self.check_removed: Callable[[EndpointRecord], object] = _ignore
+        self.check_replaced: Callable[[EndpointRecord, float], object] = _ignore
         self.forget_reports: Callable[[str], None] = _ignore
 
     def record_crash(self, endpoint: str, ended_at: float) -> None:
@@ -57,12 +61,17 @@
             self.record_crash(endpoint, since)
 
     def record_replaced(self, before: EndpointRecord, entry: EndpointRecord) -> None:
-        """Record the end of an endpoint whose id or address another start has."""
+        """Record the end of an endpoint whose id another start has.
+
+        If only its address seems to be another one's, it is asked first.
+        """
         age_seconds = max(0.0, self.clock.now() - entry.started_at_ms / 1_000.0)
         ended_at = self.clock.monotonic() - age_seconds
-        self.record_crash(before.id, ended_at)
         if before.id == entry.id:
+            self.record_crash(before.id, ended_at)
             self._reset(entry.id)
+        else:
+            self.check_replaced(before, ended_at)
 
     def record_removed(self, record: EndpointRecord) -> None:
         """Find out whether an endpoint has ended that did not say that it leaves."""
@@ -72,7 +81,7 @@
             record.id, now
         ) or self.silent_calls.has_any(record.id)
         if not record.leaving and may_have_crashed:
-            self.check(record)
+            self.check_removed(record)
 
     def drop_past(self) -> None:
         """Drop what no end can be put down to any more."""
--- a/src/eelgrasslock/gateway/failure_classifier.py
+++ b/src/eelgrasslock/gateway/failure_classifier.py
@@ -8,17 +8,13 @@
 from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.gateway.attempt_result import AttemptOutcome
+from eelgrasslock.gateway.endpoint_probe import EndpointProbe, ProbeResult
 from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.gateway.link_monitor import LinkMonitor
-from eelgrasslock.http.connection import ConnectionBroken
-from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
-from eelgrasslock.running_timeout import RunningTimeout
 
 CORRELATION_DELAY_SECONDS = 0.05
 CORRELATION_WINDOW_SECONDS = 0.5
-# A sound endpoint may be silent for a second or so.
-ANSWER_SECONDS = 1.0
 
 _log = logger.bind(part="endpoints")
 
@@ -36,8 +32,8 @@
         Is told which connections open and which fail.
     clock : Clock
         The source of time.
-    make_probe : callable
-        Returns a request to which an endpoint answers in any state.
+    probe : EndpointProbe
+        Asks an endpoint whether it is still the registered one.
     on_crash : callable
         Called with the id of an endpoint that crashed, and when it had done so at
         the latest, on the monotonic clock.
@@ -56,7 +52,7 @@
         endpoint_registry: EndpointRegistry,
         links: LinkMonitor,
         clock: Clock,
-        make_probe: Callable[[EndpointRecord], OutgoingRequest],
+        probe: EndpointProbe,
         on_crash: Callable[[str, float], None],
         on_silence: Callable[[str, float], None],
     ) -> None:
@@ -66,7 +62,7 @@
         self.endpoint_registry = endpoint_registry
         self.links = links
         self.clock = clock
-        self.make_probe = make_probe
+        self.probe = probe
         self.unreachable_at: dict[str, float] = {}
         self.tasks = BackgroundTasks()
         self._checks: dict[str, asyncio.Task[bool]] = {}
@@ -105,29 +101,36 @@
         ended_at = self.clock.monotonic()
         if await asyncio.shield(self.check(record)):
             return
-        is_unreachable = self.unreachable_at.get(record.id, ended_at) > ended_at
-        if is_unreachable or await self._answers(record):
+        if self.unreachable_at.get(record.id, ended_at) > ended_at:
             return
-        _log.info("Endpoint {} takes connections and answers nothing.", record.id)
-        self.pool.drop(record.address)
-        self.on_silence(record.id, ended_at)
+        result = await self.probe.ask(record)
+        if result is ProbeResult.MISDIRECTED:
+            _log.info("Another endpoint has the address of {}.", record.id)
+            self.on_crash(record.id, ended_at)
+        elif result is ProbeResult.SILENT:
+            _log.info("Endpoint {} takes connections and answers nothing.", record.id)
+            self.pool.drop(record.address)
+            self.on_silence(record.id, ended_at)
+
+    def check_replaced(self, record: EndpointRecord, ended_at: float) -> None:
+        """Find out whether an endpoint has ended whose address another one claims.
+
+        Anybody may write a registration, but only the endpoint answers under its id.
+
+        Parameters
+        ----------
+        record : EndpointRecord
+            The registration of the former endpoint.
+        ended_at : float
+            When it has ended at the latest, on the monotonic clock.
+        """
+        self.tasks.start(self._check_replaced(record, ended_at))
 
-    async def _answers(self, record: EndpointRecord) -> bool:
-        """Return whether an endpoint answers, be it by ending the connection."""
-        try:
-            connection = await self.pool.connect(record.address)
-        except ConnectFailed:
-            return False
-        try:
-            async with RunningTimeout(ANSWER_SECONDS):
-                await connection.send(self.make_probe(record))
-        except ConnectionBroken:
-            return True
-        except TimeoutError:
-            return False
-        finally:
-            connection.close()
-        return True
+    async def _check_replaced(self, record: EndpointRecord, ended_at: float) -> None:
+        if await self.probe.ask(record) is ProbeResult.ANSWERED:
+            _log.info("Endpoint {} answers: its address is still its own.", record.id)
+        else:
+            self.on_crash(record.id, ended_at)
 
     async def _check(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint takes no connection though the network works.
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -9,7 +9,8 @@
 from eelgrasslock.gateway.attempts import AttemptRunner
 from eelgrasslock.gateway.conversations import Conversations
 from eelgrasslock.gateway.endpoint_ends import EndpointEnds
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
+from eelgrasslock.gateway.endpoint_probe import EndpointProbe
+from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.endpoint_reports import EndpointReports
 from eelgrasslock.gateway.failure_classifier import FailureClassifier
 from eelgrasslock.gateway.forwarder import Forwarder
@@ -24,7 +25,6 @@
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.gateway.shared_controllers import SharedControllers
 from eelgrasslock.gateway.silent_calls import SilentCalls
-from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.load_exchange import LoadExchange
@@ -108,7 +108,7 @@
             sources.endpoint_registry,
             self.links,
             sources.clock,
-            self._make_probe,
+            EndpointProbe(sources.pool, sources.platform.codec, self._find_health_path),
             sources.endpoint_ends.record_crash,
             sources.endpoint_ends.record_silence,
         )
@@ -118,12 +118,10 @@
             self.handler, forwarder, sources.platform.codec, sources.clock
         )
 
-    def _make_probe(self, record: EndpointRecord) -> OutgoingRequest:
-        """Return a request that asks an endpoint whether it is healthy."""
+    def _find_health_path(self, service: str) -> str:
         current = self.sources.routing.current
         services = {} if current is None else current.services
-        spec = services.get(record.service, ServiceSpec(name=record.service))
-        return self.sources.platform.codec.encode_probe(spec.health_path, record.id)
+        return services.get(service, ServiceSpec(name=service)).health_path
 
     def _create_forwarder(self) -> Forwarder:
         sources = self.sources
--- a/src/eelgrasslock/gateway/routing.py
+++ b/src/eelgrasslock/gateway/routing.py
@@ -179,7 +179,7 @@
         elif before.started_at_ms == entry.started_at_ms:
             return
         if before is not None:
-            _log.info("Endpoint {} has started where {} was.", entry.id, before.id)
+            _log.info("Endpoint {} is registered where {} was.", entry.id, before.id)
             self.on_endpoint_replaced(before, entry)
 
     def _find_at_address(self, address: str) -> EndpointRecord | None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -15,6 +15,7 @@
     TURN_PATH,
     CrashingFleet,
 )
+from eelgrasslock_standins.platform_engine import PlatformEngineStandin
 from link_faults import Cut
 from platform_fleet import LOOKUPS, POSTS, wait_until
 from test_stranded_daemons import StrandedFleet
@@ -23,6 +24,7 @@
 REPLACED_SECONDS = 16.0
 SILENT_SECONDS = 0.5
 CALLS = 6
+PROBE_SECONDS = 1.1
 
 
 @pytest.fixture
@@ -180,6 +182,44 @@
         assert fleet.statuses == [200] * CALLS
         assert not quarantine.suspects()
 
+    @pytest.mark.parametrize("service", ["nowhere", "desk"])
+    async def test_one_whose_address_another_entry_names_has_not_crashed(
+        self, fleet, quarantine, service
+    ):
+        """The requests that it ran were taken for the cause of its end."""
+        calls = [fleet.send_to_next(f"{LOOKUPS}{one}") for one in range(CALLS)]
+        calls = [asyncio.create_task(one) for one in calls]
+        await wait_until(lambda: sum(len(one.runs) for one in fleet.engines) == CALLS)
+        for engine in fleet.engines:
+            other = SimpleNamespace(id=f"x-{engine.id}", address=engine.address)
+            fleet.register(other, service, born=round(time.time() * 1_000))
+        entries = fleet.daemons[0].application.endpoint_registry.entries
+        await wait_until(lambda: len(entries) == 2 * len(fleet.engines))
+        await asyncio.sleep(0.1)
+        assert not quarantine.suspects()
+        await asyncio.gather(*calls)
+        assert fleet.statuses == [200] * CALLS
+        await asyncio.sleep(PROBE_SECONDS)
+        assert not quarantine.suspects()
+
+    async def test_a_removed_one_whose_address_another_one_has_has_crashed(
+        self, fleet, quarantine
+    ):
+        """The new one answered the check, and passed for the former."""
+        for engine in fleet.engines:
+            engine.crashes_silently = True
+        fleet.return_seconds = 60.0
+        let_crash(fleet, target=BODILESS)
+        call = asyncio.create_task(fleet.send_to_next(BODILESS))
+        await wait_until(fleet.has_ends)
+        (ended,) = [one for one in fleet.engines if one.crashed_at]
+        new = PlatformEngineStandin(id="i-new", address=ended.address)
+        await new.start()
+        fleet.unregister(ended)
+        await wait_until(quarantine.suspects)
+        await call
+        await new.stop()
+
     async def test_one_whose_address_a_new_one_has_has_crashed(self, fleet, quarantine):
         """It is found at once, before the registration of the former goes."""
         for engine in fleet.engines:
