--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -175,6 +175,17 @@
             change(engine)
         await asyncio.gather(*calls)
 
+    async def end_one(self, fleet):
+        """Return a call, and the endpoint that it ended without a sign."""
+        for engine in fleet.engines:
+            engine.crashes_silently = True
+        fleet.return_seconds = 60.0
+        let_crash(fleet, target=BODILESS)
+        call = asyncio.create_task(fleet.send_to_next(BODILESS))
+        await wait_until(fleet.has_ends)
+        (ended,) = [one for one in fleet.engines if one.crashed_at]
+        return call, ended
+
     async def test_one_that_is_removed_and_goes_on_has_not_crashed(
         self, fleet, quarantine
     ):
@@ -206,13 +217,7 @@
         self, fleet, quarantine
     ):
         """The new one answered the check, and passed for the former."""
-        for engine in fleet.engines:
-            engine.crashes_silently = True
-        fleet.return_seconds = 60.0
-        let_crash(fleet, target=BODILESS)
-        call = asyncio.create_task(fleet.send_to_next(BODILESS))
-        await wait_until(fleet.has_ends)
-        (ended,) = [one for one in fleet.engines if one.crashed_at]
+        call, ended = await self.end_one(fleet)
         new = PlatformEngineStandin(id="i-new", address=ended.address)
         await new.start()
         fleet.unregister(ended)
@@ -222,13 +227,7 @@
 
     async def test_one_whose_address_a_new_one_has_has_crashed(self, fleet, quarantine):
         """It is found at once, before the registration of the former goes."""
-        for engine in fleet.engines:
-            engine.crashes_silently = True
-        fleet.return_seconds = 60.0
-        let_crash(fleet, target=BODILESS)
-        call = asyncio.create_task(fleet.send_to_next(BODILESS))
-        await wait_until(fleet.has_ends)
-        (ended,) = [one for one in fleet.engines if one.crashed_at]
+        call, ended = await self.end_one(fleet)
         new = SimpleNamespace(id="i-new", address=ended.address)
         fleet.register(new, born=round(time.time() * 1_000))
         await wait_until(quarantine.suspects)
