--- a/tests/builds.py
+++ b/tests/builds.py
@@ -13,9 +13,9 @@
 from eelgrasslock.http.pool import ConnectFailed
 from platform_fleet import free_port
 
-# The last landed build before this one, the one before it, and the first one that
+# The last landed build before this one, an earlier one, and the first one that
 # keeps turns.
-LAST_LANDED = "b015cdf"
+LAST_LANDED = "7827af4"
 LANDED_BEFORE = "2f72a64b407ad8dd2b98c68165b67ee137f3c1f1"
 FIRST_WITH_TURNS = "b739aca"
 
