Let the daemons of a test run end with it, however it ends

Cause: a run of the upgrade tests had been ended by SIGTERM some 40 minutes before, and its four daemons went on. Each asked for its log 15 times a second (strace) at the store's former port, and an engine that was given this port counted what came. Evidence: a run ended so again left four daemons; an engine started at their store's port counted 17 requests in a second, all for log-read. Change: the kernel ends such a process with the one that started it.

--- a/tests/builds.py
+++ b/tests/builds.py
@@ -9,6 +9,7 @@
 
 from aiohttp.test_utils import TestServer
 
+from child_processes import end_with_parent
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed
 from platform_fleet import free_port
@@ -106,6 +107,7 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
+                preexec_fn=end_with_parent,
                 env={
                     **os.environ,
                     "PYTHONPATH": str(source),
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,6 +15,8 @@
 
 import aiohttp
 
+from child_processes import end_with_parent
+
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _READY_SECONDS = 30.0
 _STOP_SECONDS = 30.0
@@ -197,6 +199,7 @@
                 # Else the kernel ends stopped daemons with SIGHUP when the shell
                 # that started the tests ends.
                 start_new_session=True,
+                preexec_fn=end_with_parent,
                 env={**os.environ, "PYTHONPATH": str(_ROOT / "src"), **environment},
             )
         return process, errors
