--- a/src/eelgrasslock_standins/bare_server.py
+++ b/src/eelgrasslock_standins/bare_server.py
@@ -26,6 +26,8 @@
         Whether it was answered to the end.
     arrived_at : float
         When its head was read, on the monotonic clock, in seconds.
+    event_times : list of float
+        When each event was written, on the monotonic clock, in seconds.
     """
 
     method: str
@@ -35,6 +37,7 @@
     ran: bool = False
     finished: bool = False
     arrived_at: float = field(factory=time.monotonic)
+    event_times: list[float] = field(factory=list)
 
     @property
     def id(self) -> str:
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -254,6 +254,7 @@
                 writer.write(event[:-1])
                 gone.cancel()
                 return self._end_inside(fault, writer)
+            run.event_times.append(time.monotonic())
             self._send_event(writer, event, fault)
         if fault not in _UNFRAMED:
             writer.write(_CHUNK_END)
