List programs of which only reservations are known

`logs budgets` left out a program all of whose turns were under way at daemons that were killed: only turns with a line of their end made it count. Its reservations are listed now, with the budget and the turn that their lines state.

--- a/src/eelgrasslock/operators/budget_totals.py
+++ b/src/eelgrasslock/operators/budget_totals.py
@@ -1,6 +1,7 @@
 """The tokens that programs used by the lines of all daemons, against their budgets."""
 
 from collections.abc import Iterable
+from typing import Any
 
 from attrs import define, field
 
@@ -60,19 +61,21 @@
             draw = f"{line.time} {line.daemon} {inputs['offline_tokens']}"
             self.offline_draws.append(draw)
         if "reserved_tokens" in inputs:
+            self._note_shape(inputs.get("budget"), inputs["reserved_tokens"])
             self.open_turns[line.request] = int(inputs["reserved_tokens"])
         if "outcome" in inputs:
             self.open_turns.pop(line.request, None)
         tokens = int(inputs.get("tokens") or 0)
         if "outcome" not in inputs or not tokens or inputs.get("budget") is None:
             return
-        self.budget = max(self.budget, int(inputs["budget"]))
-        self.max_turn_tokens = max(
-            self.max_turn_tokens, int(inputs.get("max_tokens") or 0)
-        )
+        self._note_shape(inputs["budget"], inputs.get("max_tokens"))
         self.used_tokens += tokens
         self.turns += 1
 
+    def _note_shape(self, budget: Any, max_turn_tokens: Any) -> None:
+        self.budget = max(self.budget, int(budget or 0))
+        self.max_turn_tokens = max(self.max_turn_tokens, int(max_turn_tokens or 0))
+
 
 def total_budgets(texts: Iterable[str]) -> list[BudgetTotal]:
     """Return the programs of log lines, those with the largest excess first."""
@@ -83,5 +86,5 @@
             continue
         total = totals.setdefault(line.program, BudgetTotal(program=line.program))
         total.add(line)
-    used = [total for total in totals.values() if total.turns]
-    return sorted(used, key=lambda total: -total.excess_tokens)
+    started = [total for total in totals.values() if total.turns or total.open_turns]
+    return sorted(started, key=lambda total: -total.excess_tokens)
--- a/tests/test_log_stories.py
+++ b/tests/test_log_stories.py
@@ -176,6 +176,20 @@
         assert total["used_tokens"] == 40
         assert total["open_turns"] == {"r2": 100}
 
+    def test_a_program_whose_only_turns_have_no_end_is_listed(self, tmp_path):
+        """A killed daemon wrote the reservations of a program and nothing else."""
+        reserved = {"program": "p", "reserved_tokens": 100, "worst": 100, "budget": 150}
+        result = self.write(
+            tmp_path,
+            line("Reserved 100 tokens.", request="r1", **reserved),
+            line("Reserved 100 tokens.", request="r2", **reserved),
+        )
+        (total,) = json.loads(result.stdout)
+        assert total["open_turns"] == {"r1": 100, "r2": 100}
+        assert (total["budget"], total["max_turn_tokens"]) == (150, 100)
+        assert (total["used_tokens"], total["turns"]) == (0, 0)
+        assert result.exit_code == 0
+
     def test_more_than_the_budget_and_one_turn_is_a_finding(self, tmp_path):
         turns = [line("Relayed.", tokens=100, **TURN) for _ in range(4)]
         assert self.write(tmp_path, *turns).exit_code == 1
