Refuse requests whose bodies have not come before their daemon ends

Callers saw: a request whose last bytes were still on their way as its daemon ended its planned stop got no answer, so that a caller could not know whether it had run; and the process of that daemon did not end by itself but was killed at the end of its grace.

Cause: a stop counted requests from the last byte of their bodies only, and closed the listener with `shutdown(0.0)`, which aiohttp takes for no limit: one handler that waits for a body, or for a caller that reads nothing, held the end up without limit, and its connection read nothing more. Class: something at the end of the grace gets no answer.

Change: once the state is saved, bodies are awaited no longer. Requests without a whole body are refused as not run by the handler, as all others are then. Handlers have 0.1 s to end as the servers close.

--- a/src/eelgrasslock/gateway/drainer.py
+++ b/src/eelgrasslock/gateway/drainer.py
@@ -85,6 +85,7 @@
             count = self.handler.in_flight.count
             _log.warning("Drain timed out with {} requests in flight.", count)
         await self._save_state()
+        self.listener.stop_awaiting_bodies()
         await self._wait_until_quiet()
 
     async def _save_state(self) -> None:
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -133,7 +133,7 @@
         log_entry: AccessLogEntry,
     ) -> None:
         try:
-            if self.stopping:
+            if self.stopping or not request.is_complete:
                 self.refused_while_stopping += 1
                 raise _stopping_refusal()
             await self._serve(request, responder, log_entry)
--- a/src/eelgrasslock/gateway/listener.py
+++ b/src/eelgrasslock/gateway/listener.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from aiohttp import web
+from attrs import evolve
 from loguru import logger
 
 from eelgrasslock.clock import Clock
@@ -16,6 +17,8 @@
 
 BACKLOG = 1_024
 METRICS_PATH = "/metrics"
+# How long a handler may take to end at the stop; aiohttp takes 0 for no limit.
+HANDLER_END_SECONDS = 0.1
 
 _log = logger.bind(part="listener")
 
@@ -58,6 +61,8 @@
         self.limits = limits
         self.clock = clock
         self.close_after_response = False
+        self._awaits_bodies = True
+        self._body_limits: set[asyncio.Timeout] = set()
         self._servers: list[web.Server] = []
         self._active_connections: set[web.RequestHandler] = set()
         self._socket_server: asyncio.Server | None = None
@@ -81,6 +86,13 @@
                 if connection not in self._active_connections:
                     connection.force_close()
 
+    def stop_awaiting_bodies(self) -> None:
+        """Handle requests whose bodies have not come as incomplete, from now on."""
+        self._awaits_bodies = False
+        now = asyncio.get_running_loop().time()
+        for limit in self._body_limits:
+            limit.reschedule(now)
+
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self._socket_server is not None:
@@ -88,7 +100,7 @@
             self._socket_server = None
         self.close_idle()
         for server in self._servers:
-            await server.shutdown(0.0)
+            await server.shutdown(HANDLER_END_SECONDS)
 
     def reload_limits(self) -> None:
         """Apply the current limits to new connections."""
@@ -146,14 +158,16 @@
         responder = CallerResponder(request, self.close_after_response)
         try:
             self._check_head(request)
-            body = await request.read()
+            body = await self._read_body(request)
             decoded = self.codec.decode_request(
                 request.method,
                 request.raw_path,
                 list(request.headers.items()),
-                body,
+                body or b"",
                 received_at,
             )
+            if body is None:
+                decoded = evolve(decoded, is_complete=False)
         except web.HTTPRequestEntityTooLarge:
             refusal = Refusal("body_too_large", "The request body is too large.", 413)
             await responder.refuse(refusal, [])
@@ -165,6 +179,20 @@
         assert responder.response is not None
         return responder.response
 
+    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
+        """Return the body, or None if it is not awaited to its end."""
+        if request.content.is_eof():
+            return await request.read()
+        try:
+            async with asyncio.timeout(None if self._awaits_bodies else 0.0) as limit:
+                self._body_limits.add(limit)
+                try:
+                    return await request.read()
+                finally:
+                    self._body_limits.discard(limit)
+        except TimeoutError:
+            return None
+
     def _check_head(self, request: web.BaseRequest) -> None:
         """Refuse a request whose line and headers are too large in total."""
         size = len(request.raw_path)
@@ -215,7 +243,7 @@
             self._socket_server.close()
             self._socket_server = None
         if self._server is not None:
-            await self._server.shutdown(0.0)
+            await self._server.shutdown(HANDLER_END_SECONDS)
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to one request."""
--- a/src/eelgrasslock/gateway/messages.py
+++ b/src/eelgrasslock/gateway/messages.py
@@ -35,6 +35,9 @@
         The headers to pass on.
     body : bytes
         The complete body.
+    is_complete : bool
+        Whether the body was received; it is not awaited any longer once the daemon
+        ends.
     received_at : float
         When the head was read, on the monotonic clock.
     caller_timeout_seconds : float or None
@@ -67,6 +70,7 @@
     target: str
     headers: tuple[Header, ...] = ()
     body: bytes = b""
+    is_complete: bool = True
     received_at: float = 0.0
     caller_timeout_seconds: float | None = None
     program: str = ""
