Collect what a file's tests left behind between the files

What was collected at the start is frozen since; what the tests leave behind was not and grew to that.

It is collected and frozen between two files now, where no test runs. No check and no bound changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,16 @@
 
 def pytest_collection_finish():
     """Leave what was collected out of full garbage collections, which took 0.26 s."""
+    leave_out_of_collections()
+
+
+def pytest_runtest_teardown(item, nextitem):
+    """Leave what a file's tests left behind out as well; it took 0.43 s in the end."""
+    if nextitem is None or nextitem.path != item.path:
+        leave_out_of_collections()
+
+
+def leave_out_of_collections():
     gc.collect()
     gc.freeze()
 
