--- a/tests/builds.py
+++ b/tests/builds.py
@@ -71,11 +71,12 @@
         How often it was killed.
     """
 
-    def __init__(self, fleet, folder, name, domain):
+    def __init__(self, fleet, folder, name, domain, drain_seconds=DRAIN_SECONDS):
         self.fleet = fleet
         self.folder = folder
         self.name = name
         self.domain = domain
+        self.drain_seconds = drain_seconds
         self.front_address = f"127.0.0.1:{free_port()}"
         self.ready_address = f"127.0.0.1:{free_port()}"
         self.peer_address = f"127.0.0.1:{free_port()}"
@@ -127,7 +128,7 @@
             f'store_address: "{self.store_address}"\n'
             "store_partitions: 4\n"
             "store_retention_seconds: 300\n"
-            f"drain_seconds: {DRAIN_SECONDS}\n"
+            f"drain_seconds: {self.drain_seconds}\n"
         )
 
     async def wait_ready(self):
@@ -154,7 +155,7 @@
         self.process.terminate()
         await asyncio.sleep(1.0)
         self.takes_requests = False
-        await asyncio.wait_for(self.process.wait(), DRAIN_SECONDS + 5.0)
+        await asyncio.wait_for(self.process.wait(), self.drain_seconds + 5.0)
 
     async def kill(self):
         self.takes_requests = False
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -4,12 +4,16 @@
 """
 
 import asyncio
+import contextlib
+from collections import Counter
 
 import pytest
 
+from builds import THIS_BUILD
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock.http.pool import ConnectFailed
 from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet
+from test_upgrades import start_daemons
 
 GRACE_SECONDS = 8.0
 SEND_SECONDS = 0.22
@@ -34,15 +38,26 @@
         self.engine = None
 
     async def start(self, work_seconds):
+        await self.start_endpoints(work_seconds)
+        self.daemon = await self.fleet.ready_daemon(
+            [self.desk, self.engine], drain_seconds=GRACE_SECONDS
+        )
+
+    async def start_process(self, work_seconds, folder):
+        """Use a daemon as a process of its own, with a peer."""
+        await self.start_endpoints(work_seconds)
+        daemons = await start_daemons(
+            self.fleet, folder, THIS_BUILD, drain_seconds=GRACE_SECONDS
+        )
+        self.daemon = daemons[0]
+
+    async def start_endpoints(self, work_seconds):
         self.desk = await self.fleet.endpoint(work_seconds=work_seconds)
         self.fleet.register(self.desk, slots=200)
         self.engine = await self.fleet.endpoint(
             "models", events=EVENTS, event_seconds=work_seconds / EVENTS
         )
         self.fleet.register(self.engine, "models", slots=200)
-        self.daemon = await self.fleet.ready_daemon(
-            [self.desk, self.engine], drain_seconds=GRACE_SECONDS
-        )
 
     async def send(self, path, connection=None):
         """Send a request, and keep what became of it."""
@@ -87,6 +102,28 @@
         writer.close()
         self.outcomes.append((id, status))
 
+    async def send_until_ended(self, stopping):
+        """Send requests of all kinds, on new and kept connections, during a stop."""
+        kept = [await self.fleet.connect(self.daemon) for _ in range(3)]
+        draining = asyncio.create_task(stopping)
+        sent = [
+            asyncio.create_task(self.send_slowly(POSTS, seconds))
+            for seconds in (1.0, 2.0, 2.9, 3.1, 4.5, 6.0)
+        ]
+        while not draining.done():
+            for path in (LOOKUPS, POSTS, TURNS):
+                sent.append(asyncio.create_task(self.send(path)))
+                if kept:
+                    sent.append(asyncio.create_task(self.send(path, kept.pop())))
+            await asyncio.sleep(SEND_SECONDS)
+        await draining
+        await asyncio.gather(*sent)
+
+    def repeated(self):
+        """Return the requests that may not be repeated and ran more than once."""
+        counts = Counter([*self.desk.ids(), *self.engine.ids()])
+        return [id for id, count in counts.items() if count > 1]
+
     def cut(self):
         """Return the requests that ran and have no answer."""
         ran = {*self.desk.ids(), *self.engine.ids()}
@@ -110,19 +147,7 @@
     async def test_nothing_that_was_passed_on_is_cut(self, fleet, work_seconds):
         stop = Stop(fleet)
         await stop.start(work_seconds)
-        kept = [await fleet.connect(stop.daemon) for _ in range(3)]
-        draining = asyncio.create_task(self.stop(stop.daemon))
-        sent = [
-            asyncio.create_task(stop.send_slowly(POSTS, seconds))
-            for seconds in (1.0, 2.0, 2.9, 3.1, 4.5, 6.0)
-        ]
-        while not draining.done():
-            for path in (LOOKUPS, POSTS, TURNS):
-                sent.append(asyncio.create_task(stop.send(path)))
-                if kept:
-                    sent.append(asyncio.create_task(stop.send(path, kept.pop())))
-            await asyncio.sleep(SEND_SECONDS)
-        await asyncio.gather(*sent)
+        await stop.send_until_ended(self.stop(stop.daemon))
         assert len(stop.outcomes) > 40
         assert [status for _, status in stop.outcomes].count(200) > 10
         assert stop.cut() == []
@@ -130,3 +155,32 @@
     async def stop(self, daemon):
         await daemon.application.drain()
         await daemon.application.stop()
+
+
+class TestPlannedStopOfAProcess:
+    @pytest.mark.parametrize("work_seconds", [0.4, 2.5, 3.8])
+    async def test_nothing_that_was_passed_on_is_cut(
+        self, fleet, tmp_path, work_seconds
+    ):
+        stop = Stop(fleet)
+        await stop.start_process(work_seconds, tmp_path)
+        await stop.send_until_ended(stop.daemon.terminate())
+        assert stop.daemon.process.returncode == 0
+        assert [status for _, status in stop.outcomes].count(200) > 10
+        assert stop.cut() == []
+        assert stop.repeated() == []
+
+    async def test_a_signal_that_is_repeated_cuts_nothing(self, fleet, tmp_path):
+        stop = Stop(fleet)
+        await stop.start_process(2.5, tmp_path)
+        await stop.send_until_ended(self.stop_again_and_again(stop.daemon))
+        assert [status for _, status in stop.outcomes].count(200) > 10
+        assert stop.cut() == []
+
+    async def stop_again_and_again(self, daemon):
+        ending = asyncio.create_task(daemon.terminate())
+        while not ending.done():
+            await asyncio.sleep(0.5)
+            with contextlib.suppress(ProcessLookupError):
+                daemon.process.terminate()
+        await ending
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -55,11 +55,11 @@
         pytest.skip(f"The repository is shallow and does not have {missing}.")
 
 
-async def start_daemons(fleet, folder, source):
+async def start_daemons(fleet, folder, source, **settings):
     daemons = []
     for number in range(DAEMONS):
         domain = "abc"[number % 3]
-        daemon = BuildDaemon(fleet, folder, f"{domain}-{number}", domain)
+        daemon = BuildDaemon(fleet, folder, f"{domain}-{number}", domain, **settings)
         await daemon.open_door()
         daemons.append(daemon)
         fleet.stack.push_async_callback(daemon.kill)
