--- a/src/eelgrasslock/gateway/endpoint_probe.py
+++ b/src/eelgrasslock/gateway/endpoint_probe.py
@@ -14,7 +14,19 @@
 
 
 class ProbeResult(enum.Enum):
-    """What became of a probe."""
+    """What became of a probe.
+
+    Attributes
+    ----------
+    ANSWERED
+        The endpoint answered.
+    MISDIRECTED
+        Another endpoint has its address now.
+    BROKEN
+        The connection was opened, and lost before an answer.
+    SILENT
+        No connection was taken, or no answer came in time.
+    """
 
     ANSWERED = "answered"
     MISDIRECTED = "misdirected"
