Let requests in flight use the whole grace of a planned stop

Change: once all is written, the stop waits for requests in flight until 0.4 s before the end of the grace, and a line says if some are left.

--- a/src/eelgrasslock/gateway/drainer.py
+++ b/src/eelgrasslock/gateway/drainer.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 from loguru import logger
@@ -25,6 +26,8 @@
 RECORD_TIMEOUT_SECONDS = 0.35
 QUIET_PERIOD_SECONDS = 0.15
 MAX_QUIET_PERIODS = 4
+# What it takes to close everything afterwards.
+CLOSE_SECONDS = 0.4
 
 _log = logger.bind(part="daemon")
 
@@ -74,7 +77,8 @@
         count = self.handler.in_flight.count
         _log.info("Draining with {} requests in flight.", count)
         seconds = self.settings.drain_seconds - SHUTDOWN_RESERVE_SECONDS
-        self.handler.ends_at = self.handler.clock.monotonic() + seconds
+        started_at = self.handler.clock.monotonic()
+        self.handler.ends_at = started_at + seconds
         try:
             async with asyncio.timeout(seconds):
                 await asyncio.sleep(READINESS_PROPAGATION_SECONDS)
@@ -87,6 +91,7 @@
         await self._save_state()
         self.listener.stop_awaiting_bodies()
         await self._wait_until_quiet()
+        await self._finish_last(started_at + self.settings.drain_seconds)
 
     async def _save_state(self) -> None:
         """Write what must outlive the daemon; what fails doesn't keep the rest back."""
@@ -122,3 +127,13 @@
             await asyncio.sleep(QUIET_PERIOD_SECONDS)
             if self.handler.refused_while_stopping == refused_before:
                 return
+
+    async def _finish_last(self, ends_at: float) -> None:
+        """Let requests that are still in flight use what time is left."""
+        left = ends_at - CLOSE_SECONDS - self.handler.clock.monotonic()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(left, 0.0)):
+                await self.handler.in_flight.none_left()
+        count = self.handler.in_flight.count
+        if count:
+            _log.warning("Ending with {} requests in flight.", count)
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -11,7 +11,7 @@
 
 from builds import DRAIN_SECONDS, THIS_BUILD
 from hold_ups import running_seconds
-from platform_fleet import POSTS, TURNS, PlatformFleet
+from platform_fleet import POSTS, TURNS, PlatformFleet, route, wait_until
 from test_upgrades import start_daemons
 
 # What a process takes to end after its last request.
@@ -68,6 +68,20 @@
         assert running_seconds(started_at) < DRAIN_SECONDS
         assert desk.ids() + engine.ids() == []
 
+    async def test_a_request_has_the_whole_grace(self, fleet):
+        """It was sent before the stop, and outlasts what its daemon writes."""
+        posts = route("posts", POSTS, "unsafe", "desk", maxAttempts=1, timeoutMs=9_000)
+        fleet.configure(version=2, routes=[posts])
+        desk = await fleet.endpoint(work_seconds=DRAIN_SECONDS - 0.8)
+        daemon = await fleet.ready_daemon([desk], drain_seconds=DRAIN_SECONDS)
+        call = asyncio.create_task(
+            fleet.call(daemon, f"{POSTS}x", "POST", b"x", Deadline_Ms=9_000)
+        )
+        await wait_until(lambda: desk.runs)
+        await self.stop(daemon)
+        status, *_ = await call
+        assert status == 200
+
     async def stop(self, daemon):
         await daemon.application.drain()
         await daemon.application.stop()
