--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -21,8 +21,6 @@
 EVENTS = 10
 CLIENT_SECONDS = 5.0
 LATE_SECONDS = 2.9
-# Endpoints and callers share a process; requests fail while it is held up.
-MIN_SERVED = 3
 
 
 @pytest.fixture
@@ -169,7 +167,7 @@
         await stop.start_process(work_seconds, tmp_path)
         await stop.send_until_ended(stop.daemon.terminate())
         assert stop.daemon.process.returncode == 0
-        assert [status for _, status in stop.outcomes].count(200) >= MIN_SERVED
+        assert [status for _, status in stop.outcomes].count(200) > 10
         assert stop.cut() == []
         assert stop.repeated() == []
 
@@ -177,7 +175,7 @@
         stop = Stop(fleet)
         await stop.start_process(2.5, tmp_path)
         await stop.send_until_ended(self.stop_again_and_again(stop.daemon))
-        assert [status for _, status in stop.outcomes].count(200) >= MIN_SERVED
+        assert [status for _, status in stop.outcomes].count(200) > 10
         assert stop.cut() == []
 
     async def stop_again_and_again(self, daemon):
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import itertools
-import time
 
 import pytest
 
 from eelgrasslock_standins.platform_engine import Fault
-from hold_ups import running_seconds
 from platform_fleet import LOOKUPS, POSTS, PlatformFleet
 
 WINDOW_SECONDS = 4.0
@@ -37,24 +35,14 @@
 
 
 async def send_many(fleet, daemons, seconds, per_second):
-    """Send requests through the daemons in turn.
-
-    Return status and head of each, and how long the process was held up meanwhile.
-    """
+    """Send requests through the daemons in turn; return status and head of each."""
     calls = []
     for number in range(int(seconds * per_second)):
         daemon = daemons[number % len(daemons)]
-        call = send_one(fleet, daemon, f"{POSTS}more-{number}")
+        call = fleet.call(daemon, f"{POSTS}more-{number}", "POST", b"x")
         calls.append(asyncio.create_task(call))
         await asyncio.sleep(1 / per_second)
-    return await asyncio.gather(*calls)
-
-
-async def send_one(fleet, daemon, path):
-    began_at = time.monotonic()
-    status, head, _ = await fleet.call(daemon, path, "POST", b"x")
-    taken = time.monotonic() - began_at
-    return status, head, taken - running_seconds(began_at)
+    return [(status, head) for status, head, _ in await asyncio.gather(*calls)]
 
 
 async def tell_all(fleet, daemons):
@@ -81,7 +69,7 @@
         arrivals = [run.arrived_at for run in limited.runs[told:]]
         assert most_in_window(arrivals) <= allowed(5.0)
         assert len(arrivals) >= 0.6 * 5.0 * 5.0
-        assert {status for status, *_ in answers} == {200}
+        assert {status for status, _ in answers} == {200}
         assert fleet.store.calls.get("log-append", 0) == appends
 
     async def test_requests_that_it_declines_and_their_retries_count(self, fleet):
@@ -114,7 +102,7 @@
         answers = await send_many(fleet, others, seconds=5.0, per_second=5)
         arrivals = [run.arrived_at for run in limited.runs[told:]]
         assert most_in_window(arrivals) <= allowed(5.0)
-        assert [status for status, *_ in answers].count(200) >= 0.6 * len(answers)
+        assert [status for status, _ in answers].count(200) >= 0.6 * len(answers)
 
 
 class TestWholeService:
@@ -123,8 +111,8 @@
         daemon = await fleet.ready_daemon([limited])
         await tell_all(fleet, [daemon])
         answers = await send_many(fleet, [daemon], seconds=2.0, per_second=20)
-        refused = [head for status, head, _ in answers if status == 429]
-        assert {status for status, *_ in answers} == {200, 429}
+        refused = [head for status, head in answers if status == 429]
+        assert {status for status, _ in answers} == {200, 429}
         assert all(0.1 <= float(head.header("retry-after")) < 20 for head in refused)
         ran = set(limited.ids())
         assert not ran & {head.header("request-id") for head in refused}
@@ -147,7 +135,7 @@
         limited.limit = ""
         await send_many(fleet, [daemon], seconds=2.0, per_second=5)
         answers = await send_many(fleet, [daemon], seconds=1.0, per_second=20)
-        assert {status for status, *_ in answers} == {200}
+        assert {status for status, _ in answers} == {200}
 
     # A refusal of a retry said that the request had not run.
     async def test_a_request_that_may_have_run_is_not_said_not_to_have(self, fleet):
--- a/tests/test_upgrade_rules.py
+++ b/tests/test_upgrade_rules.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from hold_ups import running_seconds
 from platform_fleet import wait_until
 from test_request_limits import allowed, most_in_window, send_many, tell_all
 from test_stream_versions import VERSIONS, VersionFleet
@@ -19,20 +18,6 @@
 DRAIN_SECONDS = 2.0
 AFTER_DRAIN_SECONDS = 2.0
 POSTS_PER_SECOND = 30
-MIN_HELD_UP_SECONDS = 1.0
-
-
-def assert_served(answers):
-    """Fail if a request was not served, or had no time although endpoints could answer.
-
-    An endpoint does not answer while the process of the tests is held up; the 3 s that
-    its caller has go on in the daemon's process.
-    """
-    unserved = [one for one in answers if one[0] != 200]
-    assert [
-        one for one in unserved if one[0] != 504 or one[2] < MIN_HELD_UP_SECONDS
-    ] == []
-    assert len(unserved) < len(answers) / 2
 
 
 async def replace(daemon, source):
@@ -91,7 +76,7 @@
         answers = await send_many(fleet, daemons, 5.0, POSTS_PER_SECOND)
         arrivals = [run.arrived_at for run in limited.runs[told:]]
         assert most_in_window(arrivals) <= allowed(LIMIT_PER_SECOND)
-        assert_served(answers)
+        assert {status for status, _ in answers} == {200}
 
     async def test_a_draining_endpoint_gets_nothing_more(self, fleet, start):
         leaving = await fleet.endpoint()
@@ -104,12 +89,7 @@
         await asyncio.sleep(1.0)
         await wait_until(lambda: leaving.runs)
         fleet.register(leaving, state="draining")
-        registered_at = time.monotonic()
+        drained_at = time.monotonic() + DRAIN_SECONDS
         answers = await sending
-        late = [
-            one.id
-            for one in leaving.runs
-            if running_seconds(registered_at, one.arrived_at) > DRAIN_SECONDS
-        ]
-        assert late == []
-        assert_served(answers)
+        assert [one.id for one in leaving.runs if one.arrived_at > drained_at] == []
+        assert {status for status, _ in answers} == {200}
