--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -132,7 +132,10 @@
         "status": context.response_status,
         "named_limit": context.named_limit,
         "framing": framing.value if framing is not None else None,
+        "ended_by_connection": context.ended_by_connection,
         "in_event": context.in_event,
+        "last_event": context.event_counter.last_id,
+        "in_order": context.event_counter.is_ordered,
         **_turn_fields(context.turn),
     }
 
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -192,6 +192,8 @@
                 context.endpoint_crashed = result.outcome is AttemptOutcome.CRASHED
                 raise ResponseTruncated(str(error)) from error
             return result
+        finally:
+            context.ended_by_connection = connection.ended_response
         return AttemptResult(outcome=AttemptOutcome.SERVED, response=response)
 
     async def _await_head(
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -41,6 +41,8 @@
         The status of the response, 0 until there is one.
     response_framing : Framing or None
         How the endpoint marks the end of its response, None until there is one.
+    ended_by_connection : bool
+        Whether the end of its connection marked the end of the response.
     named_limit : float or None
         The requests a second that the endpoint of the last response named, None
         without a readable limit.
@@ -78,6 +80,7 @@
     queued_seconds: float = 0.0
     response_status: int = 0
     response_framing: Framing | None = None
+    ended_by_connection: bool = False
     named_limit: float | None = None
     endpoint_crashed: bool = False
     preferred_endpoint: str = ""
--- a/src/eelgrasslock/http/connection.py
+++ b/src/eelgrasslock/http/connection.py
@@ -55,12 +55,15 @@
         The number of skipped responses to earlier requests.
     last_used_at : float
         When the last exchange ended, set by the pool.
+    ended_response : bool
+        Whether the end of the connection marked the end of the last response.
     """
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.stale_responses = 0
         self.last_used_at = 0.0
+        self.ended_response = False
         self.request: OutgoingRequest | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
@@ -201,6 +204,7 @@
     def eof_received(self) -> bool:
         """Handle the end of the peer's bytes."""
         if self._body_until_eof and not self._complete:
+            self.ended_response = True
             self._finish()
         self._usable = False
         return False
