--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -41,6 +41,7 @@
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed_reset"
     UNFRAMED_CUT = "unframed_cut"
+    UNFRAMED_ENDED = "unframed_ended"
     GARBAGE = "garbage"
     ENCODED = "encoded"
     UNSIGNED = "unsigned"
@@ -65,6 +66,8 @@
         The pause before each event.
     work_seconds : float
         How long a plain answer takes.
+    body_seconds : float
+        The pause inside the body of a plain answer without a length.
     load : str
         What it says of its load with each answer, empty for nothing.
     limit : str
@@ -86,6 +89,8 @@
         When it ended so, on the monotonic clock, in seconds.
     faults : deque of Fault
         One is used up by each request.
+    usual_fault : Fault
+        What it does with requests after those.
     copies : dict of StreamWriter to bytes
         Refusals that are sent once more when the next request comes.
     silent : set of StreamWriter
@@ -98,6 +103,7 @@
     first_seconds: float = 0.0
     event_seconds: float = 0.0
     work_seconds: float = 0.0
+    body_seconds: float = 0.0
     load: str = ""
     limit: str = ""
     leaving: str = ""
@@ -108,6 +114,7 @@
     keeps_port: bool = False
     crashed_at: list[float] = field(factory=list)
     faults: deque[Fault] = field(factory=deque)
+    usual_fault: Fault = Fault.NONE
     late: bytes = b""
     copies: dict[asyncio.StreamWriter, bytes] = field(factory=dict)
     silent: set[asyncio.StreamWriter] = field(factory=set)
@@ -125,7 +132,7 @@
             return await _ignore(reader)
         if copy := self.copies.pop(writer, b""):
             writer.write(copy)
-        fault = self.faults.popleft() if self.faults else Fault.NONE
+        fault = self.faults.popleft() if self.faults else self.usual_fault
         self.runs.append(run)
         if fault is not Fault.EARLY:
             await read_body(reader, run)
@@ -171,7 +178,7 @@
         if self.events:
             return await self._stream(run, fault, reader, writer)
         await asyncio.sleep(self.work_seconds)
-        return self._plain(run, fault, writer)
+        return await self._plain(run, fault, writer)
 
     async def _crash(self, reader: asyncio.StreamReader) -> bool:
         await asyncio.sleep(self.crash_seconds)
@@ -189,7 +196,9 @@
             return True
         return run.target == self.crashes_on_target
 
-    def _plain(self, run: Run, fault: Fault, writer: asyncio.StreamWriter) -> bool:
+    async def _plain(
+        self, run: Run, fault: Fault, writer: asyncio.StreamWriter
+    ) -> bool:
         body = f"answer to {run.id}".encode()
         stamp = self._stamp()
         if fault is Fault.UNSIGNED:
@@ -204,7 +213,7 @@
             writer.write(whole[:-3])
             return False
         if fault in _UNFRAMED:
-            return self._unframed(run, fault, body, writer)
+            return await self._unframed(run, fault, body, writer)
         before, self.late = self.late, b""
         writer.write(before + whole)
         if fault is Fault.EXTRA:
@@ -214,12 +223,14 @@
         run.finished = True
         return True
 
-    def _unframed(
+    async def _unframed(
         self, run: Run, fault: Fault, body: bytes, writer: asyncio.StreamWriter
     ) -> bool:
         head = f"HTTP/1.1 200 OK\r\nRequest-Id: {run.id}\r\n{self._stamp()}\r\n"
-        if fault is Fault.UNFRAMED:
-            writer.write(head.encode() + body)
+        if fault in (Fault.UNFRAMED, Fault.UNFRAMED_ENDED):
+            writer.write(head.encode() + body[:5])
+            await asyncio.sleep(self.body_seconds)
+            writer.write(body[5:])
         else:
             writer.write(head.encode() + body[:5])
             asyncio.get_running_loop().call_later(_RESET_SECONDS, reset, writer)
@@ -249,6 +260,9 @@
             if fault is Fault.TRUNCATED and number > self.events // 2:
                 gone.cancel()
                 return False
+            if fault is Fault.UNFRAMED_ENDED and number > self.events // 2:
+                gone.cancel()
+                return False
             event = self.event_format.format(number=number, id=run.id).encode()
             if fault in _CUT_INSIDE and number > self.events // 2:
                 writer.write(event[:-1])
@@ -289,7 +303,7 @@
 
 _FULL = frozenset({Fault.FULL, Fault.FULL_COPIED, Fault.FULL_COPIED_BARE})
 _CUT_INSIDE = frozenset({Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT})
-_UNFRAMED = _CUT_INSIDE | {Fault.UNFRAMED}
+_UNFRAMED = _CUT_INSIDE | {Fault.UNFRAMED, Fault.UNFRAMED_ENDED}
 
 
 async def _ignore(reader: asyncio.StreamReader) -> bool:
