Complete a response without an end mark only if its endpoint outlived it

Callers of an engine whose process ended between two events of a stream without length or chunks, or inside such a plain body, got a part with a proper end and did not come back. Cause: the end of a connection was taken for the end of the answer, and the kernel ends the connections of a killed process in order. The class is an end of transport taken for an end of content.

The daemon opens a second connection while such a response is under way and asks on it once the response has ended: only the process that gave the response can answer there, neither a dead one nor one that has taken over its address. A stream that may be resumed is resumed at the same endpoint within the response, so that one which a live engine ended early goes on and a whole one brings nothing more. What can't be confirmed is broken off. Events whose ids do not rise are not relayed. Responses with a length or chunks cost nothing.

--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/gateway/attempts.py
@@ -12,7 +12,6 @@
 from eelgrasslock.gateway.failure_classifier import FailureClassifier
 from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
 from eelgrasslock.gateway.link_monitor import LinkMonitor
-from eelgrasslock.gateway.messages import EndpointResponse
 from eelgrasslock.gateway.request_context import RequestContext
 from eelgrasslock.gateway.responder import ResponseTruncated
 from eelgrasslock.gateway.response_timeouts import (
@@ -21,15 +20,14 @@
     should_fail_over,
 )
 from eelgrasslock.gateway.routes import RouteKind
-from eelgrasslock.gateway.stream_versions import StreamVersions
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.messages import Framing, OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import MAX_IDLE_SECONDS, ConnectFailed, ConnectionPool
+from eelgrasslock.responses.relay import ResponseRelay
 from eelgrasslock.running_timeout import is_done_within
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 NON_IDEMPOTENT_MAX_IDLE_SECONDS = 2.5
-MAX_BUFFERED_BODY_BYTES = 65_536
 MAX_DISCARDED_BODY_BYTES = 65_536
 DISCARD_SECONDS = 0.1
 _SUCCESS = range(200, 300)
@@ -60,8 +58,8 @@
         Returns whether the circuit breaker of a failure domain has tripped.
     links : LinkMonitor
         Is told which connections open and which fail.
-    stream_versions : StreamVersions
-        Records at which versions streams begin.
+    relay : ResponseRelay
+        Relays responses whose heads are accepted.
     reports : EndpointReports
         Takes what endpoints say of themselves.
     failures : FailureClassifier
@@ -81,7 +79,7 @@
         domain: str,
         is_domain_tripped: Callable[[str], bool],
         links: LinkMonitor,
-        stream_versions: StreamVersions,
+        relay: ResponseRelay,
         reports: EndpointReports,
         failures: FailureClassifier,
         on_heard: Callable[[str], None],
@@ -90,7 +88,7 @@
         self.failures = failures
         self.reports = reports
         self.links = links
-        self.stream_versions = stream_versions
+        self.relay = relay
         self.domain = domain
         self.is_domain_tripped = is_domain_tripped
         self.metrics = metrics
@@ -185,7 +183,7 @@
             connection.close()
             return AttemptResult(outcome=AttemptOutcome.UNSOUND, response=response)
         try:
-            await self._relay_response(context, record, response, connection)
+            await self.relay.relay(context, record, response, connection)
         except ConnectionBroken as error:
             result = await self._classify(context, record, error)
             if context.responder.started:
@@ -246,68 +244,6 @@
             return True
         return await self.links.is_out_of_reach(record)
 
-    async def _relay_response(
-        self,
-        context: RequestContext,
-        record: EndpointRecord,
-        response: EndpointResponse,
-        connection: HTTPConnection,
-    ) -> None:
-        is_stream = context.route.kind is RouteKind.STREAM
-        if is_stream and response.status in _SUCCESS:
-            await self._relay_stream(context, record, response, connection)
-            return
-        await self._relay_plain(context, response, connection)
-
-    async def _relay_plain(
-        self,
-        context: RequestContext,
-        response: EndpointResponse,
-        connection: HTTPConnection,
-    ) -> None:
-        """Relay a body, as a whole if it is short."""
-        responder = context.responder
-        body = b""
-        length = response.content_length
-        if length is None or length <= MAX_BUFFERED_BODY_BYTES:
-            body, is_complete = await connection.read_up_to(MAX_BUFFERED_BODY_BYTES)
-            if is_complete:
-                context.response_status = response.status
-                await responder.send(response.status, response.headers, body)
-                return
-        context.response_status = response.status
-        await responder.start(response.status, response.headers, length)
-        if body:
-            await responder.write(body)
-        while (chunk := await connection.read()) is not None:
-            await responder.write(chunk)
-        await responder.finish()
-
-    async def _relay_stream(
-        self,
-        context: RequestContext,
-        record: EndpointRecord,
-        response: EndpointResponse,
-        connection: HTTPConnection,
-    ) -> None:
-        """Relay events; the response is completed only after a whole stream.
-
-        The endpoint's length is not passed on: a caller that has it would take the
-        last byte for the end before the stream was checked.
-        """
-        responder = context.responder
-        context.response_status = response.status
-        await responder.start(response.status, response.headers, None)
-        recording = self.stream_versions.begin(context, record.version)
-        while (chunk := await connection.read()) is not None:
-            await recording.wait()
-            self.on_heard(record.id)
-            context.event_counter.feed(chunk)
-            await responder.write(chunk)
-        if not context.is_stream_whole:
-            raise ConnectionBroken("The stream ended inside an event.", True)
-        await responder.finish()
-
     async def _classify(
         self, context: RequestContext, record: EndpointRecord, error: ConnectionBroken
     ) -> AttemptResult:
--- a/src/eelgrasslock/gateway/endpoint_probe.py
+++ b/src/eelgrasslock/gateway/endpoint_probe.py
@@ -80,6 +80,6 @@
             return ProbeResult.BROKEN
         except TimeoutError:
             return ProbeResult.SILENT
-        if self.codec.decode_response(head, "").is_misdirected:
+        if not self.codec.is_answer_of(head, record.id):
             return ProbeResult.MISDIRECTED
         return ProbeResult.ANSWERED
--- a/src/eelgrasslock/gateway/interfaces.py
+++ b/src/eelgrasslock/gateway/interfaces.py
@@ -17,9 +17,12 @@
     ----------
     ready_path : str
         The path of readiness probes.
+    report_path : str
+        Where engines tell their state without using a slot.
     """
 
     ready_path: str
+    report_path: str
 
     def decode_request(
         self,
@@ -45,6 +48,18 @@
     ) -> OutgoingRequest:
         """Return the request for an endpoint, with the remaining time in seconds."""
 
+    def encode_resumption(
+        self,
+        request: GatewayRequest,
+        endpoint: str,
+        seconds: float,
+        last_event_id: int,
+    ) -> OutgoingRequest:
+        """Return the request for the events after one that the caller has."""
+
+    def is_answer_of(self, head: ResponseHead, endpoint: str) -> bool:
+        """Return whether a probe was answered by the endpoint that it was sent to."""
+
     def decode_response(self, head: ResponseHead, request_id: str) -> EndpointResponse:
         """Return the decoded head of an endpoint's response to a request."""
 
--- a/src/eelgrasslock/gateway/peer_forwarder.py
+++ b/src/eelgrasslock/gateway/peer_forwarder.py
@@ -8,7 +8,6 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable, Ran, Refusal
-from eelgrasslock.gateway.attempts import MAX_BUFFERED_BODY_BYTES
 from eelgrasslock.gateway.link_monitor import LinkMonitor
 from eelgrasslock.gateway.relay_messages import (
     RelayedHead,
@@ -23,6 +22,7 @@
 from eelgrasslock.peers.load_exchange import LoadExchange
 from eelgrasslock.peers.peer_mesh import PeerMesh
 from eelgrasslock.requests.exchange import Request
+from eelgrasslock.responses.relay import MAX_BUFFERED_BODY_BYTES
 
 MAX_PEERS_TRIED = 8
 COMPARED_PEERS = 3
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/gateway/request_context.py
@@ -43,6 +43,9 @@
         How the endpoint marks the end of its response, None until there is one.
     ended_by_connection : bool
         Whether the end of its connection marked the end of the response.
+    outlived_response : bool or None
+        Whether the endpoint answered after the end of such a response, None if it was
+        not asked.
     named_limit : float or None
         The requests a second that the endpoint of the last response named, None
         without a readable limit.
@@ -81,6 +84,7 @@
     response_status: int = 0
     response_framing: Framing | None = None
     ended_by_connection: bool = False
+    outlived_response: bool | None = None
     named_limit: float | None = None
     endpoint_crashed: bool = False
     preferred_endpoint: str = ""
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -29,6 +29,7 @@
 from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.load_exchange import LoadExchange
 from eelgrasslock.peers.peer_mesh import PeerMesh
+from eelgrasslock.responses.relay import ResponseRelay
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.load_shedding import LoadShedder
 from eelgrasslock.scheduling.scheduler import Scheduler
@@ -123,8 +124,21 @@
         services = {} if current is None else current.services
         return services.get(service, ServiceSpec(name=service)).health_path
 
+    def _find_state_path(self, service: ServiceSpec) -> str:
+        if service.engine is None:
+            return service.health_path
+        return self.sources.platform.codec.report_path
+
     def _create_forwarder(self) -> Forwarder:
         sources = self.sources
+        relay = ResponseRelay(
+            sources.pool,
+            sources.platform.codec,
+            sources.clock,
+            sources.shared.stream_versions,
+            self._find_state_path,
+            sources.silent_calls.record_heard,
+        )
         attempt_runner = AttemptRunner(
             sources.pool,
             sources.endpoint_registry,
@@ -135,7 +149,7 @@
             sources.settings.domain,
             sources.scheduler.domain_breaker.is_tripped,
             self.links,
-            sources.shared.stream_versions,
+            relay,
             self.endpoint_reports,
             self.failures,
             sources.silent_calls.record_heard,
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -3,6 +3,8 @@
 import math
 import secrets
 
+from attrs import evolve
+
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.gateway.messages import (
     EndpointLoadHeader,
@@ -15,6 +17,7 @@
 
 _ID_BYTES = 8
 READY_PATH = "/eelgrasslock/readyz"
+REPORT_PATH = "/eelgrasslock/report"
 
 _REQUEST_ID = "request-id"
 _DEADLINE_MS = "deadline-ms"
@@ -30,6 +33,8 @@
 _FINISH_MS = "finish-ms"
 _TOKEN_BUDGET = "token-budget"
 _EXPECT_INSTANCE = "expect-instance"
+_INSTANCE_ID = "instance-id"
+_MISDIRECTED = 421
 _SERVER_STAMP = "server-stamp"
 _NOT_RUN = "not-run"
 _SERVER_LOAD = "server-load"
@@ -68,7 +73,7 @@
         _SERVER_LIMIT,
         _SERVER_LEAVING,
         _NOT_RUN,
-        "instance-id",
+        _INSTANCE_ID,
         "date",
         "server",
     }
@@ -84,6 +89,7 @@
     """Decodes and encodes requests and responses."""
 
     ready_path = READY_PATH
+    report_path = REPORT_PATH
 
     def decode_request(
         self,
@@ -144,13 +150,31 @@
             response_id_header=_REQUEST_ID,
         )
 
+    def encode_resumption(
+        self,
+        request: GatewayRequest,
+        endpoint: str,
+        seconds: float,
+        last_event_id: int,
+    ) -> OutgoingRequest:
+        """Encode the request for the events after one that the caller has."""
+        kept = [one for one in request.headers if one[0].lower() != _LAST_EVENT_ID]
+        headers = (*kept, ("Last-Event-Id", str(last_event_id)))
+        resumed = evolve(request, headers=headers, last_event_id=last_event_id)
+        return self.encode_request(resumed, endpoint, seconds)
+
+    def is_answer_of(self, head: ResponseHead, endpoint: str) -> bool:
+        """Return whether a probe was answered by the endpoint that it was sent to."""
+        named = head.header(_INSTANCE_ID) or endpoint
+        return head.status != _MISDIRECTED and named == endpoint
+
     def decode_response(self, head: ResponseHead, request_id: str) -> EndpointResponse:
         """Decode the head of an endpoint's response."""
         values = {name.lower(): value.strip() for name, value in head.headers}
         dropped = _HOP_BY_HOP | _FRAMING | _ENDPOINT_ONLY
         dropped |= _connection_options(values)
         kept = [pair for pair in head.headers if pair[0].lower() not in dropped]
-        misdirected = head.status == 421
+        misdirected = head.status == _MISDIRECTED
         is_own = not request_id or values.get(_REQUEST_ID) == request_id
         encoding = values.get("content-encoding", "identity").lower()
         return EndpointResponse(
