Part the gateway into rooms with one job each

gateway held 49 modules of many jobs, so that a newcomer could not find the one. Moved without a change of code: exchanges, routing, registry, forwarding, relaying, responses, failures, draws and turns; EndpointRegistryUpdater got a module of its own. gateway keeps 12 modules, which put a daemon together. Measured: type check and linter clean, all tests are collected, and those of imports, formats, registry, relays, crashes, turns and events pass.

--- a/src/eelgrasslock/gateway/budget_controllers.py
+++ b/src/eelgrasslock/draws/budget_controllers.py
@@ -3,11 +3,11 @@
 from eelgrasslock.allowances.draw_ledger import DrawLedger
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway.draw_handover import DrawHandover
-from eelgrasslock.gateway.draw_keepers import DrawKeepers
-from eelgrasslock.gateway.log_followers import LogFollowers
+from eelgrasslock.draws.draw_handover import DrawHandover
+from eelgrasslock.draws.draw_keepers import DrawKeepers
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
 from eelgrasslock.gateway.settings import GatewaySettings
+from eelgrasslock.registry.log_followers import LogFollowers
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 
--- a/src/eelgrasslock/gateway/draw_keepers.py
+++ b/src/eelgrasslock/draws/draw_keepers.py
@@ -14,10 +14,10 @@
 from eelgrasslock.allowances.kept_draws import KeptDraws, KeptProgram, OfflineDraw
 from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
+from eelgrasslock.draws.draw_messages import decode_kept, encode_kept
+from eelgrasslock.draws.keeper_map import KeeperMap, Keepers
+from eelgrasslock.draws.kept_draw_transfer import KeptDrawTransfer
 from eelgrasslock.exceptions import PeerUnavailable
-from eelgrasslock.gateway.draw_messages import decode_kept, encode_kept
-from eelgrasslock.gateway.keeper_map import KeeperMap, Keepers
-from eelgrasslock.gateway.kept_draw_transfer import KeptDrawTransfer
 from eelgrasslock.peers.daemon_registry import DaemonEntry, DaemonRegistry
 from eelgrasslock.peers.peer_callbacks import PeerCallbacks
 from eelgrasslock.peers.peer_mesh import PeerMesh
--- a/src/eelgrasslock/gateway/kept_draw_transfer.py
+++ b/src/eelgrasslock/draws/kept_draw_transfer.py
@@ -8,9 +8,9 @@
 
 from eelgrasslock.allowances.kept_draws import KeptDraws, KeptProgram
 from eelgrasslock.clock import Clock
+from eelgrasslock.draws.draw_messages import decode_kept, encode_kept
+from eelgrasslock.draws.keeper_map import KeeperMap
 from eelgrasslock.exceptions import PeerUnavailable
-from eelgrasslock.gateway.draw_messages import decode_kept, encode_kept
-from eelgrasslock.gateway.keeper_map import KeeperMap
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.peer_callbacks import PeerCallbacks
 from eelgrasslock.peers.peer_mesh import PeerMesh
--- a/src/eelgrasslock/gateway/attempt_result.py
+++ b/src/eelgrasslock/exchanges/attempt_result.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from eelgrasslock.gateway.messages import EndpointResponse
+from eelgrasslock.exchanges.messages import EndpointResponse
 
 
 class AttemptOutcome(enum.Enum):
--- a/src/eelgrasslock/gateway/interfaces.py
+++ b/src/eelgrasslock/exchanges/interfaces.py
@@ -4,10 +4,10 @@
 
 from attrs import frozen
 
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
-from eelgrasslock.gateway.messages import EndpointResponse, GatewayRequest
-from eelgrasslock.gateway.routes import RoutingConfiguration
+from eelgrasslock.exchanges.messages import EndpointResponse, GatewayRequest
 from eelgrasslock.http.messages import Header, OutgoingRequest, ResponseHead
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
+from eelgrasslock.routing.routes import RoutingConfiguration
 
 
 class MessageCodec(Protocol):
--- a/src/eelgrasslock/gateway/request_context.py
+++ b/src/eelgrasslock/exchanges/request_context.py
@@ -2,13 +2,13 @@
 
 from attrs import define, field
 
-from eelgrasslock.gateway.event_counter import EventCounter
-from eelgrasslock.gateway.messages import GatewayRequest
-from eelgrasslock.gateway.responder import ResponseWriter
-from eelgrasslock.gateway.routes import Route, RouteKind, ServiceSpec
-from eelgrasslock.gateway.turn_in_progress import TurnInProgress
+from eelgrasslock.exchanges.messages import GatewayRequest
 from eelgrasslock.http.messages import Framing
+from eelgrasslock.responses.event_counter import EventCounter
+from eelgrasslock.responses.responder import ResponseWriter
+from eelgrasslock.routing.routes import Route, RouteKind, ServiceSpec
 from eelgrasslock.streams.stream_controller import KnownOrigin
+from eelgrasslock.turns.turn_in_progress import TurnInProgress
 
 
 @define(eq=False)
--- a/src/eelgrasslock/gateway/request_digest.py
+++ b/src/eelgrasslock/exchanges/request_digest.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from eelgrasslock.gateway.messages import GatewayRequest
+from eelgrasslock.exchanges.messages import GatewayRequest
 
 
 def request_digest(request: GatewayRequest) -> str:
--- /dev/null
+++ b/src/eelgrasslock/failures/__init__.py
@@ -0,0 +1,1 @@
+"""What became of endpoints, links and the requests that they had."""
--- a/src/eelgrasslock/gateway/endpoint_ends.py
+++ b/src/eelgrasslock/failures/endpoint_ends.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
-from eelgrasslock.gateway.silent_calls import SilentCalls
+from eelgrasslock.failures.silent_calls import SilentCalls
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.scheduling.scheduler import Scheduler
 
 
--- a/src/eelgrasslock/gateway/endpoint_probe.py
+++ b/src/eelgrasslock/failures/endpoint_probe.py
@@ -3,10 +3,10 @@
 import enum
 from collections.abc import Callable
 
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
-from eelgrasslock.gateway.interfaces import MessageCodec
+from eelgrasslock.exchanges.interfaces import MessageCodec
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.running_timeout import RunningTimeout
 
 # A sound endpoint may be silent for a second or so.
--- a/src/eelgrasslock/gateway/failure_classifier.py
+++ b/src/eelgrasslock/failures/failure_classifier.py
@@ -7,11 +7,11 @@
 
 from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway.attempt_result import AttemptOutcome
-from eelgrasslock.gateway.endpoint_probe import EndpointProbe, ProbeResult
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
-from eelgrasslock.gateway.link_monitor import LinkMonitor
+from eelgrasslock.exchanges.attempt_result import AttemptOutcome
+from eelgrasslock.failures.endpoint_probe import EndpointProbe, ProbeResult
+from eelgrasslock.failures.link_monitor import LinkMonitor
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
+from eelgrasslock.registry.endpoint_registry import EndpointRecord, EndpointRegistry
 
 CORRELATION_DELAY_SECONDS = 0.05
 CORRELATION_WINDOW_SECONDS = 0.5
--- a/src/eelgrasslock/gateway/link_monitor.py
+++ b/src/eelgrasslock/failures/link_monitor.py
@@ -13,9 +13,9 @@
 
 from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.http.connection import HTTPConnection
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
+from eelgrasslock.registry.endpoint_registry import EndpointRecord, EndpointRegistry
 
 MIN_FAILED_ENDPOINTS = 3
 MIN_FAILED_DOMAINS = 2
--- a/src/eelgrasslock/gateway/silent_calls.py
+++ b/src/eelgrasslock/failures/silent_calls.py
@@ -14,7 +14,7 @@
 from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable
-from eelgrasslock.gateway.crash_records import CrashRecords
+from eelgrasslock.failures.crash_records import CrashRecords
 from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.peer_callbacks import PeerCallbacks
--- /dev/null
+++ b/src/eelgrasslock/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at endpoints until one has answered a request."""
--- a/src/eelgrasslock/gateway/attempts.py
+++ b/src/eelgrasslock/forwarding/attempts.py
@@ -6,24 +6,24 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway.attempt_result import AttemptOutcome, AttemptResult
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
-from eelgrasslock.gateway.endpoint_reports import EndpointReports
-from eelgrasslock.gateway.failure_classifier import FailureClassifier
-from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
-from eelgrasslock.gateway.link_monitor import LinkMonitor
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.responder import ResponseTruncated
-from eelgrasslock.gateway.response_timeouts import (
-    ResponseWait,
-    response_check_seconds,
-    should_fail_over,
-)
-from eelgrasslock.gateway.routes import RouteKind
+from eelgrasslock.exchanges.attempt_result import AttemptOutcome, AttemptResult
+from eelgrasslock.exchanges.interfaces import FollowedView, MessageCodec
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.failures.failure_classifier import FailureClassifier
+from eelgrasslock.failures.link_monitor import LinkMonitor
+from eelgrasslock.forwarding.endpoint_reports import EndpointReports
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.messages import Framing, OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import MAX_IDLE_SECONDS, ConnectFailed, ConnectionPool
+from eelgrasslock.registry.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.responses.relay import ResponseRelay
+from eelgrasslock.responses.responder import ResponseTruncated
+from eelgrasslock.responses.response_timeouts import (
+    ResponseWait,
+    response_check_seconds,
+    should_fail_over,
+)
+from eelgrasslock.routing.routes import RouteKind
 from eelgrasslock.running_timeout import is_done_within
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
--- a/src/eelgrasslock/gateway/endpoint_reports.py
+++ b/src/eelgrasslock/forwarding/endpoint_reports.py
@@ -3,9 +3,9 @@
 from loguru import logger
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord, EndpointRegistry
-from eelgrasslock.gateway.messages import EndpointLoadHeader, EndpointResponse
+from eelgrasslock.exchanges.messages import EndpointLoadHeader, EndpointResponse
 from eelgrasslock.limits.limit_controller import LimitController
+from eelgrasslock.registry.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.scheduling.calls import LoadReport
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.load_shedding import LoadShedder
--- a/src/eelgrasslock/gateway/forwarder.py
+++ b/src/eelgrasslock/forwarding/forwarder.py
@@ -6,20 +6,20 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.gateway.attempt_result import AttemptOutcome, AttemptResult
-from eelgrasslock.gateway.attempts import AttemptRunner
-from eelgrasslock.gateway.link_monitor import LinkMonitor
-from eelgrasslock.gateway.peer_forwarder import NO_LINKS, PeerForwarder
-from eelgrasslock.gateway.prompts import prompt_keys
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.responder import ResponseTruncated
-from eelgrasslock.gateway.routes import RouteKind
+from eelgrasslock.exchanges.attempt_result import AttemptOutcome, AttemptResult
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.failures.link_monitor import LinkMonitor
+from eelgrasslock.forwarding.attempts import AttemptRunner
+from eelgrasslock.relaying.peer_forwarder import NO_LINKS, PeerForwarder
 from eelgrasslock.requests.exchange import CallClass
 from eelgrasslock.requests.usage import Usage
+from eelgrasslock.responses.responder import ResponseTruncated
+from eelgrasslock.routing.routes import RouteKind
 from eelgrasslock.scheduling.calls import Assignment, Call, CallOutcome
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
+from eelgrasslock.turns.prompts import prompt_keys
 
 MAX_REFUSED_ATTEMPTS = 4
 FULL_ENDPOINT_RETRY_SECONDS = 0.1
--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -5,10 +5,10 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.gateway.messages import GatewayRequest
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.turn_in_progress import TurnInProgress
+from eelgrasslock.exchanges.messages import GatewayRequest
+from eelgrasslock.exchanges.request_context import RequestContext
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
+from eelgrasslock.turns.turn_in_progress import TurnInProgress
 
 _log = logger.bind(part="requests")
 _NO_ROUTE = "-"
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -12,28 +12,29 @@
 from eelgrasslock.build_id import read_build_id
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
+from eelgrasslock.draws.budget_controllers import BudgetControllers
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.gateway.budget_controllers import BudgetControllers
-from eelgrasslock.gateway.crash_records import CrashRecords
+from eelgrasslock.failures.crash_records import CrashRecords
+from eelgrasslock.failures.endpoint_ends import EndpointEnds
+from eelgrasslock.failures.silent_calls import SilentCalls
 from eelgrasslock.gateway.drainer import Drainer
-from eelgrasslock.gateway.endpoint_ends import EndpointEnds
-from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
 from eelgrasslock.gateway.gauges import register_gauges
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadinessServer
-from eelgrasslock.gateway.log_followers import LogFollowers
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
-from eelgrasslock.gateway.peer_forwarder import NO_LINKS
 from eelgrasslock.gateway.platform_adapters import PlatformAdapters
 from eelgrasslock.gateway.request_path import RequestPath
-from eelgrasslock.gateway.routes import RequestLimits
-from eelgrasslock.gateway.routing import EndpointRegistryUpdater, RoutingState
-from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.gateway.shared_controllers import SharedControllers
-from eelgrasslock.gateway.silent_calls import SilentCalls
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.periodic import keep_running, run_periodically
+from eelgrasslock.registry.endpoint_registry import EndpointRegistry
+from eelgrasslock.registry.log_followers import LogFollowers
+from eelgrasslock.registry.registry_updater import EndpointRegistryUpdater
+from eelgrasslock.relaying.peer_forwarder import NO_LINKS
+from eelgrasslock.routing.routes import RequestLimits
+from eelgrasslock.routing.routing_state import RoutingState
+from eelgrasslock.routing.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
 from eelgrasslock.scheduling.load_shedding import LoadShedder
--- a/src/eelgrasslock/gateway/drainer.py
+++ b/src/eelgrasslock/gateway/drainer.py
@@ -12,10 +12,10 @@
 from loguru import logger
 
 from eelgrasslock.allowances.manager import AllowanceManager
+from eelgrasslock.draws.kept_draw_transfer import KeptDrawTransfer
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
-from eelgrasslock.gateway.crash_records import CrashRecords
+from eelgrasslock.failures.crash_records import CrashRecords
 from eelgrasslock.gateway.handler import GatewayHandler
-from eelgrasslock.gateway.kept_draw_transfer import KeptDrawTransfer
 from eelgrasslock.gateway.listener import Listener
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
 from eelgrasslock.gateway.settings import GatewaySettings
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -10,25 +10,25 @@
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import EelgrassError, Ran, Refusal
+from eelgrasslock.exchanges.interfaces import FollowedView, MessageCodec
+from eelgrasslock.exchanges.messages import GatewayRequest
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.exchanges.request_digest import request_digest
+from eelgrasslock.forwarding.forwarder import Forwarder
 from eelgrasslock.gateway.access_log import AccessLogEntry, AccessLogger
-from eelgrasslock.gateway.affinity import preferred_endpoint
-from eelgrasslock.gateway.conversations import (
-    MAX_INTERRUPT_SECONDS,
-    Conversations,
-)
-from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
-from eelgrasslock.gateway.forwarder import Forwarder
-from eelgrasslock.gateway.interfaces import FollowedView, MessageCodec
-from eelgrasslock.gateway.messages import GatewayRequest
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.request_digest import request_digest
-from eelgrasslock.gateway.responder import CallerResponder, ResponseTruncated
-from eelgrasslock.gateway.routes import Route, ServiceSpec
-from eelgrasslock.gateway.routing import RoutingState
-from eelgrasslock.gateway.stream_versions import StreamVersions
+from eelgrasslock.registry.endpoint_registry import EndpointRegistry
 from eelgrasslock.requests.in_flight import InFlight
+from eelgrasslock.responses.responder import CallerResponder, ResponseTruncated
+from eelgrasslock.responses.stream_versions import StreamVersions
+from eelgrasslock.routing.affinity import preferred_endpoint
+from eelgrasslock.routing.routes import Route, ServiceSpec
+from eelgrasslock.routing.routing_state import RoutingState
 from eelgrasslock.scheduling.load_shedding import LoadShedder
 from eelgrasslock.streams.stream_controller import KnownOrigin
+from eelgrasslock.turns.conversations import (
+    MAX_INTERRUPT_SECONDS,
+    Conversations,
+)
 
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 STOPPING_RETRY_SECONDS = 0.05
--- a/src/eelgrasslock/gateway/listener.py
+++ b/src/eelgrasslock/gateway/listener.py
@@ -10,10 +10,10 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.gateway.interfaces import MessageCodec
-from eelgrasslock.gateway.messages import GatewayRequest
-from eelgrasslock.gateway.responder import CallerResponder, ResponseTruncated
-from eelgrasslock.gateway.routes import RequestLimits
+from eelgrasslock.exchanges.interfaces import MessageCodec
+from eelgrasslock.exchanges.messages import GatewayRequest
+from eelgrasslock.responses.responder import CallerResponder, ResponseTruncated
+from eelgrasslock.routing.routes import RequestLimits
 
 BACKLOG = 1_024
 METRICS_PATH = "/metrics"
--- a/src/eelgrasslock/gateway/platform_adapters.py
+++ b/src/eelgrasslock/gateway/platform_adapters.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from eelgrasslock.conversations.conversation_controller import TrimmableLog
-from eelgrasslock.gateway.interfaces import MessageCodec, RecordDecoder
+from eelgrasslock.exchanges.interfaces import MessageCodec, RecordDecoder
 from eelgrasslock.log.keyed_log import KeyedLog
 from eelgrasslock.log.partitioned_log import PartitionedLog
 
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -5,35 +5,35 @@
 
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.clock import Clock
+from eelgrasslock.failures.endpoint_ends import EndpointEnds
+from eelgrasslock.failures.endpoint_probe import EndpointProbe
+from eelgrasslock.failures.failure_classifier import FailureClassifier
+from eelgrasslock.failures.link_monitor import LinkMonitor
+from eelgrasslock.failures.silent_calls import SilentCalls
+from eelgrasslock.forwarding.attempts import AttemptRunner
+from eelgrasslock.forwarding.endpoint_reports import EndpointReports
+from eelgrasslock.forwarding.forwarder import Forwarder
 from eelgrasslock.gateway.access_log import AccessLogger
-from eelgrasslock.gateway.attempts import AttemptRunner
-from eelgrasslock.gateway.conversations import Conversations
-from eelgrasslock.gateway.endpoint_ends import EndpointEnds
-from eelgrasslock.gateway.endpoint_probe import EndpointProbe
-from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
-from eelgrasslock.gateway.endpoint_reports import EndpointReports
-from eelgrasslock.gateway.failure_classifier import FailureClassifier
-from eelgrasslock.gateway.forwarder import Forwarder
 from eelgrasslock.gateway.handler import GatewayHandler
-from eelgrasslock.gateway.link_monitor import LinkMonitor
-from eelgrasslock.gateway.log_followers import LogFollowers
-from eelgrasslock.gateway.peer_forwarder import PeerForwarder
-from eelgrasslock.gateway.peer_requests import PeerRequestHandler
 from eelgrasslock.gateway.platform_adapters import PlatformAdapters
-from eelgrasslock.gateway.routes import ServiceSpec
-from eelgrasslock.gateway.routing import RoutingState
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.gateway.shared_controllers import SharedControllers
-from eelgrasslock.gateway.silent_calls import SilentCalls
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.load_exchange import LoadExchange
 from eelgrasslock.peers.peer_mesh import PeerMesh
+from eelgrasslock.registry.endpoint_registry import EndpointRegistry
+from eelgrasslock.registry.log_followers import LogFollowers
+from eelgrasslock.relaying.peer_forwarder import PeerForwarder
+from eelgrasslock.relaying.peer_requests import PeerRequestHandler
 from eelgrasslock.responses.relay import ResponseRelay
+from eelgrasslock.routing.routes import ServiceSpec
+from eelgrasslock.routing.routing_state import RoutingState
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.load_shedding import LoadShedder
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
+from eelgrasslock.turns.conversations import Conversations
 
 
 class RequestPathSources(Protocol):
--- a/src/eelgrasslock/gateway/shared_controllers.py
+++ b/src/eelgrasslock/gateway/shared_controllers.py
@@ -7,14 +7,14 @@
     ConversationController,
     TrimmableLog,
 )
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
-from eelgrasslock.gateway.routes import RouteTable
 from eelgrasslock.gateway.settings import GatewaySettings
-from eelgrasslock.gateway.stream_versions import StreamVersions
 from eelgrasslock.limits.limit_controller import LimitController
 from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.peer_callbacks import PeerCallbacks
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
+from eelgrasslock.responses.stream_versions import StreamVersions
+from eelgrasslock.routing.routes import RouteTable
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.streams.stream_controller import StreamController
 from eelgrasslock.streams.version_watch import VersionWatch
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -6,7 +6,7 @@
 from attrs import evolve
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.gateway.messages import (
+from eelgrasslock.exchanges.messages import (
     EndpointLoadHeader,
     EndpointResponse,
     GatewayRequest,
@@ -99,7 +99,7 @@
         body: bytes,
         received_at: float,
     ) -> GatewayRequest:
-        """Decode a caller's request; see `gateway.interfaces.MessageCodec`."""
+        """Decode a caller's request; see `exchanges.interfaces.MessageCodec`."""
         values = {name.lower(): value.strip() for name, value in headers}
         dropped = _HOP_BY_HOP | _FRAMING | _SET_BY_GATEWAY | _connection_options(values)
         kept = [pair for pair in headers if pair[0].lower() not in dropped]
--- a/src/eelgrasslock/platform/record_decoder.py
+++ b/src/eelgrasslock/platform/record_decoder.py
@@ -12,9 +12,9 @@
     parse_json,
 )
 from eelgrasslock.exceptions import Finding, RecordError
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
-from eelgrasslock.gateway.interfaces import Topics
-from eelgrasslock.gateway.routes import (
+from eelgrasslock.exchanges.interfaces import Topics
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
+from eelgrasslock.routing.routes import (
     EngineSpec,
     RequestLimits,
     Route,
--- /dev/null
+++ b/src/eelgrasslock/registry/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoints and daemons that the log names."""
--- a/src/eelgrasslock/gateway/log_followers.py
+++ b/src/eelgrasslock/registry/log_followers.py
@@ -3,8 +3,8 @@
 import random
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway import crash_records
-from eelgrasslock.gateway.interfaces import Topics
+from eelgrasslock.exchanges.interfaces import Topics
+from eelgrasslock.failures import crash_records
 from eelgrasslock.gateway.settings import GatewaySettings
 from eelgrasslock.log.keyed_follower import KeyedFollower, KeyedState
 from eelgrasslock.log.keyed_log import KeyedLog
--- /dev/null
+++ b/src/eelgrasslock/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that a daemon without links passes on to a peer."""
--- a/src/eelgrasslock/gateway/peer_forwarder.py
+++ b/src/eelgrasslock/relaying/peer_forwarder.py
@@ -8,21 +8,21 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import PeerUnavailable, Ran, Refusal
-from eelgrasslock.gateway.link_monitor import LinkMonitor
-from eelgrasslock.gateway.relay_messages import (
-    RelayedHead,
-    decode_head,
-    encode_relayed_request,
-)
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.responder import ResponseTruncated
-from eelgrasslock.gateway.routes import RouteKind
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.failures.link_monitor import LinkMonitor
 from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.daemon_registry import DaemonEntry
 from eelgrasslock.peers.load_exchange import LoadExchange
 from eelgrasslock.peers.peer_mesh import PeerMesh
+from eelgrasslock.relaying.relay_messages import (
+    RelayedHead,
+    decode_head,
+    encode_relayed_request,
+)
 from eelgrasslock.requests.exchange import Request
 from eelgrasslock.responses.relay import MAX_BUFFERED_BODY_BYTES
+from eelgrasslock.responses.responder import ResponseTruncated
+from eelgrasslock.routing.routes import RouteKind
 
 MAX_PEERS_TRIED = 8
 COMPARED_PEERS = 3
--- a/src/eelgrasslock/gateway/peer_requests.py
+++ b/src/eelgrasslock/relaying/peer_requests.py
@@ -4,19 +4,19 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.gateway.forwarder import Forwarder
+from eelgrasslock.exchanges.interfaces import MessageCodec
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.forwarding.forwarder import Forwarder
 from eelgrasslock.gateway.handler import GatewayHandler
-from eelgrasslock.gateway.interfaces import MessageCodec
-from eelgrasslock.gateway.peer_forwarder import NO_LINKS
-from eelgrasslock.gateway.relay_messages import (
+from eelgrasslock.http.messages import Header
+from eelgrasslock.relaying.peer_forwarder import NO_LINKS
+from eelgrasslock.relaying.relay_messages import (
     decode_relayed_request,
     encode_head,
     encode_refusal,
 )
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.responder import ResponseTruncated
-from eelgrasslock.http.messages import Header
 from eelgrasslock.requests.exchange import Request, Responder
+from eelgrasslock.responses.responder import ResponseTruncated
 
 _log = logger.bind(part="peer_requests")
 
--- a/src/eelgrasslock/gateway/relay_messages.py
+++ b/src/eelgrasslock/relaying/relay_messages.py
@@ -10,13 +10,13 @@
 from attrs import asdict, evolve, frozen
 
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.gateway.interfaces import MessageCodec
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.request_digest import request_digest
-from eelgrasslock.gateway.responder import ResponseWriter
-from eelgrasslock.gateway.routes import Route, RouteKind, ServiceSpec, WeightedService
+from eelgrasslock.exchanges.interfaces import MessageCodec
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.exchanges.request_digest import request_digest
 from eelgrasslock.http.messages import Header
 from eelgrasslock.requests.exchange import Request
+from eelgrasslock.responses.responder import ResponseWriter
+from eelgrasslock.routing.routes import Route, RouteKind, ServiceSpec, WeightedService
 from eelgrasslock.streams.stream_controller import KnownOrigin
 
 _ROUTE = ":route"
--- a/src/eelgrasslock/responses/continuation.py
+++ b/src/eelgrasslock/responses/continuation.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
-from eelgrasslock.gateway.event_counter import EventCounter
-from eelgrasslock.gateway.interfaces import MessageCodec
-from eelgrasslock.gateway.request_context import RequestContext
+from eelgrasslock.exchanges.interfaces import MessageCodec
+from eelgrasslock.exchanges.request_context import RequestContext
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.messages import OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
+from eelgrasslock.responses.event_counter import EventCounter
 
 MAX_FIRST_EVENT_BYTES = 262_144
 _SUCCESS = range(200, 300)
--- a/src/eelgrasslock/responses/relay.py
+++ b/src/eelgrasslock/responses/relay.py
@@ -3,17 +3,17 @@
 from collections.abc import Callable
 
 from eelgrasslock.clock import Clock
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
-from eelgrasslock.gateway.interfaces import MessageCodec
-from eelgrasslock.gateway.messages import EndpointResponse
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.routes import RouteKind, ServiceSpec
-from eelgrasslock.gateway.stream_versions import Recording, StreamVersions
+from eelgrasslock.exchanges.interfaces import MessageCodec
+from eelgrasslock.exchanges.messages import EndpointResponse
+from eelgrasslock.exchanges.request_context import RequestContext
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
 from eelgrasslock.http.messages import Framing
 from eelgrasslock.http.pool import ConnectionPool
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.responses.continuation import StreamContinuation
 from eelgrasslock.responses.liveness import LivenessCheck
+from eelgrasslock.responses.stream_versions import Recording, StreamVersions
+from eelgrasslock.routing.routes import RouteKind, ServiceSpec
 
 MAX_BUFFERED_BODY_BYTES = 65_536
 _SUCCESS = range(200, 300)
--- a/src/eelgrasslock/gateway/response_timeouts.py
+++ b/src/eelgrasslock/responses/response_timeouts.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-from eelgrasslock.gateway.routes import Route, RouteKind
+from eelgrasslock.routing.routes import Route, RouteKind
 
 RESPONSE_TIMEOUT_SECONDS = 0.8
 REMOTE_CHECK_SECONDS = 0.4
--- a/src/eelgrasslock/gateway/stream_versions.py
+++ b/src/eelgrasslock/responses/stream_versions.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from eelgrasslock.exceptions import Refusal
-from eelgrasslock.gateway.messages import GatewayRequest
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.routes import Route, RouteKind
+from eelgrasslock.exchanges.messages import GatewayRequest
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.routing.routes import Route, RouteKind
 from eelgrasslock.scheduling.admission import VERSION_RETRY_SECONDS
 from eelgrasslock.streams.stream_controller import KnownOrigin, StreamController
 
--- /dev/null
+++ b/src/eelgrasslock/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which route and service a request takes, by the configuration in force."""
--- a/src/eelgrasslock/gateway/affinity.py
+++ b/src/eelgrasslock/routing/affinity.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
 
 
 def preferred_endpoint(
--- a/src/eelgrasslock/gateway/scheduler_configuration.py
+++ b/src/eelgrasslock/routing/scheduler_configuration.py
@@ -11,8 +11,8 @@
     ServiceSettings,
     WeightSettings,
 )
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
-from eelgrasslock.gateway.routes import RoutingConfiguration, ServiceSpec
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
+from eelgrasslock.routing.routes import RoutingConfiguration, ServiceSpec
 
 PREFILL_TOKENS_PER_SECOND = 150_000.0
 DECODE_TOKENS_PER_SECOND = 600.0
--- /dev/null
+++ b/src/eelgrasslock/turns/__init__.py
@@ -0,0 +1,1 @@
+"""Turns of programs whose chains the fleet keeps."""
--- a/src/eelgrasslock/gateway/conversations.py
+++ b/src/eelgrasslock/turns/conversations.py
@@ -13,12 +13,12 @@
 from eelgrasslock.conversations.turn import Turn
 from eelgrasslock.conversations.turn_codec import MAX_TURN_BYTES
 from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable
-from eelgrasslock.gateway.messages import GatewayRequest
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.responder import ResponseWriter
-from eelgrasslock.gateway.routes import Route
-from eelgrasslock.gateway.turn_in_progress import TurnInProgress
-from eelgrasslock.gateway.turn_recorder import TurnRecorder
+from eelgrasslock.exchanges.messages import GatewayRequest
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.responses.responder import ResponseWriter
+from eelgrasslock.routing.routes import Route
+from eelgrasslock.turns.turn_in_progress import TurnInProgress
+from eelgrasslock.turns.turn_recorder import TurnRecorder
 
 # How long a broken stream waits for the log before the caller sees that it broke.
 MAX_INTERRUPT_SECONDS = 0.1
--- a/src/eelgrasslock/gateway/prompts.py
+++ b/src/eelgrasslock/turns/prompts.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from eelgrasslock.gateway.messages import PromptPart
+from eelgrasslock.exchanges.messages import PromptPart
 from eelgrasslock.scheduling.prefix_index import CHUNK_TOKENS
 
 
--- a/src/eelgrasslock/gateway/turn_in_progress.py
+++ b/src/eelgrasslock/turns/turn_in_progress.py
@@ -3,8 +3,8 @@
 from attrs import define
 
 from eelgrasslock.conversations.history import History
-from eelgrasslock.gateway.messages import GatewayRequest
-from eelgrasslock.gateway.turn_recorder import TurnRecorder
+from eelgrasslock.exchanges.messages import GatewayRequest
+from eelgrasslock.turns.turn_recorder import TurnRecorder
 
 
 @define(eq=False, kw_only=True)
--- a/src/eelgrasslock/gateway/turn_recorder.py
+++ b/src/eelgrasslock/turns/turn_recorder.py
@@ -1,8 +1,8 @@
 """Takes down the events of a turn while they are relayed to the caller."""
 
 from eelgrasslock.conversations.event_data import EventDataReader, StreamEvent
-from eelgrasslock.gateway.responder import ResponseWriter
 from eelgrasslock.http.messages import Header
+from eelgrasslock.responses.responder import ResponseWriter
 
 _SUCCESS = range(200, 300)
 
--- a/tests/budget_model_daemon.py
+++ b/tests/budget_model_daemon.py
@@ -6,13 +6,13 @@
 
 from eelgrasslock.allowances.draw_ledger import DrawLedger
 from eelgrasslock.allowances.manager import AllowanceManager
+from eelgrasslock.draws.draw_keepers import DrawKeepers
 from eelgrasslock.exceptions import (
     AppendUnresolved,
     LogUnavailable,
     PeerUnavailable,
     Ran,
 )
-from eelgrasslock.gateway.draw_keepers import DrawKeepers
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
 from eelgrasslock.log.keyed_follower import KeyedFollower
 from eelgrasslock.log.keyed_log import KeyedChanges, KeyedRecord, KeyedSnapshot
--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -19,14 +19,14 @@
 )
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.gateway.application import FEATURES
-from eelgrasslock.gateway.scheduler_configuration import (
-    SCHEDULER_LIMITS,
-    SCHEDULER_WEIGHTS,
-)
 from eelgrasslock.limits.limit_controller import LimitController
 from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry, DaemonRegistry
 from eelgrasslock.peers.load_exchange import LoadExchange
+from eelgrasslock.routing.scheduler_configuration import (
+    SCHEDULER_LIMITS,
+    SCHEDULER_WEIGHTS,
+)
 from eelgrasslock.scheduling.calls import Call, CallOutcome
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.scheduler import Scheduler
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -3,11 +3,11 @@
 import pytest
 
 from eelgrasslock.exceptions import PeerUnavailable, Ran, Refusal
-from eelgrasslock.gateway.peer_forwarder import RelayedResponse
-from eelgrasslock.gateway.peer_requests import PeerRequestHandler, PeerResponder
-from eelgrasslock.gateway.relay_messages import encode_refusal
-from eelgrasslock.gateway.responder import ResponseTruncated
 from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.relaying.peer_forwarder import RelayedResponse
+from eelgrasslock.relaying.peer_requests import PeerRequestHandler, PeerResponder
+from eelgrasslock.relaying.relay_messages import encode_refusal
+from eelgrasslock.responses.responder import ResponseTruncated
 from eelgrasslock_standins.platform_engine import Fault
 from link_faults import Cut
 from platform_fleet import TURNS, PlatformFleet, route
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -7,7 +7,7 @@
 
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exceptions import LogUnavailable, RecordError
-from eelgrasslock.gateway.crash_records import (
+from eelgrasslock.failures.crash_records import (
     TOPIC,
     CrashRecord,
     CrashRecords,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -276,7 +276,7 @@
         self, fleet, monkeypatch
     ):
         monkeypatch.setattr(
-            "eelgrasslock.gateway.log_followers.MAX_CRASH_WAIT_SECONDS", 0.4
+            "eelgrasslock.registry.log_followers.MAX_CRASH_WAIT_SECONDS", 0.4
         )
         fleet.store.newest["keyed.crashes"] = None
         endpoint = await fleet.endpoint()
--- a/tests/test_event_counter.py
+++ b/tests/test_event_counter.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from eelgrasslock.gateway.event_counter import EventCounter
+from eelgrasslock.responses.event_counter import EventCounter
 
 ENDS = ["\n", "\r\n", "\r"]
 
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -9,13 +9,13 @@
 
 from eelgrasslock.allowances.draws import decode_draw
 from eelgrasslock.exceptions import RecordError, Refusal
-from eelgrasslock.gateway.endpoint_registry import EndpointRecord
 from eelgrasslock.http.messages import ResponseHead
 from eelgrasslock.log.keyed_log import KeyedRecord
 from eelgrasslock.peers.daemon_registry import TOPIC as DAEMONS
 from eelgrasslock.peers.daemon_registry import DaemonEntry, DaemonRegistry
 from eelgrasslock.platform.headers import PlatformMessageCodec
 from eelgrasslock.platform.record_decoder import PlatformRecordDecoder
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from platform_fleet import LOOKUPS, PlatformFleet, configuration, wait_until
 
 DEEP = b"[" * 200_000
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -13,7 +13,7 @@
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.conversations.turn import turn_key
 from eelgrasslock.conversations.turn_log import TurnLog
-from eelgrasslock.gateway.crash_records import decode_crash_record
+from eelgrasslock.failures.crash_records import decode_crash_record
 from eelgrasslock.log.keyed_log import KeyedRecord
 from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.daemon_registry import DaemonEntry, DaemonRegistry
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -7,12 +7,12 @@
 import pytest
 
 from eelgrasslock.allowances.draw_request import DrawRequest
-from eelgrasslock.gateway.endpoint_registry import (
-    EndpointRecord,
-)
-from eelgrasslock.gateway.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock.peers import fallback_log
 from eelgrasslock.platform.record_decoder import PlatformRecordDecoder
+from eelgrasslock.registry.endpoint_registry import (
+    EndpointRecord,
+)
+from eelgrasslock.routing.scheduler_configuration import build_scheduler_configuration
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import POSTS, PlatformFleet, configuration, wait_until
 
--- a/tests/test_gateway_response_timeouts.py
+++ b/tests/test_gateway_response_timeouts.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from eelgrasslock.gateway.response_timeouts import (
+from eelgrasslock.responses.response_timeouts import (
     REMOTE_CHECK_SECONDS,
     RESPONSE_TIMEOUT_SECONDS,
     ResponseWait,
     response_check_seconds,
     should_fail_over,
 )
-from eelgrasslock.gateway.routes import Route, RouteKind
+from eelgrasslock.routing.routes import Route, RouteKind
 from eelgrasslock_standins.platform_engine import Fault
 from link_faults import Cut, LinkFaults
 from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet, wait_until
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -6,7 +6,7 @@
 import pytest
 
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.gateway.endpoint_registry import (
+from eelgrasslock.registry.endpoint_registry import (
     REREGISTRATION_GRACE_SECONDS,
     EndpointRecord,
     EndpointRegistry,
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from eelgrasslock.gateway.response_timeouts import RESPONSE_TIMEOUT_SECONDS
 from eelgrasslock.http.pool import CONNECT_TIMEOUT_SECONDS, ConnectFailed
 from eelgrasslock.peers.peer_mesh import CALL_TIMEOUT_SECONDS
+from eelgrasslock.responses.response_timeouts import RESPONSE_TIMEOUT_SECONDS
 from eelgrasslock.running_timeout import RunningTimeout, is_done_within
 from hold_ups import running_seconds
 from platform_fleet import LOOKUPS, POSTS, PlatformFleet, wait_until
--- a/tests/test_registry_updater.py
+++ b/tests/test_registry_updater.py
@@ -5,10 +5,10 @@
 import pytest
 
 from eelgrasslock.clock import ManualClock
-from eelgrasslock.gateway.endpoint_registry import EndpointRegistry
-from eelgrasslock.gateway.routing import EndpointRegistryUpdater
 from eelgrasslock.log.keyed_log import KeyedRecord
 from eelgrasslock.platform.record_decoder import PlatformRecordDecoder
+from eelgrasslock.registry.endpoint_registry import EndpointRegistry
+from eelgrasslock.registry.registry_updater import EndpointRegistryUpdater
 
 
 def entry(key, address="10.0.0.1:80", state="ready", born=1):
--- a/tests/test_relay_messages.py
+++ b/tests/test_relay_messages.py
@@ -3,23 +3,23 @@
 import json
 
 from eelgrasslock.exceptions import Ran, Refusal
-from eelgrasslock.gateway.relay_messages import (
+from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.exchanges.request_digest import request_digest
+from eelgrasslock.platform.headers import PlatformMessageCodec
+from eelgrasslock.relaying.relay_messages import (
     decode_head,
     decode_relayed_request,
     encode_head,
     encode_refusal,
     encode_relayed_request,
 )
-from eelgrasslock.gateway.request_context import RequestContext
-from eelgrasslock.gateway.request_digest import request_digest
-from eelgrasslock.gateway.routes import (
+from eelgrasslock.routing.routes import (
     EngineSpec,
     Route,
     RouteKind,
     ServiceSpec,
     WeightedService,
 )
-from eelgrasslock.platform.headers import PlatformMessageCodec
 from eelgrasslock.streams.stream_controller import KnownOrigin
 
 CODEC = PlatformMessageCodec()
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from eelgrasslock.gateway.attempt_result import AttemptOutcome
+from eelgrasslock.exchanges.attempt_result import AttemptOutcome
 from eelgrasslock.peers.peer_mesh import PeerMesh
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import PlatformFleet, wait_until
@@ -165,7 +165,7 @@
     @pytest.fixture(autouse=True)
     def wait_for_peers(self, monkeypatch):
         """Wait for what other daemons say, however long a busy machine takes."""
-        name = "eelgrasslock.gateway.stream_versions.MAX_RECORDING_SECONDS"
+        name = "eelgrasslock.responses.stream_versions.MAX_RECORDING_SECONDS"
         monkeypatch.setattr(name, HOLD_SECONDS)
         call = PeerMesh.call
 
--- a/tests/test_turn_recorder.py
+++ b/tests/test_turn_recorder.py
@@ -3,7 +3,7 @@
 import pytest
 
 from eelgrasslock.conversations.event_data import StreamEvent
-from eelgrasslock.gateway.turn_recorder import TurnRecorder
+from eelgrasslock.turns.turn_recorder import TurnRecorder
 
 HEADERS = (("Request-Id", "r1"),)
 
