Admit requests by the API keys of workspaces

A configuration may name workspaces with keys. Requests were passed on with their key and without the name of the workspace, and unknown keys ran. A filter after the choice of the route refuses what no workspace holds (401; a daemon without a configuration still answers 503), tells endpoints the workspace's name whatever the caller said, and takes the key out, also of what a peer serves. What has waited is checked once more. Turns, streams and programs of workspaces are kept apart by their ids.

--- a/src/eelgrasslock/exchanges/interfaces.py
+++ b/src/eelgrasslock/exchanges/interfaces.py
@@ -40,6 +40,9 @@
             If a required header is invalid.
         """
 
+    def mark_workspace(self, request: GatewayRequest, name: str) -> GatewayRequest:
+        """Return a request that names its workspace in place of its key."""
+
     def encode_probe(self, path: str, endpoint: str) -> OutgoingRequest:
         """Return a request that asks an endpoint whether it is healthy."""
 
--- a/src/eelgrasslock/exchanges/messages.py
+++ b/src/eelgrasslock/exchanges/messages.py
@@ -1,8 +1,9 @@
 """Decoded requests of callers and responses of endpoints."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 from eelgrasslock.http.messages import Header
+from eelgrasslock.workspaces.workspace import scoped_id
 
 
 @frozen(kw_only=True)
@@ -62,6 +63,10 @@
         chain.
     affinity_key : str
         Names the object that the request concerns; empty for none.
+    api_key : str
+        The key of the caller's workspace; empty for none.
+    workspace : str
+        The name of the workspace that holds the key; empty for none.
     """
 
     id: str
@@ -84,6 +89,13 @@
     resumed_request: str = ""
     previous_turn: str = ""
     affinity_key: str = ""
+    api_key: str = field(default="", repr=False)
+    workspace: str = ""
+
+    @property
+    def program_key(self) -> str:
+        """The program, told apart from one of the same id in another workspace."""
+        return scoped_id(self.workspace, self.program)
 
     @property
     def path(self) -> str:
--- a/src/eelgrasslock/exchanges/request_digest.py
+++ b/src/eelgrasslock/exchanges/request_digest.py
@@ -13,7 +13,7 @@
     request : GatewayRequest
         The request as its caller sent it; a turn without its chain.
     """
-    text = f"{request.method} {request.target} {request.program}"
+    text = f"{request.method} {request.target} {request.program_key}"
     return xxhash.xxh64_hexdigest(
         text.encode("utf-8", "surrogateescape") + request.body
     )
--- a/src/eelgrasslock/forwarding/forwarder.py
+++ b/src/eelgrasslock/forwarding/forwarder.py
@@ -20,6 +20,7 @@
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 from eelgrasslock.turns.prompts import prompt_keys
+from eelgrasslock.workspaces.access import WorkspaceAccess
 
 MAX_REFUSED_ATTEMPTS = 4
 FULL_ENDPOINT_RETRY_SECONDS = 0.1
@@ -56,6 +57,8 @@
         Says whether this daemon has lost its links to the endpoints.
     peer_forwarder : PeerForwarder
         Passes requests on to peers meanwhile.
+    access : WorkspaceAccess
+        Says whether a request that has waited may still run.
     clock : Clock
         The source of time.
     metrics : GatewayMetrics
@@ -69,6 +72,7 @@
         attempt_runner: AttemptRunner,
         links: LinkMonitor,
         peer_forwarder: PeerForwarder,
+        access: WorkspaceAccess,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
@@ -78,6 +82,7 @@
         self.attempt_runner = attempt_runner
         self.links = links
         self.peer_forwarder = peer_forwarder
+        self.access = access
         self.clock = clock
 
     def suggest(self, context: RequestContext) -> str:
@@ -170,6 +175,15 @@
                 QUARANTINED, refusal.sentence, 503, Ran.NO, QUARANTINE_RETRY_SECONDS
             ) from refusal
 
+    def _check_access(self, context: RequestContext) -> None:
+        """Refuse a request whose key was taken away while it waited."""
+        try:
+            self.access.check_still_admitted(context.request)
+        except Refusal as refusal:
+            if context.possible_executions:
+                raise _unknown_outcome(refusal) from refusal
+            raise
+
     async def _attempt(
         self, context: RequestContext, assignment: Assignment
     ) -> AttemptResult:
@@ -178,6 +192,7 @@
         usage = Usage()
         retry_seconds = None
         try:
+            self._check_access(context)
             result = await self.attempt_runner.run(context, assignment.endpoint)
             outcome = _CALL_OUTCOMES[result.outcome]
             usage = Usage(
@@ -218,7 +233,7 @@
     is_lookup = route.kind is RouteKind.SAFE
     return Call(
         id=f"{request.id}.{attempt}.{id(context):x}",
-        program=request.program or request.id,
+        program=request.program_key or request.id,
         service=context.service.name,
         model=context.service.name if context.service.engine else "",
         call_class=CallClass.LOOKUP if is_lookup else CallClass.CALLER_WAITING,
--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -102,6 +102,7 @@
         "request": request.id,
         "program": request.program,
         "session": request.session,
+        "workspace": request.workspace,
         "budget": request.budget_tokens,
         "resumes": request.resumed_request,
         "ms": round(seconds * _MILLISECONDS),
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -29,6 +29,7 @@
     MAX_INTERRUPT_SECONDS,
     Conversations,
 )
+from eelgrasslock.workspaces.access import WorkspaceAccess
 
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 STOPPING_RETRY_SECONDS = 0.05
@@ -66,6 +67,8 @@
         Keeps the chains of turns.
     endpoint_registry : EndpointRegistry
         The endpoints, one of which requests for the same object prefer.
+    access : WorkspaceAccess
+        Finds the workspaces of requests.
 
     Attributes
     ----------
@@ -93,7 +96,9 @@
         stream_versions: StreamVersions,
         conversations: Conversations,
         endpoint_registry: EndpointRegistry,
+        access: WorkspaceAccess,
     ) -> None:
+        self.access = access
         self.conversations = conversations
         self.endpoint_registry = endpoint_registry
         self.stream_versions = stream_versions
@@ -157,6 +162,8 @@
     ) -> None:
         await self._wait_until_routing_is_current()
         route = self._find_route(request)
+        request = self.access.admit(request, route)
+        log_entry.request = request
         origin = await self.stream_versions.find_origin(request, route)
         service = self._select_service(request, route, origin)
         timeout_seconds = route.timeout_seconds
@@ -267,7 +274,8 @@
         """
         fraction = self.rng.random()
         if request.program:
-            fraction = xxhash.xxh64_intdigest(request.program.encode()) / _HASH_RANGE
+            digest = xxhash.xxh64_intdigest(request.program_key.encode())
+            fraction = digest / _HASH_RANGE
         name = route.select_service(fraction) if origin is None else origin.service
         assert self.routing.current is not None
         spec = self.routing.current.services.get(name)
@@ -278,7 +286,7 @@
         if not context.route.is_turn or request.budget_tokens is None:
             return None
         reservation = await self.allowances.reserve(
-            request.program,
+            request.program_key,
             request.budget_tokens,
             context.max_generated_tokens,
             request.id,
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -34,6 +34,7 @@
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 from eelgrasslock.turns.conversations import Conversations
+from eelgrasslock.workspaces.access import WorkspaceAccess
 
 
 class RequestPathSources(Protocol):
@@ -77,6 +78,8 @@
         Takes what endpoints say of themselves.
     failures : FailureClassifier
         Tells crashes of endpoints from broken connections.
+    access : WorkspaceAccess
+        Finds the workspaces of requests.
     handler : GatewayHandler
         Handles the requests of callers.
     peer_requests : PeerRequestHandler
@@ -113,6 +116,9 @@
             sources.endpoint_ends.record_crash,
             sources.endpoint_ends.record_silence,
         )
+        self.access = WorkspaceAccess(
+            lambda: sources.routing.workspaces, sources.platform.codec
+        )
         forwarder = self._create_forwarder()
         self.handler = self._create_handler(forwarder)
         self.peer_requests = PeerRequestHandler(
@@ -160,6 +166,7 @@
             attempt_runner,
             self.links,
             self.peer_forwarder,
+            self.access,
             sources.clock,
             sources.metrics,
         )
@@ -179,4 +186,5 @@
             sources.shared.stream_versions,
             Conversations(sources.shared.conversations, sources.clock),
             sources.endpoint_registry,
+            self.access,
         )
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -32,6 +32,9 @@
 _SESSION_ID = "session-id"
 _FINISH_MS = "finish-ms"
 _TOKEN_BUDGET = "token-budget"
+_AUTHORIZATION = "authorization"
+_KEY_SCHEME = "token"
+_TENANT = "tenant"
 _EXPECT_INSTANCE = "expect-instance"
 _INSTANCE_ID = "instance-id"
 _MISDIRECTED = 421
@@ -124,8 +127,17 @@
             resumed_request=_id(values, _RESUMES),
             previous_turn=_id(values, _PREVIOUS_TURN),
             affinity_key=_cookie(headers, _AFFINITY_KEY),
+            api_key=_api_key(values.get(_AUTHORIZATION, "")),
         )
 
+    def mark_workspace(self, request: GatewayRequest, name: str) -> GatewayRequest:
+        """Name the workspace of a request in place of its key."""
+        dropped = (_AUTHORIZATION, _TENANT)
+        kept = [pair for pair in request.headers if pair[0].lower() not in dropped]
+        if name:
+            kept.append(("Tenant", name))
+        return evolve(request, headers=tuple(kept), workspace=name)
+
     def encode_probe(self, path: str, endpoint: str) -> OutgoingRequest:
         """Return a request that asks an endpoint whether it is healthy."""
         headers = (
@@ -254,6 +266,11 @@
     return ""
 
 
+def _api_key(text: str) -> str:
+    scheme, _, key = text.partition(" ")
+    return key.strip() if scheme.lower() == _KEY_SCHEME else ""
+
+
 def _token_usage(text: str) -> tuple[int, int]:
     prompt, _, output = text.partition(",")
     numbers = _digits(prompt.strip()), _digits(output.strip())
--- a/src/eelgrasslock/platform/record_decoder.py
+++ b/src/eelgrasslock/platform/record_decoder.py
@@ -23,6 +23,7 @@
     ServiceSpec,
     WeightedService,
 )
+from eelgrasslock.workspaces.workspace import Workspace
 
 _CONFIGURATION_KEY = "config"
 _ROUTE_KINDS = {
@@ -77,6 +78,7 @@
                 routes=tuple(_route(item) for item in entry["routes"]),
                 services={service.name: service for service in services},
                 limits=_limits(entry.get("limits", {})),
+                workspaces=tuple(_workspace(one) for one in entry.get("tenants") or ()),
             )
         except _DECODE_ERRORS as error:
             raise RecordError(f"The configuration is invalid: {error!r}") from error
@@ -94,8 +96,9 @@
         *_findings(file, "version", lambda: _version(entry)),
         *_findings(file, "limits", lambda: _limits(entry.get("limits", {}))),
     ]
-    for name, decode in (("routes", _route), ("services", _service)):
-        items = entry.get(name)
+    lists = (("routes", _route), ("services", _service), ("tenants", _workspace))
+    for name, decode in lists:
+        items = entry.get(name, [] if name == "tenants" else None)
         if not isinstance(items, list):
             findings.append(Finding(f"{name} is missing or not a list.", file, 0, name))
             continue
@@ -159,9 +162,25 @@
         ),
         keeps_turns=kind is RouteKind.STREAM and _flag(entry, "retainsContext"),
         is_sticky=_flag(entry, "sticky"),
+        is_public=_flag(entry, "public"),
     )
 
 
+def _workspace(entry: dict[str, Any]) -> Workspace:
+    priority = entry.get("priority")
+    return Workspace(
+        name=_text(entry, "name"),
+        api_keys=frozenset(check_text(key, "apiKeys") for key in entry["apiKeys"]),
+        priority=None if priority is None else _count(entry, "priority", 0),
+        requests_per_second=_rate(entry, "ratePerS"),
+        burst=_rate(entry, "burst"),
+    )
+
+
+def _rate(entry: dict[str, Any], name: str) -> float:
+    return check_number(entry.get(name) or 0, name, MAX_COUNT)
+
+
 def _service(entry: dict[str, Any]) -> ServiceSpec:
     engine = entry.get("engine")
     return ServiceSpec(
--- a/src/eelgrasslock/routing/routes.py
+++ b/src/eelgrasslock/routing/routes.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from eelgrasslock.workspaces.workspace import Workspace
+
 # A caller gives a stream up after the longest of these: seconds, a multiple of the
 # latency objective, a multiple of the objective between two events.
 MIN_CALLER_GAP_SECONDS = 2.0
@@ -78,6 +80,8 @@
         Whether turns carry their new input only, and the fleet keeps the rest.
     is_sticky : bool
         Whether an endpoint that served an object is faster when it comes again.
+    is_public : bool
+        Whether requests need no key of a workspace.
     """
 
     name: str
@@ -95,6 +99,7 @@
     retention_seconds: float = 0.0
     keeps_turns: bool = False
     is_sticky: bool = False
+    is_public: bool = False
 
     @property
     def resume_seconds(self) -> float:
@@ -200,12 +205,15 @@
         The services, by name.
     limits : RequestLimits
         The limits on requests.
+    workspaces : tuple of Workspace
+        The workspaces; without any, requests need no keys.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: dict[str, ServiceSpec] = field(factory=dict)
     limits: RequestLimits = RequestLimits()
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class RouteTable:
--- a/src/eelgrasslock/routing/routing_state.py
+++ b/src/eelgrasslock/routing/routing_state.py
@@ -8,6 +8,7 @@
 from eelgrasslock.exchanges.interfaces import RecordDecoder
 from eelgrasslock.log.keyed_log import KeyedRecord
 from eelgrasslock.routing.routes import RouteTable, RoutingConfiguration
+from eelgrasslock.workspaces.workspace import WorkspaceDirectory
 
 _log = logger.bind(part="routing")
 
@@ -28,6 +29,8 @@
         The active configuration, None before the first one.
     table : RouteTable
         The routes of the active configuration.
+    workspaces : WorkspaceDirectory
+        Its workspaces.
     """
 
     def __init__(
@@ -37,6 +40,7 @@
         self.on_change = on_change
         self.current: RoutingConfiguration | None = None
         self.table = RouteTable(())
+        self.workspaces = WorkspaceDirectory()
 
     def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply a snapshot, which holds the newest record of each key."""
@@ -64,9 +68,11 @@
             return
         self.current = configuration
         self.table = RouteTable(configuration.routes)
+        self.workspaces = WorkspaceDirectory(configuration.workspaces)
         _log.info(
-            "Activated configuration version {} with {} routes.",
+            "Activated configuration version {} with {} routes and {} workspaces.",
             configuration.version,
             len(configuration.routes),
+            len(configuration.workspaces),
         )
         self.on_change()
--- a/src/eelgrasslock/turns/conversations.py
+++ b/src/eelgrasslock/turns/conversations.py
@@ -19,6 +19,7 @@
 from eelgrasslock.routing.routes import Route
 from eelgrasslock.turns.turn_in_progress import TurnInProgress
 from eelgrasslock.turns.turn_recorder import TurnRecorder
+from eelgrasslock.workspaces.workspace import scoped_id
 
 # How long a broken stream waits for the log before the caller sees that it broke.
 MAX_INTERRUPT_SECONDS = 0.1
@@ -66,13 +67,15 @@
         self.controller.check_can_store()
         started_at = self.clock.monotonic()
         history = await self.controller.finder.find_history(
-            request.previous_turn, route.retention_seconds
+            scoped_id(request.workspace, request.previous_turn),
+            route.retention_seconds,
         )
         _check_length(request, history, max_body_bytes)
         resumed = []
         if request.last_event_id:
             resumed = await self.controller.finder.find_interrupted(
-                request.resumed_request, request.last_event_id
+                scoped_id(request.workspace, request.resumed_request),
+                request.last_event_id,
             )
         return TurnInProgress(
             new_input=request.body,
@@ -108,7 +111,7 @@
         request = turn.request
         done = Turn(
             id=request.id,
-            parent=request.previous_turn,
+            parent=scoped_id(request.workspace, request.previous_turn),
             endpoint=context.endpoint,
             ended_at=self.clock.now(),
             input=turn.new_input,
@@ -117,7 +120,9 @@
         ids = {request.id, context.stream_id} - {""}
         await asyncio.gather(
             *(
-                self.controller.writer.store(evolve(done, id=id), turn.history)
+                self.controller.writer.store(
+                    evolve(done, id=scoped_id(request.workspace, id)), turn.history
+                )
                 for id in ids
             )
         )
@@ -138,7 +143,8 @@
         self, context: RequestContext, events: list[StreamEvent]
     ) -> None:
         try:
-            await self.controller.writer.store_interrupted(context.stream_id, events)
+            stream = scoped_id(context.request.workspace, context.stream_id)
+            await self.controller.writer.store_interrupted(stream, events)
         except (LogUnavailable, AppendUnresolved) as error:
             _log.bind(request=context.request.id).info(
                 "The events of a stream that broke off are not stored: {}", error
--- /dev/null
+++ b/src/eelgrasslock/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: who a request belongs to, by its API key."""
