Read load reports of four figures

Endpoints that share their machines add a fourth figure to their load: how long work takes there now (100 is usual). Such a header was dropped whole, so that load shedding, slots and placement went without any report.

--- a/src/eelgrasslock/exchanges/messages.py
+++ b/src/eelgrasslock/exchanges/messages.py
@@ -111,11 +111,14 @@
     ----------
     running, waiting, slots : int
         Running requests, queued requests, and the number of slots.
+    slowdown : float
+        How long work takes there at this moment, as a multiple of the usual time.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @frozen(kw_only=True)
@@ -156,6 +159,8 @@
         the request's id.
     load : EndpointLoadHeader or None
         The load that the endpoint reported.
+    is_load_malformed : bool
+        Whether it reported a load that can't be read.
     request_limit : RequestLimitHeader or None
         The limit that the endpoint named, None if it named none.
     content_length : int or None
@@ -174,6 +179,7 @@
     is_misdirected: bool = False
     is_leaving: bool = False
     load: EndpointLoadHeader | None = None
+    is_load_malformed: bool = False
     request_limit: RequestLimitHeader | None = None
     content_length: int | None = None
     keep_alive_seconds: float | None = None
--- a/src/eelgrasslock/forwarding/endpoint_reports.py
+++ b/src/eelgrasslock/forwarding/endpoint_reports.py
@@ -10,6 +10,7 @@
 from eelgrasslock.scheduling.dispatch import Dispatcher
 from eelgrasslock.scheduling.load_shedding import LoadShedder
 from eelgrasslock.scheduling.scheduler import Scheduler
+from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 
 LEAVING_ANSWER = "answer"
 
@@ -33,6 +34,8 @@
         Takes the loads.
     clock : Clock
         The source of time.
+    metrics : GatewayMetrics
+        Counts the loads that can't be read.
     """
 
     def __init__(
@@ -43,7 +46,9 @@
         limit_controller: LimitController,
         load_shedder: LoadShedder,
         clock: Clock,
+        metrics: GatewayMetrics,
     ) -> None:
+        self.metrics = metrics
         self.endpoint_registry = endpoint_registry
         self.scheduler = scheduler
         self.dispatcher = dispatcher
@@ -75,6 +80,8 @@
         # A refusal is believed as well, if signed; 421 is another endpoint's answer.
         if response.is_leaving and response.is_valid and not response.is_misdirected:
             self._record_leaving(record)
+        if response.is_load_malformed:
+            self.metrics.malformed_loads.inc()
         if response.load is not None:
             self._record_load(service, record.id, response.load)
 
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -106,6 +106,7 @@
             sources.shared.limits,
             sources.load_shedder,
             sources.clock,
+            sources.metrics,
         )
         self.failures = FailureClassifier(
             sources.pool,
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -84,6 +84,8 @@
 _MAX_DIGITS = 18
 # A prompt of more tokens fits no engine; its length must not cost time here.
 _MAX_TOKENS = 4_000_000
+# The fourth figure of a load for an endpoint that is as fast as usual.
+_USUAL_PERCENT = 100
 _MAX_CALLS = 1_000_000
 _MAX_ID_CHARACTERS = 256
 
@@ -188,6 +190,7 @@
         kept = [pair for pair in head.headers if pair[0].lower() not in dropped]
         misdirected = head.status == _MISDIRECTED
         is_own = not request_id or values.get(_REQUEST_ID) == request_id
+        load = _endpoint_load(values.get(_SERVER_LOAD, ""))
         encoding = values.get("content-encoding", "identity").lower()
         return EndpointResponse(
             status=head.status,
@@ -199,7 +202,8 @@
             is_valid=(
                 _SERVER_STAMP in values and encoding in ("", "identity") and is_own
             ),
-            load=_endpoint_load(values.get(_SERVER_LOAD, "")),
+            load=load,
+            is_load_malformed=load is None and _SERVER_LOAD in values,
             request_limit=_request_limit(values.get(_SERVER_LIMIT)),
             content_length=_digits(values.get("content-length", "")),
             keep_alive_seconds=_keep_alive_seconds(values.get("keep-alive", "")),
@@ -296,12 +300,18 @@
 
 
 def _endpoint_load(text: str) -> EndpointLoadHeader | None:
+    """Return a load of three figures, or of four with the slowdown as the last."""
     numbers = [_digits(number.strip()) for number in text.split(",")]
     known = [one for one in numbers if one is not None and one <= _MAX_CALLS]
-    if len(numbers) != 3 or len(known) != 3:
+    if len(known) != len(numbers) or len(known) not in (3, 4):
         return None
-    running, waiting, slots = known
-    return EndpointLoadHeader(running=running, waiting=waiting, slots=slots)
+    running, waiting, slots, *percent = known
+    if percent == [0]:
+        return None
+    slowdown = percent[0] / _USUAL_PERCENT if percent else 1.0
+    return EndpointLoadHeader(
+        running=running, waiting=waiting, slots=slots, slowdown=slowdown
+    )
 
 
 def _request_limit(text: str | None) -> RequestLimitHeader | None:
--- a/src/eelgrasslock/telemetry/gateway_metrics.py
+++ b/src/eelgrasslock/telemetry/gateway_metrics.py
@@ -38,6 +38,9 @@
         self.attempts = self._counter(
             "attempts", "Attempts at endpoints by how they ended.", "end"
         )
+        self.malformed_loads = self._counter(
+            "malformed_loads", "Loads of endpoints that can't be read.", ""
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store.", "call result"
         )
--- a/tests/test_endpoint_headers.py
+++ b/tests/test_endpoint_headers.py
@@ -30,3 +30,32 @@
     def test_it_is_not_passed_on(self):
         response = decode(Server_Limit="8.7", Server_Stamp="s")
         assert response.headers == (("Server-Stamp", "s"),)
+
+
+class TestLoad:
+    """A header of four figures was dropped whole, and the load with it."""
+
+    @pytest.mark.parametrize(
+        ("text", "slowdown"),
+        [("3,1,8", 1.0), ("3,1,8,100", 1.0), (" 3, 1, 8, 55 ", 0.55), ("3,1,8,300", 3)],
+    )
+    def test_three_or_four_figures_are_a_load(self, text, slowdown):
+        response = decode(Server_Load=text)
+        load = response.load
+        assert (load.running, load.waiting, load.slots) == (3, 1, 8)
+        assert load.slowdown == slowdown
+        assert not response.is_load_malformed
+
+    @pytest.mark.parametrize(
+        "text",
+        ["", "3", "3,1", "3,1,8,", "3,1,8,0", "3,1,8,-5", "3,1,8,1.5", "a,b,c"]
+        + ["1,2,3,4,5", "3,1,8,9999999999999999999", "9" * 30 + ",1,8"],
+    )
+    def test_another_one_costs_itself_alone(self, text):
+        response = decode(Server_Load=text, Server_Stamp="s")
+        assert response.load is None
+        assert response.is_load_malformed
+        assert response.headers == (("Server-Stamp", "s"),)
+
+    def test_without_the_header_nothing_is_malformed(self):
+        assert not decode(Server_Stamp="s").is_load_malformed
