--- a/tests/test_endpoint_headers.py
+++ b/tests/test_endpoint_headers.py
@@ -6,6 +6,21 @@
 from eelgrasslock.platform.headers import PlatformMessageCodec
 
 
+MALFORMED_LOADS = [
+    "",
+    "3",
+    "3,1",
+    "3,1,8,",
+    "3,1,8,0",
+    "3,1,8,-5",
+    "3,1,8,1.5",
+    "a,b,c",
+    "1,2,3,4,5",
+    "3,1,8,9999999999999999999",
+    "9" * 30 + ",1,8",
+]
+
+
 def decode(**headers):
     pairs = tuple((name.replace("_", "-"), value) for name, value in headers.items())
     head = ResponseHead(status=200, headers=pairs)
@@ -46,11 +61,7 @@
         assert load.slowdown == slowdown
         assert not response.is_load_malformed
 
-    @pytest.mark.parametrize(
-        "text",
-        ["", "3", "3,1", "3,1,8,", "3,1,8,0", "3,1,8,-5", "3,1,8,1.5", "a,b,c"]
-        + ["1,2,3,4,5", "3,1,8,9999999999999999999", "9" * 30 + ",1,8"],
-    )
+    @pytest.mark.parametrize("text", MALFORMED_LOADS)
     def test_another_one_costs_itself_alone(self, text):
         response = decode(Server_Load=text, Server_Stamp="s")
         assert response.load is None
