--- a/tests/test_endpoint_headers.py
+++ b/tests/test_endpoint_headers.py
@@ -5,7 +5,6 @@
 from eelgrasslock.http.messages import ResponseHead
 from eelgrasslock.platform.headers import PlatformMessageCodec
 
-
 MALFORMED_LOADS = [
     "",
     "3",
