Let peers, stored turns and the soak meet engines that end

The fix of streams of ended engines was tested at one daemon only. Two tests more: a response that a peer passes on, and a turn of a conversation, which must not be stored as whole. The soak gets its first engines as processes, two that answer without chunks and are killed again and again, and streams that a live engine ends early.

--- a/tests/test_ended_engines.py
+++ b/tests/test_ended_engines.py
@@ -4,14 +4,17 @@
 """
 
 import asyncio
+import time
 
 import pytest
 
+from conversation_fleet import ConversationFleet
 from eelgrasslock.http.connection import ConnectionBroken
 from eelgrasslock.running_timeout import RunningTimeout
 from eelgrasslock_standins.platform_engine import Fault
 from engine_process import EngineProcess
-from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet
+from link_faults import Cut, LinkFaults
+from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet, wait_until
 
 EVENTS = 8
 EVENT_SECONDS = 0.02
@@ -113,6 +116,51 @@
         assert (events_of(body), is_whole) == ([*range(1, EVENTS + 1)], True)
 
 
+class TestPassedOn:
+    async def test_a_peer_passes_no_part_on_as_a_whole(self, fleet):
+        engines = await EngineFleet(fleet).start(
+            "unframed", events=EVENTS, event_seconds=EVENT_SECONDS
+        )
+        stranded = await fleet.ready_daemon(engines.engines, name="b-1", domain="b")
+        live = stranded.application.load_exchange.live_peers
+        await wait_until(lambda: live)
+        links = LinkFaults(stranded, engines.engines)
+        links.begin(Cut.REFUSE)
+        stranded.application.links.lost_at = time.monotonic()
+        engines.daemon = stranded
+        body, is_whole = await engines.stream(3, engines.engines[0].kill)
+        assert 3 <= len(events_of(body)) < EVENTS
+        assert not is_whole
+
+
+class TestStoredTurns:
+    async def test_a_turn_that_broke_off_between_events_is_none(self, fleet):
+        talks = ConversationFleet(fleet)
+        fleet.configure_raw(talks.encoded())
+        engine = EngineProcess(
+            "i-talks",
+            usual_fault="unframed",
+            events=EVENTS,
+            event_seconds=EVENT_SECONDS,
+        )
+        fleet.stack.push_async_callback(engine.kill)
+        await engine.start()
+        fleet.register(engine, "models")
+        talks.engines.append(engine)
+        daemon = await talks.add_daemon()
+        await talks.meet()
+        whole = await talks.say(daemon, b"a")
+        assert whole.is_whole
+        saying = asyncio.create_task(talks.say(daemon, b"b", whole))
+        await asyncio.sleep(EVENTS * EVENT_SECONDS / 2)
+        await engine.kill()
+        broken = await saying
+        assert not broken.is_whole
+        await engine.start()
+        after = await talks.say(daemon, b"c", broken)
+        assert after.status in (404, 503)
+
+
 class TestPlainResponses:
     @pytest.mark.parametrize("path", [POSTS, LOOKUPS])
     async def test_a_body_of_an_engine_that_goes_on_is_whole(self, fleet, path):
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -10,6 +10,7 @@
 from eelgrasslock.http.pool import ConnectFailed
 from eelgrasslock_standins.platform_engine import Fault
 from eelgrasslock_standins.platform_store import Refusing
+from engine_process import EngineProcess
 from platform_fleet import LOOKUPS, POSTS, PlatformFleet
 
 SECONDS = 60.0
@@ -32,6 +33,7 @@
     Fault.UNFRAMED,
     Fault.UNFRAMED_RESET,
     Fault.UNFRAMED_CUT,
+    Fault.UNFRAMED_ENDED,
 ]
 EVENTS = 5
 
@@ -39,7 +41,8 @@
 class Soak:
     """Runs callers, injects faults and records the results."""
 
-    def __init__(self, fleet, engines, desks, daemons, seed):
+    def __init__(self, fleet, engines, desks, daemons, seed, processes=()):
+        self.processes = processes
         self.fleet = fleet
         self.engines = engines
         self.desks = desks
@@ -53,6 +56,8 @@
     async def run(self, seconds):
         workers = [asyncio.create_task(self.run_caller(n)) for n in range(CALLERS)]
         workers.append(asyncio.create_task(self.inject_faults()))
+        for process in self.processes:
+            workers.append(asyncio.create_task(self.kill_again_and_again(process)))
         await asyncio.sleep(seconds)
         for worker in workers:
             worker.cancel()
@@ -60,6 +65,13 @@
         errors = [one for one in results if not isinstance(one, asyncio.CancelledError)]
         assert errors == []
 
+    async def kill_again_and_again(self, process):
+        """Kill an engine, which comes back at its address, between its events."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+            await process.kill()
+            await process.start()
+
     async def inject_faults(self):
         while True:
             await asyncio.sleep(self.rng.uniform(0.05, 0.4))
@@ -123,6 +135,20 @@
             self.refused.add(id)
 
 
+async def start_unframed_engine(fleet):
+    """Start an engine as a process whose streams end with their connections."""
+    engine = EngineProcess(
+        f"i-{next(fleet.ids)}",
+        usual_fault=Fault.UNFRAMED.value,
+        events=EVENTS,
+        event_seconds=0.02,
+    )
+    fleet.stack.push_async_callback(engine.kill)
+    await engine.start()
+    fleet.register(engine, "models")
+    return engine
+
+
 @pytest.mark.soak
 @pytest.mark.timeout(300)
 async def test_guarantees_hold_under_random_faults():
@@ -130,10 +156,11 @@
     async with PlatformFleet() as fleet:
         engines = [await fleet.endpoint("models", events=EVENTS) for _ in range(3)]
         desks = [await fleet.endpoint() for _ in range(3)]
+        processes = [await start_unframed_engine(fleet) for _ in range(2)]
         daemons = [
             await fleet.ready_daemon(engines + desks, name=f"a-{n}") for n in range(3)
         ]
-        soak = Soak(fleet, engines, desks, daemons, seed)
+        soak = Soak(fleet, engines, desks, daemons, seed, processes)
         await soak.run(SECONDS)
         ran = [run for one in engines + desks for run in one.runs if run.ran]
         posts = [run.id for run in ran if run.target.startswith(POSTS)]
