Admit what daemons of an older build pass on, by its key

A daemon of a build that knows no workspaces passes a request on to a peer with its key, which the peer would have shown to the endpoint. It is admitted there; what a newer peer has admitted stays as it is.

--- a/src/eelgrasslock/relaying/peer_requests.py
+++ b/src/eelgrasslock/relaying/peer_requests.py
@@ -145,6 +145,7 @@
         context = decode_relayed_request(
             message, writer, current.services, self.codec, self.clock.monotonic()
         )
+        context.request = self.handler.access.admit_relayed(context.request)
         writer.context = context
         self.handler.check_end(context.deadline)
         self.served += 1
--- a/src/eelgrasslock/workspaces/access.py
+++ b/src/eelgrasslock/workspaces/access.py
@@ -58,6 +58,24 @@
         name = "" if workspace is None else workspace.name
         return self.codec.mark_workspace(request, name)
 
+    def admit_relayed(self, request: GatewayRequest) -> GatewayRequest:
+        """Return a request of a peer, which has admitted it and taken its key out.
+
+        One of a build that knows no workspaces may still carry the key.
+
+        Raises
+        ------
+        Refusal
+            If no workspace holds that key.
+        """
+        directory = self.directory()
+        if not directory.needs_keys or not request.api_key:
+            return request
+        workspace = directory.find(request.api_key)
+        if workspace is None:
+            raise _unknown_key()
+        return self.codec.mark_workspace(request, workspace.name)
+
     def check_still_admitted(self, request: GatewayRequest) -> None:
         """Refuse a request that has waited while its key was taken away.
 
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -230,6 +230,18 @@
         with pytest.raises(Refusal):
             self.access(two).check_still_admitted(admitted)
 
+    def test_a_peer_of_an_older_build_may_pass_a_key_on(self):
+        one = self.access(Workspace(name="one", api_keys=frozenset({KEY})))
+        request = self.request(("Authorization", f"Token {KEY}"), ("Tenant", "two"))
+        assert one.admit_relayed(request).headers == (("Tenant", "one"),)
+        with pytest.raises(Refusal):
+            one.admit_relayed(self.request(("Authorization", "Token unknown")))
+
+    def test_what_a_peer_has_admitted_stays_as_it_is(self):
+        one = self.access(Workspace(name="one", api_keys=frozenset({KEY})))
+        request = self.request(("Tenant", "one"))
+        assert one.admit_relayed(request) is request
+
     def test_ids_of_workspaces_do_not_meet(self):
         assert scoped_id("", "x") == "x"
         assert scoped_id("one", "") == ""
