Wait until a body that ends with its connection is sent before its end counts

Callers of HTTP/1.0 could get a part of a response with a proper end if the daemon was killed right after the response: the reset on close was switched off while a rest still stood in the process's own buffer. It is switched off once the kernel has all of it.

--- a/src/eelgrasslock/http/caller_body.py
+++ b/src/eelgrasslock/http/caller_body.py
@@ -1,10 +1,12 @@
 """Bodies sent to callers that can't be told complete by their connection's close."""
 
+import asyncio
 import socket
 import struct
 
 from aiohttp import HttpVersion11, web
 
+_SENT_CHECK_SECONDS = 0.01
 _LINGER = struct.Struct("ii")
 
 
@@ -46,8 +48,16 @@
         """Complete the body."""
         await self.response.write_eof()
         if self._is_reset_on_close:
+            await self._wait_until_sent()
             self._reset_on_close(False)
 
+    async def _wait_until_sent(self) -> None:
+        """Wait until the kernel has all of the body; the process may end before."""
+        transport = self.request.transport
+        while transport is not None and transport.get_write_buffer_size():
+            await asyncio.sleep(_SENT_CHECK_SECONDS)
+            transport = self.request.transport
+
     def _reset_on_close(self, enabled: bool) -> None:
         transport = self.request.transport
         if transport is None:
