Take no answer of a service that was killed inside it for whole

The clients that use aiohttp took an answer without a length or chunks for whole when its service was killed inside it: only resets failed it, and the kernel ends such connections in order. After such an answer the server must still take a connection.

--- a/src/eelgrasslock/endpoints/weight_client.py
+++ b/src/eelgrasslock/endpoints/weight_client.py
@@ -8,6 +8,7 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.endpoints.endpoint_failure import EndpointFailure, refused
 from eelgrasslock.exceptions import Ran
+from eelgrasslock.http.client_session import check_outlived
 from eelgrasslock.scheduling.calls import CallOutcome
 
 _READ_SECONDS = 60.0
@@ -70,6 +71,7 @@
                     raise await refused(response)
                 async for part in response.content.iter_any():
                     count += len(part)
+                await check_outlived(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             message = f"{type(error).__name__}: {error}"
             raise EndpointFailure(message, CallOutcome.BROKEN, Ran.NO) from error
--- a/src/eelgrasslock/http/client_session.py
+++ b/src/eelgrasslock/http/client_session.py
@@ -1,11 +1,16 @@
 """Sessions of aiohttp whose answers are read whole or not at all."""
 
+import asyncio
 import functools
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from eelgrasslock.running_timeout import RunningTimeout
+
+CONNECT_SECONDS = 0.5
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MAX_ANSWER_BYTES = 67_108_864
 
 
@@ -69,4 +74,36 @@
         if size > max_bytes:
             raise aiohttp.ClientPayloadError("The answer is too long.")
         parts.append(part)
+    await check_outlived(response)
     return b"".join(parts)
+
+
+async def check_outlived(response: aiohttp.ClientResponse) -> None:
+    """Fail if a body that ended with its connection may have ended with its server.
+
+    The kernel ends the connections of a killed process in order, and takes no new
+    ones for it.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If the server takes no connection any more.
+    """
+    if _has_end_mark(response):
+        return
+    url = response.url
+    try:
+        async with RunningTimeout(CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(url.host, url.port)
+    except (OSError, TimeoutError) as error:
+        message = f"The server ended with its answer: {error!r}."
+        raise aiohttp.ClientPayloadError(message) from error
+    writer.close()
+
+
+def _has_end_mark(response: aiohttp.ClientResponse) -> bool:
+    if response.method == "HEAD" or response.status in _STATUSES_WITHOUT_BODY:
+        return True
+    headers = response.headers
+    is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+    return is_chunked or "Content-Length" in headers
