Keep sound responses without an end mark whole

The check whether an endpoint has outlived a response broke off sound ones, as its review showed with nine tests: of endpoints that close idle connections, have all their connections in use, are full or slow to answer, and streams that are resumed after their last event or begin with a comment.

A connection that is lost while the response is under way is opened again; an open one that stays silent shows the process as well as an answer; one that takes each connection and resets it is there. An endpoint that has no room to resume a stream tells nothing of it. Lines of requests get continuations.

--- a/src/eelgrasslock/exchanges/request_context.py
+++ b/src/eelgrasslock/exchanges/request_context.py
@@ -43,6 +43,8 @@
         How the endpoint marks the end of its response, None until there is one.
     ended_by_connection : bool
         Whether the end of its connection marked the end of the response.
+    continuations : int
+        How often the endpoint was asked for what follows the last event.
     outlived_response : bool or None
         Whether the endpoint answered after the end of such a response, None if it was
         not asked.
@@ -84,6 +86,7 @@
     response_status: int = 0
     response_framing: Framing | None = None
     ended_by_connection: bool = False
+    continuations: int = 0
     outlived_response: bool | None = None
     named_limit: float | None = None
     endpoint_crashed: bool = False
@@ -122,13 +125,19 @@
     def is_stream_whole(self) -> bool:
         """Whether a stream that ends after the relayed bytes may be complete.
 
-        The end of a connection marks the end of a stream only after an event.
+        The end of a connection marks the end of a stream only after an event, which
+        the caller may have had before.
         """
         counter = self.event_counter
         if counter.in_event:
             return False
         is_marked = self.response_framing is not Framing.CLOSE
-        return is_marked or counter.completed > 0
+        return is_marked or counter.completed > 0 or self.is_resumed
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller has events of the stream from an earlier response."""
+        return self.request.last_event_id is not None
 
     @property
     def tokens_used(self) -> int:
--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -135,6 +135,7 @@
         "framing": framing.value if framing is not None else None,
         "ended_by_connection": context.ended_by_connection,
         "outlived_response": context.outlived_response,
+        "continuations": context.continuations,
         "in_event": context.in_event,
         "last_event": context.event_counter.last_id,
         "in_order": context.event_counter.is_ordered,
--- a/src/eelgrasslock/http/connection.py
+++ b/src/eelgrasslock/http/connection.py
@@ -72,6 +72,7 @@
         self._buffered = 0
         self._paused = False
         self._data_waiter: asyncio.Future[None] | None = None
+        self._end_waiter: asyncio.Future[None] | None = None
         self._in_head = False
         self._overhead_bytes = 0
         self._skipping = False
@@ -172,6 +173,17 @@
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the peer has not ended the connection."""
+        return self._usable
+
+    async def wait_ended(self) -> None:
+        """Wait until the peer ends the connection, or it is closed."""
+        if self._usable:
+            self._end_waiter = asyncio.get_running_loop().create_future()
+            await self._end_waiter
+
     # --- asyncio.Protocol -------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -206,12 +218,12 @@
         if self._body_until_eof and not self._complete:
             self.ended_response = True
             self._finish()
-        self._usable = False
+        self._end()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection."""
-        self._usable = False
+        self._end()
         if not self._complete:
             reset = isinstance(exc, ConnectionResetError)
             cause = "was reset" if reset else "ended early"
@@ -288,6 +300,11 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() == 0
 
+    def _end(self) -> None:
+        self._usable = False
+        if self._end_waiter is not None and not self._end_waiter.done():
+            self._end_waiter.set_result(None)
+
     def _finish(self) -> None:
         self._complete = True
         self._overhead_bytes = 0
--- a/src/eelgrasslock/responses/continuation.py
+++ b/src/eelgrasslock/responses/continuation.py
@@ -6,11 +6,14 @@
 from eelgrasslock.exchanges.interfaces import MessageCodec
 from eelgrasslock.exchanges.request_context import RequestContext
 from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
-from eelgrasslock.http.messages import OutgoingRequest, ResponseHead
+from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.responses.event_counter import EventCounter
+from eelgrasslock.running_timeout import RunningTimeout
 
+# How long an endpoint may take to begin; it has read the prompt before.
+HEAD_SECONDS = 1.0
 MAX_FIRST_EVENT_BYTES = 262_144
 _SUCCESS = range(200, 300)
 
@@ -52,23 +55,43 @@
     async def relay(self, on_heard: Callable[[str], None]) -> bool:
         """Relay what follows; return whether its end was that of the connection.
 
+        An endpoint that has no room for the request tells nothing of the stream.
+
         Raises
         ------
         ConnectionBroken
             If the endpoint does not tell whether the stream was whole.
         """
+        self.context.continuations += 1
         try:
             connection = await self.pool.connect(self.record.address)
         except ConnectFailed as error:
-            raise ConnectionBroken(str(error), True) from error
+            if error.was_refused:
+                raise ConnectionBroken(str(error), True) from error
+            return False
         try:
-            self._check_head(await connection.send(self._encode()))
+            if not await self._begins(connection):
+                return False
             on_heard(self.record.id)
             await self._relay_events(connection)
             return connection.ended_response
         finally:
             connection.close()
 
+    async def _begins(self, connection: HTTPConnection) -> bool:
+        """Return whether the endpoint runs the request; it may be full or busy."""
+        try:
+            async with RunningTimeout(HEAD_SECONDS):
+                head = await connection.send(self._encode())
+        except TimeoutError:
+            return False
+        response = self.codec.decode_response(head, self.context.request.id)
+        if response.not_run:
+            return False
+        if not response.is_valid or response.status not in _SUCCESS:
+            raise ConnectionBroken("The endpoint did not resume the stream.", True)
+        return True
+
     def _encode(self) -> OutgoingRequest:
         context = self.context
         last_event_id = context.event_counter.last_id
@@ -78,11 +101,6 @@
             context.request, self.record.id, remaining_seconds, last_event_id
         )
 
-    def _check_head(self, head: ResponseHead) -> None:
-        response = self.codec.decode_response(head, self.context.request.id)
-        if not response.is_valid or response.status not in _SUCCESS:
-            raise ConnectionBroken("The endpoint did not resume the stream.", True)
-
     async def _relay_events(self, connection: HTTPConnection) -> None:
         """Relay the events after the last one, if there are any."""
         counter = self.context.event_counter
@@ -90,8 +108,11 @@
         first = await _read_first_event(connection)
         resumed = EventCounter()
         resumed.feed(first)
-        is_new = resumed.last_id is not None and resumed.last_id > (last_id or 0)
-        if first and not is_new:
+        if resumed.last_id is None:
+            if resumed.in_event:
+                raise ConnectionBroken("The stream ended inside an event.", True)
+            return
+        if resumed.last_id <= (last_id or 0):
             await self._compare(connection, resumed)
             return
         chunk: bytes | None = first
@@ -113,10 +134,10 @@
 
 
 async def _read_first_event(connection: HTTPConnection) -> bytes:
-    """Return the bytes up to the first event's end at least, or all that come."""
+    """Return the bytes up to the first event with an id, or all that come."""
     counter = EventCounter()
     data = b""
-    while not counter.completed and len(data) <= MAX_FIRST_EVENT_BYTES:
+    while counter.last_id is None and len(data) <= MAX_FIRST_EVENT_BYTES:
         chunk = await connection.read()
         if chunk is None:
             break
--- a/src/eelgrasslock/responses/liveness.py
+++ b/src/eelgrasslock/responses/liveness.py
@@ -1,6 +1,7 @@
 """Finds out whether the process of an endpoint has outlived its response."""
 
 import asyncio
+import contextlib
 from types import TracebackType
 
 from eelgrasslock.exchanges.interfaces import MessageCodec
@@ -9,15 +10,19 @@
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.running_timeout import RunningTimeout
 
-ANSWER_SECONDS = 1.0
+# How long an endpoint may take to say that it is still the same one.
+ANSWER_SECONDS = 0.25
+RETRY_SECONDS = 0.05
+MAX_TRIES = 3
 
 
 class LivenessCheck:
-    """A second connection to an endpoint, opened while it gives a response.
+    """A second connection to an endpoint, kept open while it gives a response.
 
-    The kernel ends the connections of a process that is killed in order. A process
-    that answers after its response has ended was not; one that has taken over the
-    address is not connected.
+    The kernel ends the connections of a process that is killed in order, all of them,
+    and refuses new ones. A process that holds the connection after its response has
+    ended was not, whether or not it finds the time to answer. Processes that share an
+    address are not told apart.
 
     Parameters
     ----------
@@ -42,7 +47,8 @@
         self.codec = codec
         self.record = record
         self.path = path
-        self._opening: asyncio.Task[HTTPConnection] | None = None
+        self.connection: HTTPConnection | None = None
+        self._keeping: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> "LivenessCheck":
         return self
@@ -53,26 +59,62 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        task = self._opening
+        await self._stop_keeping()
+        if self.connection is not None:
+            self.connection.close()
+
+    def start(self) -> None:
+        """Begin to keep a connection open, also if the endpoint closes idle ones."""
+        self._keeping = asyncio.create_task(self._keep_open())
+
+    async def is_alive(self) -> bool:
+        """Return whether the endpoint is there after the end of its response."""
+        await self._stop_keeping()
+        connection = self.connection
+        if connection is not None and connection.is_open:
+            is_own = await self._ask(connection)
+            if is_own is not None:
+                return is_own
+        for _ in range(MAX_TRIES):
+            await asyncio.sleep(RETRY_SECONDS)
+            try:
+                connection = await self.pool.connect(self.record.address)
+            except ConnectFailed:
+                return False
+            try:
+                is_own = await self._ask(connection)
+            finally:
+                connection.close()
+            if is_own is not None:
+                return is_own
+        # It took each connection and reset it, as one does that has too many.
+        return True
+
+    async def _keep_open(self) -> None:
+        while True:
+            with contextlib.suppress(ConnectFailed):
+                self.connection = await self.pool.connect(self.record.address)
+                await self.connection.wait_ended()
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _stop_keeping(self) -> None:
+        """Wait for a connection that is being opened, then keep it as it is."""
+        task, self._keeping = self._keeping, None
         if task is None:
             return
+        if self.connection is None:
+            await asyncio.wait({task}, timeout=RETRY_SECONDS)
         task.cancel()
         await asyncio.wait({task})
-        if not task.cancelled() and task.exception() is None:
-            task.result().close()
-
-    def start(self) -> None:
-        """Begin to open the connection."""
-        self._opening = asyncio.create_task(self.pool.connect(self.record.address))
 
-    async def is_alive(self) -> bool:
-        """Return whether the endpoint answers on the connection."""
-        assert self._opening is not None
+    async def _ask(self, connection: HTTPConnection) -> bool | None:
+        """Return whether the endpoint itself answers, None if the connection ends."""
         question = self.codec.encode_probe(self.path, self.record.id)
         try:
-            connection = await asyncio.shield(self._opening)
             async with RunningTimeout(ANSWER_SECONDS):
                 head = await connection.send(question)
-        except (ConnectFailed, ConnectionBroken, TimeoutError):
-            return False
+        except ConnectionBroken:
+            return None
+        except TimeoutError:
+            return True
         return self.codec.is_answer_of(head, self.record.id)
