Test the check of an ended engine where nothing else decides

The streams of the tests may be resumed, so that the continuation alone would have found their ends, as the review saw. One that may not be resumed is whole from a live engine and broken off from a killed one.

--- a/tests/test_ended_engines.py
+++ b/tests/test_ended_engines.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import json
 import time
 
 import pytest
@@ -14,13 +15,22 @@
 from eelgrasslock_standins.platform_engine import Fault
 from engine_process import EngineProcess
 from link_faults import Cut, LinkFaults
-from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet, wait_until
+from platform_fleet import (
+    LOOKUPS,
+    POSTS,
+    TURNS,
+    PlatformFleet,
+    configuration,
+    wait_until,
+)
 
 EVENTS = 8
 EVENT_SECONDS = 0.02
 WAIT_SECONDS = 5.0
 STREAMS = 3
 FRAMINGS = ["none", "unframed"]
+ONCE_ONLY = configuration()
+ONCE_ONLY["routes"][0]["resumable"] = False
 
 
 @pytest.fixture
@@ -106,6 +116,19 @@
         assert not is_whole
 
 
+class TestStreamsThatMayNotBeResumed:
+    async def test_only_that_of_a_killed_engine_is_broken_off(self, fleet):
+        # Such a stream is not continued, so that the liveness check decides alone.
+        fleet.configure_raw(json.dumps(ONCE_ONLY).encode())
+        engines = await EngineFleet(fleet).start(
+            "unframed", events=EVENTS, event_seconds=EVENT_SECONDS
+        )
+        body, is_whole = await engines.stream()
+        assert (len(events_of(body)), is_whole) == (EVENTS, True)
+        body, is_whole = await engines.stream(3, engines.engines[0].kill)
+        assert not is_whole
+
+
 class TestStreamsThatEndEarly:
     async def test_a_stream_that_its_live_engine_ends_early_goes_on(self, fleet):
         engine = await fleet.endpoint("models", events=EVENTS)
