--- a/src/eelgrasslock/platform/record_decoder.py
+++ b/src/eelgrasslock/platform/record_decoder.py
@@ -70,18 +70,29 @@
         """Decode a configuration; return None for a record with another key."""
         if key != _CONFIGURATION_KEY:
             return None
-        try:
-            entry = parse_json(value)
-            services = [_service(item) for item in entry["services"]]
-            return RoutingConfiguration(
-                version=_version(entry),
-                routes=tuple(_route(item) for item in entry["routes"]),
-                services={service.name: service for service in services},
-                limits=_limits(entry.get("limits", {})),
-                workspaces=tuple(_workspace(one) for one in entry.get("tenants") or ()),
-            )
-        except _DECODE_ERRORS as error:
-            raise RecordError(f"The configuration is invalid: {error!r}") from error
+        return decode_document(value)
+
+
+def decode_document(value: bytes) -> RoutingConfiguration:
+    """Return the configuration in a document.
+
+    Raises
+    ------
+    RecordError
+        If it is no valid configuration.
+    """
+    try:
+        entry = parse_json(value)
+        services = [_service(item) for item in entry["services"]]
+        return RoutingConfiguration(
+            version=_version(entry),
+            routes=tuple(_route(item) for item in entry["routes"]),
+            services={service.name: service for service in services},
+            limits=_limits(entry.get("limits", {})),
+            workspaces=tuple(_workspace(one) for one in entry.get("tenants") or ()),
+        )
+    except _DECODE_ERRORS as error:
+        raise RecordError(f"The configuration is invalid: {error!r}") from error
 
 
 def configuration_findings(file: str, value: bytes) -> list[Finding]:
