Keep workspaces within their quotas over all daemons

Cause: rate and burst of a workspace were read and not kept. A workspace that sent several times its usual took the others' places, and the rule for quotas was broken.

Change: each failure domain has an equal part of each quota, a token bucket at the daemon that is ranked first there. The others lease tokens from it, ahead of need while requests come quickly, and from the other domains if their own has none left. A leased token lasts a fifth of a second; this, and what new owners may grant at once, is within the overage and the slack of the settings. An owner grants less the fewer daemons of its domain it hears of, and nothing soon after it reaches nobody. A token is taken once a request and given back if no endpoint can have run it. One call between daemons is added (leaseRequests, the 24th).

--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -43,6 +43,11 @@
     refusal: Refusal | None = None
     context: RequestContext | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run the request."""
+        return self.context is not None and self.context.possible_executions > 0
+
     def mark_served(self) -> None:
         """Record that an endpoint's complete response was relayed."""
         self.outcome = "served"
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -123,8 +123,11 @@
             self.platform.log,
             self.scheduler,
             lambda: self.followers.is_endpoints_view_current(),
+            lambda: self.routing.workspaces,
             self.clock,
+            self.rng,
         )
+        self.shared.quotas.count = self.metrics.quota_tokens_moved
         self.shared.limits.on_tokens = self.dispatcher.wake_up
         self.dispatcher.on_processed = self.shared.limits.request_tokens
 
@@ -268,6 +271,7 @@
         self.shared.watch_versions(self.endpoint_registry.entries.values())
         self.peer_forwarder.forget_past()
         self.shared.limits.forget_others(self.endpoint_registry.entries.keys())
+        self.shared.quotas.update()
         self.scheduler.decay_reported_loads()
         self.endpoint_ends.drop_past()
         self.draw_keepers.update()
--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -97,6 +97,11 @@
         "Whether turns are refused because they can't be stored.",
         lambda: conversations.writer.breaker.is_open,
     )
+    watch(
+        "quotas_held",
+        "Buckets and workspaces in memory.",
+        sources.shared.quotas.held_state,
+    )
     quarantine = sources.scheduler.quarantine
     watch(
         "suspects",
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -16,6 +16,7 @@
 from eelgrasslock.exchanges.request_digest import request_digest
 from eelgrasslock.forwarding.forwarder import Forwarder
 from eelgrasslock.gateway.access_log import AccessLogEntry, AccessLogger
+from eelgrasslock.quotas.quota_controller import QuotaController
 from eelgrasslock.registry.endpoint_registry import EndpointRegistry
 from eelgrasslock.requests.in_flight import InFlight
 from eelgrasslock.responses.responder import CallerResponder, ResponseTruncated
@@ -69,6 +70,8 @@
         The endpoints, one of which requests for the same object prefer.
     access : WorkspaceAccess
         Finds the workspaces of requests.
+    quotas : QuotaController
+        Keeps workspaces within their quotas.
 
     Attributes
     ----------
@@ -97,7 +100,9 @@
         conversations: Conversations,
         endpoint_registry: EndpointRegistry,
         access: WorkspaceAccess,
+        quotas: QuotaController,
     ) -> None:
+        self.quotas = quotas
         self.access = access
         self.conversations = conversations
         self.endpoint_registry = endpoint_registry
@@ -164,6 +169,20 @@
         route = self._find_route(request)
         request = self.access.admit(request, route)
         log_entry.request = request
+        token = await self.quotas.take(request.workspace)
+        try:
+            await self._serve_admitted(request, route, responder, log_entry)
+        finally:
+            if not log_entry.may_have_run:
+                self.quotas.give_back(token)
+
+    async def _serve_admitted(
+        self,
+        request: GatewayRequest,
+        route: Route,
+        responder: CallerResponder,
+        log_entry: AccessLogEntry,
+    ) -> None:
         origin = await self.stream_versions.find_origin(request, route)
         service = self._select_service(request, route, origin)
         timeout_seconds = route.timeout_seconds
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -188,4 +188,5 @@
             Conversations(sources.shared.conversations, sources.clock),
             sources.endpoint_registry,
             self.access,
+            sources.shared.quotas,
         )
--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -46,6 +46,12 @@
         from then on the removal of an endpoint is final.
     conversation_cache_megabytes : float
         How much memory the turns of conversations may take.
+    quota_window_seconds : float
+        The time in which the requests of a workspace are counted.
+    quota_overage : float
+        The part of its quota by which it may exceed it in such a time.
+    quota_slack : float
+        The requests by which it may exceed it besides.
     is_first_start : bool
         Whether the whole fleet starts for the first time, so that no program has
         been served yet.
@@ -66,6 +72,9 @@
     configuration_apply_milliseconds: float = 2_000.0
     stable_window_milliseconds: float = 3_000.0
     conversation_cache_megabytes: float = 8.0
+    quota_window_seconds: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
     is_first_start: bool = False
 
     @property
--- a/src/eelgrasslock/gateway/shared_controllers.py
+++ b/src/eelgrasslock/gateway/shared_controllers.py
@@ -1,5 +1,6 @@
 """The controllers whose state all daemons of the fleet hold together."""
 
+import random
 from collections.abc import Callable, Iterable
 
 from eelgrasslock.clock import Clock
@@ -12,12 +13,15 @@
 from eelgrasslock.limits.limit_controller import LimitController
 from eelgrasslock.peers.daemon_ranking import DaemonRanking
 from eelgrasslock.peers.peer_callbacks import PeerCallbacks
+from eelgrasslock.quotas.quota_controller import QuotaController
+from eelgrasslock.quotas.quota_share import QuotaBounds
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.responses.stream_versions import StreamVersions
 from eelgrasslock.routing.routes import RouteTable
 from eelgrasslock.scheduling.scheduler import Scheduler
 from eelgrasslock.streams.stream_controller import StreamController
 from eelgrasslock.streams.version_watch import VersionWatch
+from eelgrasslock.workspaces.workspace import WorkspaceDirectory
 
 
 class SharedControllers:
@@ -35,8 +39,12 @@
         Is told of the tokens of limits.
     is_endpoints_view_current : callable
         Returns whether the view of the endpoints is young enough to be used.
+    workspaces : callable
+        Returns the workspaces of the configuration in force.
     clock : Clock
         The source of time.
+    rng : random.Random
+        The generator for jitter.
 
     Attributes
     ----------
@@ -44,6 +52,8 @@
         Ranks the daemons for each key.
     limits : LimitController
         Keeps the limits of requests that endpoints name.
+    quotas : QuotaController
+        Keeps the quotas of workspaces.
     version_watch : VersionWatch
         The software versions of late.
     streams : StreamController
@@ -61,13 +71,23 @@
         log: TrimmableLog,
         scheduler: Scheduler,
         is_endpoints_view_current: Callable[[], bool],
+        workspaces: Callable[[], WorkspaceDirectory],
         clock: Clock,
+        rng: random.Random,
     ) -> None:
         mesh = peer_coordinator.mesh
         self.ranking = DaemonRanking(peer_coordinator.load_exchange, clock.monotonic)
         self.limits = LimitController(
             self.ranking, mesh, scheduler.limited_calls, clock
         )
+        bounds = QuotaBounds(
+            window_seconds=settings.quota_window_seconds,
+            overage=settings.quota_overage,
+            slack=settings.quota_slack,
+        )
+        self.quotas = QuotaController(
+            self.ranking, mesh, workspaces, bounds, clock, rng
+        )
         self.version_watch = VersionWatch(clock, is_endpoints_view_current)
         self.streams = StreamController(self.ranking, mesh, self.version_watch, clock)
         self.stream_versions = StreamVersions(self.streams)
@@ -84,6 +104,7 @@
 
     def _register(self, callbacks: PeerCallbacks) -> None:
         callbacks.grant_requests = self.limits.serve
+        callbacks.lease_requests = self.quotas.serve
         callbacks.tell_streams = self.streams.serve_tell
         callbacks.find_stream = self.streams.serve_find
         callbacks.tell_turns = self.conversations.directory.serve_tell
@@ -103,5 +124,6 @@
     async def stop(self) -> None:
         """Stop telling and asking other daemons."""
         await self.limits.stop()
+        await self.quotas.stop()
         await self.streams.stop()
         await self.conversations.stop()
--- a/src/eelgrasslock/peers/daemon_ranking.py
+++ b/src/eelgrasslock/peers/daemon_ranking.py
@@ -36,10 +36,30 @@
         entries = [*self.registry.entries.values(), self.registry.own]
         return sorted(entries, key=lambda entry: _weight(key, entry.name))
 
+    def ranked_in(self, domain: str, key: str) -> list[DaemonEntry]:
+        """Return the registered daemons of a domain, the responsible one first."""
+        entries = self.daemons_in(domain)
+        return sorted(entries, key=lambda entry: _weight(key, entry.name))
+
+    def daemons_in(self, domain: str) -> list[DaemonEntry]:
+        """Return the registered daemons of a domain."""
+        entries = [*self.registry.entries.values(), self.registry.own]
+        return [one for one in entries if one.domain == domain]
+
+    def domains(self) -> list[str]:
+        """Return the domains of the registered daemons, the own one first."""
+        own = self.registry.own.domain
+        others = {one.domain for one in self.registry.entries.values()} - {own}
+        return [own, *sorted(others)]
+
     def is_heard_of(self, entry: DaemonEntry) -> bool:
         """Return whether a daemon's heartbeats still come, or may come yet."""
         silence = max(SILENCE_SECONDS, 3 * self.load_exchange.interval())
-        since = self.monotonic() - silence
+        return self.is_heard_of_within(entry, silence)
+
+    def is_heard_of_within(self, entry: DaemonEntry, seconds: float) -> bool:
+        """Return whether a daemon's last heartbeat is as young, or may come yet."""
+        since = self.monotonic() - seconds
         return self.load_exchange.may_have_served(entry, since)
 
     def daemon_count(self) -> int:
--- a/src/eelgrasslock/peers/peer.capnp
+++ b/src/eelgrasslock/peers/peer.capnp
@@ -112,5 +112,6 @@
   giveDraws @21 (programs :List(KeptProgram)) -> ();
   fetchDraws @22 (joiner :Text, domain :Text) -> (counts :Bool, programs :List(KeptProgram));  # a daemon named so joins that domain; all that the receiver keeps, if it is of the same one
   tellSilent @23 (owner :Text, endpoint :Text, digests :List(Text)) -> ();  # calls of the sender for which nothing is heard of the endpoint
+  leaseRequests @24 (workspace :Text, needed :UInt32, extra :UInt32) -> (isOwner :Bool, count :UInt32, waitSeconds :Float64);  # tokens of a workspace's quota, of the part that the receiver's failure domain keeps: for requests that wait, and ahead
   release @11 (program :Text) -> (tokens :Int64);  # the tokens that the receiver gives up
 }
--- a/src/eelgrasslock/peers/peer_callbacks.py
+++ b/src/eelgrasslock/peers/peer_callbacks.py
@@ -42,6 +42,8 @@
         those that are drawn in all.
     grant_requests : callable
         Answers a daemon that asks for tokens of an endpoint with a limit.
+    lease_requests : callable
+        Answers a daemon that asks for tokens of a workspace's quota.
     tell_streams, find_stream : callable
         Take note of where streams of other daemons began, and tell it.
     tell_turns, find_turn, fetch_turns : callable
@@ -75,6 +77,7 @@
         self.fetch_draws: CallHandler = _refuse_call
         self.tell_silent: CallHandler = _refuse_call
         self.grant_requests: CallHandler = _refuse_call
+        self.lease_requests: CallHandler = _refuse_call
         self.tell_streams: CallHandler = _refuse_call
         self.find_stream: CallHandler = _refuse_call
         self.tell_turns: CallHandler = _refuse_call
--- a/src/eelgrasslock/peers/peer_handlers.py
+++ b/src/eelgrasslock/peers/peer_handlers.py
@@ -203,6 +203,14 @@
             self.callbacks.grant_requests(message, _context.results)
         )
 
+    async def leaseRequests(  # noqa: N802
+        self, _context: Any, **message: Any
+    ) -> None:
+        """Lease tokens of a workspace's quota."""
+        await self.connection.run(
+            self.callbacks.lease_requests(message, _context.results)
+        )
+
     async def tellStreams(  # noqa: N802
         self, _context: Any, **message: Any
     ) -> None:
--- /dev/null
+++ b/src/eelgrasslock/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of requests that workspaces have over all daemons together."""
--- a/src/eelgrasslock/telemetry/gateway_metrics.py
+++ b/src/eelgrasslock/telemetry/gateway_metrics.py
@@ -50,6 +50,9 @@
         self.tokens = self._counter(
             "allowance_tokens", "Tokens of budgets by what became of them.", "action"
         )
+        self.quota_tokens = self._counter(
+            "quota_tokens", "Tokens of quotas by what became of them.", "action"
+        )
         self.lag_seconds = self._histogram(
             "loop_lag_seconds", "How late the event loop runs a timer.", ""
         )
@@ -69,6 +72,10 @@
         """Count tokens of budgets."""
         self.tokens.labels(action).inc(tokens)
 
+    def quota_tokens_moved(self, action: str, tokens: int) -> None:
+        """Count tokens of quotas."""
+        self.quota_tokens.labels(action).inc(tokens)
+
     def route_label(self, name: str) -> str:
         """Return a route's name, or one for all beyond a bound."""
         if name in self.routes:
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -85,6 +85,7 @@
         ("giveDraws", "programs", ""),
         ("fetchDraws", "joiner domain", "counts programs"),
         ("tellSilent", "owner endpoint digests", ""),
+        ("leaseRequests", "workspace needed extra", "isOwner count waitSeconds"),
     ],
 }
 OUTCOMES = ["done", "moved", "unavailable", "unresolved"]
