--- a/tests/test_configuration_review.py
+++ b/tests/test_configuration_review.py
@@ -95,7 +95,7 @@
         assert "route lookups: timeout_seconds 4.0 -> 2.0" in output
         assert "route public: removed" in output
         assert "limits: max_body_bytes 100000 -> 5" in output
-        assert "workspace two: requests_per_second 5.0 -> 9.0" in output
+        assert "workspace two: requests_per_second 50.0 -> 9.0" in output
         assert "workspace three: added" in output
 
     def test_keys_are_counted_and_not_shown(self, tmp_path):
