Refuse first the programs of workspaces beyond their shares

Cause: load shedding looked at the engines alone. While one workspace sent seven times its usual, new programs of all workspaces were refused alike.

Programs of workspaces of lower priority are refused before those of any route of higher ones. Without workspaces nothing changes.

--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -75,6 +75,11 @@
         "Most calls for each engine place.",
         sources.load_shedder.max_load_ratio,
     )
+    watch(
+        "workspaces_beyond_share",
+        "Workspaces that ask for more than their shares.",
+        sources.load_shedder.workspaces_beyond_share,
+    )
     conversations = sources.shared.conversations
     watch("turns_stored", "Turns stored.", lambda: conversations.writer.stored)
     watch(
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -23,7 +23,7 @@
 from eelgrasslock.routing.affinity import preferred_endpoint
 from eelgrasslock.routing.routes import Route, ServiceSpec
 from eelgrasslock.routing.routing_state import RoutingState
-from eelgrasslock.scheduling.load_shedding import LoadShedder
+from eelgrasslock.scheduling.load_shedding import CallerWorkspace, LoadShedder
 from eelgrasslock.streams.stream_controller import KnownOrigin
 from eelgrasslock.turns.conversations import (
     MAX_INTERRUPT_SECONDS,
@@ -300,12 +300,17 @@
         route = context.route
         service = context.service.name
         has_top_priority = self.routing.table.has_top_priority(route, service)
+        workspace = None
+        if name := context.request.workspace:
+            is_lower = self.routing.workspaces.has_lower_priority(name)
+            workspace = CallerWorkspace(name, is_lower)
         try:
             self.load_shedder.check(
                 service,
                 reservation.stage,
                 has_top_priority,
                 self.forwarder.limited_wait_ratio(context),
+                workspace,
             )
         except Refusal:
             self.allowances.cancel(reservation)
--- a/src/eelgrasslock/workspaces/workspace.py
+++ b/src/eelgrasslock/workspaces/workspace.py
@@ -62,6 +62,11 @@
         """Whether requests need a key."""
         return bool(self.by_name)
 
+    def has_lower_priority(self, name: str) -> bool:
+        """Return whether another workspace has priority over one; none counts as 0."""
+        workspace = self.by_name.get(name)
+        return workspace is not None and (workspace.priority or 0) > self.top_priority
+
     def find(self, key: str) -> Workspace | None:
         """Return the workspace that holds a key, None if none does."""
         return self._by_key.get(key) if key else None
--- a/tests/burst_simulation.py
+++ b/tests/burst_simulation.py
@@ -82,6 +82,9 @@
             )
             self.programs.append(program)
             self._schedule(now, self._begin, program)
+        self._run_events()
+
+    def _run_events(self):
         while self.events:
             time, _, action, program = heapq.heappop(self.events)
             self.clock.advance(time - self.clock.monotonic())
