Start waiting calls in a fair order of their workspaces

Cause: waiting calls were ranked by the start of their program alone, so that the calls of a workspace with many kept those of all others waiting, and the wait that was predicted from them refused the others.

Change: `WorkspaceClock` ranks the call of a new program later by the time that an equal share of the slots needs for the waiting calls of its workspace before it. The predicted wait counts of each other workspace no more calls than of the caller's own, and one workspace may take half of the queue. Calls without a workspace are ranked as before.

--- a/src/eelgrasslock/forwarding/forwarder.py
+++ b/src/eelgrasslock/forwarding/forwarder.py
@@ -87,7 +87,7 @@
 
     def suggest(self, context: RequestContext) -> str:
         """Return the endpoint that a request would go to now, empty for none."""
-        return self.scheduler.suggest(_make_call(context, 0))
+        return self.scheduler.suggest(self._make_call(context, 0))
 
     def limited_wait_ratio(self, context: RequestContext) -> float:
         """Return the calls that limits keep waiting for each that runs."""
@@ -122,7 +122,8 @@
             if not self.links.are_old_alive:
                 await self._forward_through_peer(context)
                 return
-            call = _make_call(context, refused_attempts + context.possible_executions)
+            attempt = refused_attempts + context.possible_executions
+            call = self._make_call(context, attempt)
             queued_at = self.clock.monotonic()
             try:
                 assignment = await self._acquire(context, call)
@@ -175,6 +176,31 @@
                 QUARANTINED, refusal.sentence, 503, Ran.NO, QUARANTINE_RETRY_SECONDS
             ) from refusal
 
+    def _make_call(self, context: RequestContext, attempt: int) -> Call:
+        request = context.request
+        route = context.route
+        is_lookup = route.kind is RouteKind.SAFE
+        return Call(
+            id=f"{request.id}.{attempt}.{id(context):x}",
+            program=request.program_key or request.id,
+            service=context.service.name,
+            model=context.service.name if context.service.engine else "",
+            call_class=CallClass.LOOKUP if is_lookup else CallClass.CALLER_WAITING,
+            keys=prompt_keys(request.prompt_parts),
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.output_tokens,
+            deadline=context.deadline,
+            preferred_endpoint=context.preferred_endpoint,
+            digest=context.digest,
+            # Independent lookups that are merely equal don't wait for each other.
+            limits_copies=bool(request.body),
+            excluded=frozenset(context.tried_endpoints),
+            version=context.version,
+            workspace=request.workspace,
+            has_lower_priority=bool(request.workspace)
+            and self.access.directory().has_lower_priority(request.workspace),
+        )
+
     def _check_access(self, context: RequestContext) -> None:
         """Refuse a request whose key was taken away while it waited."""
         try:
@@ -227,29 +253,6 @@
         ).info("Attempt failed without a complete response. {}", assignment.reason)
 
 
-def _make_call(context: RequestContext, attempt: int) -> Call:
-    request = context.request
-    route = context.route
-    is_lookup = route.kind is RouteKind.SAFE
-    return Call(
-        id=f"{request.id}.{attempt}.{id(context):x}",
-        program=request.program_key or request.id,
-        service=context.service.name,
-        model=context.service.name if context.service.engine else "",
-        call_class=CallClass.LOOKUP if is_lookup else CallClass.CALLER_WAITING,
-        keys=prompt_keys(request.prompt_parts),
-        prompt_tokens=request.prompt_tokens,
-        max_tokens=request.output_tokens,
-        deadline=context.deadline,
-        preferred_endpoint=context.preferred_endpoint,
-        digest=context.digest,
-        # Independent lookups that are merely equal don't wait for each other.
-        limits_copies=bool(request.body),
-        excluded=frozenset(context.tried_endpoints),
-        version=context.version,
-    )
-
-
 def _may_retry(context: RequestContext, result: AttemptResult) -> bool:
     route = context.route
     if result.outcome is AttemptOutcome.SILENT:
--- a/src/eelgrasslock/scheduling/admission.py
+++ b/src/eelgrasslock/scheduling/admission.py
@@ -17,6 +17,8 @@
 from eelgrasslock.scheduling.slot_allocator import SlotAllocator
 
 MAX_WAITING_CALLS = 5_000
+# Part of the queue that the calls of one workspace may take.
+MAX_WAITING_CALLS_SHARE = 0.5
 # How long a call may wait where all endpoints have reached the limits that they named.
 TOKEN_WAIT_SECONDS = 1.0
 NEW_PROGRAM_TOKEN_WAIT_SECONDS = 0.25
@@ -200,7 +202,7 @@
         limit = wait_limit(self.limits, call.call_class)
         if _is_new(call, program):
             limit *= _NEW_PROGRAM_LIMIT_SHARE
-        if waiting >= MAX_WAITING_CALLS:
+        if waiting >= MAX_WAITING_CALLS or _fills_queue(call, pool):
             raise _overloaded("queue_full", "Too many calls wait.", wait)
         if wait > limit:
             sentence = f"The wait would be about {wait:.0f} seconds."
@@ -212,7 +214,9 @@
             raise _overloaded("deadline_out_of_reach", sentence, wait)
 
     def _wait_seconds(self, call: Call, pool: EndpointPool) -> float:
-        return pool.predicted_wait(call.call_class, self.slots.daemon_count)
+        return pool.predicted_wait(
+            call.call_class, self.slots.daemon_count, call.workspace
+        )
 
 
 def _is_new(call: Call, program: ProgramUsage) -> bool:
@@ -222,6 +226,18 @@
     return not program.calls_started
 
 
+def _fills_queue(call: Call, pool: EndpointPool) -> bool:
+    """Return whether a workspace's waiting calls take its part of the queue."""
+    if not call.workspace:
+        return False
+    own = sum(
+        count
+        for (_, name), count in pool.waiting_by_workspace.items()
+        if name == call.workspace
+    )
+    return own >= MAX_WAITING_CALLS_SHARE * MAX_WAITING_CALLS
+
+
 def _token_wait(call: Call, pool: EndpointPool, now: float) -> float:
     """Return the seconds until a call would get a token, 0.0 if it needs none.
 
--- a/src/eelgrasslock/scheduling/calls.py
+++ b/src/eelgrasslock/scheduling/calls.py
@@ -46,6 +46,10 @@
         Endpoints on which this call has failed.
     version : str
         The software version that an endpoint must have to run it, empty for any.
+    workspace : str
+        The workspace that sends it, empty if it has none.
+    has_lower_priority : bool
+        Whether another workspace has priority over its own.
     """
 
     id: str
@@ -63,6 +67,8 @@
     limits_copies: bool = True
     excluded: frozenset[str] = frozenset()
     version: str = ""
+    workspace: str = ""
+    has_lower_priority: bool = False
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/scheduling/endpoint_pool.py
+++ b/src/eelgrasslock/scheduling/endpoint_pool.py
@@ -1,12 +1,19 @@
 """The endpoints that can run one model or service, and their waiting calls."""
 
+from collections import Counter
+
 from attrs import define, field
 
 from eelgrasslock.requests.exchange import CallClass
 from eelgrasslock.scheduling.cache_admission import CacheAdmission
+from eelgrasslock.scheduling.calls import Call
 from eelgrasslock.scheduling.endpoint_state import EndpointState
-from eelgrasslock.scheduling.queueing import CallHeap, WaitingCall
+from eelgrasslock.scheduling.queueing import CallHeap, ProgramUsage, WaitingCall
 from eelgrasslock.scheduling.slot_allocator import SlotAllocator
+from eelgrasslock.scheduling.workspace_clock import (
+    LOWER_PRIORITY_SECONDS,
+    WorkspaceClock,
+)
 
 REVIEW_INTERVAL_SECONDS = 0.25
 _RUN_TIME_SMOOTHING = 0.05
@@ -51,6 +58,10 @@
         Endpoints that may have a free slot since the last pass, in order.
     waiting : dict of CallClass to int
         Number of waiting calls by class.
+    waiting_by_workspace : Counter of (CallClass, str)
+        Number of waiting calls of workspaces.
+    workspace_clock : WorkspaceClock
+        Ranks the calls of workspaces.
     review_at : float
         Time of the next review on the monotonic clock, in seconds.
     slot_count : int
@@ -76,6 +87,8 @@
     waiting: dict[CallClass, int] = field(
         factory=lambda: dict.fromkeys(CallClass, 0),
     )
+    waiting_by_workspace: Counter[tuple[CallClass, str]] = field(factory=Counter)
+    workspace_clock: WorkspaceClock = field(factory=WorkspaceClock)
     review_at: float = 0.0
     slot_count: int = 0
     start_wait_seconds: float = 0.0
@@ -109,8 +122,11 @@
 
     def add(self, waiting: WaitingCall) -> None:
         """Add a waiting call."""
-        self.waiting[waiting.call.call_class] += 1
-        if waiting.call.call_class is CallClass.LOOKUP:
+        call = waiting.call
+        self.waiting[call.call_class] += 1
+        if call.workspace:
+            self.waiting_by_workspace[call.call_class, call.workspace] += 1
+        if call.call_class is CallClass.LOOKUP:
             self.lookups.push(waiting)
         elif waiting.is_new_program:
             self.new_programs.push(waiting)
@@ -121,7 +137,10 @@
     def remove(self, waiting: WaitingCall) -> None:
         """Remove a waiting call; its heap drops it when it reaches the top."""
         waiting.removed = True
-        self.waiting[waiting.call.call_class] -= 1
+        call = waiting.call
+        self.waiting[call.call_class] -= 1
+        if call.workspace:
+            self._count_left(call.call_class, call.workspace)
         self._leave_endpoint_queue(waiting)
         if waiting.is_new_program:
             self.cache_admission.remove(waiting.call.prompt_tokens, waiting.admitted)
@@ -201,9 +220,30 @@
             self.unplaced.push(head)
             head = self.new_programs.head()
 
-    def predicted_wait(self, call_class: CallClass, daemon_count: int) -> float:
-        """Return the predicted seconds until a new call of a class starts."""
+    def fair_delay(
+        self, call: Call, program: ProgramUsage, daemon_count: int, now: float
+    ) -> float:
+        """Return the seconds by which a workspace's call is ranked later.
+
+        A program under way does not wait for its workspace's share, but counts.
+        """
+        if not call.workspace:
+            return 0.0
+        slots = max(1.0, self.slot_count / daemon_count)
+        waiting = {name for _, name in self.waiting_by_workspace}
+        has_waiting = call.workspace in waiting
+        seconds = self.service_seconds * len(waiting | {call.workspace}) / slots
+        lag = self.workspace_clock.lag(call.workspace, seconds, has_waiting, now)
+        delay = 0.0 if program.calls_started else lag
+        return delay + LOWER_PRIORITY_SECONDS * call.has_lower_priority
+
+    def predicted_wait(
+        self, call_class: CallClass, daemon_count: int, workspace: str = ""
+    ) -> float:
+        """Return the predicted seconds until a new call starts."""
         ahead = self.ahead_of(call_class)
+        if workspace:
+            ahead = self.ahead_of_workspace(call_class, workspace)
         slots = max(1.0, self.slot_count / daemon_count)
         return ahead * self.service_seconds / slots
 
@@ -213,6 +253,31 @@
             count for other, count in self.waiting.items() if other <= call_class
         )
 
+    def ahead_of_workspace(self, call_class: CallClass, workspace: str) -> int:
+        """Return the number of waiting calls that go before a workspace's next one.
+
+        Of each workspace these are no more than its own.
+        """
+        counts: Counter[str] = Counter()
+        for (other, name), count in self.waiting_by_workspace.items():
+            if other <= call_class:
+                counts[name] += count
+        own = counts[workspace] + 1
+        others = self.ahead_of(call_class) - counts.total()
+        return (
+            others
+            + counts[workspace]
+            + sum(
+                min(own, count) for name, count in counts.items() if name != workspace
+            )
+        )
+
+    def _count_left(self, call_class: CallClass, workspace: str) -> None:
+        key = (call_class, workspace)
+        self.waiting_by_workspace[key] -= 1
+        if not self.waiting_by_workspace[key]:
+            del self.waiting_by_workspace[key]
+
     def _leave_endpoint_queue(self, waiting: WaitingCall) -> None:
         if waiting.queued_endpoint:
             self.endpoint_queue_lengths[waiting.queued_endpoint] -= 1
--- a/src/eelgrasslock/scheduling/queueing.py
+++ b/src/eelgrasslock/scheduling/queueing.py
@@ -136,6 +136,12 @@
         return (1, now, next(self._order))
 
 
+def delayed(rank: Rank, seconds: float) -> Rank:
+    """Return a rank of the same class that is later by some seconds."""
+    group, time, order = rank
+    return (group, time + seconds, order)
+
+
 class CallHeap:
     """A heap of waiting calls by rank, which drops removed calls lazily."""
 
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -5,10 +5,7 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.configuration.settings import Configuration
 from eelgrasslock.requests.usage import Usage
-from eelgrasslock.scheduling.admission import (
-    AdmissionControl,
-    ExpiredCall,
-)
+from eelgrasslock.scheduling.admission import AdmissionControl, ExpiredCall
 from eelgrasslock.scheduling.call_expiry import CallExpiry
 from eelgrasslock.scheduling.call_starter import CallStarter
 from eelgrasslock.scheduling.calls import (
@@ -30,10 +27,9 @@
 from eelgrasslock.scheduling.quarantine import Quarantine
 from eelgrasslock.scheduling.queueing import (
     ProgramTable,
-    ProgramUsage,
-    Rank,
     Ranking,
     WaitingCall,
+    delayed,
 )
 from eelgrasslock.scheduling.retry_budget import RetryBudgets
 from eelgrasslock.scheduling.slot_allocator import SlotAllocator
@@ -140,7 +136,11 @@
             output_tokens = min(output_tokens, call.max_tokens)
         count = len(self.waiting)
         pool = self.admission.check(call, program, output_tokens, count, now)
-        rank = self._rank(call, program, now)
+        rank = self.ranking.by_arrival(now)
+        if self.features.program_order:
+            rank = self.ranking.by_program(call, program, now)
+        delay = pool.fair_delay(call, program, self.slots.daemon_count, now)
+        rank = delayed(rank, delay)
         keys = call.keys or chunk_keys(call.blocks)
         waiting = WaitingCall(call, keys, rank, now, output_tokens)
         waiting.is_new_program = (
@@ -341,10 +341,5 @@
 
     # --- helpers ----------------------------------------------------------
 
-    def _rank(self, call: Call, program: ProgramUsage, now: float) -> Rank:
-        if self.features.program_order:
-            return self.ranking.by_program(call, program, now)
-        return self.ranking.by_arrival(now)
-
     def _state_of(self, call_id: str) -> EndpointState | None:
         return self.endpoint_table.find(self.endpoint_by_call.get(call_id, ""))
