Judge excesses and the total of one moment together

Cause: the excesses of workspaces were up to 0.2 s old, the total that they were taken from was not. When a hot workspace's demand jumped, the difference counted as demand of the others, who were refused for it. A refused program also counted with any number of turns while few new programs were known, and each review looked at all workspaces.

Change: the total is kept with the excesses; a refused program counts with 20 turns at most; a review stops at workspaces silent for 10 s. A test lets a hot and a small workspace meet a daemon over sockets.

--- a/src/eelgrasslock/scheduling/load_shedding.py
+++ b/src/eelgrasslock/scheduling/load_shedding.py
@@ -252,7 +252,7 @@
         excess = excesses.get(workspace.name)
         fresh_share = shed_share(ratio, ProgramStage.FRESH, has_top_priority)
         fair_share = fair_refusal_share(
-            fresh_share, excess, list(excesses.values()), demand.rate(now)
+            fresh_share, excess, list(excesses.values()), demand.reviewed_rate
         )
         if excess is not None:
             early = shed_share(ratio + EXCESS_RATIO_MARGIN, stage, has_top_priority)
--- a/src/eelgrasslock/scheduling/workspace_demand.py
+++ b/src/eelgrasslock/scheduling/workspace_demand.py
@@ -18,8 +18,10 @@
 EXCESS_RATIO = 2.0
 MIN_RECENT_REQUESTS = 5.0
 MIN_HISTORY_SECONDS = 4.0
-MIN_USUAL_REQUESTS = 0.5
+# Workspaces that were silent for longer do not count for an equal share.
+ACTIVE_SECONDS = 10.0
 REVIEW_SECONDS = 0.2
+MAX_TURNS_PER_PROGRAM = 20.0
 MAX_WORKSPACES = 8_000
 
 
@@ -83,6 +85,8 @@
     ----------
     counts : OrderedDict of str to WorkspaceCounts
         The counts by workspace, the one that was silent the longest first.
+    reviewed_rate : float
+        The requests a second of all workspaces at the time of the excesses.
     """
 
     def __init__(self) -> None:
@@ -91,6 +95,7 @@
         self._requests = DecayedCount(USUAL_SECONDS)
         self._programs = DecayedCount(USUAL_SECONDS)
         self._since: float | None = None
+        self.reviewed_rate = 0.0
         self._excesses: dict[str, Excess] = {}
         self._review_at = -math.inf
 
@@ -110,7 +115,8 @@
         demand is not taken for lower because its programs are refused.
         """
         programs = self._programs.read(now)
-        later = self._requests.read(now) / programs - 1.0 if programs >= 1.0 else 0.0
+        turns = self._requests.read(now) / programs if programs >= 1.0 else 1.0
+        later = min(turns, MAX_TURNS_PER_PROGRAM) - 1.0
         self._requests.add(-1.0, now)
         self._programs.add(-1.0, now)
         self._count(workspace, max(0.0, later), now)
@@ -134,6 +140,7 @@
         """Return the workspaces that ask for more than their shares."""
         if now >= self._review_at:
             self._review_at = now + REVIEW_SECONDS
+            self.reviewed_rate = self.rate(now)
             self._excesses = self._review(now)
         return self._excesses
 
@@ -144,14 +151,15 @@
         filled = 1.0 - math.exp((self._since - now) / USUAL_SECONDS)
         active = 0
         candidates = []
-        for name, counts in self.counts.items():
-            usual = counts.usual.read(now)
-            active += usual >= MIN_USUAL_REQUESTS
+        for name, counts in reversed(self.counts.items()):
+            if counts.recent.updated_at < now - ACTIVE_SECONDS:
+                break
+            active += 1
             recent = counts.recent.read(now)
             if recent >= MIN_RECENT_REQUESTS:
-                usual_rate = usual / (USUAL_SECONDS * filled)
+                usual_rate = counts.usual.read(now) / (USUAL_SECONDS * filled)
                 candidates.append((name, recent / RECENT_SECONDS, usual_rate))
-        equal_rate = self.rate(now) / max(1, active)
+        equal_rate = self.reviewed_rate / max(1, active)
         excesses = {}
         for name, demand, usual_rate in candidates:
             share = max(usual_rate, equal_rate)
--- a/tests/test_gateway_load_shedding.py
+++ b/tests/test_gateway_load_shedding.py
@@ -3,6 +3,7 @@
 import pytest
 
 from eelgrasslock.scheduling.load_shedding import MIN_OBSERVATIONS
+from eelgrasslock.scheduling.workspace_demand import WorkspaceDemand
 from platform_fleet import (
     MAX_TURN_TOKENS,
     TURNS,
@@ -106,3 +107,43 @@
             for one in daemon.application.routing.current.routes
         }
         assert top_priority == {"now": True, "later": False}
+
+
+class TestWorkspaces:
+    NAMES = ("hot", "small", "quiet", "calm")
+
+    def demand(self, now):
+        """Return the demand of workspaces of which one asks for ten times its usual."""
+        demand = WorkspaceDemand()
+        for tenth in range(200):
+            time = now - 20 + tenth / 10
+            demand.excesses(time)
+            for name in self.NAMES:
+                times = 10 if name == "hot" and tenth > 180 else 1
+                for _ in range(times):
+                    demand.record(name, time, is_new=tenth % 5 == 0)
+        return demand
+
+    async def test_new_programs_of_a_hot_workspace_are_refused_first(self, fleet):
+        tenants = [{"name": name, "apiKeys": [f"key-{name}"]} for name in self.NAMES]
+        fleet.configure(tenants=tenants)
+        engine = await fleet.endpoint("models", events=3)
+        daemon = await fleet.ready_daemon([engine])
+        shedder = daemon.application.load_shedder
+        shedder.demands["models"] = self.demand(shedder.clock.monotonic())
+
+        async def new_programs(name):
+            found = []
+            for number in range(25):
+                for _ in range(MIN_OBSERVATIONS):
+                    shedder.record_load("models", 100, 60, 100)
+                key = f"Token key-{name}"
+                turn = await fleet.turn(daemon, f"{name}{number}", Authorization=key)
+                found.append(turn)
+            return found
+
+        hot, small = await new_programs("hot"), await new_programs("small")
+        assert [status for status, _ in small] == [200] * 25
+        refused = [body for status, body in hot if status == 429]
+        assert len(refused) >= 3
+        assert shedder.workspaces_beyond_share() == 1
