Learn what each endpoint takes well

Endpoints of one service differ in speed, share their machines, slow down before they are full and fail a part of their calls. Placement knew the slots and a slow average of run times only; an endpoint that answered some calls with errors at once even looked fast and drew most calls.

Each daemon now learns a limit of calls by run times against those at low load, takes the reported slowdown into account by its age, compares the failures of endpoints with those of their service (cost, then ejection for a growing time) and lets new and returned ones start slowly. On for services whose endpoints report a slowdown, and by the setting learns_capacity; else nothing changes.

One daemon; not learned across daemons.

--- a/src/eelgrasslock/exchanges/messages.py
+++ b/src/eelgrasslock/exchanges/messages.py
@@ -113,12 +113,15 @@
         Running requests, queued requests, and the number of slots.
     slowdown : float
         How long work takes there at this moment, as a multiple of the usual time.
+    has_slowdown : bool
+        Whether it said so.
     """
 
     running: int
     waiting: int
     slots: int
     slowdown: float = 1.0
+    has_slowdown: bool = False
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/forwarding/endpoint_reports.py
+++ b/src/eelgrasslock/forwarding/endpoint_reports.py
@@ -103,7 +103,11 @@
                 service, load.running, load.waiting, load.slots
             )
         report = LoadReport(
-            running=load.running, queued=load.waiting, time=self.clock.now()
+            running=load.running,
+            queued=load.waiting,
+            time=self.clock.now(),
+            slots=load.slots,
+            slowdown=load.slowdown if load.has_slowdown else None,
         )
         self.scheduler.observe_load(endpoint, report)
 
--- a/src/eelgrasslock/forwarding/forwarder.py
+++ b/src/eelgrasslock/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from eelgrasslock.workspaces.access import WorkspaceAccess
 
 MAX_REFUSED_ATTEMPTS = 4
+INTERNAL_ERROR_STATUS = 500
 FULL_ENDPOINT_RETRY_SECONDS = 0.1
 NO_ENDPOINT_RETRY_SECONDS = 0.25
 QUARANTINED = "quarantined"
@@ -194,7 +195,7 @@
         try:
             self._check_access(context)
             result = await self.attempt_runner.run(context, assignment.endpoint)
-            outcome = _CALL_OUTCOMES[result.outcome]
+            outcome = call_outcome(context, result)
             usage = Usage(
                 prompt_tokens=call.prompt_tokens,
                 completion_tokens=context.tokens_used,
@@ -211,7 +212,7 @@
         finally:
             self.dispatcher.finish(call, outcome, usage, retry_seconds)
             self.metrics.attempts.labels(outcome.value).inc()
-            if outcome is not CallOutcome.DONE:
+            if outcome not in (CallOutcome.DONE, CallOutcome.FAILED):
                 self._log_attempt(context, assignment, outcome)
 
     def _log_attempt(
@@ -247,9 +248,18 @@
         limits_copies=bool(request.body),
         excluded=frozenset(context.tried_endpoints),
         version=context.version,
+        kind=route.name,
     )
 
 
+def call_outcome(context: RequestContext, result: AttemptResult) -> CallOutcome:
+    """Return the outcome of an attempt; an error that was relayed is a failure."""
+    is_relayed = result.outcome is AttemptOutcome.SERVED
+    if is_relayed and context.response_status == INTERNAL_ERROR_STATUS:
+        return CallOutcome.FAILED
+    return _CALL_OUTCOMES[result.outcome]
+
+
 def _may_retry(context: RequestContext, result: AttemptResult) -> bool:
     route = context.route
     if result.outcome is AttemptOutcome.SILENT:
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -99,6 +99,7 @@
         self.scheduler = Scheduler(
             self.clock, self.rng, empty, self.settings.domain, FEATURES
         )
+        self.scheduler.endpoint_table.learns_capacity = self.settings.learns_capacity
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
         self.load_shedder = LoadShedder(self.clock, self.rng)
 
--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from eelgrasslock.allowances.manager import AllowanceManager
+from eelgrasslock.clock import Clock
 from eelgrasslock.failures.link_monitor import LinkMonitor
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
@@ -22,6 +23,7 @@
     """The components of a daemon that provide the values of gauges."""
 
     metrics: GatewayMetrics
+    clock: Clock
     handler: GatewayHandler
     dispatcher: Dispatcher
     endpoint_registry: EndpointRegistry
@@ -103,6 +105,22 @@
         "Requests that were in flight on an endpoint as it crashed.",
         lambda: len(quarantine.suspects()),
     )
+    table = sources.scheduler.endpoint_table
+    watch(
+        "learned_limit_lowest",
+        "The lowest learned limit of calls, as a share of an endpoint's slots.",
+        lambda: min(table.learned_limits(), default=1.0),
+    )
+    watch(
+        "learned_limit_highest",
+        "The highest learned limit of calls, as a share of an endpoint's slots.",
+        lambda: max(table.learned_limits(), default=1.0),
+    )
+    watch(
+        "endpoints_ejected",
+        "Endpoints left out because they fail more calls than others.",
+        lambda: table.ejected_count(sources.clock.monotonic()),
+    )
     watch("accounts", "Programs known.", lambda: len(sources.allowances.accounts))
     watch("peak_memory_bytes", "The most memory held.", peak_memory_bytes)
 
--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -46,6 +46,9 @@
         from then on the removal of an endpoint is final.
     conversation_cache_megabytes : float
         How much memory the turns of conversations may take.
+    learns_capacity : bool
+        Whether the daemon learns what endpoints take well also of those that do not
+        report how slow their machine is.
     is_first_start : bool
         Whether the whole fleet starts for the first time, so that no program has
         been served yet.
@@ -66,6 +69,7 @@
     configuration_apply_milliseconds: float = 2_000.0
     stable_window_milliseconds: float = 3_000.0
     conversation_cache_megabytes: float = 8.0
+    learns_capacity: bool = False
     is_first_start: bool = False
 
     @property
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -310,7 +310,11 @@
         return None
     slowdown = percent[0] / _USUAL_PERCENT if percent else 1.0
     return EndpointLoadHeader(
-        running=running, waiting=waiting, slots=slots, slowdown=slowdown
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowdown=slowdown,
+        has_slowdown=bool(percent),
     )
 
 
--- a/src/eelgrasslock/scheduling/admission.py
+++ b/src/eelgrasslock/scheduling/admission.py
@@ -168,6 +168,10 @@
             raise _version_refusal()
         if any(_may_run(state, call, now) for state in pool.states):
             return pool
+        if pool.end_ejections(now) and any(
+            _may_run(state, call, now) for state in pool.states
+        ):
+            return pool
         opens_at = pool.opens_at
         if opens_at is None:
             raise _unavailable("All endpoints leave.", _UNAVAILABLE_RETRY_SECONDS)
--- a/src/eelgrasslock/scheduling/call_starter.py
+++ b/src/eelgrasslock/scheduling/call_starter.py
@@ -227,7 +227,7 @@
         candidates = self._candidates(pool, waiting, states, now)
         if not candidates and len(states) < len(pool.states):
             candidates = self._candidates(pool, waiting, pool.states, now)
-        return self.placement.choose(call, waiting.output_tokens, candidates)
+        return self.placement.choose(call, waiting.output_tokens, candidates, now)
 
     def _has_enough_copies(self, call: Call) -> bool:
         """Return whether calls with its digest may crash as many endpoints already."""
--- a/src/eelgrasslock/scheduling/calls.py
+++ b/src/eelgrasslock/scheduling/calls.py
@@ -46,6 +46,8 @@
         Endpoints on which this call has failed.
     version : str
         The software version that an endpoint must have to run it, empty for any.
+    kind : str
+        What its run time is compared with: that of calls of the same kind.
     """
 
     id: str
@@ -63,6 +65,7 @@
     limits_copies: bool = True
     excluded: frozenset[str] = frozenset()
     version: str = ""
+    kind: str = ""
 
 
 @frozen(kw_only=True)
@@ -95,9 +98,13 @@
 
 
 class CallOutcome(enum.Enum):
-    """Outcome of an assigned call on its endpoint."""
+    """Outcome of an assigned call on its endpoint.
+
+    `FAILED` is a whole answer that reports an error of the endpoint's own.
+    """
 
     DONE = "done"
+    FAILED = "failed"
     REFUSED = "refused"
     NOT_SENT = "not_sent"
     BROKEN = "broken"
@@ -118,12 +125,19 @@
         Number of tokens in its prefix cache.
     time : float
         Time at which the engine made the report, in seconds since the epoch.
+    slots : int
+        Number of calls that it runs at once, 0 if it does not say.
+    slowdown : float or None
+        How long work takes there, as a multiple of the usual time; None if it does
+        not say.
     """
 
     running: int
     queued: int
     cache_used_tokens: int = 0
     time: float = 0.0
+    slots: int = 0
+    slowdown: float | None = None
 
 
 @frozen(kw_only=True)
--- a/src/eelgrasslock/scheduling/endpoint_pool.py
+++ b/src/eelgrasslock/scheduling/endpoint_pool.py
@@ -96,6 +96,15 @@
                 self.requeue_all(endpoint)
                 del self.endpoint_queues[endpoint]
 
+    def end_ejections(self, now: float) -> bool:
+        """Let ejected endpoints take calls again; return whether there were any."""
+        ended = False
+        for state in self.states:
+            if state.capacity is not None and state.capacity.is_ejected(now):
+                state.capacity.service.outliers.end_ejection(state.name, now)
+                ended = True
+        return ended
+
     @property
     def total_waiting(self) -> int:
         """Number of waiting calls."""
--- a/src/eelgrasslock/scheduling/endpoint_state.py
+++ b/src/eelgrasslock/scheduling/endpoint_state.py
@@ -1,5 +1,6 @@
 """The scheduler's state of one endpoint."""
 
+import math
 import random
 from collections import deque
 
@@ -8,6 +9,7 @@
 from eelgrasslock.configuration.settings import EndpointSettings, ServiceKind
 from eelgrasslock.scheduling.calls import Call, LoadReport
 from eelgrasslock.scheduling.circuit_breaker import CircuitBreaker
+from eelgrasslock.scheduling.endpoint_capacity import EndpointCapacity
 from eelgrasslock.scheduling.request_tokens import RequestTokens
 
 CONFIGURATION_SOURCE = "configuration"
@@ -17,6 +19,7 @@
 _SLOWNESS_RECOVERY_RATE = 0.01
 _MIN_SLOWNESS = 0.5
 _MAX_SLOWNESS = 20.0
+_SLOWNESS_MEMORY_SECONDS = 10.0
 _INITIAL_ENGINE_SECONDS = 5.0
 _INITIAL_PLAIN_SECONDS = 0.1
 
@@ -77,6 +80,8 @@
         Remaining time for which it asked to receive no calls.
     slowness : float
         Ratio of its run times to those expected from its settings.
+    learned_limit : float or None
+        Calls of all daemons that it takes well, None if that is not learned.
     """
 
     endpoint: str
@@ -88,6 +93,7 @@
     leaving: tuple[str, ...]
     parked_seconds: float
     slowness: float
+    learned_limit: float | None = None
 
 
 class EndpointState:
@@ -134,6 +140,8 @@
         self.peers_in_flight = 0
         self.peers_updated_at = 0.0
         self.tokens: RequestTokens | None = None
+        self.capacity: EndpointCapacity | None = None
+        self.ran_at = float("-inf")
         self.borrowable_slots = 0
         self.borrowable_updated_at = float("-inf")
         self._in_flight_history: deque[tuple[float, int]] = deque(
@@ -150,8 +158,30 @@
             not self.leaving_sources
             and self.backoff_until <= now
             and self.breaker.allows(now)
+            and (self.capacity is None or not self.capacity.is_ejected(now))
         )
 
+    @property
+    def slot_limit(self) -> int:
+        """Calls of all daemons that may be sent to the endpoint."""
+        limit = self.settings.batch_limit
+        if self.capacity is None:
+            return limit
+        return max(1, round(limit * self.capacity.concurrency.share))
+
+    def comfortable_calls(self, now: float) -> float:
+        """Return the calls beyond which a further one has to wait there."""
+        if self.capacity is None:
+            return self.settings.batch_limit
+        return self.capacity.limit(now)
+
+    @property
+    def batch_slots(self) -> int:
+        """Calls that the endpoint runs at once, by its reports if they are used."""
+        if self.capacity is None:
+            return self.settings.batch_limit
+        return self.capacity.concurrency.slots
+
     def has_token(self, now: float) -> bool:
         """Return whether its limit, if it named one, allows a request now."""
         return self.tokens is None or self.tokens.available(now) > 0
@@ -172,7 +202,11 @@
         """Return when it may accept calls again, or None if that is unknown."""
         if self.leaving_sources:
             return None
-        return max(self.backoff_until, self.breaker.open_until or 0.0)
+        times = [self.backoff_until, self.breaker.open_until or 0.0]
+        if self.capacity is not None:
+            outliers = self.capacity.service.outliers
+            times.append(outliers.ejected_until(self.name))
+        return max(times)
 
     @property
     def others_in_flight(self) -> int:
@@ -226,6 +260,20 @@
         if not self.running:
             self.slowness += _SLOWNESS_RECOVERY_RATE * (1.0 - self.slowness)
 
+    def record_capacity(self, report: LoadReport, now: float) -> None:
+        """Record the slots and the slowdown of a report, if they are used."""
+        if self.capacity is None:
+            return
+        self.capacity.concurrency.set_slots(report.slots)
+        if report.slowdown is not None:
+            self.capacity.slowdown.record(report.slowdown, now)
+
+    def restart(self, breaker: CircuitBreaker, now: float) -> None:
+        """Take calls again after a restart, step by step if capacity is learned."""
+        self.breaker = breaker
+        if self.capacity is not None:
+            self.capacity.slow_start.begin(now)
+
     def update_peer(self, incarnation: str, count: int, wall_time: float) -> None:
         """Record how many calls a peer runs on the endpoint."""
         previous = self.in_flight_by_peer.get(incarnation, 0)
@@ -244,6 +292,14 @@
             self.slowness += _RUN_TIME_SMOOTHING * (ratio - self.slowness)
             self.slowness = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, self.slowness))
 
+    def current_slowness(self, now: float) -> float:
+        """Return `slowness`; where capacity is learned, it is forgotten with time."""
+        if self.capacity is None:
+            return self.slowness
+        age = max(0.0, now - self.ran_at)
+        weight = math.exp(-age / _SLOWNESS_MEMORY_SECONDS)
+        return 1.0 + weight * (self.slowness - 1.0)
+
     def view(self, now: float) -> EndpointView:
         """Return the state as shown to operators."""
         return EndpointView(
@@ -256,6 +312,7 @@
             leaving=tuple(sorted(self.leaving_sources)),
             parked_seconds=max(0.0, self.backoff_until - now),
             slowness=self.slowness,
+            learned_limit=None if self.capacity is None else self.capacity.limit(now),
         )
 
     def _own_in_flight_at(self, wall_time: float) -> int:
--- a/src/eelgrasslock/scheduling/endpoint_table.py
+++ b/src/eelgrasslock/scheduling/endpoint_table.py
@@ -8,8 +8,9 @@
     EndpointSettings,
     ServiceKind,
 )
-from eelgrasslock.scheduling.calls import Call, PeerLoad
+from eelgrasslock.scheduling.calls import Call, LoadReport, PeerLoad
 from eelgrasslock.scheduling.circuit_breaker import CircuitBreaker
+from eelgrasslock.scheduling.endpoint_capacity import EndpointCapacity, ServiceCapacity
 from eelgrasslock.scheduling.endpoint_pool import EndpointPool
 from eelgrasslock.scheduling.endpoint_state import (
     CONFIGURATION_SOURCE,
@@ -45,17 +46,26 @@
         self.pools_by_endpoint: dict[str, list[EndpointPool]] = {}
         self.limited: dict[str, None] = {}
         self.endpoints_by_peer: dict[str, set[str]] = {}
+        self.learns_capacity = False
+        self.capacities: dict[str, ServiceCapacity] = {}
 
-    def configure(self, configuration: Configuration) -> None:
+    def configure(self, configuration: Configuration, now: float) -> None:
         """Apply a configuration; endpoints that remain keep their state."""
         states: dict[str, EndpointState] = {}
         for name, settings in configuration.endpoints.items():
-            states[name] = self._get_or_create_state(configuration, name, settings)
+            states[name] = self._get_or_create_state(configuration, name, settings, now)
         for name in self.states.keys() - states.keys():
             self.prefix_index.clear_endpoint(name)
             if self.states[name].running:
                 self.removed_states[name] = self.states[name]
         self.states = states
+        if self.learns_capacity:
+            for service in configuration.services:
+                self.learn_capacity(service)
+        for service, capacity in self.capacities.items():
+            capacity.outliers.retain(
+                {one.name for one in states.values() if one.settings.service == service}
+            )
         self._configure_pools(configuration)
 
     def pool(self, call: Call) -> EndpointPool | None:
@@ -99,6 +109,43 @@
             state.tokens = RequestTokens(1.0 / max(per_second, MIN_REQUESTS_PER_SECOND))
         self.mark_changed(endpoint)
 
+    def apply_load_report(self, endpoint: str, report: LoadReport, now: float) -> None:
+        """Apply a report; one with a slowdown has capacity learned from then on."""
+        state = self.states.get(endpoint)
+        if state is None:
+            return
+        state.apply_load_report(report)
+        if report.slowdown is not None:
+            self.learn_capacity(state.settings.service)
+        state.record_capacity(report, now)
+        self.mark_changed(endpoint)
+
+    def learned_limits(self) -> list[float]:
+        """Return the learned limits as shares of the endpoints' slots."""
+        capacities = [state.capacity for state in self.states.values()]
+        return [one.concurrency.share for one in capacities if one is not None]
+
+    def ejected_count(self, now: float) -> int:
+        """Return the number of endpoints that are left out as outliers."""
+        capacities = [state.capacity for state in self.states.values()]
+        return sum(one is not None and one.is_ejected(now) for one in capacities)
+
+    def learn_capacity(self, service: str) -> None:
+        """Learn from now on what the endpoints of a service take well."""
+        if service in self.capacities:
+            return
+        capacity = self.capacities[service] = ServiceCapacity()
+        for state in self.states.values():
+            if state.settings.service == service:
+                self._add_capacity(state, capacity)
+
+    def open_count(self, service: str, now: float) -> int:
+        """Return the number of a service's endpoints that accept calls."""
+        return sum(
+            state.settings.service == service and state.is_open(now)
+            for state in self.states.values()
+        )
+
     def place_again(self, endpoint: str) -> None:
         """Place the calls that wait for an endpoint again."""
         for pool in self.pools_by_endpoint.get(endpoint, ()):
@@ -128,6 +175,8 @@
         for endpoint in self.open_breakers():
             self.states[endpoint].breaker = CircuitBreaker(self.rng)
             self.mark_changed(endpoint)
+        for capacity in self.capacities.values():
+            capacity.outliers.clear()
 
     def update_peer(self, load: PeerLoad, wall_time: float) -> None:
         """Record the calls in flight that a peer reports."""
@@ -149,13 +198,20 @@
                 self.mark_changed(endpoint)
 
     def _get_or_create_state(
-        self, configuration: Configuration, name: str, settings: EndpointSettings
+        self,
+        configuration: Configuration,
+        name: str,
+        settings: EndpointSettings,
+        now: float,
     ) -> EndpointState:
         state = self.find(name)
         self.removed_states.pop(name, None)
         if state is None or state.settings.service != settings.service:
             kind = configuration.services[settings.service].kind
             state = EndpointState(name, settings, kind, self.rng)
+            capacity = self.capacities.get(settings.service)
+            if capacity is not None:
+                self._add_capacity(state, capacity).slow_start.begin(now)
         state.settings = settings
         if state.kind is ServiceKind.ENGINE:
             self.prefix_index.set_capacity(name, settings.cache_tokens)
@@ -165,6 +221,14 @@
             state.leaving_sources.discard(CONFIGURATION_SOURCE)
         return state
 
+    @staticmethod
+    def _add_capacity(
+        state: EndpointState, capacity: ServiceCapacity
+    ) -> EndpointCapacity:
+        slots = state.settings.batch_limit
+        state.capacity = EndpointCapacity(state.name, slots, capacity)
+        return state.capacity
+
     def _configure_pools(self, configuration: Configuration) -> None:
         states_by_pool: dict[PoolKey, list[EndpointState]] = {}
         for service, settings in configuration.services.items():
--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -66,13 +66,14 @@
         call = running.call
         seconds = now - running.started_at
         self.lost_calls.record_answer(state.name)
-        state.breaker.record_success(call.id)
-        self.domain_breaker.record_success(state.settings.domain)
+        self._record_answer(state, call.id, now)
         state.backoff_until = min(state.backoff_until, now)
         expected = 0.0
         if state.kind is ServiceKind.ENGINE:
-            expected = expected_seconds(state.settings, running, usage)
+            expected = expected_seconds(state, running, usage)
             self.prefix_index.record_prefix(state.name, running.keys)
+        if state.capacity is not None:
+            expected = self._record_capacity(state, running, seconds, expected, now)
         state.record_run_time(seconds, expected)
         for pool in self.endpoint_table.pools_by_endpoint.get(state.name, ()):
             pool.record_run_time(seconds)
@@ -80,6 +81,21 @@
         program.record_call(seconds, usage.completion_tokens)
         self.quarantine.record_success(call.digest)
 
+    def record_error(
+        self, state: EndpointState, running: RunningCall, usage: Usage, now: float
+    ) -> None:
+        """Record a call that an endpoint answered with an error of its own.
+
+        Where failures are compared, its time says nothing of the endpoint's speed.
+        """
+        if state.capacity is None:
+            self.record_success(state, running, usage, now)
+            return
+        self.lost_calls.record_answer(state.name)
+        self._record_answer(state, running.call.id, now)
+        self.quarantine.record_success(running.call.digest)
+        self._record_outcome(state, True, now)
+
     def record_failure(
         self,
         state: EndpointState,
@@ -103,6 +119,7 @@
             self.record_lost(state, running, outcome is CallOutcome.BROKEN, now)
         if not self.features.breakers:
             return
+        self._record_outcome(state, True, now)
         if outcome in (CallOutcome.NOT_SENT, CallOutcome.SILENT):
             self.domain_breaker.record_failure(state.settings.domain, state.name, now)
         crashed = outcome is CallOutcome.CRASHED
@@ -163,6 +180,56 @@
         self.lost_calls.drop_past(now)
         self.endpoint_table.drop_removed()
 
+    def _record_answer(self, state: EndpointState, call_id: str, now: float) -> None:
+        """Record that an endpoint answers; one that comes back starts slowly."""
+        was_out = state.breaker.open_until is not None
+        state.breaker.record_success(call_id)
+        if was_out and state.breaker.open_until is None and state.capacity is not None:
+            state.capacity.slow_start.begin(now)
+        self.domain_breaker.record_success(state.settings.domain)
+
+    def _record_capacity(
+        self,
+        state: EndpointState,
+        running: RunningCall,
+        seconds: float,
+        expected: float,
+        now: float,
+    ) -> float:
+        """Learn from the run time of a call, and return the one that was expected."""
+        capacity = state.capacity
+        if capacity is None:
+            return expected
+        self._record_outcome(state, False, now)
+        state.slowness = state.current_slowness(now)
+        state.ran_at = now
+        if state.kind is ServiceKind.PLAIN:
+            kind = running.call.kind
+            expected = capacity.expected_plain_seconds(kind, now)
+            capacity.service.record_run_time(kind, seconds)
+        else:
+            expected *= capacity.slowdown.factor(now)
+        if expected > 0:
+            capacity.concurrency.record(seconds / expected, running.batch_size)
+        return expected
+
+    def _record_outcome(self, state: EndpointState, failed: bool, now: float) -> None:
+        """Compare the failures of an endpoint with those of its service."""
+        if state.capacity is None:
+            return
+        open_count = 0
+        if failed:
+            service = state.settings.service
+            open_count = self.endpoint_table.open_count(service, now)
+        if state.capacity.record_outcome(failed, open_count, now):
+            outliers = state.capacity.service.outliers
+            log.warning(
+                "Endpoint {} is left out for {:.1f} s: it fails more calls than the"
+                " others of its service.",
+                state.name,
+                outliers.ejected_until(state.name) - now,
+            )
+
     def _running(self, endpoint: str) -> list[RunningCall]:
         state = self.endpoint_table.find(endpoint)
         return [] if state is None else list(state.running.values())
--- a/src/eelgrasslock/scheduling/placement.py
+++ b/src/eelgrasslock/scheduling/placement.py
@@ -103,40 +103,42 @@
     uncached_tokens: int,
     output_tokens: float,
     batch_size: int,
+    batch_slots: int,
 ) -> float:
     """Return the predicted run time of a call on an engine, in seconds.
 
     Parameters
     ----------
     settings : EndpointSettings
-        Configured speed and batch limit of the engine.
+        Configured speed of the engine.
     queued_prefill_tokens, uncached_tokens : int
         Prompt tokens to compute before those of the call, and for the call.
     output_tokens : float
         Length of the answer.
     batch_size : int
         Number of other calls in the batch.
+    batch_slots : int
+        Number of calls in a full batch.
     """
     prefill = queued_prefill_tokens + uncached_tokens
-    others = min(batch_size, settings.batch_limit - 1)
-    fill = others / max(1, settings.batch_limit - 1)
+    others = min(batch_size, batch_slots - 1)
+    fill = others / max(1, batch_slots - 1)
     decode = output_tokens / settings.decode_tokens_per_second
     decode *= 1.0 + _FULL_BATCH_SLOWDOWN * fill
     return prefill / settings.prefill_tokens_per_second + decode
 
 
-def expected_seconds(
-    settings: EndpointSettings, running: RunningCall, usage: Usage
-) -> float:
+def expected_seconds(state: EndpointState, running: RunningCall, usage: Usage) -> float:
     """Return the seconds that a finished call takes at the configured speed."""
     if not usage.prompt_tokens:
         return 0.0
     return run_seconds(
-        settings,
+        state.settings,
         running.queued_prefill_tokens,
         usage.prompt_tokens - usage.cached_tokens,
         usage.completion_tokens,
         running.batch_size,
+        state.batch_slots,
     )
 
 
@@ -192,6 +194,7 @@
         call: Call,
         output_tokens: float,
         candidates: list[Candidate],
+        now: float,
     ) -> Choice | None:
         """Return the cheapest candidate, or None if there is none."""
         if not candidates:
@@ -200,28 +203,36 @@
         best: Choice | None = None
         for candidate in candidates:
             if candidate.state.kind is ServiceKind.PLAIN:
-                choice = self._plain_choice(call, candidate)
+                choice = self._plain_choice(call, candidate, now)
             else:
-                choice = self._engine_choice(call, output_tokens, candidate, source)
+                choice = self._engine_choice(
+                    call, output_tokens, candidate, source, now
+                )
             if best is None or choice.cost < best.cost:
                 best = choice
         return best
 
-    def _plain_choice(self, call: Call, candidate: Candidate) -> Choice:
+    def _plain_choice(self, call: Call, candidate: Candidate, now: float) -> Choice:
         state = candidate.state
-        wait = self._wait_seconds(candidate)
-        run = state.service_seconds
+        wait = self._wait_seconds(candidate, now)
+        run = _plain_run_seconds(state, call, now)
         if state.name == call.preferred_endpoint:
             run *= PREFERRED_RUN_SHARE
-        occupancy = state.load(self.features.correction) / state.settings.batch_limit
+        occupancy = state.load(self.features.correction) / state.batch_slots
         tie = 1e-6 * self.rng.random()
         cost = wait + run * (1.0 + occupancy) + tie
         if state.settings.domain != self.domain:
             cost += self.weights.far_plain_seconds
+        cost += _failure_cost(state, now)
         return Choice(state, 0, 0, wait, run, cost)
 
     def _engine_choice(
-        self, call: Call, output_tokens: float, candidate: Candidate, source: Candidate
+        self,
+        call: Call,
+        output_tokens: float,
+        candidate: Candidate,
+        source: Candidate,
+        now: float,
     ) -> Choice:
         state = candidate.state
         settings = state.settings
@@ -232,9 +243,10 @@
         uncached = call.prompt_tokens - cached
         load = state.load(self.features.correction)
         queued = state.prefill_tokens
-        run = run_seconds(settings, queued, uncached, output_tokens, load)
-        run = run * self._slowness(state) + imported
-        wait = self._wait_seconds(candidate)
+        slots = state.batch_slots
+        run = run_seconds(settings, queued, uncached, output_tokens, load, slots)
+        run = run * self._slowness(state, now) * _run_factor(state, now) + imported
+        wait = self._wait_seconds(candidate, now)
 
         wasted = float(max(0, source.cached_tokens - cached))
         wasted += self._evicted_tokens(state, call, candidate.cached_tokens)
@@ -242,13 +254,14 @@
             moved = cached - candidate.cached_tokens
             wasted += moved * min(1.0, state.live_tokens / settings.cache_tokens)
         prefill_speed = settings.prefill_tokens_per_second
-        stalled = min(load, settings.batch_limit) * _STALL_COST_SHARE
+        stalled = min(load, slots) * _STALL_COST_SHARE
         stall = uncached / prefill_speed * stalled
         cost = self.weights.latency * (wait + run + stall)
         cost += self.weights.wasted_cache * wasted / prefill_speed
         cost += 1e-6 * self.rng.random()
         if settings.domain != self.domain:
             cost += self.weights.far_engine_seconds
+        cost += self.weights.latency * _failure_cost(state, now)
         import_from = source.state.name if imported else ""
         return Choice(state, cached, uncached, wait, run, cost, import_from)
 
@@ -269,10 +282,10 @@
         stalled = computed * len(state.running) * _STALL_COST_SHARE
         return seconds if seconds < computed + stalled else 0.0
 
-    def _wait_seconds(self, candidate: Candidate) -> float:
+    def _wait_seconds(self, candidate: Candidate, now: float) -> float:
         """Return the expected seconds until a slot is free and the limit allows it."""
         state = candidate.state
-        limit = state.settings.batch_limit
+        limit = state.comfortable_calls(now)
         beyond = (
             state.load(self.features.correction) + candidate.queued_ahead + 1 - limit
         )
@@ -288,5 +301,21 @@
         needed = call.prompt_tokens - cached
         return max(0.0, min(float(needed), needed - free))
 
-    def _slowness(self, state: EndpointState) -> float:
-        return state.slowness if self.features.learning else 1.0
+    def _slowness(self, state: EndpointState, now: float) -> float:
+        return state.current_slowness(now) if self.features.learning else 1.0
+
+
+def _run_factor(state: EndpointState, now: float) -> float:
+    return 1.0 if state.capacity is None else state.capacity.run_factor(now)
+
+
+def _failure_cost(state: EndpointState, now: float) -> float:
+    return 0.0 if state.capacity is None else state.capacity.failure_cost(now)
+
+
+def _plain_run_seconds(state: EndpointState, call: Call, now: float) -> float:
+    """Return the predicted run time on a plain endpoint, in seconds."""
+    if state.capacity is None:
+        return state.service_seconds
+    usual = state.capacity.service.run_seconds.get(call.kind, state.service_seconds)
+    return usual * state.current_slowness(now) * state.capacity.run_factor(now)
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -114,7 +114,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply a new configuration."""
         self.configuration = configuration
-        self.endpoint_table.configure(configuration)
+        self.endpoint_table.configure(configuration, self.clock.monotonic())
         self.has_new_endpoints = True
         self.starter.placement.weights = configuration.weights
         self.starter.placement.domain = self.domain
@@ -230,7 +230,9 @@
         self.slots.release(state)
         del self.endpoint_by_call[call_id]
         self.starter.record_finished(running.call.digest)
-        if outcome is CallOutcome.DONE:
+        if outcome is CallOutcome.FAILED:
+            self.outcome_recorder.record_error(state, running, usage, now)
+        elif outcome is CallOutcome.DONE:
             self.outcome_recorder.record_success(state, running, usage, now)
         elif outcome is CallOutcome.CANCELLED:
             state.breaker.record_inconclusive(call_id)
@@ -257,10 +259,8 @@
 
     def observe_load(self, endpoint: str, report: LoadReport) -> None:
         """Apply a load report of an endpoint."""
-        state = self.endpoint_table.states.get(endpoint)
-        if state is not None:
-            state.apply_load_report(report)
-            self.endpoint_table.mark_changed(endpoint)
+        now = self.clock.monotonic()
+        self.endpoint_table.apply_load_report(endpoint, report, now)
 
     def decay_reported_loads(self) -> None:
         """Decay the load of other daemons that endpoints reported.
@@ -283,7 +283,7 @@
         self.prefix_index.clear_endpoint(endpoint)
         state = self.endpoint_table.states.get(endpoint)
         if state is not None:
-            state.breaker = CircuitBreaker(self.rng)
+            state.restart(CircuitBreaker(self.rng), self.clock.monotonic())
             self.endpoint_table.mark_changed(endpoint)
 
     def close_breakers(self) -> None:
--- a/src/eelgrasslock/scheduling/slot_allocator.py
+++ b/src/eelgrasslock/scheduling/slot_allocator.py
@@ -49,7 +49,7 @@
 
     def has_free(self, state: EndpointState, call_class: CallClass, now: float) -> bool:
         """Return whether a slot is free for a call of this class."""
-        limit = state.settings.batch_limit
+        limit = state.slot_limit
         if call_class is CallClass.LOOKUP:
             return state.load() < limit + LOOKUP_EXTRA_SLOTS
         if self.daemon_count == 1:
@@ -61,7 +61,7 @@
 
     def acquire(self, state: EndpointState) -> None:
         """Take a slot for a call that is about to be sent."""
-        share = state.settings.batch_limit // self.daemon_count
+        share = state.slot_limit // self.daemon_count
         if len(state.running) >= share:
             state.borrowable_slots -= 1
 
@@ -71,7 +71,7 @@
         Otherwise, calls that are much shorter than the interval of the load
         reports could use each borrowed slot only once per interval.
         """
-        share = state.settings.batch_limit // self.daemon_count
+        share = state.slot_limit // self.daemon_count
         if len(state.running) >= share:
             state.borrowable_slots += 1
 
@@ -80,7 +80,7 @@
         if now - state.borrowable_updated_at < _BORROW_UPDATE_SECONDS:
             return
         state.borrowable_updated_at = now
-        free = state.settings.batch_limit - state.load()
+        free = state.slot_limit - state.load()
         if free <= 0:
             state.borrowable_slots = 0
             return
