Assume the slots of a service's other endpoints until told

An endpoint that had not reported its slots yet counted with its bound of calls, which a large fleet sets far above them, and looked emptier than endpoints with a report. It now counts with the slots that another endpoint of its service reported first, until its own report.

--- a/src/eelgrasslock/scheduling/endpoint_capacity.py
+++ b/src/eelgrasslock/scheduling/endpoint_capacity.py
@@ -21,10 +21,13 @@
     ----------
     outliers : ServiceOutliers
         The failures of its endpoints.
+    slots : int
+        Calls that one of its endpoints said it runs at once, 0 if none did.
     run_seconds : dict of str to float
         Moving average of the run times on plain endpoints, by kind of call.
     """
 
+    slots: int = 0
     outliers: ServiceOutliers = field(factory=ServiceOutliers)
     run_seconds: dict[str, float] = field(factory=dict)
 
--- a/src/eelgrasslock/scheduling/endpoint_table.py
+++ b/src/eelgrasslock/scheduling/endpoint_table.py
@@ -116,7 +116,7 @@
             return
         state.apply_load_report(report)
         if report.slowdown is not None:
-            self.learn_capacity(state.settings.service)
+            self.learn_capacity(state.settings.service, report.slots)
         state.record_capacity(report, now)
         self.mark_changed(endpoint)
 
@@ -130,11 +130,19 @@
         capacities = [state.capacity for state in self.states.values()]
         return sum(one is not None and one.is_ejected(now) for one in capacities)
 
-    def learn_capacity(self, service: str) -> None:
-        """Learn from now on what the endpoints of a service take well."""
+    def learn_capacity(self, service: str, slots: int = 0) -> None:
+        """Learn from now on what the endpoints of a service take well.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        slots : int
+            Calls that one of them runs at once, 0 if that is not known.
+        """
         if service in self.capacities:
             return
-        capacity = self.capacities[service] = ServiceCapacity()
+        capacity = self.capacities[service] = ServiceCapacity(slots=slots)
         for state in self.states.values():
             if state.settings.service == service:
                 self._add_capacity(state, capacity)
@@ -225,7 +233,7 @@
     def _add_capacity(
         state: EndpointState, capacity: ServiceCapacity
     ) -> EndpointCapacity:
-        slots = state.settings.batch_limit
+        slots = capacity.slots or state.settings.batch_limit
         state.capacity = EndpointCapacity(state.name, slots, capacity)
         return state.capacity
 
