--- a/src/eelgrasslock/forwarding/forwarder.py
+++ b/src/eelgrasslock/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from eelgrasslock.workspaces.access import WorkspaceAccess
 
 MAX_REFUSED_ATTEMPTS = 4
+INTERNAL_ERROR_STATUS = 500
 FULL_ENDPOINT_RETRY_SECONDS = 0.1
 NO_ENDPOINT_RETRY_SECONDS = 0.25
 QUARANTINED = "quarantined"
@@ -196,6 +197,7 @@
             limits_copies=bool(request.body),
             excluded=frozenset(context.tried_endpoints),
             version=context.version,
+            kind=route.name,
             workspace=request.workspace,
             has_lower_priority=bool(request.workspace)
             and self.access.directory().has_lower_priority(request.workspace),
@@ -220,7 +222,7 @@
         try:
             self._check_access(context)
             result = await self.attempt_runner.run(context, assignment.endpoint)
-            outcome = _CALL_OUTCOMES[result.outcome]
+            outcome = call_outcome(context, result)
             usage = Usage(
                 prompt_tokens=call.prompt_tokens,
                 completion_tokens=context.tokens_used,
@@ -237,7 +239,7 @@
         finally:
             self.dispatcher.finish(call, outcome, usage, retry_seconds)
             self.metrics.attempts.labels(outcome.value).inc()
-            if outcome is not CallOutcome.DONE:
+            if outcome not in (CallOutcome.DONE, CallOutcome.FAILED):
                 self._log_attempt(context, assignment, outcome)
 
     def _log_attempt(
@@ -253,6 +255,14 @@
         ).info("Attempt failed without a complete response. {}", assignment.reason)
 
 
+def call_outcome(context: RequestContext, result: AttemptResult) -> CallOutcome:
+    """Return the outcome of an attempt; an error that was relayed is a failure."""
+    is_relayed = result.outcome is AttemptOutcome.SERVED
+    if is_relayed and context.response_status == INTERNAL_ERROR_STATUS:
+        return CallOutcome.FAILED
+    return _CALL_OUTCOMES[result.outcome]
+
+
 def _may_retry(context: RequestContext, result: AttemptResult) -> bool:
     route = context.route
     if result.outcome is AttemptOutcome.SILENT:
--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -52,6 +52,9 @@
         The part of its quota by which it may exceed it in such a time.
     quota_slack : float
         The requests by which it may exceed it besides.
+    learns_capacity : bool
+        Whether the daemon learns what endpoints take well also of those that do not
+        report how slow their machine is.
     is_first_start : bool
         Whether the whole fleet starts for the first time, so that no program has
         been served yet.
@@ -75,6 +78,7 @@
     quota_window_seconds: float = 5.0
     quota_overage: float = 0.0
     quota_slack: float = 0.0
+    learns_capacity: bool = False
     is_first_start: bool = False
 
     @property
