Hold less of long responses and of large bodies that are sent

A response that waits for its reader held up to 1.2 MB: reads of 256 KiB, joined, copied and buffered on both sides. Reads take 32 KiB, reading pauses above as much, and what waits is handed on a read at a time. A large body is sent without a copy of it together with the head.

--- a/src/eelgrasslock/http/connection.py
+++ b/src/eelgrasslock/http/connection.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from typing import cast
 
@@ -13,12 +12,14 @@
 
 from eelgrasslock.exceptions import EelgrassError
 from eelgrasslock.http.messages import Framing, Header, OutgoingRequest, ResponseHead
-
-TCP_USER_TIMEOUT_MILLISECONDS = 2_500
-TCP_KEEPALIVE_IDLE_SECONDS = 2
-TCP_KEEPALIVE_INTERVAL_SECONDS = 1
-TCP_KEEPALIVE_PROBES = 2
-READ_PAUSE_BYTES = 131_072
+from eelgrasslock.http.socket_options import (
+    READ_BYTES,
+    limit_reads,
+    set_socket_options,
+)
+
+READ_PAUSE_BYTES = 32_768
+LARGE_BODY_BYTES = 65_536
 MAX_OVERHEAD_BYTES = 262_144
 MAX_HEADERS = 256
 MAX_BODY_BYTES = 16_777_216
@@ -103,7 +104,7 @@
         self._overhead_bytes = 0
         self._response_started = False
         self._head = asyncio.get_running_loop().create_future()
-        self.transport.write(request.encode())
+        self._write(request)
         return await self._head
 
     async def read(self) -> bytes | None:
@@ -121,10 +122,8 @@
                 raise self._error
             self._data_waiter = asyncio.get_running_loop().create_future()
             await self._data_waiter
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered = 0
-        if self._paused and self.transport is not None:
+        data = self._take()
+        if self._paused and not self._chunks and self.transport is not None:
             self._paused = False
             self.transport.resume_reading()
         return data
@@ -178,6 +177,7 @@
         """Keep the transport and set timeouts that detect a dead peer."""
         self.transport = cast(asyncio.Transport, transport)
         self._usable = True
+        limit_reads(transport)
         connected_socket = transport.get_extra_info("socket")
         if connected_socket is not None:
             set_socket_options(connected_socket)
@@ -280,6 +280,30 @@
 
     # --- helpers ----------------------------------------------------------------
 
+    def _write(self, request: OutgoingRequest) -> None:
+        """Send a request; a large body is not copied before it is sent."""
+        assert self.transport is not None
+        if len(request.body) <= LARGE_BODY_BYTES:
+            self.transport.write(request.encode())
+            return
+        self.transport.write(request.encode_head())
+        self.transport.write(memoryview(request.body))
+
+    def _take(self) -> bytes:
+        """Remove and return buffered bytes, not many more than one read brings."""
+        if self._buffered <= READ_BYTES:
+            parts = list(self._chunks)
+            self._chunks.clear()
+            self._buffered = 0
+            return b"".join(parts)
+        parts = []
+        size = 0
+        while size < READ_BYTES:
+            parts.append(self._chunks.popleft())
+            size += len(parts[-1])
+        self._buffered -= size
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
     def _is_stale(self, request: OutgoingRequest, head: ResponseHead) -> bool:
         echoed = head.header(request.response_id_header)
         return bool(echoed) and echoed != request.expected_response_id
@@ -314,17 +338,3 @@
     def _wake_reader(self) -> None:
         if self._data_waiter is not None and not self._data_waiter.done():
             self._data_waiter.set_result(None)
-
-
-def set_socket_options(connected_socket: socket.socket) -> None:
-    """Make the kernel close an unresponsive connection within seconds."""
-    options = (
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLISECONDS),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES),
-    )
-    for level, name, value in options:
-        connected_socket.setsockopt(level, name, value)
--- a/src/eelgrasslock/http/messages.py
+++ b/src/eelgrasslock/http/messages.py
@@ -56,6 +56,16 @@
     def encode(self) -> bytes:
         """Return the bytes to send.
 
+        Raises
+        ------
+        ValueError
+            If the request line or a header contains a line break.
+        """
+        return self.encode_head() + self.body
+
+    def encode_head(self) -> bytes:
+        """Return the bytes before the body.
+
         Raises
         ------
         ValueError
@@ -68,7 +78,7 @@
         if any("\r" in line or "\n" in line for line in lines):
             raise ValueError("The request line or a header contains a line break.")
         head = "\r\n".join(lines) + "\r\n\r\n"
-        return head.encode("utf-8", "surrogateescape") + self.body
+        return head.encode("utf-8", "surrogateescape")
 
 
 @frozen(kw_only=True)
