Bound the memory and the connections of callers

Callers that sent large bodies at once, stopped short of their ends, sent ahead or did not read ended a process of a small machine: nothing added up what is held for them. One budget counts bytes as they are received and answers that wait; when it is short, stopped bodies end first, then the readers that have waited longest, the large bodies with the least progress and the requests furthest ahead. A body that is not whole is refused as not run; other connections are closed. Connections are bounded by descriptors; the one idle longest gives way.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -17,6 +17,7 @@
 from eelgrasslock.failures.crash_records import CrashRecords
 from eelgrasslock.failures.endpoint_ends import EndpointEnds
 from eelgrasslock.failures.silent_calls import SilentCalls
+from eelgrasslock.gateway.caller_connections import CallerConnections
 from eelgrasslock.gateway.drainer import Drainer
 from eelgrasslock.gateway.gauges import register_gauges
 from eelgrasslock.gateway.listener import Listener, MetricsServer, ReadinessServer
@@ -197,12 +198,16 @@
 
     def _create_servers(self) -> None:
         codec = self.platform.codec
+        self.caller_connections = CallerConnections(
+            self.clock, self.settings.memory_megabytes, self.settings.max_descriptors
+        )
         self.listener = Listener(
             self.settings.front_address,
             self.handler.handle,
             codec,
             self._request_limits,
             self.clock,
+            self.caller_connections,
         )
         self.readiness_server = ReadinessServer(
             self.settings.ready_address, codec.ready_path, self.is_ready
--- a/src/eelgrasslock/gateway/gauges.py
+++ b/src/eelgrasslock/gateway/gauges.py
@@ -4,6 +4,7 @@
 
 from eelgrasslock.allowances.manager import AllowanceManager
 from eelgrasslock.failures.link_monitor import LinkMonitor
+from eelgrasslock.gateway.caller_connections import CallerConnections
 from eelgrasslock.gateway.handler import GatewayHandler
 from eelgrasslock.gateway.peer_coordinator import PeerCoordinator
 from eelgrasslock.gateway.shared_controllers import SharedControllers
@@ -35,6 +36,7 @@
     peer_forwarder: PeerForwarder
     peer_requests: PeerRequestHandler
     shared: SharedControllers
+    caller_connections: CallerConnections
 
 
 def register_gauges(sources: GaugeSources) -> None:
@@ -57,6 +59,11 @@
         "Log calls by peers.",
         lambda: sources.peer_coordinator.log.relayed_calls,
     )
+    callers = sources.caller_connections
+    watch("held_bytes", "Bytes held for callers.", lambda: callers.budget.held)
+    watch("bodies_refused", "Refused for memory.", lambda: callers.refused)
+    watch("callers_closed", "Closed for memory.", lambda: callers.closed)
+    watch("callers_displaced", "Closed for descriptors.", lambda: callers.displaced)
     watch("links_lost", "Whether links are lost.", lambda: sources.links.is_lost)
     watch(
         "requests_relayed",
--- a/src/eelgrasslock/gateway/listener.py
+++ b/src/eelgrasslock/gateway/listener.py
@@ -12,6 +12,18 @@
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.exchanges.interfaces import MessageCodec
 from eelgrasslock.exchanges.messages import GatewayRequest
+from eelgrasslock.gateway.caller_connections import (
+    CallerConnection,
+    CallerConnections,
+    CallerServer,
+)
+from eelgrasslock.gateway.request_bodies import (
+    SHORTAGE_STATUS,
+    read_body,
+    request_bytes,
+    shortage_refusal,
+)
+from eelgrasslock.http.socket_options import READ_BYTES
 from eelgrasslock.responses.responder import CallerResponder, ResponseTruncated
 from eelgrasslock.routing.routes import RequestLimits
 
@@ -40,6 +52,8 @@
         Returns the current limits on requests.
     clock : Clock
         The source of time.
+    connections : CallerConnections
+        Bounds what callers hold.
 
     Attributes
     ----------
@@ -54,9 +68,11 @@
         codec: MessageCodec,
         limits: Callable[[], RequestLimits],
         clock: Clock,
+        connections: CallerConnections,
     ) -> None:
         self.address = address
         self.handle = handle
+        self.connections = connections
         self.codec = codec
         self.limits = limits
         self.clock = clock
@@ -114,7 +130,11 @@
 
     def _make_server(self) -> web.Server:
         limits = self.limits()
-        return web.Server(
+        bounds: dict[str, Any] = {}
+        if self.connections.is_memory_bounded:
+            bounds["read_bufsize"] = READ_BYTES
+        return CallerServer(
+            self.connections,
             self._serve,
             request_factory=self._make_request,
             handler_cancellation=True,
@@ -123,6 +143,7 @@
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
+            **bounds,
         )
 
     def _make_request(
@@ -144,14 +165,18 @@
         )
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._active_connections.add(request.protocol)
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        self._active_connections.add(connection)
+        connection.begin_request()
         try:
             return await self._respond(request)
         except ConnectionError as error:
             _log.info("A caller left while its response was written: {}", error)
             raise asyncio.CancelledError from None
         finally:
-            self._active_connections.discard(request.protocol)
+            connection.end_request()
+            self._active_connections.discard(connection)
 
     async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         received_at = self.clock.monotonic()
@@ -172,7 +197,8 @@
             refusal = Refusal("body_too_large", "The request body is too large.", 413)
             await responder.refuse(refusal, [])
         except Refusal as refusal:
-            _log.info("Refused a malformed request: {}", refusal.sentence)
+            _log.info("Refused a request unread: {}", refusal.sentence)
+            responder.close_after_response |= refusal.status == SHORTAGE_STATUS
             await responder.refuse(refusal, [])
         else:
             await self._handle(request, decoded, responder)
@@ -180,17 +206,31 @@
         return responder.response
 
     async def _read_body(self, request: web.BaseRequest) -> bytes | None:
-        """Return the body, or None if it is not awaited to its end."""
+        """Return the body, or None if it is not awaited to its end.
+
+        Raises
+        ------
+        Refusal
+            If memory is short.
+        """
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
         if request.content.is_eof():
-            return await request.read()
+            body = await request.read()
+            connection.end_body(request_bytes(request))
+            return body
         try:
             async with asyncio.timeout(None if self._awaits_bodies else 0.0) as limit:
                 self._body_limits.add(limit)
+                connection.await_body(limit)
                 try:
-                    return await request.read()
+                    return await read_body(request, self.limits().max_body_bytes)
                 finally:
                     self._body_limits.discard(limit)
+                    connection.end_body(request_bytes(request))
         except TimeoutError:
+            if connection.is_refused:
+                raise shortage_refusal() from None
             return None
 
     def _check_head(self, request: web.BaseRequest) -> None:
--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -46,6 +46,11 @@
         from then on the removal of an endpoint is final.
     conversation_cache_megabytes : float
         How much memory the turns of conversations may take.
+    memory_megabytes : float
+        The memory of the machine, which bounds what callers hold; 0 for no bound.
+    max_descriptors : int
+        The descriptors that the process may open, which bound the connections of
+        callers; 0 for no bound.
     is_first_start : bool
         Whether the whole fleet starts for the first time, so that no program has
         been served yet.
@@ -66,6 +71,8 @@
     configuration_apply_milliseconds: float = 2_000.0
     stable_window_milliseconds: float = 3_000.0
     conversation_cache_megabytes: float = 8.0
+    memory_megabytes: float = 0.0
+    max_descriptors: int = 0
     is_first_start: bool = False
 
     @property
