Leave descriptors for the endpoints of all callers

Callers could take six tenths of the descriptors; requests in progress on all their connections need as many for endpoints, which were not there. They get 45 of 100 now.

--- a/src/eelgrasslock/gateway/caller_connections.py
+++ b/src/eelgrasslock/gateway/caller_connections.py
@@ -13,10 +13,10 @@
 
 # Requests that may wait behind the one in progress before reading stops.
 MAX_REQUESTS_AHEAD = 2
-# The part of the memory that is for callers, and of descriptors for all but callers.
 CALLER_MEMORY_SHARE = 0.3125
 FILE_DESCRIPTORS = 200
-OTHER_DESCRIPTOR_SHARE = 0.4
+# A request in progress takes a connection to its endpoint as well.
+OTHER_DESCRIPTOR_SHARE = 0.55
 # What waits for a caller to read before it counts as blocked.
 WRITE_BYTES = 32_768
 LOG_SECONDS = 1.0
@@ -53,10 +53,8 @@
         self.budget = MemoryBudget(limit or math.inf)
         self.max_connections = math.inf
         if max_descriptors:
-            others = FILE_DESCRIPTORS + OTHER_DESCRIPTOR_SHARE * (
-                max_descriptors - FILE_DESCRIPTORS
-            )
-            self.max_connections = max(1.0, max_descriptors - others)
+            sockets = max_descriptors - FILE_DESCRIPTORS
+            self.max_connections = max(1.0, sockets * (1.0 - OTHER_DESCRIPTOR_SHARE))
         self.refused = 0
         self.closed = 0
         self.displaced = 0
