--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -55,6 +55,11 @@
     learns_capacity : bool
         Whether the daemon learns what endpoints take well also of those that do not
         report how slow their machine is.
+    memory_megabytes : float
+        The memory of the machine, which bounds what callers hold; 0 for no bound.
+    max_descriptors : int
+        The descriptors that the process may open, which bound the connections of
+        callers; 0 for no bound.
     is_first_start : bool
         Whether the whole fleet starts for the first time, so that no program has
         been served yet.
@@ -79,6 +84,8 @@
     quota_overage: float = 0.0
     quota_slack: float = 0.0
     learns_capacity: bool = False
+    memory_megabytes: float = 0.0
+    max_descriptors: int = 0
     is_first_start: bool = False
 
     @property
