Learn capacity only where the setting asks for it

A reported slowdown thus no longer switches it on; the setting learns_capacity does, off by default.

With it, learning begins with the configuration, so that first outcomes count, and a service's first report tells the slots of its endpoints.

--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -47,8 +47,7 @@
     conversation_cache_megabytes : float
         How much memory the turns of conversations may take.
     learns_capacity : bool
-        Whether the daemon learns what endpoints take well also of those that do not
-        report how slow their machine is.
+        Whether the daemon learns what endpoints take well.
     is_first_start : bool
         Whether the whole fleet starts for the first time, so that no program has
         been served yet.
--- a/src/eelgrasslock/scheduling/endpoint_table.py
+++ b/src/eelgrasslock/scheduling/endpoint_table.py
@@ -110,13 +110,14 @@
         self.mark_changed(endpoint)
 
     def apply_load_report(self, endpoint: str, report: LoadReport, now: float) -> None:
-        """Apply a report; one with a slowdown has capacity learned from then on."""
+        """Apply a report; a service's first one tells the slots of all until theirs."""
         state = self.states.get(endpoint)
         if state is None:
             return
         state.apply_load_report(report)
-        if report.slowdown is not None:
-            self.learn_capacity(state.settings.service, report.slots)
+        capacity = self.capacities.get(state.settings.service)
+        if capacity is not None and not capacity.slots:
+            self._assume_slots(state.settings.service, capacity, report.slots)
         state.record_capacity(report, now)
         self.mark_changed(endpoint)
 
@@ -130,19 +131,11 @@
         capacities = [state.capacity for state in self.states.values()]
         return sum(one is not None and one.is_ejected(now) for one in capacities)
 
-    def learn_capacity(self, service: str, slots: int = 0) -> None:
-        """Learn from now on what the endpoints of a service take well.
-
-        Parameters
-        ----------
-        service : str
-            The service.
-        slots : int
-            Calls that one of them runs at once, 0 if that is not known.
-        """
+    def learn_capacity(self, service: str) -> None:
+        """Learn from now on what the endpoints of a service take well."""
         if service in self.capacities:
             return
-        capacity = self.capacities[service] = ServiceCapacity(slots=slots)
+        capacity = self.capacities[service] = ServiceCapacity()
         for state in self.states.values():
             if state.settings.service == service:
                 self._add_capacity(state, capacity)
@@ -237,6 +230,15 @@
         state.capacity = EndpointCapacity(state.name, slots, capacity)
         return state.capacity
 
+    def _assume_slots(
+        self, service: str, capacity: ServiceCapacity, slots: int
+    ) -> None:
+        """Let the endpoints of a service have the slots that one of them reports."""
+        capacity.slots = slots
+        for state in self.states.values():
+            if state.settings.service == service and state.capacity is not None:
+                state.capacity.concurrency.set_slots(slots)
+
     def _configure_pools(self, configuration: Configuration) -> None:
         states_by_pool: dict[PoolKey, list[EndpointState]] = {}
         for service, settings in configuration.services.items():
