--- a/src/eelgrasslock/gateway/settings.py
+++ b/src/eelgrasslock/gateway/settings.py
@@ -53,8 +53,7 @@
     quota_slack : float
         The requests by which it may exceed it besides.
     learns_capacity : bool
-        Whether the daemon learns what endpoints take well also of those that do not
-        report how slow their machine is.
+        Whether the daemon learns what endpoints take well.
     memory_megabytes : float
         The memory of the machine, which bounds what callers hold; 0 for no bound.
     max_descriptors : int
