Simulate each load of the fairness tests once

Cause: tests of the same load ran its simulation anew.

Change: simulations are kept between the tests of a run.

--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -1,5 +1,6 @@
 """Workspaces that ask for more than their shares are refused first."""
 
+import functools
 import random
 import re
 from types import MappingProxyType
@@ -35,10 +36,12 @@
 ALL = range(WORKSPACES)
 
 
-def simulate(is_fair, factors, seed, everyone=1.0, shift=0.0):
+@functools.cache
+def simulate(is_fair, seed, hot=1.0, everyone=1.0, shift=0.0):
+    """Return a simulation in which the largest workspace sends a multiple."""
     simulation = WorkspaceSimulation(is_fair, seed=seed)
     simulation.shift = shift
-    simulation.run(factors, WINDOW, UNTIL, everyone)
+    simulation.run({0: hot}, WINDOW, UNTIL, everyone)
     return simulation
 
 
@@ -54,7 +57,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 class TestHotWorkspace:
     def test_the_others_are_served_and_on_time_more_often(self, seed):
-        fair, before = (simulate(one, {0: HOT}, seed) for one in (True, False))
+        fair, before = (simulate(one, seed, HOT) for one in (True, False))
         rest = range(1, WORKSPACES)
         assert before.served_of(rest, *WINDOW) < 0.9
         assert fair.served_of(rest, *WINDOW) > 0.98
@@ -62,23 +65,23 @@
         assert fair.on_time_of(ALL, 0, UNTIL) > before.on_time_of(ALL, 0, UNTIL)
 
     def test_it_is_served_more_than_a_quarter_as_often_as_all(self, seed):
-        fair = simulate(True, {0: HOT}, seed)
+        fair = simulate(True, seed, HOT)
         served = fair.served_of(ALL, *WINDOW)
         assert fair.served_of([0], *WINDOW) > 0.5 * served
 
 
 class TestAllWorkspacesAlike:
     def test_a_burst_of_all_is_shed_as_without_workspaces(self):
-        fair, before = (simulate(one, {}, 1, everyone=2.2) for one in (True, False))
+        fair, before = (simulate(one, 1, everyone=2.2) for one in (True, False))
         difference = fair.on_time_of(ALL, 0, UNTIL) - before.on_time_of(ALL, 0, UNTIL)
         assert abs(difference) < 0.03
 
     def test_callers_who_move_between_domains_are_served(self):
-        fair = simulate(True, {}, 1, shift=0.5)
+        fair = simulate(True, 1, shift=0.5)
         assert fair.refusals == []
 
     def test_callers_who_move_in_a_burst_are_not_starved(self):
-        fair = simulate(True, {}, 1, everyone=2.2, shift=0.5)
+        fair = simulate(True, 1, everyone=2.2, shift=0.5)
         moved, stayed = (fair.served_of(ALL[one::2], *WINDOW) for one in (0, 1))
         assert moved > 0.9 * stayed
 
