--- a/src/eelgrasslock/failures/endpoint_probe.py
+++ b/src/eelgrasslock/failures/endpoint_probe.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from eelgrasslock.exchanges.interfaces import MessageCodec
-from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.connection import HTTPConnection
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.running_timeout import RunningTimeout
--- a/src/eelgrasslock/forwarding/attempts.py
+++ b/src/eelgrasslock/forwarding/attempts.py
@@ -12,7 +12,8 @@
 from eelgrasslock.failures.failure_classifier import FailureClassifier
 from eelgrasslock.failures.link_monitor import LinkMonitor
 from eelgrasslock.forwarding.endpoint_reports import EndpointReports
-from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.connection import HTTPConnection
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing, OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import MAX_IDLE_SECONDS, ConnectFailed, ConnectionPool
 from eelgrasslock.registry.endpoint_registry import EndpointRecord, EndpointRegistry
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -16,6 +16,7 @@
 from eelgrasslock.exchanges.request_digest import request_digest
 from eelgrasslock.forwarding.forwarder import Forwarder
 from eelgrasslock.gateway.access_log import AccessLogEntry, AccessLogger
+from eelgrasslock.gateway.refusals import no_configuration, no_route, stopping
 from eelgrasslock.quotas.quota_controller import QuotaController
 from eelgrasslock.registry.endpoint_registry import EndpointRegistry
 from eelgrasslock.requests.in_flight import InFlight
@@ -32,8 +33,6 @@
 )
 from eelgrasslock.workspaces.access import WorkspaceAccess
 
-NO_CONFIGURATION_RETRY_SECONDS = 0.5
-STOPPING_RETRY_SECONDS = 0.05
 _HASH_RANGE = 2.0**64
 
 _log = logger.bind(part="requests")
@@ -145,7 +144,7 @@
         try:
             if self.stopping or not request.is_complete:
                 self.refused_while_stopping += 1
-                raise _stopping_refusal()
+                raise stopping()
             await self._serve(request, responder, log_entry)
             log_entry.mark_served()
         except Refusal as refusal:
@@ -216,7 +215,7 @@
         """Refuse a request that may outlast this daemon, which drains."""
         if deadline > self.ends_at:
             self.refused_while_stopping += 1
-            raise _stopping_refusal()
+            raise stopping()
 
     async def _begin_turn(self, context: RequestContext) -> None:
         """Let a turn whose chain the fleet keeps carry the whole conversation."""
@@ -272,16 +271,10 @@
 
     def _find_route(self, request: GatewayRequest) -> Route:
         if self.routing.current is None:
-            sentence = "This daemon has no configuration yet."
-            raise Refusal(
-                "no_configuration",
-                sentence,
-                503,
-                retry_after=NO_CONFIGURATION_RETRY_SECONDS,
-            )
+            raise no_configuration()
         route = self.routing.table.find(request.host, request.path)
         if route is None:
-            raise Refusal("no_route", "No route serves this host and path.", 404)
+            raise no_route()
         return route
 
     def _select_service(
@@ -347,8 +340,3 @@
         else:
             log_entry.mark_refused(refusal)
         await responder.refuse(refusal, self.codec.refusal_headers(request.id))
-
-
-def _stopping_refusal() -> Refusal:
-    sentence = "This daemon is stopping; another one takes the request."
-    return Refusal("daemon_leaving", sentence, 503, retry_after=STOPPING_RETRY_SECONDS)
--- a/src/eelgrasslock/http/connection.py
+++ b/src/eelgrasslock/http/connection.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from eelgrasslock.exceptions import EelgrassError
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing, Header, OutgoingRequest, ResponseHead
 from eelgrasslock.http.socket_options import (
     READ_BYTES,
@@ -26,27 +26,6 @@
 _FIRST_FINAL_STATUS = 200
 
 
-class ConnectionBroken(EelgrassError):
-    """A connection failed or received invalid HTTP before a response was complete.
-
-    Parameters
-    ----------
-    message : str
-        The cause.
-    response_started : bool
-        Whether the response had started.
-    reset : bool
-        Whether the peer reset the connection.
-    """
-
-    def __init__(
-        self, message: str, response_started: bool, reset: bool = False
-    ) -> None:
-        super().__init__(message)
-        self.response_started = response_started
-        self.reset = reset
-
-
 class HTTPConnection(asyncio.Protocol):
     """A connection: call `send`, then `read` until it returns None.
 
--- a/src/eelgrasslock/platform/store_client.py
+++ b/src/eelgrasslock/platform/store_client.py
@@ -14,7 +14,8 @@
     LogUnavailable,
     RecordsExpired,
 )
-from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.connection import HTTPConnection
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
 from eelgrasslock.log.keyed_log import (
--- a/src/eelgrasslock/responses/continuation.py
+++ b/src/eelgrasslock/responses/continuation.py
@@ -5,7 +5,8 @@
 from eelgrasslock.clock import Clock
 from eelgrasslock.exchanges.interfaces import MessageCodec
 from eelgrasslock.exchanges.request_context import RequestContext
-from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.connection import HTTPConnection
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
--- a/src/eelgrasslock/responses/liveness.py
+++ b/src/eelgrasslock/responses/liveness.py
@@ -5,7 +5,8 @@
 from types import TracebackType
 
 from eelgrasslock.exchanges.interfaces import MessageCodec
-from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.connection import HTTPConnection
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.running_timeout import RunningTimeout
--- a/src/eelgrasslock/responses/relay.py
+++ b/src/eelgrasslock/responses/relay.py
@@ -6,7 +6,8 @@
 from eelgrasslock.exchanges.interfaces import MessageCodec
 from eelgrasslock.exchanges.messages import EndpointResponse
 from eelgrasslock.exchanges.request_context import RequestContext
-from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.connection import HTTPConnection
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock.http.pool import ConnectionPool
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
--- a/tests/conversation_fleet.py
+++ b/tests/conversation_fleet.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from platform_fleet import configuration, route, wait_until
 
 TALKS = "/talks/"
--- a/tests/stream_client.py
+++ b/tests/stream_client.py
@@ -2,7 +2,7 @@
 
 from attrs import define
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from platform_fleet import TURNS
 
 
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -5,7 +5,7 @@
 import pytest
 from loguru import logger
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import LOOKUPS, PlatformFleet
 
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -3,7 +3,7 @@
 import pytest
 
 from eelgrasslock.exceptions import PeerUnavailable, Ran, Refusal
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.relaying.peer_forwarder import RelayedResponse
 from eelgrasslock.relaying.peer_requests import PeerRequestHandler, PeerResponder
 from eelgrasslock.relaying.relay_messages import encode_refusal
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -7,7 +7,7 @@
 from aiohttp import ClientConnectionResetError
 
 from eelgrasslock.http.caller_body import CallerBody
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock.requests.front import Front
 from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
 from link_faults import Cut, LinkFaults
--- a/tests/test_ended_engines.py
+++ b/tests/test_ended_engines.py
@@ -10,7 +10,7 @@
 import pytest
 
 from conversation_fleet import ConversationFleet
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.running_timeout import RunningTimeout
 from eelgrasslock_standins.platform_engine import Fault
 from engine_process import EngineProcess
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from eelgrasslock.http.connection import ConnectionBroken, HTTPConnection
+from eelgrasslock.http.connection import HTTPConnection
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
 from hold_ups import running_seconds
--- a/tests/test_gateway_responses.py
+++ b/tests/test_gateway_responses.py
@@ -7,7 +7,7 @@
 
 from eelgrasslock.failures.failure_classifier import CORRELATION_WINDOW_SECONDS
 from eelgrasslock.forwarding.forwarder import FULL_ENDPOINT_RETRY_SECONDS
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.routing.scheduler_configuration import PLAIN_CALLS_PER_SLOT
 from eelgrasslock_standins.platform_engine import Fault
 from platform_fleet import LOOKUPS, POSTS, SLOTS, TURNS, PlatformFleet, wait_until
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.pool import ConnectFailed
 from eelgrasslock_standins.platform_engine import Fault
 from eelgrasslock_standins.platform_store import Refusing
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -10,7 +10,7 @@
 import pytest
 
 from builds import THIS_BUILD
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.pool import ConnectFailed
 from eelgrasslock.running_timeout import RunningTimeout
 from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -5,7 +5,7 @@
 import pytest
 
 from client_crowds import with_length
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.memory_budget import (
     COPIES,
     SMALL_BODY_BYTES,
--- a/tests/test_stranded_daemons.py
+++ b/tests/test_stranded_daemons.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock_standins.platform_engine import Fault
 from hold_ups import running_seconds
 from link_faults import Cut, LinkFaults
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock_standins.raw_server import Ending, RawAnswer, frame
 from platform_fleet import LOOKUPS, POSTS, TURNS, PlatformFleet
--- a/tests/upgrade_load.py
+++ b/tests/upgrade_load.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from eelgrasslock.http.connection import ConnectionBroken
+from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.pool import ConnectFailed
 from platform_fleet import LOOKUPS, MAX_TURN_TOKENS, POSTS
 
