Say in each line what repetitions of a request have in common

Lines had the digest of a request but none of its parts, and the line of an end did not name the digests it was put down to, so that a request that comes back as another one could not be told from bystanders. Lines of requests have host, target and the digest of the body, lines of ends the endpoint and up to 50 digests. The test failed before (KeyError).

--- a/src/eelgrasslock/exchanges/request_digest.py
+++ b/src/eelgrasslock/exchanges/request_digest.py
@@ -17,3 +17,8 @@
     return xxhash.xxh64_hexdigest(
         text.encode("utf-8", "surrogateescape") + request.body
     )
+
+
+def body_digest(body: bytes) -> str:
+    """Return the digest of a body, empty for an empty body."""
+    return xxhash.xxh64_hexdigest(body) if body else ""
--- a/src/eelgrasslock/gateway/access_log.py
+++ b/src/eelgrasslock/gateway/access_log.py
@@ -7,12 +7,14 @@
 from eelgrasslock.exceptions import Refusal
 from eelgrasslock.exchanges.messages import GatewayRequest
 from eelgrasslock.exchanges.request_context import RequestContext
+from eelgrasslock.exchanges.request_digest import body_digest
 from eelgrasslock.telemetry.gateway_metrics import GatewayMetrics
 from eelgrasslock.turns.turn_in_progress import TurnInProgress
 
 _log = logger.bind(part="requests")
 _NO_ROUTE = "-"
 _MILLISECONDS = 1_000
+MAX_TARGET_CHARACTERS = 200
 
 
 @define(eq=False)
@@ -105,6 +107,9 @@
 def _request_fields(request: GatewayRequest, seconds: float) -> dict[str, object]:
     return {
         "request": request.id,
+        "host": request.host,
+        "target": request.target[:MAX_TARGET_CHARACTERS],
+        "body_digest": body_digest(request.body),
         "program": request.program,
         "session": request.session,
         "workspace": request.workspace,
--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -15,6 +15,8 @@
 from eelgrasslock.scheduling.quarantine import Quarantine
 from eelgrasslock.scheduling.queueing import ProgramTable
 
+MAX_LOGGED_DIGESTS = 50
+
 log = logger.bind(part="scheduler")
 
 
@@ -165,7 +167,7 @@
                 digests.append(running.call.digest)
         if digests:
             self.quarantine.record_crash(list(dict.fromkeys(digests)), now)
-            log.warning(
+            log.bind(endpoint=endpoint, digests=digests[:MAX_LOGGED_DIGESTS]).warning(
                 "Endpoint {} crashed with {} calls in flight or just lost.",
                 endpoint,
                 len(digests),
--- a/tests/test_access_log.py
+++ b/tests/test_access_log.py
@@ -77,3 +77,16 @@
         assert first["endpoint_version"] == second["endpoint_version"] == "v7"
         assert (second["resumes"], second["wanted_version"]) == ("r0", "v7")
         assert second["version_source"] == "own"
+
+
+class TestRepeatedRequests:
+    async def test_a_line_says_what_repetitions_have_in_common(self, fleet, lines):
+        """Digests alone did not show that one path ended engine after engine."""
+        engine = await fleet.endpoint("models", events=1)
+        daemon = await fleet.ready_daemon([engine])
+        await fleet.turn(daemon, "p")
+        await fleet.turn(daemon, "q")
+        first, second = request_fields(lines)
+        assert first["digest"] != second["digest"]
+        for name in ("host", "target", "body_digest"):
+            assert first[name] == second[name] != ""
