Ask other endpoints before the links are taken for lost

Now some of the endpoints that have not failed are asked first, up to four of several domains, and a request whose connection failed waits for the verdict.

--- a/src/eelgrasslock/failures/link_monitor.py
+++ b/src/eelgrasslock/failures/link_monitor.py
@@ -2,7 +2,8 @@
 
 Only connections that can't be opened count: an endpoint that falls silent for a
 moment still takes them. Several endpoints of several failure domains must fail with
-none that takes a connection in between.
+none that takes a connection in between; some of the others are asked then, since
+several may have ended at once.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 MIN_FAILED_ENDPOINTS = 3
 MIN_FAILED_DOMAINS = 2
 FAILURE_WINDOW_SECONDS = 2.0
+MAX_VERIFIED_ENDPOINTS = 4
 # An answer as young as this shows that connections opened earlier still work.
 ANSWER_SECONDS = 0.5
 CHECK_INTERVAL_SECONDS = 1.0
@@ -72,6 +74,7 @@
         self.on_lost: Callable[[], None] = lambda: None
         self.on_regained: Callable[[], None] = lambda: None
         self._next_check_at = float("-inf")
+        self._verification: asyncio.Task[None] | None = None
         self.checks = BackgroundTasks()
 
     # --- what became of connections ---------------------------------------------
@@ -87,13 +90,29 @@
     def record_failed(self, record: EndpointRecord) -> None:
         """Record that no connection to an endpoint could be opened."""
         self.failed_at[record.id] = self.clock.monotonic()
-        if self.lost_at is None and self._are_enough_failed():
-            self.lost_at = self.clock.monotonic()
-            _log.warning(
-                "Lost the links to the endpoints: none of {} took a connection.",
-                sorted(self.failed_at),
-            )
-            self.on_lost()
+        if self.lost_at is not None or not self._are_enough_failed():
+            return
+        if self._verification is None or self._verification.done():
+            self._verification = self.checks.start(self._verify())
+
+    async def wait_until_verified(self) -> None:
+        """Wait until it is known whether the links are lost, if that is in doubt."""
+        if self._verification is not None:
+            await asyncio.wait({self._verification})
+
+    async def _verify(self) -> None:
+        """Declare the links lost unless an endpoint that has not failed is reached."""
+        untried = [one for one in self._usable() if one.id not in self.failed_at]
+        sample = self._sample(untried, MAX_VERIFIED_ENDPOINTS)
+        opened = await asyncio.gather(*(self._open(one) for one in sample))
+        if any(opened) or self.lost_at is not None or not self.failed_at:
+            return
+        self.lost_at = self.clock.monotonic()
+        _log.warning(
+            "Lost the links to the endpoints: none of {} took a connection.",
+            sorted(self.failed_at),
+        )
+        self.on_lost()
 
     def _are_enough_failed(self) -> bool:
         since = self.clock.monotonic() - FAILURE_WINDOW_SECONDS
@@ -170,16 +189,15 @@
 
     async def _check(self, count: int) -> None:
         """Open connections to some endpoints; the links are back if all succeed."""
-        records = self._sample(count)
+        records = self._sample(self._usable(), count)
         opened = await asyncio.gather(*(self._open(one) for one in records))
         if self.is_lost and opened and all(opened):
             self.lost_at = None
             _log.info("The links to the endpoints are back.")
             self.on_regained()
 
-    def _sample(self, count: int) -> list[EndpointRecord]:
+    def _sample(self, usable: list[EndpointRecord], count: int) -> list[EndpointRecord]:
         """Return endpoints in random order, of as many domains as there are."""
-        usable = self._usable()
         self.rng.shuffle(usable)
         chosen: list[EndpointRecord] = []
         domains: set[str] = set()
--- a/src/eelgrasslock/forwarding/attempts.py
+++ b/src/eelgrasslock/forwarding/attempts.py
@@ -122,6 +122,7 @@
         except ConnectFailed as error:
             self.failures.record_unreachable(record)
             _log.bind(request=context.request.id, endpoint=endpoint).info("{}", error)
+            await self.links.wait_until_verified()
             outcome = AttemptOutcome.NOT_SENT
             if self.links.is_lost:
                 outcome = AttemptOutcome.NO_LINK
