--- a/src/eelgrasslock/failures/failure_classifier.py
+++ b/src/eelgrasslock/failures/failure_classifier.py
@@ -15,6 +15,8 @@
 
 CORRELATION_DELAY_SECONDS = 0.05
 CORRELATION_WINDOW_SECONDS = 0.5
+# Some of those asked may have ended as well.
+MAX_NEIGHBOURS = 3
 
 _log = logger.bind(part="endpoints")
 
@@ -170,16 +172,20 @@
         }
         if self.unreachable_at.keys() <= {record.id}:
             return True
-        neighbour = self._find_neighbour(record)
-        return neighbour is not None and await self._opens(neighbour)
-
-    def _find_neighbour(self, record: EndpointRecord) -> EndpointRecord | None:
-        """Return an endpoint of the same domain that may be reachable."""
-        for one in self.endpoint_registry.entries.values():
-            is_near = one.domain == record.domain and one.address != record.address
-            if is_near and not one.leaving and one.id not in self.unreachable_at:
-                return one
-        return None
+        opened = await asyncio.gather(*map(self._opens, self._neighbours(record)))
+        return any(opened)
+
+    def _neighbours(self, record: EndpointRecord) -> list[EndpointRecord]:
+        """Return some endpoints of the same domain that may be reachable."""
+        near = [
+            one
+            for one in self.endpoint_registry.entries.values()
+            if one.domain == record.domain
+            and one.address != record.address
+            and not one.leaving
+            and one.id not in self.unreachable_at
+        ]
+        return near[:MAX_NEIGHBOURS]
 
     async def _opens(self, record: EndpointRecord) -> bool:
         try:
