Put ends of engines down to what all requests at them have in common

The digest of a request holds its program and body, and the same trouble came back with another program (18), body (13) or query, each time as a new request below the limit. And of those that were refused as crashing nine in ten had only run beside it: 546 of 610, for an hour.

A request has several digests now, from narrow to wide: it, its body, its program, its target, its path, none beyond a workspace. An end speaks against all digests in flight and is put down to those with the most ends; ends have names, which daemons that see the same one share in the records of the log. Two ends that nothing else explains hold a digest back for 30 s, each further one for twice as long, six for an hour, so that a request is run again alone and at most three more times after the third end. A success clears all digests of its request; a path that is served meanwhile is not held, and callers known to be sound on it are let through up to four ends.

Older builds read the records (fields are only added) and know requests by the narrow digest, as before.

--- a/src/eelgrasslock/exchanges/request_context.py
+++ b/src/eelgrasslock/exchanges/request_context.py
@@ -71,6 +71,8 @@
         The turn with its chain, None unless the route keeps turns.
     digest : str
         Identifies repetitions of the request.
+    wide_digests : tuple of str
+        Identify what its repetitions may have in common, the narrowest first.
     """
 
     request: GatewayRequest
@@ -99,6 +101,7 @@
     endpoints_age_seconds: float | None = None
     turn: TurnInProgress | None = None
     digest: str = ""
+    wide_digests: tuple[str, ...] = ()
 
     @property
     def route_kind(self) -> str:
--- a/src/eelgrasslock/failures/crash_records.py
+++ b/src/eelgrasslock/failures/crash_records.py
@@ -21,9 +21,10 @@
 
 TOPIC = "keyed.crashes"
 EXPIRY_CHECK_SECONDS = 60.0
-MAX_RECORDS = 10_000
+MAX_RECORDS = 20_000
 MAX_RECORDS_PER_WRITE = 200
 MAX_CRASHES = 1_000
+MAX_ENDS = 50
 MAX_TIME_SECONDS = 2.0**43
 _KEY_SEPARATOR = "/"
 
@@ -44,12 +45,16 @@
         How many crashes it saw.
     at : float
         When it saw the last one, in seconds since the epoch.
+    ends : tuple of str
+        Names the ends, alike in the records of all daemons that saw them; empty in
+        those of older builds.
     """
 
     digest: str
     author: str
     crashes: int
     at: float
+    ends: tuple[str, ...] = ()
 
     @property
     def key(self) -> str:
@@ -58,7 +63,10 @@
 
     def encode(self) -> bytes:
         """Return the value of the record."""
-        return json.dumps({"crashes": self.crashes, "at": self.at}).encode()
+        fields: dict[str, object] = {"crashes": self.crashes, "at": self.at}
+        if self.ends:
+            fields["ends"] = self.ends
+        return json.dumps(fields).encode()
 
 
 def make_key(digest: str, author: str) -> str:
@@ -83,11 +91,20 @@
         fields = parse_json(record.value)
         crashes = check_integer(fields["crashes"], "crashes", MAX_CRASHES)
         at = check_number(fields["at"], "at", MAX_TIME_SECONDS)
+        ends = _check_ends(fields.get("ends", []))
     except (KeyError, TypeError, ValueError) as error:
         raise RecordError(f"The value can't be read: {error!r}.") from error
     if not crashes:
         raise RecordError("A record without a value has no crashes, and no other.")
-    return CrashRecord(digest=digest, author=author, crashes=crashes, at=at)
+    return CrashRecord(digest=digest, author=author, crashes=crashes, at=at, ends=ends)
+
+
+def _check_ends(value: object) -> tuple[str, ...]:
+    if not isinstance(value, list) or len(value) > MAX_ENDS:
+        raise TypeError("ends is no short list.")
+    if not all(isinstance(one, str) for one in value):
+        raise TypeError("ends has what is no name.")
+    return tuple(value)
 
 
 class CrashRecords:
@@ -168,7 +185,7 @@
             self.records[record.key] = record
             if record.author != self.incarnation:
                 self.quarantine.load_record(
-                    record.author, record.digest, record.crashes
+                    record.author, record.digest, record.crashes, record.ends
                 )
 
     def _remove(self, record: CrashRecord) -> None:
@@ -231,14 +248,12 @@
             self.pending_for_others = records | self.pending_for_others
             raise
 
-    def write_for(self, author: str, digest: str, crashes: int) -> None:
-        """Write the record of a daemon that is gone; several may write the same."""
-        record = CrashRecord(
-            digest=digest,
-            author=author,
-            crashes=min(crashes, MAX_CRASHES),
-            at=self.clock.now(),
-        )
+    def write_for(self, author: str, digest: str, end: str) -> None:
+        """Add an end for a daemon that is gone; several may write the same."""
+        before = self.records.get(make_key(digest, author))
+        ends = (*(() if before is None else before.ends), end)
+        crashes = self.quarantine.crashes_by(author, digest) + 1
+        record = self._make_record(digest, author, crashes, ends)
         self.pending_for_others[record.key] = record
         self._is_pending.set()
 
@@ -269,19 +284,25 @@
 
         A digest without crashes has completed, so that all records of it go.
         """
-        crashes = len(self.quarantine.own_crashes.get(digest, ()))
-        if crashes:
-            record = CrashRecord(
-                digest=digest,
-                author=self.incarnation,
-                crashes=min(crashes, MAX_CRASHES),
-                at=self.clock.now(),
-            )
+        ends = self.quarantine.own_ends(digest)
+        if ends:
+            record = self._make_record(digest, self.incarnation, len(ends), ends)
             self.written[digest] = record.at
             return [(record.key, record.encode())]
-        if self.quarantine.is_suspect(digest):
+        if self.quarantine.crash_count(digest):
             return []
         keys = {one.key for one in self.records.values() if one.digest == digest}
         if digest in self.written:
             keys.add(make_key(digest, self.incarnation))
         return [(key, b"") for key in sorted(keys)]
+
+    def _make_record(
+        self, digest: str, author: str, crashes: int, ends: tuple[str, ...]
+    ) -> CrashRecord:
+        return CrashRecord(
+            digest=digest,
+            author=author,
+            crashes=min(crashes, MAX_CRASHES),
+            at=self.clock.now(),
+            ends=ends[-MAX_ENDS:],
+        )
--- a/src/eelgrasslock/failures/endpoint_ends.py
+++ b/src/eelgrasslock/failures/endpoint_ends.py
@@ -50,15 +50,16 @@
         self.check_replaced: Callable[[EndpointRecord, float], object] = _ignore
         self.forget_reports: Callable[[str], None] = _ignore
 
-    def record_crash(self, endpoint: str, ended_at: float) -> None:
+    def record_crash(self, record: EndpointRecord, ended_at: float) -> None:
         """Record that an endpoint had crashed by a time on the monotonic clock."""
-        self.outcomes.record_end(endpoint, ended_at, self.clock.monotonic())
-        self.silent_calls.record_end(endpoint)
+        end = f"{record.id}@{record.started_at_ms}"
+        self.outcomes.record_end(record.id, ended_at, self.clock.monotonic(), end)
+        self.silent_calls.record_end(record.id, end)
 
-    def record_silence(self, endpoint: str, since: float) -> None:
+    def record_silence(self, record: EndpointRecord, since: float) -> None:
         """Record that an endpoint answered no probe: it has ended if it is silent."""
-        if self.silent_calls.heard_at.get(endpoint, since) <= since:
-            self.record_crash(endpoint, since)
+        if self.silent_calls.heard_at.get(record.id, since) <= since:
+            self.record_crash(record, since)
 
     def record_replaced(self, before: EndpointRecord, entry: EndpointRecord) -> None:
         """Record the end of an endpoint whose id another start has.
@@ -68,7 +69,7 @@
         age_seconds = max(0.0, self.clock.now() - entry.started_at_ms / 1_000.0)
         ended_at = self.clock.monotonic() - age_seconds
         if before.id == entry.id:
-            self.record_crash(before.id, ended_at)
+            self.record_crash(before, ended_at)
             self._reset(entry.id)
         else:
             self.check_replaced(before, ended_at)
@@ -76,13 +77,15 @@
     def record_removed(self, record: EndpointRecord) -> None:
         """Find out whether an endpoint has ended that did not say that it leaves."""
         self._reset(record.id)
-        now = self.clock.monotonic()
-        may_have_crashed = self.outcomes.may_have_crashed(
-            record.id, now
-        ) or self.silent_calls.has_any(record.id)
-        if not record.leaving and may_have_crashed:
+        if not record.leaving and self.has_calls(record.id):
             self.check_removed(record)
 
+    def has_calls(self, endpoint: str) -> bool:
+        """Return whether an end of an endpoint could be put down to any call."""
+        now = self.clock.monotonic()
+        is_own = self.outcomes.may_have_crashed(endpoint, now)
+        return is_own or self.silent_calls.has_any(endpoint)
+
     def drop_past(self) -> None:
         """Drop what no end can be put down to any more."""
         self.silent_calls.update()
--- a/src/eelgrasslock/failures/failure_classifier.py
+++ b/src/eelgrasslock/failures/failure_classifier.py
@@ -37,10 +37,10 @@
     probe : EndpointProbe
         Asks an endpoint whether it is still the registered one.
     on_crash : callable
-        Called with the id of an endpoint that crashed, and when it had done so at
-        the latest, on the monotonic clock.
+        Called with the registration of an endpoint that crashed, and when it had done
+        so at the latest, on the monotonic clock.
     on_silence : callable
-        Called with the id of an endpoint that answers no probe, and since when.
+        Called with that of an endpoint that answers no probe, and since when.
 
     Attributes
     ----------
@@ -55,8 +55,8 @@
         links: LinkMonitor,
         clock: Clock,
         probe: EndpointProbe,
-        on_crash: Callable[[str, float], None],
-        on_silence: Callable[[str, float], None],
+        on_crash: Callable[[EndpointRecord, float], None],
+        on_silence: Callable[[EndpointRecord, float], None],
     ) -> None:
         self.on_silence = on_silence
         self.on_crash = on_crash
@@ -108,11 +108,11 @@
         result = await self.probe.ask(record)
         if result is ProbeResult.MISDIRECTED:
             _log.info("Another endpoint has the address of {}.", record.id)
-            self.on_crash(record.id, ended_at)
+            self.on_crash(record, ended_at)
         elif result is ProbeResult.SILENT:
             _log.info("Endpoint {} takes connections and answers nothing.", record.id)
             self.pool.drop(record.address)
-            self.on_silence(record.id, ended_at)
+            self.on_silence(record, ended_at)
 
     def check_replaced(self, record: EndpointRecord, ended_at: float) -> None:
         """Find out whether an endpoint has ended whose address another one claims.
@@ -132,7 +132,7 @@
         if await self.probe.ask(record) is ProbeResult.ANSWERED:
             _log.info("Endpoint {} answers: its address is still its own.", record.id)
         else:
-            self.on_crash(record.id, ended_at)
+            self.on_crash(record, ended_at)
 
     async def _check(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint takes no connection though the network works.
@@ -152,7 +152,7 @@
             "it has ended" if is_crash else "others are out of reach, too",
         )
         if is_crash:
-            self.on_crash(record.id, ended_at)
+            self.on_crash(record, ended_at)
         return is_crash
 
     async def stop(self) -> None:
--- a/src/eelgrasslock/failures/silent_calls.py
+++ b/src/eelgrasslock/failures/silent_calls.py
@@ -60,6 +60,8 @@
     ----------
     call : SilentCall
         The call.
+    end : str
+        The name of the end.
     crashes_before : int
         The crashes that its owner had counted for the request.
     until : float
@@ -67,6 +69,7 @@
     """
 
     call: SilentCall
+    end: str
     crashes_before: int
     until: float
 
@@ -154,7 +157,7 @@
             is_silent = now >= max(heard_at, running.started_at) + SILENT_SECONDS
             if is_silent and now >= told_at + TELL_INTERVAL_SECONDS:
                 self._own_told_at[key] = now
-                digests.setdefault(endpoint, []).append(running.call.digest)
+                digests.setdefault(endpoint, []).extend(running.call.digests)
         return digests
 
     def _keepers(self, endpoint: str) -> list[DaemonEntry]:
@@ -202,12 +205,12 @@
         calls = self.told_at.items()
         return [one for one, at in calls if one.endpoint == endpoint and at >= heard_at]
 
-    def record_end(self, endpoint: str) -> None:
+    def record_end(self, endpoint: str, end: str) -> None:
         """Note that an endpoint has ended; its silent calls count, also of others."""
         until = self.clock.monotonic() + OWNER_SECONDS
         for call in self._of(endpoint):
             before = self._crashes_of(call)
-            self.ended.append(EndedCall(call, before, until))
+            self.ended.append(EndedCall(call, end, before, until))
             del self.told_at[call]
 
     def _count_ended(self, now: float) -> None:
@@ -227,9 +230,7 @@
                 call.endpoint,
                 call.owner,
             )
-            self.crash_records.write_for(
-                call.owner, call.digest, one.crashes_before + 1
-            )
+            self.crash_records.write_for(call.owner, call.digest, one.end)
         self.ended = waiting
 
     def _crashes_of(self, call: SilentCall) -> int:
--- a/src/eelgrasslock/forwarding/forwarder.py
+++ b/src/eelgrasslock/forwarding/forwarder.py
@@ -193,6 +193,7 @@
             deadline=context.deadline,
             preferred_endpoint=context.preferred_endpoint,
             digest=context.digest,
+            wide_digests=context.wide_digests,
             # Independent lookups that are merely equal don't wait for each other.
             limits_copies=bool(request.body),
             excluded=frozenset(context.tried_endpoints),
--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -102,6 +102,7 @@
         )
         self.scheduler.endpoint_table.learns_capacity = self.settings.learns_capacity
         self.dispatcher = Dispatcher(self.scheduler, self.clock)
+        self.scheduler.quarantine.stagger = self.rng.random()
         self.load_shedder = LoadShedder(self.clock, self.rng)
 
     def _create_peers(self) -> None:
--- a/src/eelgrasslock/gateway/handler.py
+++ b/src/eelgrasslock/gateway/handler.py
@@ -13,7 +13,7 @@
 from eelgrasslock.exchanges.interfaces import FollowedView, MessageCodec
 from eelgrasslock.exchanges.messages import GatewayRequest
 from eelgrasslock.exchanges.request_context import RequestContext
-from eelgrasslock.exchanges.request_digest import request_digest
+from eelgrasslock.exchanges.request_digest import request_digest, wide_digests
 from eelgrasslock.forwarding.forwarder import Forwarder
 from eelgrasslock.gateway.access_log import AccessLogEntry, AccessLogger
 from eelgrasslock.gateway.refusals import no_configuration, no_route, stopping
@@ -197,6 +197,7 @@
             configuration_version=self.routing.current.version,
             origin=origin,
             digest=request_digest(request),
+            wide_digests=wide_digests(request),
         )
         log_entry.context = context
         self.check_end(context.deadline)
--- a/src/eelgrasslock/relaying/relay_messages.py
+++ b/src/eelgrasslock/relaying/relay_messages.py
@@ -12,7 +12,7 @@
 from eelgrasslock.exceptions import Ran, Refusal
 from eelgrasslock.exchanges.interfaces import MessageCodec
 from eelgrasslock.exchanges.request_context import RequestContext
-from eelgrasslock.exchanges.request_digest import request_digest
+from eelgrasslock.exchanges.request_digest import request_digest, wide_digests
 from eelgrasslock.http.messages import Header
 from eelgrasslock.requests.exchange import Request
 from eelgrasslock.responses.responder import ResponseWriter
@@ -146,6 +146,7 @@
         origin=origin if version else None,
         relayed_by=message.forwarded_by,
         digest=digest or request_digest(request),
+        wide_digests=wide_digests(request),
     )
 
 
--- a/src/eelgrasslock/scheduling/admission.py
+++ b/src/eelgrasslock/scheduling/admission.py
@@ -61,7 +61,7 @@
 
     A call is refused if its predicted wait exceeds the limit of its class or its
     deadline, if the queue is full, if no endpoint will accept calls in time, or
-    if its digest is quarantined. The first call of a program has a lower limit
+    if it is quarantined. The first call of a program has a lower limit
     than later ones, so that running programs, which hold engine memory, can
     finish.
 
@@ -121,7 +121,7 @@
         Refusal
             With the delay after which a retry may succeed, if one can.
         """
-        if self.quarantine.is_quarantined(call.digest):
+        if self.quarantine.refuses(call.digests):
             raise quarantine_refusal(Ran.NO)
         pool = self._open_pool(call, now)
         self._check_token_wait(call, program, pool, now)
--- a/src/eelgrasslock/scheduling/call_expiry.py
+++ b/src/eelgrasslock/scheduling/call_expiry.py
@@ -65,7 +65,7 @@
         self.quarantine.has_new_crashes = False
         refused = []
         for one in waiting.values():
-            if self.quarantine.is_quarantined(one.call.digest):
+            if self.quarantine.refuses(one.call.digests):
                 ran = Ran.UNKNOWN if one.call.excluded else Ran.NO
                 refused.append(ExpiredCall(one.call, quarantine_refusal(ran)))
         return refused
--- a/src/eelgrasslock/scheduling/call_starter.py
+++ b/src/eelgrasslock/scheduling/call_starter.py
@@ -78,12 +78,13 @@
             return False
         return self.prefix_index.known_chunks(keys) < _CACHED_CONTEXT_SHARE * len(keys)
 
-    def record_finished(self, digest: str) -> None:
-        """Record that a call with a digest is no longer in flight."""
-        if self.in_flight_digests[digest] > 1:
-            self.in_flight_digests[digest] -= 1
-        else:
-            self.in_flight_digests.pop(digest, None)
+    def record_finished(self, call: Call) -> None:
+        """Record that a call is no longer in flight."""
+        for digest in call.digests:
+            if self.in_flight_digests[digest] > 1:
+                self.in_flight_digests[digest] -= 1
+            else:
+                self.in_flight_digests.pop(digest, None)
 
     def suggest(self, pool: EndpointPool, call: Call, now: float) -> str:
         """Return the best endpoint for a call that is not submitted yet."""
@@ -230,12 +231,13 @@
         return self.placement.choose(call, waiting.output_tokens, candidates, now)
 
     def _has_enough_copies(self, call: Call) -> bool:
-        """Return whether calls with its digest may crash as many endpoints already."""
-        copies = self.in_flight_digests[call.digest]
-        crashes = self.quarantine.crash_count(call.digest)
-        if not crashes and not call.limits_copies:
-            return False
-        return copies + crashes >= CRASHES_TO_QUARANTINE
+        """Return whether calls like it may crash as many endpoints already."""
+        in_flight = self.in_flight_digests
+        if call.limits_copies and in_flight[call.digest] >= CRASHES_TO_QUARANTINE:
+            return True
+        return any(
+            in_flight[one] and self.quarantine.is_suspect(one) for one in call.digests
+        )
 
     def _candidates(
         self,
@@ -246,7 +248,7 @@
     ) -> list[Candidate]:
         call = waiting.call
         is_lookup = call.call_class is CallClass.LOOKUP
-        is_suspect = self.quarantine.is_suspect(call.digest)
+        is_suspect = self.quarantine.is_suspect(*call.digests)
         candidates = []
         for state in states:
             if state.name in call.excluded or not state.is_open(now):
@@ -286,7 +288,7 @@
     ) -> bool:
         if not state.is_open(now):
             return False
-        if state.suspect_call_id and self.quarantine.is_suspect(waiting.call.digest):
+        if state.suspect_call_id and self.quarantine.is_suspect(*waiting.call.digests):
             return False
         return self._has_slot(state, waiting.call.call_class, now)
 
@@ -305,9 +307,8 @@
         self.slots.acquire(state)
         if state.tokens is not None:
             state.tokens.take(now)
-        if call.digest:
-            self.in_flight_digests[call.digest] += 1
-        if self.quarantine.is_suspect(call.digest):
+        self.in_flight_digests.update(call.digests)
+        if self.quarantine.is_suspect(*call.digests):
             state.suspect_call_id = call.id
         running = RunningCall(
             call=call,
--- a/src/eelgrasslock/scheduling/calls.py
+++ b/src/eelgrasslock/scheduling/calls.py
@@ -39,6 +39,8 @@
         other daemons, empty if none is known.
     digest : str
         Digest of the request, to find requests that crash endpoints.
+    wide_digests : tuple of str
+        Digests of what its repetitions may have in common, the narrowest first.
     limits_copies : bool
         Whether a few calls with its digest run at once at most, although none has
         crashed an endpoint.
@@ -66,6 +68,7 @@
     deadline: float | None = None
     preferred_endpoint: str = ""
     digest: str = ""
+    wide_digests: tuple[str, ...] = ()
     limits_copies: bool = True
     excluded: frozenset[str] = frozenset()
     version: str = ""
@@ -73,6 +76,11 @@
     has_lower_priority: bool = False
     kind: str = ""
 
+    @property
+    def digests(self) -> tuple[str, ...]:
+        """All of its digests, the narrowest first."""
+        return (self.digest, *self.wide_digests) if self.digest else ()
+
 
 @frozen(kw_only=True)
 class Assignment:
--- a/src/eelgrasslock/scheduling/lost_calls.py
+++ b/src/eelgrasslock/scheduling/lost_calls.py
@@ -13,15 +13,15 @@
 
     Attributes
     ----------
-    digest : str
-        The digest of its request.
+    digests : tuple of str
+        The digests of its request.
     ended_at : float
         When it ended, on the monotonic clock, in seconds.
     is_broken : bool
         Whether its connection broke; if not, it was given up.
     """
 
-    digest: str
+    digests: tuple[str, ...]
     ended_at: float
     is_broken: bool
 
@@ -56,11 +56,11 @@
         """Return whether calls to an endpoint were lost of late."""
         return bool(self._recent(endpoint, now))
 
-    def take(self, endpoint: str, now: float) -> list[str]:
-        """Return the digests of the lost calls to an endpoint, and forget them."""
-        digests = [one.digest for one in self._recent(endpoint, now)]
+    def take(self, endpoint: str, now: float) -> list[LostCall]:
+        """Return the lost calls to an endpoint, and forget them."""
+        calls = self._recent(endpoint, now)
         self.by_endpoint.pop(endpoint, None)
-        return digests
+        return calls
 
     def drop_past(self, now: float) -> None:
         """Drop the calls that were lost too long ago."""
--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -81,7 +81,7 @@
             pool.record_run_time(seconds)
         program = self.programs.get_or_create(call.program, now)
         program.record_call(seconds, usage.completion_tokens)
-        self.quarantine.record_success(call.digest)
+        self.quarantine.record_success(*running.call.digests)
 
     def record_error(
         self, state: EndpointState, running: RunningCall, usage: Usage, now: float
@@ -95,7 +95,7 @@
             return
         self.lost_calls.record_answer(state.name)
         self._record_answer(state, running.call.id, now)
-        self.quarantine.record_success(running.call.digest)
+        self.quarantine.record_success(*running.call.digests)
         self._record_outcome(state, True, now)
 
     def record_failure(
@@ -137,7 +137,7 @@
     ) -> None:
         """Record a call that ended without a whole answer."""
         if not running.crash_counted:
-            lost = LostCall(running.call.digest, now, is_broken)
+            lost = LostCall(running.call.digests, now, is_broken)
             self.lost_calls.add(state.name, lost)
 
     def record_crash(self, state: EndpointState, call_id: str, now: float) -> None:
@@ -146,7 +146,9 @@
         if not state.running[call_id].crash_counted:
             self.record_end(state.name, now, now)
 
-    def record_end(self, endpoint: str, ended_at: float, now: float) -> None:
+    def record_end(
+        self, endpoint: str, ended_at: float, now: float, end: str = ""
+    ) -> None:
         """Record that an endpoint has ended: its calls in flight have crashed it.
 
         So have the calls that were lost just before. Equal ones count once.
@@ -159,23 +161,29 @@
             When it ended at the latest; later calls have met its next start.
         now : float
             The time, on the monotonic clock.
+        end : str
+            Names the end, alike at all daemons that see it; empty if unknown.
         """
-        digests = self.lost_calls.take(endpoint, now)
+        digests = [one.digests for one in self.lost_calls.take(endpoint, now)]
         for running in self._running(endpoint):
             if running.started_at <= ended_at and not running.crash_counted:
                 running.crash_counted = True
-                digests.append(running.call.digest)
+                digests.append(running.call.digests)
         if digests:
-            self.quarantine.record_crash(list(dict.fromkeys(digests)), now)
-            log.bind(endpoint=endpoint, digests=digests[:MAX_LOGGED_DIGESTS]).warning(
+            names = list(dict.fromkeys(one for many in digests for one in many))
+            self.quarantine.record_crash(names, now, end)
+            log.bind(endpoint=endpoint, digests=names[:MAX_LOGGED_DIGESTS]).warning(
                 "Endpoint {} crashed with {} calls in flight or just lost.",
                 endpoint,
                 len(digests),
             )
 
     def may_have_crashed(self, endpoint: str, now: float) -> bool:
-        """Return whether calls to an endpoint are in flight or were lost of late."""
-        return bool(self._running(endpoint)) or self.lost_calls.has_any(endpoint, now)
+        """Return whether calls to an endpoint are in flight or have just ended."""
+        return (
+            bool(self._running(endpoint))
+            or self.lost_calls.has_any(endpoint, now)
+        )
 
     def drop_past(self, now: float) -> None:
         """Drop what no end of an endpoint can be put down to any more."""
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -70,7 +70,7 @@
         self.features = features
         self.prefix_index = PrefixIndex()
         self.slots = SlotAllocator(rng)
-        self.quarantine = Quarantine()
+        self.quarantine = Quarantine(clock.monotonic)
         self.programs = ProgramTable()
         self.ranking = Ranking()
         self.endpoint_table = EndpointTable(self.prefix_index, rng)
@@ -229,7 +229,7 @@
         running = state.finish(call_id, self.clock.now())
         self.slots.release(state)
         del self.endpoint_by_call[call_id]
-        self.starter.record_finished(running.call.digest)
+        self.starter.record_finished(running.call)
         if outcome is CallOutcome.FAILED:
             self.outcome_recorder.record_error(state, running, usage, now)
         elif outcome is CallOutcome.DONE:
@@ -245,7 +245,7 @@
 
     def retry_delay(self, call: Call, endpoint: str, attempt: int) -> float | None:
         """Return the delay before retry `attempt` in seconds, None for no retry."""
-        if self.quarantine.is_quarantined(call.digest):
+        if self.quarantine.refuses(call.digests):
             return None
         return self.retry_budgets.delay(call.program, endpoint, attempt)
 
--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,145 @@
+"""To which requests the ends of endpoints are put down."""
+
+import pytest
+
+from eelgrasslock.clock import ManualClock
+from eelgrasslock.exchanges.messages import GatewayRequest
+from eelgrasslock.exchanges.request_digest import request_digest, wide_digests
+from eelgrasslock.scheduling.quarantine import (
+    CONTRADICTION_SECONDS,
+    FIRST_HOLD_SECONDS,
+    MAX_EXEMPT_CRASHES,
+    Quarantine,
+)
+
+HOUR = 3_600.0
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def quarantine(clock):
+    return Quarantine(clock.monotonic)
+
+
+@pytest.fixture
+def end(quarantine, clock):
+    """Record the end of an endpoint with some digests in flight."""
+
+    def record(name, *digests):
+        quarantine.record_crash(digests, clock.monotonic(), name)
+
+    return record
+
+
+class TestBystanders:
+    """They were refused for an hour, nine of ten that were refused at all."""
+
+    def test_what_ran_beside_the_cause_is_no_suspect(self, quarantine, end):
+        end("e1", "cause", "a", "b")
+        end("e2", "cause", "a", "c")
+        end("e3", "cause", "d")
+        assert quarantine.is_quarantined("cause")
+        assert not quarantine.is_suspect("a", "b", "c", "d")
+
+    def test_what_other_daemons_saw_explains_an_end(self, quarantine, end):
+        """One daemon has the bystanders in flight, and others the cause."""
+        end("e1", "a", "b")
+        end("e2", "a")
+        assert quarantine.is_quarantined("a")
+        quarantine.load_record("peer", "cause", 3, ("e1", "e2", "e3"))
+        assert quarantine.is_quarantined("cause")
+        assert not quarantine.is_suspect("a", "b")
+
+    def test_one_that_can_not_be_told_from_the_cause_is_held_for_a_while(
+        self, quarantine, end, clock
+    ):
+        end("e1", "cause", "a")
+        end("e2", "cause", "a")
+        assert quarantine.is_quarantined("a")
+        clock.advance(FIRST_HOLD_SECONDS)
+        assert not quarantine.is_quarantined("a")
+        assert quarantine.is_suspect("a")
+
+    def test_one_end_that_two_daemons_saw_is_one(self, quarantine, end):
+        end("e1", "a")
+        quarantine.load_record("peer", "a", 1, ("e1",))
+        assert quarantine.crash_count("a") == 1
+
+    def test_cleared_crashes_of_others_explain_nothing_more(self, quarantine, end):
+        quarantine.load_record("peer", "cause", 3, ("e1", "e2", "e3"))
+        end("e1", "a")
+        assert not quarantine.is_suspect("a")
+        quarantine.record_success("cause")
+        assert quarantine.is_suspect("a")
+
+    def test_many_records_leave_no_name_behind(self, quarantine):
+        for number in range(50):
+            quarantine.load_record("peer", f"d{number}", 1, (f"e{number}",))
+        for number in range(50):
+            quarantine.load_record("peer", f"d{number}", 0)
+        assert not quarantine.evidence._digests_by_end
+
+
+class TestWideDigests:
+    def request(self, **values):
+        return GatewayRequest(
+            id="r",
+            **{"method": "POST", "host": "h", "target": "/a/x?q=1"} | values,
+        )
+
+    @pytest.mark.parametrize(
+        ("changed", "shared"),
+        [
+            ({"program": "p2"}, {"body", "target", "path"}),
+            ({"body": b"other"}, {"program", "target", "path"}),
+            ({"target": "/a/x?q=2"}, {"program", "path"}),
+            ({"target": "/a/y"}, set()),
+            ({"host": "other"}, set()),
+            ({"workspace": "w"}, set()),
+        ],
+    )
+    def test_they_say_what_repetitions_have_in_common(self, changed, shared):
+        values = {"program": "p", "body": b"b"}
+        first = wide_digests(self.request(**values))
+        second = wide_digests(self.request(**values | changed))
+        common = set(first) & set(second)
+        assert {one.partition("-")[0] for one in common} == shared
+
+    def test_a_bare_lookup_has_only_its_path(self):
+        request = self.request(target="/a/x", method="GET")
+        (path,) = wide_digests(request)
+        assert path.startswith("path-")
+        assert path != request_digest(request)
+
+
+class TestSharedPaths:
+    """One caller's requests must not shut out others that share their path."""
+
+    def test_a_path_that_is_served_meanwhile_is_not_held(self, quarantine, end, clock):
+        for number in range(10):
+            quarantine.record_success("sound", "path")
+            clock.advance(CONTRADICTION_SECONDS / 2)
+            end(f"e{number}", f"bad {number}", "body", "path")
+        assert not quarantine.refuses(("other", "path"))
+        assert quarantine.refuses(("bad 11", "body", "path"))
+
+    def test_a_success_ends_a_hold_at_once(self, quarantine, end):
+        end("e1", "bad 1", "path")
+        end("e2", "bad 2", "path")
+        assert quarantine.refuses(("other", "path"))
+        quarantine.record_success("sound", "path")
+        assert not quarantine.refuses(("other", "path"))
+
+    def test_a_caller_that_is_known_to_be_sound_is_served(self, quarantine, end, clock):
+        quarantine.record_success("program", "path")
+        clock.advance(CONTRADICTION_SECONDS)
+        for number in range(MAX_EXEMPT_CRASHES):
+            end(f"e{number}", f"bad {number}", "path")
+        assert quarantine.refuses(("new", "path"))
+        assert not quarantine.refuses(("program", "path"))
+        end("one more", "program", "path")
+        assert quarantine.refuses(("program", "path"))
