Let an answer clear a request only while its endpoint goes on

What an endpoint answered in the last 0.25 s before its end counts now as in flight, until it has answered a later request or could be known to be gone; a success that such an end follows is revoked, with the ends that it had cleared. An endpoint that refuses a connection is looked into at once if it has such calls.

--- a/src/eelgrasslock/failures/failure_classifier.py
+++ b/src/eelgrasslock/failures/failure_classifier.py
@@ -41,6 +41,8 @@
         so at the latest, on the monotonic clock.
     on_silence : callable
         Called with that of an endpoint that answers no probe, and since when.
+    has_calls : callable
+        Returns whether an end of an endpoint could be put down to any call.
 
     Attributes
     ----------
@@ -57,7 +59,9 @@
         probe: EndpointProbe,
         on_crash: Callable[[EndpointRecord, float], None],
         on_silence: Callable[[EndpointRecord, float], None],
+        has_calls: Callable[[str], bool],
     ) -> None:
+        self.has_calls = has_calls
         self.on_silence = on_silence
         self.on_crash = on_crash
         self.pool = pool
@@ -70,9 +74,14 @@
         self._checks: dict[str, asyncio.Task[bool]] = {}
 
     def record_unreachable(self, record: EndpointRecord) -> None:
-        """Record that no connection to an endpoint could be opened."""
+        """Record that no connection to an endpoint could be opened.
+
+        It may have ended by a call that was answered, or lost, before.
+        """
         self.unreachable_at[record.id] = self.clock.monotonic()
         self.links.record_failed(record)
+        if self.has_calls(record.id):
+            self.check(record)
 
     async def classify(self, record: EndpointRecord) -> AttemptOutcome:
         """Return whether an endpoint crashed or only lost a connection.
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -116,6 +116,7 @@
             EndpointProbe(sources.pool, sources.platform.codec, self._find_health_path),
             sources.endpoint_ends.record_crash,
             sources.endpoint_ends.record_silence,
+            sources.endpoint_ends.has_calls,
         )
         self.access = WorkspaceAccess(
             lambda: sources.routing.workspaces, sources.platform.codec
--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -4,6 +4,7 @@
 
 from eelgrasslock.configuration.settings import ServiceKind
 from eelgrasslock.requests.usage import Usage
+from eelgrasslock.scheduling.answered_calls import AnsweredCall, AnsweredCalls
 from eelgrasslock.scheduling.calls import CallOutcome
 from eelgrasslock.scheduling.domain_breaker import DomainBreaker
 from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
@@ -42,6 +43,8 @@
     ----------
     lost_calls : LostCalls
         The calls that may have crashed their endpoint, which is not known yet.
+    answered_calls : AnsweredCalls
+        The calls whose endpoint may have ended right after its answer.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         self.quarantine = quarantine
         self.features = features
         self.lost_calls = LostCalls()
+        self.answered_calls = AnsweredCalls()
 
     def record_success(
         self, state: EndpointState, running: RunningCall, usage: Usage, now: float
@@ -81,7 +85,7 @@
             pool.record_run_time(seconds)
         program = self.programs.get_or_create(call.program, now)
         program.record_call(seconds, usage.completion_tokens)
-        self.quarantine.record_success(*running.call.digests)
+        self._record_whole_answer(state, running, now)
 
     def record_error(
         self, state: EndpointState, running: RunningCall, usage: Usage, now: float
@@ -95,7 +99,7 @@
             return
         self.lost_calls.record_answer(state.name)
         self._record_answer(state, running.call.id, now)
-        self.quarantine.record_success(*running.call.digests)
+        self._record_whole_answer(state, running, now)
         self._record_outcome(state, True, now)
 
     def record_failure(
@@ -113,6 +117,7 @@
         """
         if outcome is CallOutcome.REFUSED:
             self.lost_calls.record_answer(state.name)
+            self._confirm(state.name, running.started_at)
             state.breaker.record_inconclusive(running.call.id)
             if retry_after is not None:
                 state.backoff_until = now + retry_after
@@ -151,7 +156,8 @@
     ) -> None:
         """Record that an endpoint has ended: its calls in flight have crashed it.
 
-        So have the calls that were lost just before. Equal ones count once.
+        So have the calls that were lost, or answered, just before. Equal ones count
+        once.
 
         Parameters
         ----------
@@ -169,6 +175,10 @@
             if running.started_at <= ended_at and not running.crash_counted:
                 running.crash_counted = True
                 digests.append(running.call.digests)
+        answered = self.answered_calls.take_last(endpoint, ended_at, bool(digests))
+        for call in answered:
+            self.quarantine.revoke_success(call.digests, call.cleared, now)
+            digests.append(call.digests)
         if digests:
             names = list(dict.fromkeys(one for many in digests for one in many))
             self.quarantine.record_crash(names, now, end)
@@ -183,13 +193,29 @@
         return (
             bool(self._running(endpoint))
             or self.lost_calls.has_any(endpoint, now)
+            or self.answered_calls.has_any(endpoint)
         )
 
     def drop_past(self, now: float) -> None:
         """Drop what no end of an endpoint can be put down to any more."""
         self.lost_calls.drop_past(now)
+        self.answered_calls.drop_past(now)
         self.endpoint_table.drop_removed()
 
+    def _record_whole_answer(
+        self, state: EndpointState, running: RunningCall, now: float
+    ) -> None:
+        """Record that a request has not crashed its endpoint, as far as is known."""
+        digests = running.call.digests
+        self._confirm(state.name, running.started_at)
+        cleared = self.quarantine.record_success(*digests)
+        if digests:
+            self.answered_calls.add(state.name, AnsweredCall(digests, now, cleared))
+
+    def _confirm(self, endpoint: str, sent_at: float) -> None:
+        """Record that an endpoint lived when a call was sent that it now answered."""
+        self.answered_calls.drop_before(endpoint, sent_at)
+
     def _record_answer(self, state: EndpointState, call_id: str, now: float) -> None:
         """Record that an endpoint answers; one that comes back starts slowly."""
         was_out = state.breaker.open_until is not None
--- a/src/eelgrasslock/scheduling/quarantine.py
+++ b/src/eelgrasslock/scheduling/quarantine.py
@@ -91,15 +91,34 @@
             self.newest_at[digest] = self.now()
             self.on_change(digest)
 
-    def record_success(self, *digests: str) -> None:
-        """Clear the digests of a request that has completed."""
+    def record_success(self, *digests: str) -> dict[str, set[str]]:
+        """Clear the digests of a request that has completed.
+
+        Returns
+        -------
+        dict of str to set of str
+            The ends that no longer count, by digest.
+        """
+        cleared: dict[str, set[str]] = {}
         for digest in digests:
             self.succeeded_at[digest] = self.now()
             self.succeeded_at.move_to_end(digest)
             if self.evidence.crash_count(digest):
+                cleared[digest] = self.evidence.ends_of(digest)
                 self._clear(digest)
         while len(self.succeeded_at) > _MAX_KNOWN_SOUND:
             self.succeeded_at.popitem(last=False)
+        return cleared
+
+    def revoke_success(
+        self, digests: Sequence[str], cleared: dict[str, set[str]], now: float
+    ) -> None:
+        """Let the ends before a success count again: its endpoint ended by it."""
+        for digest in digests:
+            self.succeeded_at.pop(digest, None)
+        for digest, ends in cleared.items():
+            for end in sorted(ends):
+                self.record_crash([digest], now, end)
 
     def update_peer(self, incarnation: str, digests: tuple[str, ...]) -> None:
         """Record the crashes that a peer reports, one entry for each crash."""
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -5,12 +5,14 @@
 from eelgrasslock.clock import ManualClock
 from eelgrasslock.exchanges.messages import GatewayRequest
 from eelgrasslock.exchanges.request_digest import request_digest, wide_digests
+from eelgrasslock.scheduling.calls import CallOutcome
 from eelgrasslock.scheduling.quarantine import (
     CONTRADICTION_SECONDS,
     FIRST_HOLD_SECONDS,
     MAX_EXEMPT_CRASHES,
     Quarantine,
 )
+from scheduler_factory import make_call, make_scheduler, start
 
 HOUR = 3_600.0
 
@@ -143,3 +145,39 @@
         assert not quarantine.refuses(("program", "path"))
         end("one more", "program", "path")
         assert quarantine.refuses(("program", "path"))
+
+
+class TestAnswersBeforeTheEnd:
+    def run(self, scheduler, digest, outcome=CallOutcome.DONE):
+        call = make_call(digest=digest)
+        endpoint = start(scheduler, call).endpoint
+        scheduler.finish(call.id, outcome)
+        return endpoint
+
+    @pytest.mark.parametrize("outcome", [CallOutcome.DONE, CallOutcome.FAILED])
+    def test_an_end_right_after_an_answer_counts(self, outcome):
+        scheduler, clock = make_scheduler(engines=1)
+        for number in range(2):
+            assert self.run(scheduler, "bad", outcome) == "e0"
+            clock.advance(1.0)
+            now = clock.monotonic()
+            scheduler.outcome_recorder.record_end("e0", now, now, f"end {number}")
+        assert scheduler.quarantine.is_quarantined("bad")
+
+    def test_an_endpoint_that_answers_again_had_not_ended(self):
+        scheduler, clock = make_scheduler(engines=1)
+        self.run(scheduler, "first")
+        clock.advance(0.1)
+        self.run(scheduler, "second")
+        now = clock.monotonic()
+        scheduler.outcome_recorder.record_end("e0", now, now)
+        assert scheduler.quarantine.suspects() == {"second"}
+
+    def test_an_end_long_after_an_answer_says_nothing(self):
+        scheduler, clock = make_scheduler(engines=1)
+        self.run(scheduler, "first")
+        clock.advance(1.0)
+        start(scheduler, make_call(digest="second"))
+        now = clock.monotonic()
+        scheduler.outcome_recorder.record_end("e0", now, now)
+        assert scheduler.quarantine.suspects() == {"second"}
--- a/tests/test_ended_neighbours.py
+++ b/tests/test_ended_neighbours.py
@@ -81,6 +81,7 @@
         probe=None,
         on_crash=lambda record, ended_at: ended.append(record.id),
         on_silence=lambda record, ended_at: None,
+        has_calls=lambda endpoint: False,
     )
     yield classifier
     await classifier.stop()
