Trust no end of a success that comes before its request was taken

A success whose head comes while bytes of the request are not acknowledged is not whole when its connection ends, so that the request fails as unknown or runs elsewhere. An engine whose stack has taken the whole request looks like one that has read it; that stays open.

--- a/src/eelgrasslock/http/connection.py
+++ b/src/eelgrasslock/http/connection.py
@@ -16,6 +16,7 @@
     READ_BYTES,
     limit_reads,
     set_socket_options,
+    unsent_bytes,
 )
 
 READ_PAUSE_BYTES = 32_768
@@ -25,6 +26,7 @@
 MAX_BODY_BYTES = 16_777_216
 _FIRST_FINAL_STATUS = 200
 _STATUSES = range(100, 600)
+_SUCCESS = range(200, 300)
 
 
 class HTTPConnection(asyncio.Protocol):
@@ -63,6 +65,7 @@
         self._skipping = False
         self._response_started = False
         self._body_until_eof = False
+        self._is_early = False
         self._complete = True
         self._usable = False
         self._error: ConnectionBroken | None = None
@@ -199,7 +202,7 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the peer's bytes."""
-        if self._body_until_eof and not self._complete:
+        if self._body_until_eof and not self._complete and not self._is_early:
             self.ended_response = True
             self._finish()
         self.ended_in_order_at = asyncio.get_running_loop().time()
@@ -249,6 +252,7 @@
         self._response_started = True
         self._overhead_bytes = 0
         self._body_until_eof = head.framing is Framing.CLOSE
+        self._is_early = status in _SUCCESS and self._has_unsent()
         if self._head is not None and not self._head.done():
             self._head.set_result(head)
         if request.method == "HEAD":
@@ -311,6 +315,13 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() == 0
 
+    def _has_unsent(self) -> bool:
+        """Return whether the peer answers before it has taken the whole request.
+
+        The end of its connection does not show then that its answer is whole.
+        """
+        return self.transport is not None and unsent_bytes(self.transport) > 0
+
     def _end(self) -> None:
         self._usable = False
         if self._end_waiter is not None and not self._end_waiter.done():
