Promise nothing for what an endpoint does not say it did not run

An endpoint's 408, 429 or 503 without Not-Run was returned unchanged, though only that header states that a request did not run: a caller of a request that may not be repeated takes the status for a promise and sends it again.

--- a/src/eelgrasslock/exchanges/messages.py
+++ b/src/eelgrasslock/exchanges/messages.py
@@ -150,6 +150,8 @@
         The headers to pass on to the caller.
     not_run : bool
         Whether the endpoint states that it did not and will not run the request.
+    claims_not_run : bool
+        Whether its status alone would tell the caller so.
     is_misdirected : bool
         Whether another endpoint answered than the one that was expected.
     is_leaving : bool
@@ -179,6 +181,7 @@
     not_run: bool
     is_valid: bool
     is_own: bool = True
+    claims_not_run: bool = False
     is_misdirected: bool = False
     is_leaving: bool = False
     load: EndpointLoadHeader | None = None
--- a/src/eelgrasslock/forwarding/attempts.py
+++ b/src/eelgrasslock/forwarding/attempts.py
@@ -181,6 +181,9 @@
             context.possible_executions -= 1
             await _discard_body(connection, head.framing)
             return AttemptResult(outcome=AttemptOutcome.NOT_RUN, response=response)
+        if response.claims_not_run and not context.route.is_idempotent:
+            connection.close()
+            return AttemptResult(outcome=AttemptOutcome.UNSOUND, response=response)
         if response.status in _SUCCESS and not response.is_valid:
             connection.close()
             return AttemptResult(outcome=AttemptOutcome.UNSOUND, response=response)
--- a/src/eelgrasslock/platform/headers.py
+++ b/src/eelgrasslock/platform/headers.py
@@ -38,6 +38,8 @@
 _EXPECT_INSTANCE = "expect-instance"
 _INSTANCE_ID = "instance-id"
 _MISDIRECTED = 421
+# Callers take these for a promise that the request has not run and never will.
+_PROMISES = frozenset({408, 421, 429, 503})
 _SERVER_STAMP = "server-stamp"
 _NOT_RUN = "not-run"
 _SERVER_LOAD = "server-load"
@@ -197,6 +199,7 @@
             headers=tuple(kept),
             not_run=is_own and (misdirected or _NOT_RUN in values),
             is_own=is_own,
+            claims_not_run=head.status in _PROMISES,
             is_misdirected=misdirected,
             is_leaving=values.get(_SERVER_LEAVING) == _LEAVING,
             is_valid=(
