Let several requests that crash engines at once hide neither each other

Two causes: an end that the strongest digest explained did not speak against the others at all, so that these ran freely; and a connection that broke on a port which still took new ones said nothing until the endpoint was removed.

A digest with two explained ends stays a suspect, which runs alone, and one more end that nothing else explains counts with them. A broken call whose endpoint has not answered since counts as one that may still end it; the endpoint is asked at once, so that this is short for sound ones.

--- a/src/eelgrasslock/failures/endpoint_ends.py
+++ b/src/eelgrasslock/failures/endpoint_ends.py
@@ -80,6 +80,10 @@
         if not record.leaving and self.has_calls(record.id):
             self.check_removed(record)
 
+    def record_alive(self, record: EndpointRecord, asked_at: float) -> None:
+        """Record that an endpoint answered what it was asked at a time."""
+        self.outcomes.lost_calls.record_heard(record.id, asked_at)
+
     def has_calls(self, endpoint: str) -> bool:
         """Return whether an end of an endpoint could be put down to any call."""
         now = self.clock.monotonic()
--- a/src/eelgrasslock/failures/failure_classifier.py
+++ b/src/eelgrasslock/failures/failure_classifier.py
@@ -43,6 +43,9 @@
         Called with that of an endpoint that answers no probe, and since when.
     has_calls : callable
         Returns whether an end of an endpoint could be put down to any call.
+    on_alive : callable
+        Called with the registration of an endpoint that answered, and when it was
+        asked, on the monotonic clock.
 
     Attributes
     ----------
@@ -60,8 +63,10 @@
         on_crash: Callable[[EndpointRecord, float], None],
         on_silence: Callable[[EndpointRecord, float], None],
         has_calls: Callable[[str], bool],
+        on_alive: Callable[[EndpointRecord, float], None],
     ) -> None:
         self.has_calls = has_calls
+        self.on_alive = on_alive
         self.on_silence = on_silence
         self.on_crash = on_crash
         self.pool = pool
@@ -150,7 +155,8 @@
         """
         ended_at = self.clock.monotonic()
         if await self._opens(record):
-            _log.info("Endpoint {} takes connections: it has not ended.", record.id)
+            _log.info("Endpoint {} takes connections: it is asked.", record.id)
+            self.tasks.start(self._ask(record))
             return False
         self.pool.drop(record.address)
         self.record_unreachable(record)
@@ -164,6 +170,18 @@
             self.on_crash(record, ended_at)
         return is_crash
 
+    async def _ask(self, record: EndpointRecord) -> None:
+        """Find out whether an endpoint lives that takes connections.
+
+        The port of one that ends may take them for a while.
+        """
+        asked_at = self.clock.monotonic()
+        result = await self.probe.ask(record)
+        if result is ProbeResult.ANSWERED:
+            self.on_alive(record, asked_at)
+        elif result is ProbeResult.MISDIRECTED:
+            self.on_crash(record, asked_at)
+
     async def stop(self) -> None:
         """Stop the checks."""
         await self.tasks.stop()
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -117,6 +117,7 @@
             sources.endpoint_ends.record_crash,
             sources.endpoint_ends.record_silence,
             sources.endpoint_ends.has_calls,
+            sources.endpoint_ends.record_alive,
         )
         self.access = WorkspaceAccess(
             lambda: sources.routing.workspaces, sources.platform.codec
--- a/src/eelgrasslock/scheduling/call_starter.py
+++ b/src/eelgrasslock/scheduling/call_starter.py
@@ -10,6 +10,7 @@
 from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
 from eelgrasslock.scheduling.live_contexts import LiveContexts
+from eelgrasslock.scheduling.lost_calls import LostCalls
 from eelgrasslock.scheduling.placement import Candidate, Choice, Placement
 from eelgrasslock.scheduling.prefix_index import CHUNK_TOKENS, PrefixIndex
 from eelgrasslock.scheduling.quarantine import CRASHES_TO_QUARANTINE, Quarantine
@@ -39,6 +40,8 @@
         Counts the calls of programs.
     quarantine : Quarantine
         Decides which calls must be the only suspect on their endpoint.
+    lost_calls : LostCalls
+        The calls of which it is not known yet whether they ended their endpoint.
     rng : random.Random
         Source of randomness.
     features : FeatureFlags
@@ -53,6 +56,7 @@
         slots: SlotAllocator,
         programs: ProgramTable,
         quarantine: Quarantine,
+        lost_calls: LostCalls,
         rng: random.Random,
         features: FeatureFlags,
         domain_breaker: DomainBreaker,
@@ -62,6 +66,7 @@
         self.slots = slots
         self.programs = programs
         self.quarantine = quarantine
+        self.lost_calls = lost_calls
         self.rng = rng
         self.features = features
         self.placement = Placement(prefix_index, rng, features)
@@ -235,9 +240,14 @@
         in_flight = self.in_flight_digests
         if call.limits_copies and in_flight[call.digest] >= CRASHES_TO_QUARANTINE:
             return True
-        return any(
-            in_flight[one] and self.quarantine.is_suspect(one) for one in call.digests
-        )
+        return any(self._has_enough_of(one) for one in call.digests)
+
+    def _has_enough_of(self, digest: str) -> bool:
+        in_doubt = self.lost_calls.in_doubt[digest]
+        if in_doubt >= CRASHES_TO_QUARANTINE:
+            return True
+        copies = self.in_flight_digests[digest] + in_doubt
+        return copies > 0 and self.quarantine.is_suspect(digest)
 
     def _candidates(
         self,
--- a/src/eelgrasslock/scheduling/lost_calls.py
+++ b/src/eelgrasslock/scheduling/lost_calls.py
@@ -1,5 +1,7 @@
 """Calls whose endpoint gave no whole answer, for a few seconds."""
 
+from collections import Counter
+
 from attrs import frozen
 
 # An endpoint that ended in silence is known by its removal or its new registration:
@@ -33,15 +35,35 @@
     ----------
     by_endpoint : dict of str to list of LostCall
         The calls by the name of their endpoint, the oldest one first.
+    in_doubt : Counter of str
+        Broken calls by digest whose endpoint has not been heard of since: each may
+        turn out to have ended it.
     """
 
     def __init__(self) -> None:
         self.by_endpoint: dict[str, list[LostCall]] = {}
+        self.in_doubt: Counter[str] = Counter()
+        self._in_doubt_by_endpoint: dict[str, list[LostCall]] = {}
 
     def add(self, endpoint: str, call: LostCall) -> None:
         """Add a call that has just ended."""
         recent = self._recent(endpoint, call.ended_at)
         self.by_endpoint[endpoint] = [*recent, call]
+        if call.is_broken:
+            self._in_doubt_by_endpoint.setdefault(endpoint, []).append(call)
+            self.in_doubt.update(call.digests)
+
+    def record_heard(self, endpoint: str, sent_at: float) -> None:
+        """Note that an endpoint answered what was sent to it at a time."""
+        kept: list[LostCall] = []
+        for call in self._in_doubt_by_endpoint.pop(endpoint, ()):
+            if call.ended_at >= sent_at:
+                kept.append(call)
+            else:
+                self.in_doubt.subtract(call.digests)
+        if kept:
+            self._in_doubt_by_endpoint[endpoint] = kept
+        self.in_doubt = +self.in_doubt
 
     def record_answer(self, endpoint: str) -> None:
         """Drop the calls that were given up: their endpoint is still there.
@@ -60,10 +82,13 @@
         """Return the lost calls to an endpoint, and forget them."""
         calls = self._recent(endpoint, now)
         self.by_endpoint.pop(endpoint, None)
+        self.record_heard(endpoint, float("inf"))
         return calls
 
     def drop_past(self, now: float) -> None:
         """Drop the calls that were lost too long ago."""
+        for endpoint in list(self._in_doubt_by_endpoint):
+            self.record_heard(endpoint, now - NOTICE_SECONDS)
         recent = {one: self._recent(one, now) for one in self.by_endpoint}
         self.by_endpoint = {one: calls for one, calls in recent.items() if calls}
 
--- a/src/eelgrasslock/scheduling/outcome_recorder.py
+++ b/src/eelgrasslock/scheduling/outcome_recorder.py
@@ -34,6 +34,8 @@
         Accumulates the service that each program has used.
     quarantine : Quarantine
         Receives crashes and successes by request digest.
+    lost_calls : LostCalls
+        The calls that may have crashed their endpoint, which is not known yet.
     features : FeatureFlags
         The scheduling features that are on.
     domain_breaker : DomainBreaker
@@ -41,8 +43,6 @@
 
     Attributes
     ----------
-    lost_calls : LostCalls
-        The calls that may have crashed their endpoint, which is not known yet.
     answered_calls : AnsweredCalls
         The calls whose endpoint may have ended right after its answer.
     """
@@ -53,6 +53,7 @@
         prefix_index: PrefixIndex,
         programs: ProgramTable,
         quarantine: Quarantine,
+        lost_calls: LostCalls,
         features: FeatureFlags,
         domain_breaker: DomainBreaker,
     ) -> None:
@@ -62,7 +63,7 @@
         self.programs = programs
         self.quarantine = quarantine
         self.features = features
-        self.lost_calls = LostCalls()
+        self.lost_calls = lost_calls
         self.answered_calls = AnsweredCalls()
 
     def record_success(
@@ -215,6 +216,8 @@
     def _confirm(self, endpoint: str, sent_at: float) -> None:
         """Record that an endpoint lived when a call was sent that it now answered."""
         self.answered_calls.drop_before(endpoint, sent_at)
+        if self.lost_calls.in_doubt:
+            self.lost_calls.record_heard(endpoint, sent_at)
 
     def _record_answer(self, state: EndpointState, call_id: str, now: float) -> None:
         """Record that an endpoint answers; one that comes back starts slowly."""
--- a/src/eelgrasslock/scheduling/quarantine.py
+++ b/src/eelgrasslock/scheduling/quarantine.py
@@ -174,7 +174,11 @@
 
     def is_suspect(self, *digests: str) -> bool:
         """Return whether a request may run only as the sole suspect on an endpoint."""
-        return any(self.evidence.unexplained_count(one) for one in digests)
+        return any(
+            self.evidence.unexplained_count(one)
+            or self.crash_count(one) >= CRASHES_TO_QUARANTINE
+            for one in digests
+        )
 
     def is_quarantined(self, digest: str) -> bool:
         """Return whether requests with a digest are refused now."""
@@ -195,12 +199,23 @@
 
     def held_until(self, digest: str) -> float:
         """Return until when the ends of a digest hold it back, in monotonic seconds."""
-        crashes = self.evidence.unexplained_count(digest)
+        crashes = self._held_crashes(digest)
         if crashes < CRASHES_TO_QUARANTINE:
             return float("-inf")
         seconds = hold_seconds(crashes) * (1.0 + self.stagger)
         return self.newest_at.get(digest, self.now()) + seconds
 
+    def _held_crashes(self, digest: str) -> int:
+        """Return the ends that hold a digest back.
+
+        One that others don't explain makes those suspicious that they do explain.
+        """
+        crashes = self.crash_count(digest)
+        unexplained = self.evidence.unexplained_count(digest)
+        if unexplained and crashes > CRASHES_TO_QUARANTINE:
+            return crashes
+        return unexplained
+
     def suspects(self) -> set[str]:
         """Return the digests of which a crash is known."""
         return self.evidence.digests()
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -22,6 +22,7 @@
 from eelgrasslock.scheduling.endpoint_table import EndpointTable
 from eelgrasslock.scheduling.feature_flags import FeatureFlags
 from eelgrasslock.scheduling.limited_calls import LimitedCalls
+from eelgrasslock.scheduling.lost_calls import LostCalls
 from eelgrasslock.scheduling.outcome_recorder import OutcomeRecorder
 from eelgrasslock.scheduling.prefix_index import PrefixIndex, chunk_keys
 from eelgrasslock.scheduling.quarantine import Quarantine
@@ -76,11 +77,13 @@
         self.endpoint_table = EndpointTable(self.prefix_index, rng)
         self.retry_budgets = RetryBudgets(0.0, 0, rng)
         self.domain_breaker = DomainBreaker(domain)
+        lost_calls = LostCalls()
         self.starter = CallStarter(
             self.prefix_index,
             self.slots,
             self.programs,
             self.quarantine,
+            lost_calls,
             rng,
             features,
             self.domain_breaker,
@@ -90,6 +93,7 @@
             self.prefix_index,
             self.programs,
             self.quarantine,
+            lost_calls,
             features,
             self.domain_breaker,
         )
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -45,7 +45,21 @@
         end("e2", "cause", "a", "c")
         end("e3", "cause", "d")
         assert quarantine.is_quarantined("cause")
-        assert not quarantine.is_suspect("a", "b", "c", "d")
+        assert not quarantine.is_suspect("b", "c", "d")
+        assert not quarantine.is_quarantined("a")
+
+    def test_one_that_ran_beside_the_cause_and_ends_another_is_a_cause(
+        self, quarantine, end
+    ):
+        """Several that came together hid each other."""
+        for number in range(4):
+            end(f"e{number}", "cause", "other")
+        end("e4", "cause")
+        assert quarantine.is_suspect("other")
+        assert not quarantine.is_quarantined("other")
+        end("e5", "other", "a")
+        assert quarantine.is_quarantined("other")
+        assert not quarantine.is_suspect("a")
 
     def test_what_other_daemons_saw_explains_an_end(self, quarantine, end):
         """One daemon has the bystanders in flight, and others the cause."""
@@ -54,7 +68,8 @@
         assert quarantine.is_quarantined("a")
         quarantine.load_record("peer", "cause", 3, ("e1", "e2", "e3"))
         assert quarantine.is_quarantined("cause")
-        assert not quarantine.is_suspect("a", "b")
+        assert not quarantine.is_quarantined("a")
+        assert not quarantine.is_suspect("b")
 
     def test_one_that_can_not_be_told_from_the_cause_is_held_for_a_while(
         self, quarantine, end, clock
--- a/tests/test_ended_neighbours.py
+++ b/tests/test_ended_neighbours.py
@@ -82,6 +82,7 @@
         on_crash=lambda record, ended_at: ended.append(record.id),
         on_silence=lambda record, ended_at: None,
         has_calls=lambda endpoint: False,
+        on_alive=lambda record, asked_at: None,
     )
     yield classifier
     await classifier.stop()
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -12,7 +12,7 @@
 from eelgrasslock.http.pool import ConnectFailed
 from platform_fleet import LOOKUPS, TURNS, PlatformFleet, wait_until
 
-ENGINES = 7
+ENGINES = 9
 RETURN_SECONDS = 0.8
 SEND_SECONDS = 0.35
 REPEATED_SECONDS = 9.0
@@ -193,10 +193,16 @@
         await crashing.repeat(lambda number, copy: lookup(CRASHING, b"same"))
         crashing.check()
 
-    async def test_an_engine_whose_port_lives_longer_has_ended(self, crashing):
-        """Three of six requests were passed on for ever."""
-        await crashing.start("desk", way="lingering")
-        await crashing.repeat(
-            lambda _, copy: lookup(f"{CRASHING}{copy}", b"same"), 6, 14.0
+    @pytest.mark.parametrize(
+        ("service", "make"),
+        [("models", turn_with_another_body), ("desk", lookup_with_another_body)],
+    )
+    async def test_an_engine_whose_port_lives_longer_has_ended(
+        self, crashing, service, make
+    ):
+        """Several that came at once hid each other."""
+        await crashing.start(
+            service, way="lingering", events=8 if service == "models" else 0
         )
+        await crashing.repeat(make, copies=6, seconds=14.0)
         crashing.check()
