--- a/src/eelgrasslock/scheduling/crash_evidence.py
+++ b/src/eelgrasslock/scheduling/crash_evidence.py
@@ -11,7 +11,7 @@
 from eelgrasslock.scheduling.crash_reports import CrashReports
 
 MAX_SUSPECTS = 4_000
-_MAX_REPORTED_SUSPECTS = 100
+MAX_REPORTED_SUSPECTS = 100
 _MAX_DEPARTED_PEERS = 1_000
 
 
@@ -69,7 +69,7 @@
             return
         reports = self._reports_of(incarnation)
         before = reports.digests()
-        reports.report(Counter(digests[-_MAX_REPORTED_SUSPECTS:]))
+        reports.report(Counter(digests[-MAX_REPORTED_SUSPECTS:]))
         for digest in before | reports.digests():
             self._index(incarnation, digest)
 
--- a/src/eelgrasslock/scheduling/quarantine.py
+++ b/src/eelgrasslock/scheduling/quarantine.py
@@ -4,12 +4,16 @@
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
-from eelgrasslock.scheduling.crash_evidence import CrashEvidence
+from eelgrasslock.scheduling.crash_evidence import (
+    MAX_REPORTED_SUSPECTS,
+    CrashEvidence,
+)
 
 CRASHES_TO_QUARANTINE = 2
-# Two ends may have had another cause, each further one makes that less likely.
+# Two ends may have had another cause, four hardly; the users allow three more after
+# the third end, and several daemons may try a request at once.
 FIRST_HOLD_SECONDS = 30.0
-LAST_TRIAL_CRASHES = 6
+LAST_TRIAL_CRASHES = 4
 SUSPECT_EXPIRY_SECONDS = 3_600.0
 # An end beside fresh successes does not speak against what they have in common.
 CONTRADICTION_SECONDS = 2.0
@@ -17,7 +21,6 @@
 MAX_EXEMPT_CRASHES = 4
 KNOWN_SOUND_SECONDS = 600.0
 _MAX_KNOWN_SOUND = 2_000
-_MAX_REPORTED_SUSPECTS = 100
 
 
 def _ignore_change(digest: str) -> None:
@@ -227,10 +230,13 @@
             if now - max(own[digest].values()) > SUSPECT_EXPIRY_SECONDS:
                 self.evidence.forget_own(digest)
                 self.on_change(digest)
+        self.newest_at = {
+            one: at for one, at in self.newest_at.items() if self.crash_count(one)
+        }
         reported: list[str] = []
         for digest in sorted(own, key=lambda one: len(own[one])):
             reported += [digest] * len(own[digest])
-        return tuple(reported[-_MAX_REPORTED_SUSPECTS:])
+        return tuple(reported[-MAX_REPORTED_SUSPECTS:])
 
     def _is_exempt(self, digest: str, narrower: Sequence[str]) -> bool:
         if digest in self.configured_digests or digest in self.operator_digests:
