Count endpoints in doubt, not calls, and end the doubt with an answer

The answer's time counts now, and two broken calls to one endpoint are one doubt. The stand-in answers questions for its health whatever it is told to do with requests, which used up a fault meant for a request.

--- a/src/eelgrasslock/failures/endpoint_ends.py
+++ b/src/eelgrasslock/failures/endpoint_ends.py
@@ -80,9 +80,9 @@
         if not record.leaving and self.has_calls(record.id):
             self.check_removed(record)
 
-    def record_alive(self, record: EndpointRecord, asked_at: float) -> None:
-        """Record that an endpoint answered what it was asked at a time."""
-        self.outcomes.lost_calls.record_heard(record.id, asked_at)
+    def record_alive(self, record: EndpointRecord, answered_at: float) -> None:
+        """Record that an endpoint answered after connections to it had broken."""
+        self.outcomes.lost_calls.record_heard(record.id, answered_at)
 
     def has_calls(self, endpoint: str) -> bool:
         """Return whether an end of an endpoint could be put down to any call."""
--- a/src/eelgrasslock/failures/failure_classifier.py
+++ b/src/eelgrasslock/failures/failure_classifier.py
@@ -44,8 +44,8 @@
     has_calls : callable
         Returns whether an end of an endpoint could be put down to any call.
     on_alive : callable
-        Called with the registration of an endpoint that answered, and when it was
-        asked, on the monotonic clock.
+        Called with the registration of an endpoint that answered, and when it did,
+        on the monotonic clock.
 
     Attributes
     ----------
@@ -178,7 +178,7 @@
         asked_at = self.clock.monotonic()
         result = await self.probe.ask(record)
         if result is ProbeResult.ANSWERED:
-            self.on_alive(record, asked_at)
+            self.on_alive(record, self.clock.monotonic())
         elif result is ProbeResult.MISDIRECTED:
             self.on_crash(record, asked_at)
 
--- a/src/eelgrasslock/scheduling/lost_calls.py
+++ b/src/eelgrasslock/scheduling/lost_calls.py
@@ -36,8 +36,8 @@
     by_endpoint : dict of str to list of LostCall
         The calls by the name of their endpoint, the oldest one first.
     in_doubt : Counter of str
-        Broken calls by digest whose endpoint has not been heard of since: each may
-        turn out to have ended it.
+        By digest, the endpoints that have not been heard of since a call to them
+        broke: each may turn out to have ended by it.
     """
 
     def __init__(self) -> None:
@@ -51,19 +51,15 @@
         self.by_endpoint[endpoint] = [*recent, call]
         if call.is_broken:
             self._in_doubt_by_endpoint.setdefault(endpoint, []).append(call)
-            self.in_doubt.update(call.digests)
+            self._count_in_doubt()
 
     def record_heard(self, endpoint: str, sent_at: float) -> None:
         """Note that an endpoint answered what was sent to it at a time."""
-        kept: list[LostCall] = []
-        for call in self._in_doubt_by_endpoint.pop(endpoint, ()):
-            if call.ended_at >= sent_at:
-                kept.append(call)
-            else:
-                self.in_doubt.subtract(call.digests)
-        if kept:
+        calls = self._in_doubt_by_endpoint.pop(endpoint, ())
+        if kept := [one for one in calls if one.ended_at >= sent_at]:
             self._in_doubt_by_endpoint[endpoint] = kept
-        self.in_doubt = +self.in_doubt
+        if calls:
+            self._count_in_doubt()
 
     def record_answer(self, endpoint: str) -> None:
         """Drop the calls that were given up: their endpoint is still there.
@@ -92,6 +88,11 @@
         recent = {one: self._recent(one, now) for one in self.by_endpoint}
         self.by_endpoint = {one: calls for one, calls in recent.items() if calls}
 
+    def _count_in_doubt(self) -> None:
+        self.in_doubt = Counter()
+        for calls in self._in_doubt_by_endpoint.values():
+            self.in_doubt.update({digest for one in calls for digest in one.digests})
+
     def _recent(self, endpoint: str, now: float) -> list[LostCall]:
         oldest = now - NOTICE_SECONDS
         calls = self.by_endpoint.get(endpoint, ())
--- a/src/eelgrasslock_standins/platform_engine.py
+++ b/src/eelgrasslock_standins/platform_engine.py
@@ -19,6 +19,7 @@
 )
 
 EVENT_TOKENS = 22
+HEALTH_PATH = "/healthz"
 _RESET_SECONDS = 0.05
 _CHUNK_END = b"0\r\n\r\n"
 _CHUNKED_HEAD = "Transfer-Encoding: chunked\r\n"
@@ -52,6 +53,8 @@
 class PlatformEngineStandin(BareServer):
     """One endpoint, which turns away a request that expects another one.
 
+    What it is told to do with requests does not concern questions for its health.
+
     Attributes
     ----------
     events : int
@@ -130,6 +133,9 @@
         run = await read_head(reader)
         if writer in self.silent or (self.keeps_port and self.crashed_at):
             return await _ignore(reader)
+        if run.target == HEALTH_PATH:
+            writer.write(_whole(run, 200, b"", f"Instance-Id: {self.id}\r\n"))
+            return True
         if copy := self.copies.pop(writer, b""):
             writer.write(copy)
         fault = self.faults.popleft() if self.faults else self.usual_fault
--- a/tests/test_lost_calls.py
+++ b/tests/test_lost_calls.py
@@ -35,6 +35,17 @@
         calls.drop_past(late)
         assert not calls.by_endpoint
 
+    def test_they_are_in_doubt_until_their_endpoint_is_heard_of(self):
+        calls = calls_of(("a", 1.0, True), ("a", 2.0, True), ("b", 2.0, False))
+        calls.add("f", LostCall(("a",), 2.0, True))
+        assert calls.in_doubt == {"a": 2}
+        calls.record_heard("e", 1.5)
+        assert calls.in_doubt == {"a": 2}
+        calls.record_heard("e", 2.5)
+        assert calls.in_doubt == {"a": 1}
+        calls.drop_past(2.5 + NOTICE_SECONDS)
+        assert not calls.in_doubt
+
     def test_an_old_one_goes_with_a_new_one(self):
         calls = calls_of(("a", 1.0, True), ("b", 2.0 + NOTICE_SECONDS, True))
         assert digests_of(calls.by_endpoint["e"]) == ["b"]
