--- a/src/eelgrasslock/http/connection.py
+++ b/src/eelgrasslock/http/connection.py
@@ -5,15 +5,14 @@
 """
 
 import asyncio
-from collections import deque
 from typing import cast
 
 import httptools
 
 from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing, Header, OutgoingRequest, ResponseHead
+from eelgrasslock.http.received_body import ReceivedBody
 from eelgrasslock.http.socket_options import (
-    READ_BYTES,
     limit_reads,
     set_socket_options,
     unsent_bytes,
@@ -55,8 +54,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._head: asyncio.Future[ResponseHead] | None = None
-        self._chunks: deque[bytes] = deque()
-        self._buffered = 0
+        self._received = ReceivedBody()
         self._paused = False
         self._data_waiter: asyncio.Future[None] | None = None
         self._end_waiter: asyncio.Future[None] | None = None
@@ -103,15 +101,15 @@
         ConnectionBroken
             If the connection fails before the body is complete.
         """
-        while not self._chunks:
+        while not self._received.size:
             if self._complete:
                 return None
             if self._error is not None:
                 raise self._error
             self._data_waiter = asyncio.get_running_loop().create_future()
             await self._data_waiter
-        data = self._take()
-        if self._paused and not self._chunks and self.transport is not None:
+        data = self._received.take()
+        if self._paused and not self._received.size and self.transport is not None:
             self._paused = False
             self.transport.resume_reading()
         return data
@@ -264,9 +262,8 @@
         if self._skipping or self._complete:
             return
         self._overhead_bytes = 0
-        self._chunks.append(data)
-        self._buffered += len(data)
-        if self._buffered > READ_PAUSE_BYTES and not self._paused:
+        self._received.add(data)
+        if self._received.size > READ_PAUSE_BYTES and not self._paused:
             self._paused = True
             if self.transport is not None:
                 self.transport.pause_reading()
@@ -292,21 +289,6 @@
         self.transport.write(request.encode_head())
         self.transport.write(memoryview(request.body))
 
-    def _take(self) -> bytes:
-        """Remove and return buffered bytes, not many more than one read brings."""
-        if self._buffered <= READ_BYTES:
-            parts = list(self._chunks)
-            self._chunks.clear()
-            self._buffered = 0
-            return b"".join(parts)
-        parts = []
-        size = 0
-        while size < READ_BYTES:
-            parts.append(self._chunks.popleft())
-            size += len(parts[-1])
-        self._buffered -= size
-        return parts[0] if len(parts) == 1 else b"".join(parts)
-
     def _is_stale(self, request: OutgoingRequest, head: ResponseHead) -> bool:
         echoed = head.header(request.response_id_header)
         return bool(echoed) and echoed != request.expected_response_id
--- a/src/eelgrasslock/scheduling/call_starter.py
+++ b/src/eelgrasslock/scheduling/call_starter.py
@@ -1,10 +1,10 @@
 """Starts waiting calls on endpoints that have a free slot."""
 
 import random
-from collections import Counter
 
 from eelgrasslock.requests.exchange import CallClass
 from eelgrasslock.scheduling.calls import Assignment, Call
+from eelgrasslock.scheduling.copy_limit import CopyLimit
 from eelgrasslock.scheduling.domain_breaker import DomainBreaker
 from eelgrasslock.scheduling.endpoint_pool import REVIEW_INTERVAL_SECONDS, EndpointPool
 from eelgrasslock.scheduling.endpoint_state import EndpointState, RunningCall
@@ -13,7 +13,7 @@
 from eelgrasslock.scheduling.lost_calls import LostCalls
 from eelgrasslock.scheduling.placement import Candidate, Choice, Placement
 from eelgrasslock.scheduling.prefix_index import CHUNK_TOKENS, PrefixIndex
-from eelgrasslock.scheduling.quarantine import CRASHES_TO_QUARANTINE, Quarantine
+from eelgrasslock.scheduling.quarantine import Quarantine
 from eelgrasslock.scheduling.queueing import ProgramTable, WaitingCall
 from eelgrasslock.scheduling.slot_allocator import SlotAllocator
 
@@ -66,12 +66,11 @@
         self.slots = slots
         self.programs = programs
         self.quarantine = quarantine
-        self.lost_calls = lost_calls
+        self.copies = CopyLimit(quarantine, lost_calls)
         self.rng = rng
         self.features = features
         self.placement = Placement(prefix_index, rng, features)
         self.live_contexts = LiveContexts()
-        self.in_flight_digests: Counter[str] = Counter()
 
     def is_new_context(self, keys: tuple[int, ...]) -> bool:
         """Return whether most of a prompt is in the cache of no engine.
@@ -83,14 +82,6 @@
             return False
         return self.prefix_index.known_chunks(keys) < _CACHED_CONTEXT_SHARE * len(keys)
 
-    def record_finished(self, call: Call) -> None:
-        """Record that a call is no longer in flight."""
-        for digest in call.digests:
-            if self.in_flight_digests[digest] > 1:
-                self.in_flight_digests[digest] -= 1
-            else:
-                self.in_flight_digests.pop(digest, None)
-
     def suggest(self, pool: EndpointPool, call: Call, now: float) -> str:
         """Return the best endpoint for a call that is not submitted yet."""
         output_tokens = self.programs.get_or_create(call.program, now).output_tokens
@@ -222,7 +213,7 @@
     ) -> Choice | None:
         """Return the best endpoint for a call now, or None if there is none."""
         call = waiting.call
-        if self._has_enough_copies(call):
+        if self.copies.has_enough(call):
             return None
         preferred = call.preferred_endpoint or self.live_contexts.last_endpoint(
             call.program
@@ -235,20 +226,6 @@
             candidates = self._candidates(pool, waiting, pool.states, now)
         return self.placement.choose(call, waiting.output_tokens, candidates, now)
 
-    def _has_enough_copies(self, call: Call) -> bool:
-        """Return whether calls like it may crash as many endpoints already."""
-        in_flight = self.in_flight_digests
-        if call.limits_copies and in_flight[call.digest] >= CRASHES_TO_QUARANTINE:
-            return True
-        return any(self._has_enough_of(one) for one in call.digests)
-
-    def _has_enough_of(self, digest: str) -> bool:
-        in_doubt = self.lost_calls.in_doubt[digest]
-        if in_doubt >= CRASHES_TO_QUARANTINE:
-            return True
-        copies = self.in_flight_digests[digest] + in_doubt
-        return copies > 0 and self.quarantine.is_suspect(digest)
-
     def _candidates(
         self,
         pool: EndpointPool,
@@ -317,7 +294,7 @@
         self.slots.acquire(state)
         if state.tokens is not None:
             state.tokens.take(now)
-        self.in_flight_digests.update(call.digests)
+        self.copies.record_started(call)
         if self.quarantine.is_suspect(*call.digests):
             state.suspect_call_id = call.id
         running = RunningCall(
--- a/src/eelgrasslock/scheduling/scheduler.py
+++ b/src/eelgrasslock/scheduling/scheduler.py
@@ -233,7 +233,7 @@
         running = state.finish(call_id, self.clock.now())
         self.slots.release(state)
         del self.endpoint_by_call[call_id]
-        self.starter.record_finished(running.call)
+        self.starter.copies.record_finished(running.call)
         if outcome is CallOutcome.FAILED:
             self.outcome_recorder.record_error(state, running, usage, now)
         elif outcome is CallOutcome.DONE:
--- a/tests/crashing_engine.py
+++ b/tests/crashing_engine.py
@@ -7,10 +7,9 @@
 
 from attrs import define
 
-from child_processes import end_with_parent
 from eelgrasslock_standins.bare_server import Run, read_request, reset
 from eelgrasslock_standins.platform_engine import PlatformEngineStandin
-from engine_process import SOURCE, EngineProcess
+from engine_process import EngineProcess
 
 CRASHING = "crashing"
 LINGER_SECONDS = 1.0
@@ -78,19 +77,7 @@
 class CrashingProcess(EngineProcess):
     """Starts such an engine; knows which requests ended it."""
 
-    async def start(self):
-        """Start it, at the address that it had if it had one."""
-        shape = {"id": self.id, "address": self.address, **self.shape}
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            __file__,
-            json.dumps(shape),
-            stdout=asyncio.subprocess.PIPE,
-            start_new_session=True,
-            preexec_fn=end_with_parent,
-            env={**os.environ, "PYTHONPATH": str(SOURCE)},
-        )
-        self.address = (await self.process.stdout.readline()).decode().strip()
+    script = __file__
 
     async def read_cause(self):
         """Return the path of a request that ends it, empty if it was stopped."""
--- a/tests/engine_process.py
+++ b/tests/engine_process.py
@@ -16,6 +16,8 @@
 class EngineProcess:
     """Starts an endpoint on a port, and kills it."""
 
+    script = __file__
+
     def __init__(self, id, **shape):
         self.id = id
         self.shape = shape
@@ -27,7 +29,7 @@
         shape = {"id": self.id, "address": self.address, **self.shape}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            __file__,
+            self.script,
             json.dumps(shape),
             stdout=asyncio.subprocess.PIPE,
             start_new_session=True,
