Let the draw of a caller that leaves end and count

Cause: a draw ran in the task of the request, which is cancelled as the caller leaves. The record was in the log, the account never got its tokens, and this daemon counted as the holder of tokens that nobody could spend. The same for tokens that a peer had released when the caller left before that was recorded.

Change: draws and reclaims belong to the daemon. They go on if the caller leaves, and what they bring serves the program's next turn (BackgroundTasks.complete).

--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -67,6 +67,8 @@
         Their draws that the log does not hold yet.
     offline_draws : OfflineDraws
         Adds tokens to them without the log.
+    tasks : BackgroundTasks
+        Draws and returns, which no request that ends may cancel.
     """
 
     def __init__(
@@ -94,7 +96,7 @@
         self.offline_draws = OfflineDraws(
             self.unrecorded, ledger, self.keepers, on_tokens
         )
-        self.returns = BackgroundTasks()
+        self.tasks = BackgroundTasks()
 
     async def reserve(
         self,
@@ -106,6 +108,9 @@
     ) -> Reservation:
         """Reserve the most tokens that a turn may generate; draw them if needed.
 
+        A draw ends even if the caller leaves meanwhile: what the log gives belongs to
+        the account, and serves the program's next turn here.
+
         Parameters
         ----------
         program : str
@@ -128,7 +133,9 @@
         stage = ProgramStage.UNDER_WAY
         while account.available < max_generated_tokens:
             suggested = "" if account.preferred_endpoint else suggest_endpoint()
-            stage = await self._draw(account, max_generated_tokens, request, suggested)
+            stage = await self.tasks.complete(
+                self._draw(account, max_generated_tokens, request, suggested)
+            )
         account.reserve(max_generated_tokens, self.clock.monotonic())
         decision_log = self._decision_log(account, request, max_generated_tokens)
         decision_log.bind(reserved_tokens=max_generated_tokens).info(
@@ -151,7 +158,7 @@
         self.settle(reservation, 0)
         if account.reserved or account.spent or account.offline_drawn:
             return
-        self.returns.start(self._return_unused(account))
+        self.tasks.start(self._return_unused(account))
 
     def release(self, program: str) -> int:
         """Release the tokens of a program that are not spent or reserved.
--- a/src/eelgrasslock/background_tasks.py
+++ b/src/eelgrasslock/background_tasks.py
@@ -26,6 +26,10 @@
         task.add_done_callback(self.running.discard)
         return task
 
+    async def complete(self, work: Coroutine[Any, Any, _Result]) -> _Result:
+        """Return the result of work that goes on if its caller is cancelled."""
+        return await asyncio.shield(self.start(work))
+
     async def stop(self) -> None:
         """Cancel all tasks and wait for their ends."""
         tasks = list(self.running)
--- a/tests/memory_log.py
+++ b/tests/memory_log.py
@@ -24,6 +24,7 @@
     `up`: if false, all calls fail. `lose_answers`: that many appends take effect
     without a response. `late_appends`: that many have no response and are held until
     `apply_late_appends`. `blocked_until`: an event for which appends wait.
+    `answered_after`: an event for which their answers wait once they are done.
     """
 
     def __init__(self):
@@ -34,6 +35,7 @@
         self.late = []
         self.late_appends = 0
         self.blocked_until = None
+        self.answered_after = None
         self.times = {}
         self.time = 1_000.0
         self.appends = 0
@@ -62,6 +64,8 @@
         self.records(topic, partition).extend(records)
         times = self.times.setdefault((topic, partition), [])
         times.extend([self.time] * len(records))
+        if self.answered_after is not None:
+            await self.answered_after.wait()
         if self.lose_answers:
             self.lose_answers -= 1
             raise AppendUnresolved("lost")
