Let a turn use what others drew beyond their need at the same time

What callers saw: of turns that begin at once at one daemon, some were told 402 while the daemon's account held their tokens.

Cause: each turn works out what it needs before it waits for the partition. A draw takes more than one turn needs; a later one that got nothing looked neither at the account again nor at what its neighbours had drawn.

Change: a draw without a result counts as covered if the account holds the turn's tokens by then.

--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -222,7 +222,9 @@
         account.drawn += result.tokens
         account.preferred_endpoint = result.preferred_endpoint
         self.on_tokens("drawn", result.tokens)
-        if result.tokens or await self._reclaim_once(account):
+        # Turns that drew at the same time may have drawn more than they need.
+        is_covered = account.available >= max_generated_tokens
+        if result.tokens or is_covered or await self._reclaim_once(account):
             return result.stage
         if self._may_be_left(account, draw):
             decision_log.info("It is not known what was drawn without the log.")
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -103,6 +103,14 @@
         assert len(served) == 4
         assert log.total_drawn() <= 450
 
+    async def test_turns_share_what_one_of_them_drew_beyond_its_need(self, log):
+        """Guards against a 402 for a turn whose tokens lie in the daemon's account."""
+        one = make_manager(log, "one")
+        turns = [one.reserve("p", 612, TURN_TOKENS) for _ in range(7)]
+        results = await asyncio.gather(*turns, return_exceptions=True)
+        served = [result for result in results if not isinstance(result, Refusal)]
+        assert len(served) == 612 // TURN_TOKENS
+
 
 class TestSeveralDaemons:
     async def test_the_budget_holds_across_all_daemons(self, log):
