Look at the registry before an engine is asked for the rest of a stream

Cause: the question whether a stream without a length goes on went to the address by which the request was first sent, past the check that every other send makes.

Change: the check is one object (CurrentEndpoints) that AttemptRunner and StreamContinuation share. An engine that may not be asked leaves open whether its stream was whole, so the stream is broken off and its caller takes it up: unknown is not taken for whole. Other sends were looked at: requests through a peer run the whole path there; probes, link checks and liveness checks send no request of a caller.

The new test of tests/test_ended_engines.py failed before (the engine got the request a second time, with Last-Event-Id) and passes now. What it costs: a stream without a length that a draining engine ends whole is broken off after its last event; before it was completed after a question that the engine should not have got.

--- a/src/eelgrasslock/forwarding/attempts.py
+++ b/src/eelgrasslock/forwarding/attempts.py
@@ -7,7 +7,7 @@
 
 from eelgrasslock.clock import Clock
 from eelgrasslock.exchanges.attempt_result import AttemptOutcome, AttemptResult
-from eelgrasslock.exchanges.interfaces import FollowedView, MessageCodec
+from eelgrasslock.exchanges.interfaces import MessageCodec
 from eelgrasslock.exchanges.request_context import RequestContext
 from eelgrasslock.failures.failure_classifier import FailureClassifier
 from eelgrasslock.failures.link_monitor import LinkMonitor
@@ -16,6 +16,7 @@
 from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing, OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import MAX_IDLE_SECONDS, ConnectFailed, ConnectionPool
+from eelgrasslock.registry.current_endpoints import CurrentEndpoints
 from eelgrasslock.registry.endpoint_registry import EndpointRecord, EndpointRegistry
 from eelgrasslock.responses.relay import ResponseRelay
 from eelgrasslock.responses.responder import ResponseTruncated
@@ -45,8 +46,8 @@
         Connections to the endpoints.
     endpoint_registry : EndpointRegistry
         The endpoints' addresses.
-    endpoints_view : FollowedView
-        The age of the registry.
+    current_endpoints : CurrentEndpoints
+        Checks an endpoint just before a request is sent to it.
     codec : MessageCodec
         Encodes requests and decodes responses.
     clock : Clock
@@ -73,7 +74,7 @@
         self,
         pool: ConnectionPool,
         endpoint_registry: EndpointRegistry,
-        endpoints_view: FollowedView,
+        current_endpoints: CurrentEndpoints,
         codec: MessageCodec,
         clock: Clock,
         metrics: GatewayMetrics,
@@ -95,7 +96,7 @@
         self.metrics = metrics
         self.pool = pool
         self.endpoint_registry = endpoint_registry
-        self.endpoints_view = endpoints_view
+        self.current_endpoints = current_endpoints
         self.codec = codec
         self.clock = clock
 
@@ -146,8 +147,8 @@
         record: EndpointRecord,
         connection: HTTPConnection,
     ) -> AttemptResult:
-        await self.endpoints_view.wait_until_current()
-        if not connection.reusable or not self.endpoint_registry.is_usable(record):
+        may_send = await self.current_endpoints.may_send(record)
+        if not connection.reusable or not may_send:
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
         remaining_seconds = context.deadline - self.clock.monotonic()
         outgoing = self.codec.encode_request(
@@ -156,7 +157,7 @@
         context.possible_executions += 1
         context.endpoint_version = record.version
         context.response_framing = None
-        context.endpoints_age_seconds = self.endpoints_view.age()
+        context.endpoints_age_seconds = self.current_endpoints.view.age()
         try:
             sent_at = self.clock.monotonic()
             head = await self._await_head(context, record, connection, outgoing)
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -22,6 +22,7 @@
 from eelgrasslock.peers.daemon_health import DaemonHealth
 from eelgrasslock.peers.load_exchange import LoadExchange
 from eelgrasslock.peers.peer_mesh import PeerMesh
+from eelgrasslock.registry.current_endpoints import CurrentEndpoints
 from eelgrasslock.registry.endpoint_registry import EndpointRegistry
 from eelgrasslock.registry.log_followers import LogFollowers
 from eelgrasslock.relaying.peer_forwarder import PeerForwarder
@@ -140,8 +141,12 @@
 
     def _create_forwarder(self) -> Forwarder:
         sources = self.sources
+        current_endpoints = CurrentEndpoints(
+            sources.endpoint_registry, sources.followers.endpoints
+        )
         relay = ResponseRelay(
             sources.pool,
+            current_endpoints,
             sources.platform.codec,
             sources.clock,
             sources.shared.stream_versions,
@@ -151,7 +156,7 @@
         attempt_runner = AttemptRunner(
             sources.pool,
             sources.endpoint_registry,
-            sources.followers.endpoints,
+            current_endpoints,
             sources.platform.codec,
             sources.clock,
             sources.metrics,
--- a/src/eelgrasslock/responses/continuation.py
+++ b/src/eelgrasslock/responses/continuation.py
@@ -9,6 +9,7 @@
 from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import OutgoingRequest
 from eelgrasslock.http.pool import ConnectFailed, ConnectionPool
+from eelgrasslock.registry.current_endpoints import CurrentEndpoints
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.responses.event_counter import EventCounter
 from eelgrasslock.running_timeout import RunningTimeout
@@ -37,6 +38,8 @@
         The source of time.
     pool : ConnectionPool
         Opens a connection.
+    current_endpoints : CurrentEndpoints
+        Checks the endpoint just before the request is sent to it once more.
     """
 
     def __init__(
@@ -46,12 +49,14 @@
         codec: MessageCodec,
         clock: Clock,
         pool: ConnectionPool,
+        current_endpoints: CurrentEndpoints,
     ) -> None:
         self.context = context
         self.record = record
         self.codec = codec
         self.clock = clock
         self.pool = pool
+        self.current_endpoints = current_endpoints
 
     async def relay(self, on_heard: Callable[[str], None]) -> bool:
         """Relay what follows; return whether its end was that of the connection.
@@ -61,7 +66,8 @@
         Raises
         ------
         ConnectionBroken
-            If the endpoint does not tell whether the stream was whole.
+            If the endpoint does not tell whether the stream was whole, or may not be
+            asked any more.
         """
         self.context.continuations += 1
         try:
@@ -71,6 +77,8 @@
                 raise ConnectionBroken(str(error), True) from error
             return False
         try:
+            if not await self.current_endpoints.may_send(self.record):
+                raise ConnectionBroken("The endpoint takes no more requests.", True)
             if not await self._begins(connection):
                 return False
             on_heard(self.record.id)
--- a/src/eelgrasslock/responses/relay.py
+++ b/src/eelgrasslock/responses/relay.py
@@ -10,6 +10,7 @@
 from eelgrasslock.http.errors import ConnectionBroken
 from eelgrasslock.http.messages import Framing
 from eelgrasslock.http.pool import ConnectionPool
+from eelgrasslock.registry.current_endpoints import CurrentEndpoints
 from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.responses.continuation import StreamContinuation
 from eelgrasslock.responses.liveness import LivenessCheck
@@ -31,6 +32,8 @@
     ----------
     pool : ConnectionPool
         Opens further connections to the endpoint of a response.
+    current_endpoints : CurrentEndpoints
+        Checks the endpoint just before it is asked for more of a stream.
     codec : MessageCodec
         Encodes requests and decodes responses.
     clock : Clock
@@ -46,6 +49,7 @@
     def __init__(
         self,
         pool: ConnectionPool,
+        current_endpoints: CurrentEndpoints,
         codec: MessageCodec,
         clock: Clock,
         stream_versions: StreamVersions,
@@ -53,6 +57,7 @@
         on_heard: Callable[[str], None],
     ) -> None:
         self.pool = pool
+        self.current_endpoints = current_endpoints
         self.codec = codec
         self.clock = clock
         self.stream_versions = stream_versions
@@ -149,7 +154,12 @@
         while counter.last_id is not None and counter.completed > events:
             events = counter.completed
             continuation = StreamContinuation(
-                context, record, self.codec, self.clock, self.pool
+                context,
+                record,
+                self.codec,
+                self.clock,
+                self.pool,
+                self.current_endpoints,
             )
             async with self._liveness_check(context, record) as liveness:
                 liveness.start()
--- a/tests/test_ended_engines.py
+++ b/tests/test_ended_engines.py
@@ -26,6 +26,7 @@
 
 EVENTS = 8
 EVENT_SECONDS = 0.02
+SLOW_EVENT_SECONDS = 0.25  # so that news come before the end
 WAIT_SECONDS = 5.0
 STREAMS = 3
 FRAMINGS = ["none", "unframed"]
@@ -138,6 +139,27 @@
         body, is_whole = await engines.stream()
         assert (events_of(body), is_whole) == ([*range(1, EVENTS + 1)], True)
 
+    async def test_an_engine_that_drains_is_not_asked_for_more(self, fleet):
+        """Guards against requests to an engine after its drain (review case 8)."""
+        engine = await fleet.endpoint(
+            "models",
+            events=EVENTS,
+            event_seconds=SLOW_EVENT_SECONDS,
+            usual_fault=Fault.UNFRAMED,
+        )
+        engines = EngineFleet(fleet)
+        engines.daemon = await fleet.ready_daemon([engine])
+        registry = engines.daemon.application.endpoint_registry
+
+        async def drain():
+            fleet.register(engine, "models", state="draining")
+            await wait_until(lambda: registry.find_usable(engine.id) is None)
+
+        body, is_whole = await engines.stream(until=2, then=drain)
+        assert (events_of(body), is_whole) == ([*range(1, EVENTS + 1)], False)
+        turns = [run for run in engine.runs if run.method == "POST"]
+        assert [run.headers.get("last-event-id") for run in turns] == [None]
+
 
 class TestPassedOn:
     async def test_a_peer_passes_no_part_on_as_a_whole(self, fleet):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -255,7 +255,9 @@
         ]
         daemon = versions.daemons[2]
         view = ChangingView(versions, daemon)
-        daemon.application.handler.forwarder.attempt_runner.endpoints_view = view
+        daemon.application.handler.forwarder.attempt_runner.current_endpoints.view = (
+            view
+        )
         engines = versions.engines["v1"]
         runs = [len(one.runs) for one in engines]
         await versions.take_up(streams, [daemon])
