Ask the log before the only known version of a service is believed

Cause: a daemon that has seen one version takes it for the only one while its view of the endpoints is within its bound, 1.75 s. A second version that joined since is unknown to it, and if no other daemon answers its own word was enough. Other daemons gave the same word with views as old.

Change: before a version counts as the only one, the log is asked whether the view lacks a record (KeyedFollower.confirm; one question serves all that wait). An endpoint is registered before it can begin a stream, so a view that is confirmed after the request came knows every version that can have begun it. Where the log does not answer, streams of which no other daemon knows are refused with 503 version_unknown, as they already were once the view was older than its bound.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -126,6 +126,7 @@
             self.platform.log,
             self.scheduler,
             lambda: self.followers.is_endpoints_view_current(),
+            lambda seconds: self.followers.endpoints.confirm(seconds),
             lambda: self.routing.workspaces,
             self.clock,
             self.rng,
--- a/src/eelgrasslock/gateway/shared_controllers.py
+++ b/src/eelgrasslock/gateway/shared_controllers.py
@@ -19,7 +19,7 @@
 from eelgrasslock.responses.stream_versions import StreamVersions
 from eelgrasslock.routing.routes import RouteTable
 from eelgrasslock.scheduling.scheduler import Scheduler
-from eelgrasslock.streams.stream_controller import StreamController
+from eelgrasslock.streams.stream_controller import ConfirmView, StreamController
 from eelgrasslock.streams.version_watch import VersionWatch
 from eelgrasslock.workspaces.workspace import WorkspaceDirectory
 
@@ -39,6 +39,8 @@
         Is told of the tokens of limits.
     is_endpoints_view_current : callable
         Returns whether the view of the endpoints is young enough to be used.
+    confirm_endpoints : callable
+        Returns whether the endpoints that are registered by now are known.
     workspaces : callable
         Returns the workspaces of the configuration in force.
     clock : Clock
@@ -71,6 +73,7 @@
         log: TrimmableLog,
         scheduler: Scheduler,
         is_endpoints_view_current: Callable[[], bool],
+        confirm_endpoints: ConfirmView,
         workspaces: Callable[[], WorkspaceDirectory],
         clock: Clock,
         rng: random.Random,
@@ -89,7 +92,9 @@
             self.ranking, mesh, workspaces, bounds, clock, rng
         )
         self.version_watch = VersionWatch(clock, is_endpoints_view_current)
-        self.streams = StreamController(self.ranking, mesh, self.version_watch, clock)
+        self.streams = StreamController(
+            self.ranking, mesh, self.version_watch, confirm_endpoints, clock
+        )
         self.stream_versions = StreamVersions(self.streams)
         self.conversations = ConversationController(
             self.ranking,
--- a/src/eelgrasslock/log/keyed_follower.py
+++ b/src/eelgrasslock/log/keyed_follower.py
@@ -11,6 +11,7 @@
 from eelgrasslock.exceptions import LogUnavailable, RecordsExpired
 from eelgrasslock.log.keyed_log import ANSWER_SECONDS, KeyedLog, KeyedRecord
 from eelgrasslock.log.read_schedule import ReadSchedule
+from eelgrasslock.running_timeout import RunningTimeout
 
 # Other connections to the log, and those to peers, may recover later than this one.
 RECOVERY_SECONDS = 5.0
@@ -104,6 +105,8 @@
         self.unavailable_since = float("inf")
         self.recovered_at = float("-inf")
         self._read_ended = asyncio.Event()
+        self._is_wanted = asyncio.Event()
+        self._confirming = asyncio.Lock()
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -111,7 +114,18 @@
             pause_seconds = await self._read_next()
             self._read_ended.set()
             self._read_ended = asyncio.Event()
-            await self.clock.sleep(pause_seconds)
+            await self._pause(pause_seconds)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait between two reads, unless somebody wants what has been written."""
+        self._is_wanted.clear()
+        pause = asyncio.ensure_future(self.clock.sleep(seconds))
+        wanted = asyncio.ensure_future(self._is_wanted.wait())
+        try:
+            await asyncio.wait({pause, wanted}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            pause.cancel()
+            wanted.cancel()
 
     async def _read_next(self) -> float:
         """Read once; return the pause before the next read in seconds."""
@@ -203,6 +217,39 @@
         """Return how long an answer may take; longer once the log is unavailable."""
         return ANSWER_SECONDS if self.unavailable else self.schedule.answer_seconds
 
+    async def confirm(self, seconds: float) -> bool:
+        """Return whether the state holds all that was written before this call.
+
+        The log is asked, for a number of seconds at most. One question serves all
+        that wait for the one before it.
+        """
+        asked_at = self.clock.monotonic()
+        try:
+            async with RunningTimeout(seconds):
+                async with self._confirming:
+                    if self.confirmed_at < asked_at:
+                        await self._ask_for_news(seconds)
+                while self.confirmed_at < asked_at and not self.failures:
+                    self._is_wanted.set()
+                    await self._read_ended.wait()
+        except (TimeoutError, LogUnavailable, RecordsExpired):
+            return False
+        return self.confirmed_at >= asked_at
+
+    async def _ask_for_news(self, seconds: float) -> None:
+        """Confirm the state if the log has nothing that it lacks.
+
+        What the log has is left to the next read, so that records are applied in
+        order.
+        """
+        offset = self.offset
+        if offset is None:
+            return
+        sent_at = self.clock.monotonic()
+        news = await self.log.changes(self.topic, offset, 0.0, seconds)
+        if not news.records and not news.is_behind and self.offset is not None:
+            self.confirmed_at = max(self.confirmed_at, sent_at)
+
     def age(self) -> float:
         """Return how old the state may be, in seconds; infinite before the first."""
         return self.clock.monotonic() - self.confirmed_at
--- a/src/eelgrasslock/streams/stream_controller.py
+++ b/src/eelgrasslock/streams/stream_controller.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from typing import Any
 
 from attrs import frozen
@@ -34,6 +34,12 @@
 MAX_DAEMONS_TOLD = 4
 # More than are told, as the asker's view of the fleet may be another one.
 MAX_DAEMONS_ASKED = 6
+# How long a daemon asks the log whether it knows all versions: for a request of its
+# own, and for another daemon, whose call must not time out meanwhile.
+CONFIRM_SECONDS = 0.6
+CONFIRM_FOR_PEER_SECONDS = 0.15
+
+ConfirmView = Callable[[float], Awaitable[bool]]
 
 _log = logger.bind(part="streams")
 
@@ -67,6 +73,9 @@
         Calls the other daemons.
     watch : VersionWatch
         The versions of late.
+    confirm_view : callable
+        Returns whether the endpoints that are registered by now are known; takes the
+        seconds for which the log may be asked.
     clock : Clock
         The source of time.
 
@@ -81,11 +90,13 @@
         ranking: DaemonRanking,
         mesh: PeerMesh,
         watch: VersionWatch,
+        confirm_view: ConfirmView,
         clock: Clock,
     ) -> None:
         self.ranking = ranking
         self.mesh = mesh
         self.watch = watch
+        self.confirm_view = confirm_view
         self.clock = clock
         self.table = StreamTable()
         self.health = DaemonHealth(ranking, mesh, clock)
@@ -217,25 +228,43 @@
             return KnownOrigin(
                 service=found.service, version=found.version, source="own"
             )
+        confirming = self.tasks.start(
+            self._confirmed_version(only_service, CONFIRM_SECONDS)
+        )
         answers = await self._ask(key, only_service)
         for answer in answers:
             if request_id and answer.version:
                 return KnownOrigin(
                     service=answer.service, version=answer.version, source="peer"
                 )
-        version = self._only_version(only_service, answers) if only_service else ""
+        version = self._only_version(only_service, answers, await confirming)
         if not version:
             return None
         return KnownOrigin(service=only_service, version=version, source="only")
 
-    def _only_version(self, service: str, answers: list[FoundOrigin]) -> str:
+    async def _confirmed_version(self, service: str, seconds: float) -> str:
+        """Return the one version that a stream of a service can have begun at.
+
+        Empty if there may be several. A view that is young enough to send requests
+        may lack a version that others have seen, so the log is asked: whatever began
+        a stream was registered before.
+        """
+        if not service or not self.watch.only_version(service):
+            return ""
+        if not await self.confirm_view(seconds):
+            return ""
+        return self.watch.only_version(service)
+
+    def _only_version(self, service: str, answers: list[FoundOrigin], own: str) -> str:
         """Return the one version that can have begun a stream nobody was told of.
 
         A daemon that does not know for itself, as it has just started or its view
-        is old, takes the word of others unless it has seen another version.
+        can't be confirmed, takes the word of others unless it has seen another
+        version.
         """
+        if not service:
+            return ""
         only = {answer.only_version for answer in answers if answer.only_version}
-        own = self.watch.only_version(service)
         if own:
             only.add(own)
         if len(only) != 1 or not self.watch.versions(service) <= only:
@@ -280,7 +309,10 @@
         if found is not None:
             results.service = found.service
             results.version = found.version
-        results.onlyVersion = self.watch.only_version(message["service"])
+        only_service = message["service"] if found is None else ""
+        results.onlyVersion = await self._confirmed_version(
+            only_service, CONFIRM_FOR_PEER_SECONDS
+        )
 
     # --- life cycle -------------------------------------------------------------
 
--- a/tests/stream_model.py
+++ b/tests/stream_model.py
@@ -123,7 +123,17 @@
         ranking = DaemonRanking(self.exchange, self.clock.monotonic)
         self.watch = VersionWatch(self.clock, self.is_view_current)
         self.watch.extend_window(RESUME_SECONDS)
-        self.controller = StreamController(ranking, self.mesh, self.watch, self.clock)
+        self.controller = StreamController(
+            ranking, self.mesh, self.watch, self.confirm_view, self.clock
+        )
+
+    async def confirm_view(self, seconds):
+        """Read the store now, if it is reached."""
+        if self.name in self.fleet.without_store:
+            return False
+        self.next_view_at = 0.0
+        self.read_store()
+        return True
 
     def is_view_current(self):
         return self.clock.monotonic() - self.view_at <= MAX_VIEW_SECONDS
--- a/tests/test_peer_costs.py
+++ b/tests/test_peer_costs.py
@@ -53,7 +53,7 @@
         callbacks.answer_heartbeat = lambda heartbeat: heartbeat
         clock = SystemClock()
         watch = VersionWatch(clock, lambda: True)
-        controller = StreamController(None, None, watch, clock)
+        controller = StreamController(None, None, watch, None, clock)
         callbacks.tell_streams = controller.serve_tell
         callbacks.find_stream = controller.serve_find
         finder = HistoryFinder(None, TurnCache(MAX_CACHE_BYTES), clock)
