Note each version that is read of, also of endpoints that are gone again

Cause: the versions of late were taken from the endpoints registered after a whole batch of records, and at a tick.

Change: the version of each record is noted as it is applied.

Evidence: the five new tests of test_registry_updater and test_version_watch failed on the code before and pass now; the stream model (3, 10 and 82 daemons) and test_stale_daemons pass.

--- a/src/eelgrasslock/gateway/application.py
+++ b/src/eelgrasslock/gateway/application.py
@@ -166,6 +166,8 @@
             self.endpoint_ends.record_replaced,
             self.endpoint_ends.record_removed,
         )
+        self.registry_updater.on_version = self.shared.version_watch.note
+        self.registry_updater.on_snapshot = self.shared.version_watch.note_gap
         self.followers = LogFollowers(
             platform.log,
             platform.record_decoder.topics,
--- a/src/eelgrasslock/registry/registry_updater.py
+++ b/src/eelgrasslock/registry/registry_updater.py
@@ -28,6 +28,15 @@
         which it, or another one at its address, has started.
     on_endpoint_removed : callable
         Called with the registration of an endpoint that was removed.
+
+    Attributes
+    ----------
+    on_version : callable
+        Called with the service and version of each registration that is read, also
+        of one whose removal is read at once.
+    on_snapshot : callable
+        Called before a snapshot is applied: what was registered and removed since the
+        last read is not in it.
     """
 
     def __init__(
@@ -43,6 +52,8 @@
         self.record_decoder = record_decoder
         self.endpoint_registry = endpoint_registry
         self.on_change = on_change
+        self.on_version: Callable[[str, str], None] = lambda service, version: None
+        self.on_snapshot: Callable[[], None] = lambda: None
 
     def set_log_unavailable(self, unavailable: bool, read_sent_at: float) -> None:
         """Record whether the log is unavailable."""
@@ -52,7 +63,9 @@
         """Apply a snapshot, which holds the newest record of each key."""
         decoded = [self._decode(record) for record in records if record.value]
         entries = [entry for entry in decoded if entry is not None]
+        self.on_snapshot()
         for entry in entries:
+            self.on_version(entry.service, entry.version)
             self._detect_start(entry)
         before = list(self.endpoint_registry.entries.values())
         changed = self.endpoint_registry.replace(entries)
@@ -85,6 +98,7 @@
         entry = self._decode(record)
         if entry is None:
             return False
+        self.on_version(entry.service, entry.version)
         self._detect_start(entry)
         before = self.endpoint_registry.entries.get(entry.id)
         if before is None or before.leaving != entry.leaving:
--- a/src/eelgrasslock/streams/version_watch.py
+++ b/src/eelgrasslock/streams/version_watch.py
@@ -44,7 +44,7 @@
         elif self._known_since is None:
             self._known_since = now
         for service, version in set(versions):
-            self._last_seen.setdefault(service, {})[version] = now
+            self.note(service, version)
         oldest = now - self.window_seconds
         for service, last_seen in list(self._last_seen.items()):
             for version in [one for one, at in last_seen.items() if at < oldest]:
@@ -52,6 +52,16 @@
             if not last_seen:
                 del self._last_seen[service]
 
+    def note(self, service: str, version: str) -> None:
+        """Record a version that was registered, for however short a time."""
+        now = self.clock.monotonic()
+        self._last_seen.setdefault(service, {})[version] = now
+
+    def note_gap(self) -> None:
+        """Begin the window anew if versions may have come and gone unseen."""
+        if not self.is_view_current():
+            self._known_since = None
+
     def versions(self, service: str) -> set[str]:
         """Return the versions that this daemon has seen within the window."""
         return set(self._last_seen.get(service, ()))
--- a/tests/test_registry_updater.py
+++ b/tests/test_registry_updater.py
@@ -11,12 +11,12 @@
 from eelgrasslock.registry.registry_updater import EndpointRegistryUpdater
 
 
-def entry(key, address="10.0.0.1:80", state="ready", born=1):
+def entry(key, address="10.0.0.1:80", state="ready", born=1, version="v1"):
     fields = {
         "service": "models",
         "address": address,
         "zone": "a",
-        "version": "v1",
+        "version": version,
         "slots": 4,
         "state": state,
         "born": born,
@@ -30,6 +30,7 @@
     def __init__(self):
         self.replaced = []
         self.removed = []
+        self.versions = []
         self.updater = EndpointRegistryUpdater(
             PlatformRecordDecoder(),
             EndpointRegistry(ManualClock()),
@@ -37,6 +38,7 @@
             lambda before, now: self.replaced.append((before.id, now.id)),
             lambda record: self.removed.append(record.id),
         )
+        self.updater.on_version = lambda *one: self.versions.append(one)
 
 
 @pytest.fixture
@@ -67,3 +69,17 @@
     def test_a_later_word_of_the_same_start_replaces_nothing(self, watched):
         watched.updater.apply((entry("i-1", state="draining"),))
         assert watched.replaced == []
+
+
+class TestVersions:
+    def test_one_that_comes_and_goes_between_two_reads_is_told(self, watched):
+        """Guards against streams that go on at another version after a standstill."""
+        gone = KeyedRecord(key="i-2", value=b"")
+        another = entry("i-2", address="10.0.0.2:80", version="v2")
+        watched.updater.apply((another, gone))
+        assert ("models", "v2") in watched.versions
+        assert "i-2" not in watched.updater.endpoint_registry.entries
+
+    def test_those_of_a_snapshot_are_told(self, watched):
+        watched.updater.replace_all((entry("i-1", version="v3"),))
+        assert ("models", "v3") in watched.versions
--- a/tests/test_version_watch.py
+++ b/tests/test_version_watch.py
@@ -53,3 +53,22 @@
         assert watched.see("v1", "v2") == ""
         assert watched.see("v1", after=WINDOW_SECONDS - 0.1) == ""
         assert watched.see("v1", after=0.2) == "v1"
+
+    def test_one_that_was_registered_between_two_looks_counts(self, watched):
+        """Guards against streams that go on at another version after a standstill."""
+        watched.see("v1", after=WINDOW_SECONDS)
+        watched.watch.note("models", "v2")
+        assert watched.see("v1", after=0.1) == ""
+
+    def test_the_window_begins_anew_after_a_gap_that_no_look_fell_into(self, watched):
+        """Guards against versions that came and went while a daemon stood still."""
+        watched.see("v1", after=WINDOW_SECONDS)
+        watched.is_current = False
+        watched.watch.note_gap()
+        watched.is_current = True
+        assert watched.see("v1", after=0.1) == ""
+
+    def test_a_snapshot_within_the_bound_of_the_view_is_no_gap(self, watched):
+        watched.see("v1", after=WINDOW_SECONDS)
+        watched.watch.note_gap()
+        assert watched.see("v1", after=0.1) == "v1"
