Part the draw of tokens into what is asked, and what is answered

AllowanceManager._draw built the request, drew, and chose among three refusals in one function; the request and the refusal have functions of their own now. The runner of attempts takes the checked view of the endpoints in place of registry and view. The daemon writes a line where other versions of a service can't be ruled out.

--- a/src/eelgrasslock/allowances/manager.py
+++ b/src/eelgrasslock/allowances/manager.py
@@ -27,10 +27,7 @@
 from eelgrasslock.allowances.unrecorded_draws import UnrecordedDraws
 from eelgrasslock.background_tasks import BackgroundTasks
 from eelgrasslock.clock import Clock
-from eelgrasslock.exceptions import (
-    AppendUnresolved,
-    LogUnavailable,
-)
+from eelgrasslock.exceptions import AppendUnresolved, LogUnavailable, Refusal
 from eelgrasslock.scheduling.load_shedding import ProgramStage
 
 if TYPE_CHECKING:
@@ -200,16 +197,14 @@
         request: str,
         suggested_endpoint: str,
     ) -> ProgramStage:
-        needed_tokens = max_generated_tokens - account.available
-        draw = DrawRequest(
-            program=account.program,
-            budget=account.budget,
-            limit=log_limit(account.budget, max_generated_tokens),
-            needed_tokens=needed_tokens,
-            max_generated_tokens=max_generated_tokens,
-            preferred_endpoint=account.preferred_endpoint,
-            suggested_endpoint=suggested_endpoint,
-        )
+        """Add tokens to an account; return what was known of the program before.
+
+        Raises
+        ------
+        Refusal
+            402 if the budget is spent, 503 if it can't be checked now.
+        """
+        draw = _request_for(account, max_generated_tokens, suggested_endpoint)
         decision_log = self._decision_log(account, request, max_generated_tokens)
         try:
             result = await self._draw_from_log(account, draw)
@@ -226,13 +221,19 @@
         is_covered = account.available >= max_generated_tokens
         if result.tokens or is_covered or await self._reclaim_once(account):
             return result.stage
+        raise self._refusal(account, draw, decision_log)
+
+    def _refusal(
+        self, account: Account, draw: DrawRequest, decision_log: "Logger"
+    ) -> Refusal:
+        """Return the answer to a turn for which the log gives nothing."""
         if self._may_be_left(account, draw):
             decision_log.info("It is not known what was drawn without the log.")
-            self.on_tokens("refused_unknown", max_generated_tokens)
-            raise budget_unknown_refusal()
+            self.on_tokens("refused_unknown", draw.max_generated_tokens)
+            return budget_unknown_refusal()
         decision_log.info("The program's budget is spent.")
-        self.on_tokens("refused_spent", max_generated_tokens)
-        raise budget_spent_refusal()
+        self.on_tokens("refused_spent", draw.max_generated_tokens)
+        return budget_spent_refusal()
 
     async def _draw_from_log(self, account: Account, draw: DrawRequest) -> DrawResult:
         """Draw what the log may hand out.
@@ -317,3 +318,18 @@
         account.last_used_at = self.clock.monotonic()
         account.budget = budget
         return account
+
+
+def _request_for(
+    account: Account, max_generated_tokens: int, suggested_endpoint: str
+) -> DrawRequest:
+    """Return what a turn asks of the ledger beyond what the account holds."""
+    return DrawRequest(
+        program=account.program,
+        budget=account.budget,
+        limit=log_limit(account.budget, max_generated_tokens),
+        needed_tokens=max_generated_tokens - account.available,
+        max_generated_tokens=max_generated_tokens,
+        preferred_endpoint=account.preferred_endpoint,
+        suggested_endpoint=suggested_endpoint,
+    )
--- a/src/eelgrasslock/forwarding/attempts.py
+++ b/src/eelgrasslock/forwarding/attempts.py
@@ -17,7 +17,7 @@
 from eelgrasslock.http.messages import Framing, OutgoingRequest, ResponseHead
 from eelgrasslock.http.pool import MAX_IDLE_SECONDS, ConnectFailed, ConnectionPool
 from eelgrasslock.registry.current_endpoints import CurrentEndpoints
-from eelgrasslock.registry.endpoint_registry import EndpointRecord, EndpointRegistry
+from eelgrasslock.registry.endpoint_registry import EndpointRecord
 from eelgrasslock.responses.relay import ResponseRelay
 from eelgrasslock.responses.responder import ResponseTruncated
 from eelgrasslock.responses.response_timeouts import (
@@ -44,10 +44,8 @@
     ----------
     pool : ConnectionPool
         Connections to the endpoints.
-    endpoint_registry : EndpointRegistry
-        The endpoints' addresses.
     current_endpoints : CurrentEndpoints
-        Checks an endpoint just before a request is sent to it.
+        Knows the endpoints, and checks one just before a request is sent to it.
     codec : MessageCodec
         Encodes requests and decodes responses.
     clock : Clock
@@ -73,7 +71,6 @@
     def __init__(
         self,
         pool: ConnectionPool,
-        endpoint_registry: EndpointRegistry,
         current_endpoints: CurrentEndpoints,
         codec: MessageCodec,
         clock: Clock,
@@ -95,7 +92,6 @@
         self.is_domain_tripped = is_domain_tripped
         self.metrics = metrics
         self.pool = pool
-        self.endpoint_registry = endpoint_registry
         self.current_endpoints = current_endpoints
         self.codec = codec
         self.clock = clock
@@ -108,7 +104,7 @@
         ResponseTruncated
             If the connection was lost after a part of the response was relayed.
         """
-        record = self.endpoint_registry.find_usable(endpoint)
+        record = self.current_endpoints.registry.find_usable(endpoint)
         if record is None or context.version not in ("", record.version):
             return AttemptResult(outcome=AttemptOutcome.NOT_SENT)
         if not self.links.may_send(record):
--- a/src/eelgrasslock/gateway/request_path.py
+++ b/src/eelgrasslock/gateway/request_path.py
@@ -155,7 +155,6 @@
         )
         attempt_runner = AttemptRunner(
             sources.pool,
-            sources.endpoint_registry,
             current_endpoints,
             sources.platform.codec,
             sources.clock,
--- a/src/eelgrasslock/streams/stream_controller.py
+++ b/src/eelgrasslock/streams/stream_controller.py
@@ -252,6 +252,7 @@
         if not service or not self.watch.only_version(service):
             return ""
         if not await self.confirm_view(seconds):
+            _log.info("Other versions of service {} can't be ruled out now.", service)
             return ""
         return self.watch.only_version(service)
 
