--- a/review/kit-3/deployment.py
+++ b/review/kit-3/deployment.py
@@ -36,6 +36,7 @@
 STABLE_SECONDS = 3.0
 RESTART_SECONDS = 0.5
 _PORTS = range(20_000, 32_000)
+_TAKEN_PORTS = set()
 _SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 _VALUE = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 
@@ -45,15 +46,19 @@
 
 
 def free_ports(count):
-    """Return ports that nothing listens on, outside of those given to connections."""
+    """Return ports that nothing listens on, outside of those given to connections.
+
+    None is returned twice, as what shall listen there may not have begun to.
+    """
     ports = []
-    with contextlib.ExitStack() as stack:
-        while len(ports) < count:
-            one = stack.enter_context(socket.socket())
-            port = random.choice(_PORTS)
-            with contextlib.suppress(OSError):
-                one.bind((HOST, port))
-                ports.append(port)
+    while len(ports) < count:
+        port = random.choice(_PORTS)
+        if port in _TAKEN_PORTS:
+            continue
+        with contextlib.suppress(OSError), socket.socket() as one:
+            one.bind((HOST, port))
+            _TAKEN_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
