--- a/review/12/case.py
+++ b/review/12/case.py
@@ -28,6 +28,7 @@
 DOWN_SECONDS = 2.0
 READS_AFTER_SECONDS = 3.2
 DEADLINE_SECONDS = 4.0
+SERVERS = 7
 SLOTS = 6
 
 
@@ -76,7 +77,7 @@
 
 async def play(deployment):
     """Play the case; return what broke the rule."""
-    servers = [ServerProcess(deployment, n, "abc"[n]) for n in range(3)]
+    servers = [ServerProcess(deployment, n, "abc"[n % 3]) for n in range(SERVERS)]
     try:
         return await _play(deployment, servers)
     finally:
