--- a/review/11/case.py
+++ b/review/11/case.py
@@ -9,20 +9,14 @@
 
 import xxhash
 from aiohttp import web
-from slow_caller import Caller
+from programs import TURN_TOKENS, Program, start_engines
 
-from deployment import EVENT_TOKENS, TURNS, CannotRun, has_trouble, run_case
-from eelgrasslock_standins.platform_engine import PlatformEngineStandin
+from deployment import CannotRun, has_trouble, run_case
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 ZONES = ("a", "b", "c")
 DAEMONS = ("edge-a-1", "edge-a-2", "edge-a-3", "edge-b-1", "edge-c-1")
-SERVERS = 6
-SLOTS = 12
-EVENTS = 8
-TURN_TOKENS = EVENTS * EVENT_TOKENS
 BUDGET_TURNS = 10
-BUDGET = BUDGET_TURNS * TURN_TOKENS
 # With the log, then at each daemon without it.
 CALM_TURNS = 4
 MOST_TURNS = 14
@@ -33,7 +27,6 @@
 SETTLE_SECONDS = 3.0
 NOTICE_SECONDS = 1.0
 TRAFFIC_SECONDS = 0.25
-DEADLINE_SECONDS = 3.0
 
 
 class StoreTrouble:
@@ -86,44 +79,6 @@
         self.deployment.note(f"store: the deregistration of {name} is done")
 
 
-class Program:
-    """An agent program that runs turns until it is told to stop."""
-
-    def __init__(self, deployment, id):
-        self.deployment = deployment
-        self.id = id
-        self.turns = 0
-        self.tokens = 0
-
-    async def run(self, daemon, most):
-        """Run turns at a daemon, up to the first that is not served whole."""
-        for _ in range(most):
-            answer = await self.run_turn(daemon)
-            word = f"{self.tokens} tokens so far"
-            self.deployment.note(
-                f"turn {self.turns} at {daemon.name}: {answer}, {word}"
-            )
-            if answer.status != 200 or not answer.is_complete:
-                return
-
-    async def run_turn(self, daemon):
-        """Run one turn at a daemon."""
-        self.turns += 1
-        more = (
-            f"Program-Id: {self.id}\r\nSession-Id: {self.id}\r\nFinish-Ms: 60000\r\n"
-            f"Token-Budget: {BUDGET}\r\nToken-Usage: 100,{TURN_TOKENS}\r\n"
-            f"Prompt-Prefix: {self.id}:90,{self.turns:x}:10\r\n"
-        )
-        caller = Caller(daemon.front_port, is_slow=False)
-        id = f"{self.id}-{self.turns}"
-        answer = await caller.ask(
-            id, f"{TURNS}x", DEADLINE_SECONDS, body=id.encode(), more=more
-        )
-        caller.close()
-        self.tokens += answer.body.count(b"id: ") * EVENT_TOKENS
-        return answer
-
-
 def program_of(zone):
     """Return the id of a program whose draws without the log are kept in a zone."""
     number = 0
@@ -139,15 +94,7 @@
 
 async def play(deployment):
     """Play the case; return what broke the rule."""
-    servers = []
-    for number in range(SERVERS):
-        server = PlatformEngineStandin(
-            id=f"i-{number:08x}", events=EVENTS, event_seconds=0.005
-        )
-        await server.start()
-        zone = ZONES[number % len(ZONES)]
-        deployment.register(server.id, server.address, zone, SLOTS, "models")
-        servers.append(server)
+    engines = await start_engines(deployment, ZONES)
     for name in DAEMONS:
         deployment.add_daemon(name, name.split("-")[1])
     traffic = None
@@ -162,8 +109,8 @@
     finally:
         if traffic is not None:
             traffic.cancel()
-        for server in servers:
-            await server.stop()
+        for engine in engines:
+            await engine.stop()
 
 
 async def _run_traffic(deployment, daemons):
@@ -172,7 +119,7 @@
     while True:
         number += 1
         for one in daemons:
-            await Program(deployment, f"f{number:05x}{one.zone}").run_turn(one)
+            await Program(f"f{number:05x}{one.zone}", BUDGET_TURNS).ask(one)
         await asyncio.sleep(TRAFFIC_SECONDS)
 
 
@@ -196,21 +143,26 @@
 
 
 async def _run_program(deployment, others):
-    program = Program(deployment, program_of("a"))
+    program = Program(program_of("a"), BUDGET_TURNS)
     first, *rest = [one for one in deployment.daemons if one.zone == "a"]
-    await program.run(first, CALM_TURNS)
-    if program.tokens != CALM_TURNS * TURN_TOKENS:
+    if not await program.run(first, CALM_TURNS):
         raise CannotRun("The first turns are not served.")
+    deployment.note(f"{program.tokens} tokens so far, at {first.name}")
     TROUBLES[deployment].is_down = has_trouble()
     if has_trouble():
         deployment.note("the store is down")
         await asyncio.sleep(NOTICE_SECONDS)
     for daemon in (first, *rest, *others):
-        await program.run(daemon, MOST_TURNS)
-    most = BUDGET + TURN_TOKENS
+        for _ in range(MOST_TURNS):
+            answer = await program.ask(daemon)
+            turn = f"turn {program.requests} at {daemon.name}"
+            deployment.note(f"{turn}: {answer}, {program.tokens} tokens so far")
+            if answer.status != 200:
+                break
+    most = program.budget + TURN_TOKENS
     deployment.note(f"{program.tokens} tokens were handed out, {most} at most may be")
     if program.tokens > most:
-        return [f"{program.tokens} tokens of a budget of {BUDGET} were handed out"]
+        return [f"{program.tokens} tokens of a budget of {program.budget}"]
     return []
 
 
--- a/review/kit-3/deployment.py
+++ b/review/kit-3/deployment.py
@@ -34,7 +34,6 @@
 GRACE_SECONDS = 8
 READY_SECONDS = 25.0
 STABLE_SECONDS = 3.0
-RESTART_SECONDS = 0.5
 _PORTS = range(20_000, 32_000)
 _TAKEN_PORTS = set()
 _SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
@@ -153,11 +152,6 @@
         The machine's name and its zone.
     memory_megabytes : int
         The machine's memory.
-
-    Attributes
-    ----------
-    store_address : str
-        Its own way to the store, empty for the one of all.
     """
 
     def __init__(self, deployment, name, zone, memory_megabytes):
@@ -167,7 +161,6 @@
         self.memory_megabytes = memory_megabytes
         self.ports = free_ports(5)
         self.front_port, self.ready_port = self.ports[:2]
-        self.store_address = ""
         self.process = None
         self.starts = 0
 
@@ -193,7 +186,7 @@
                 "stableWindowMs": int(1_000 * STABLE_SECONDS),
             },
             "platform": {
-                "address": self.store_address or self.deployment.store_address,
+                "address": self.deployment.store_address,
                 "parts": 12,
                 "retentionS": 300,
             },
