--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,87 +1,65 @@
-"""Daemons are stopped in turn while callers read their answers slowly.
+"""One machine stands still for seconds while programs go on at another one.
 
-The answers differ in length by daemon, since it depends on the machine how much of
-one its kernel takes.
+Each program has had its first turn at the machine that stands still, which drew more
+of its budget than that turn.
 """
 
 import asyncio
 import pathlib
-import time
+import signal
 
-from long_answers import LongAnswerServer
-from slow_caller import Caller
+from programs import Program, judge_denials, start_engines
 
-from deployment import LOOKUPS, CannotRun, has_trouble, run_case
+from deployment import CannotRun, has_trouble, run_case
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-SIZES = (40_000, 64_000, 88_000, 112_000, 136_000)
-CALLERS = 4
-STOPPED_AFTER_SECONDS = 0.3
-READS_AFTER_SECONDS = 3.8
-DEADLINE_SECONDS = 4.0
-GRACE_AND_ONE_SECONDS = 9.0
+ZONES = ("a", "b", "c")
+DAEMONS = ("edge-a-1", "edge-a-2", "edge-a-3", "edge-b-1", "edge-c-1")
+BUDGET_TURNS = 9
+PROGRAMS = 24
+CALM_SECONDS = 4.0
+FROZEN_SECONDS = 4.0
+NOTICE_SECONDS = 0.2
 
 
 async def play(deployment):
     """Play the case; return what broke the rule."""
-    servers = []
-    for zone in "abc":
-        server = LongAnswerServer(id=f"i-{zone}")
-        await server.start()
-        deployment.register(server.id, server.address, zone, slots=12)
-        servers.append(server)
-    for number, _ in enumerate(SIZES):
-        zone = "abc"[number % 3]
-        deployment.add_daemon(f"edge-{zone}-{number}", zone)
+    engines = await start_engines(deployment, ZONES)
+    for name in DAEMONS:
+        deployment.add_daemon(name, name.split("-")[1])
     try:
         await deployment.start_daemons()
-        broken = []
-        for daemon, size in zip(deployment.daemons, SIZES, strict=True):
-            broken += await _stop_one(deployment, daemon, size, servers)
-        return broken
+        return await _play(deployment)
     finally:
-        for server in servers:
-            await server.stop()
+        for engine in engines:
+            await engine.stop()
 
 
-async def _stop_one(deployment, daemon, size, servers):
-    """Let callers ask a daemon, stop it, and start it again."""
-    ids = [f"q-{size}-{number}" for number in range(CALLERS)]
-    callers = [Caller(daemon.front_port, is_slow=True) for _ in ids]
-    sent_at = time.monotonic()
-    asking = [
-        asyncio.create_task(
-            one.ask(id, f"{LOOKUPS}{size}", DEADLINE_SECONDS, READS_AFTER_SECONDS)
-        )
-        for one, id in zip(callers, ids, strict=True)
-    ]
-    await asyncio.sleep(STOPPED_AFTER_SECONDS)
-    done = {run.id for one in servers for run in one.runs if run.finished}
-    if not done.issuperset(ids):
-        raise CannotRun("The servers have not answered in time.")
-    deployment.note(f"servers have answered {', '.join(ids)}: {size} bytes each")
-    ended_seconds = float("inf")
+async def _play(deployment):
+    first, *_, second, _ = deployment.daemons
+    programs = [Program(f"c{number:05x}", BUDGET_TURNS) for number in range(PROGRAMS)]
+    served = await asyncio.gather(*(one.run(first, 1) for one in programs))
+    if not all(served):
+        raise CannotRun("The first turns are not all served.")
+    deployment.note(f"{PROGRAMS} programs have had their first turn at {first.name}")
+    await asyncio.sleep(CALM_SECONDS)
+    waking = None
     if has_trouble():
-        deployment.note(f"{daemon.name} gets SIGTERM")
-        await daemon.terminate()
-        ended_seconds = time.monotonic() - sent_at
-        deployment.note(f"{daemon.name} has ended {ended_seconds:.2f} s after the send")
-    answers = await asyncio.gather(*asking)
-    broken = []
-    for id, answer in zip(ids, answers, strict=True):
-        deployment.note(f"{id}: {answer}")
-        # Cut at the end of the process, which no deadline had reached by then.
-        is_cut = not answer.is_complete and answer.end != "left at its deadline"
-        if is_cut and ended_seconds < DEADLINE_SECONDS < GRACE_AND_ONE_SECONDS:
-            broken.append(f"{id}: {len(answer.body)} of {size} bytes, then the end")
-        elif not answer.is_complete and not has_trouble():
-            raise CannotRun("An answer is not complete in calm either.")
-    for one in callers:
-        one.close()
-    if has_trouble():
-        await daemon.start()
-        await daemon.wait_ready()
-    return broken
+        waking = asyncio.create_task(_freeze(deployment, first))
+        await asyncio.sleep(NOTICE_SECONDS)
+    await asyncio.gather(*(one.run(second, BUDGET_TURNS - 1) for one in programs))
+    deployment.note(f"the programs have ended at {second.name}")
+    if waking is not None:
+        await waking
+    return judge_denials(deployment, programs)
+
+
+async def _freeze(deployment, daemon):
+    deployment.note(f"{daemon.name} stands still")
+    daemon.send(signal.SIGSTOP)
+    await asyncio.sleep(FROZEN_SECONDS)
+    daemon.send(signal.SIGCONT)
+    deployment.note(f"{daemon.name} goes on")
 
 
 run_case(FOLDER, play)
