--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,7 +3,9 @@
 # Wants the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH=target/deps:target/review-3
-timeout -k 2 117 python3 review/11/case.py
+timeout -k 5 114 python3 review/11/case.py &
+trap 'kill "$!"; wait "$!"; exit 2' TERM INT
+wait "$!"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/kit-3/deployment.py
+++ b/review/kit-3/deployment.py
@@ -383,6 +383,8 @@
     with tempfile.TemporaryDirectory() as temporary:
         deployment = Deployment(pathlib.Path(temporary))
         status = 2
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(seconds):
                 if prepare is not None:
@@ -394,7 +396,7 @@
                 status = 1 if broken else 0
         except CannotRun as error:
             deployment.note(f"The case can't be played: {error}")
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             deployment.note(f"The case could not be played: {error!r}")
         finally:
             await deployment.stop()
