--- a/review/11/case.py
+++ b/review/11/case.py
@@ -5,15 +5,17 @@
 """
 
 import asyncio
+import os
 import pathlib
 
 import xxhash
 from aiohttp import web
 from programs import TURN_TOKENS, Program, start_engines
 
-from deployment import CannotRun, has_trouble, run_case
+from deployment import CannotRun, run_case
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("a", "b", "c")
 DAEMONS = ("edge-a-1", "edge-a-2", "edge-a-3", "edge-b-1", "edge-c-1")
 BUDGET_TURNS = 10
@@ -103,7 +105,7 @@
         await asyncio.sleep(SETTLE_SECONDS)
         others = [one for one in deployment.daemons if one.zone != "a"]
         traffic = asyncio.create_task(_run_traffic(deployment, others))
-        if has_trouble():
+        if HAS_TROUBLE:
             await _restart_in_turn(deployment)
         return await _run_program(deployment, others)
     finally:
@@ -148,8 +150,8 @@
     if not await program.run(first, CALM_TURNS):
         raise CannotRun("The first turns are not served.")
     deployment.note(f"{program.tokens} tokens so far, at {first.name}")
-    TROUBLES[deployment].is_down = has_trouble()
-    if has_trouble():
+    TROUBLES[deployment].is_down = HAS_TROUBLE
+    if HAS_TROUBLE:
         deployment.note("the store is down")
         await asyncio.sleep(NOTICE_SECONDS)
     for daemon in (first, *rest, *others):
--- a/review/kit-3/deployment.py
+++ b/review/11/deployment.py
@@ -357,11 +357,6 @@
     (folder / "record.txt").write_text("\n".join(lines) + "\n")
 
 
-def has_trouble():
-    """Return whether the disruption is played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(folder, play, prepare=None, seconds=110.0):
     """Play a case and exit: 1 if the rule was broken, 0 if it held, else 2.
 
@@ -400,7 +395,7 @@
             deployment.note(f"The case could not be played: {error!r}")
         finally:
             await deployment.stop()
-            deployment.note(f"Ends with {status}, trouble {has_trouble()}.")
+            deployment.note(f"Ends with {status}.")
             write_record(folder, deployment.lines)
     print("\n".join(deployment.lines[-12:]))
     return status
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -5,16 +5,25 @@
 """
 
 import asyncio
+import os
 import pathlib
 import signal
 
 from programs import Program, judge_denials, start_engines
 
-from deployment import CannotRun, has_trouble, run_case
+from deployment import CannotRun, run_case
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("a", "b", "c")
-DAEMONS = ("edge-a-1", "edge-a-2", "edge-a-3", "edge-b-1", "edge-c-1")
+DAEMONS = (
+    "edge-a-1",
+    "edge-a-2",
+    "edge-a-3",
+    "edge-c-2",
+    "edge-b-1",
+    "edge-c-1",
+)
 BUDGET_TURNS = 9
 PROGRAMS = 24
 CALM_SECONDS = 4.0
@@ -42,7 +51,7 @@
         raise CannotRun("The first turns are not all served.")
     deployment.note(f"{PROGRAMS} programs have had their first turn at {first.name}")
     await asyncio.sleep(CALM_SECONDS)
-    if has_trouble():
+    if HAS_TROUBLE:
         await _kill(deployment, first)
     await asyncio.sleep(CALM_SECONDS)
     await asyncio.gather(*(one.run(second, BUDGET_TURNS - 1) for one in programs))
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -5,14 +5,16 @@
 """
 
 import asyncio
+import os
 import pathlib
 import signal
 
 from programs import Program, judge_denials, start_engines
 
-from deployment import CannotRun, has_trouble, run_case
+from deployment import CannotRun, run_case
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("a", "b", "c")
 DAEMONS = ("edge-a-1", "edge-a-2", "edge-a-3", "edge-b-1", "edge-c-1")
 BUDGET_TURNS = 9
@@ -44,7 +46,7 @@
     deployment.note(f"{PROGRAMS} programs have had their first turn at {first.name}")
     await asyncio.sleep(CALM_SECONDS)
     waking = None
-    if has_trouble():
+    if HAS_TROUBLE:
         waking = asyncio.create_task(_freeze(deployment, first))
         await asyncio.sleep(NOTICE_SECONDS)
     await asyncio.gather(*(one.run(second, BUDGET_TURNS - 1) for one in programs))
